--- /dev/null
+++ b/src/kernel/counters.h
@@ -0,0 +1,53 @@
+#ifndef KERNEL_COUNTERS_H
+#define KERNEL_COUNTERS_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#define COUNTER_SHARDS 16
+
+/* Every counter: id, exported name, unit or empty, help. */
+#define COUNTER_TABLE(X)                                                      \
+	X(REQUESTS, "requests_total", "requests received")                    \
+	X(DONE, "requests_done_total", "requests answered done")              \
+	X(NOT_RUN, "requests_not_run_total", "requests answered not run")     \
+	X(UNKNOWN, "requests_unknown_total", "requests answered unknown")     \
+	X(OVER_RATE, "requests_over_rate_total", "requests over a team rate") \
+	X(READS_REPLICA, "reads_replica_total", "reads served by replicas")   \
+	X(READS_PRIMARY, "reads_primary_total", "reads served by primaries")  \
+	X(CONFIRM_WAIT_US, "confirm_wait_microseconds_total",                 \
+	  "time writes waited for a second database")                         \
+	X(CONFIRMS, "confirms_total", "writes confirmed by two databases")    \
+	X(DB_CALLS, "database_calls_total", "calls to databases")             \
+	X(PROBES, "database_probes_total", "status probes of databases")      \
+	X(RETRIES, "retries_total", "statements tried again")                 \
+	X(PROMOTIONS, "promotions_total", "promotions completed here")        \
+	X(PLATFORM_CALLS, "platform_calls_total", "calls to the platform")    \
+	X(PLATFORM_WATCHES, "platform_watches_total",                         \
+	  "watches at the platform")                                          \
+	X(PEER_SENT, "peer_messages_sent_total", "messages sent to peers")    \
+	X(PEER_SENT_BYTES, "peer_sent_bytes_total", "bytes sent to peers")    \
+	X(PEER_RECEIVED, "peer_messages_received_total",                      \
+	  "messages received from peers")                                     \
+	X(PEER_RECEIVED_BYTES, "peer_received_bytes_total",                   \
+	  "bytes received from peers")                                        \
+	X(PEER_BAD, "peer_messages_bad_total", "messages refused")            \
+	X(CONFIG_APPLIED, "config_objects_applied_total",                     \
+	  "configuration objects applied")                                    \
+	X(ESCROW_ASKS, "escrow_asks_total", "transfers asked of peers")       \
+	X(ESCROW_GIVES, "escrow_gives_total", "transfers given to peers")     \
+	X(FORWARDS, "forwards_total", "requests forwarded to peers")
+
+enum counter {
+#define X(id, name, help) CTR_##id,
+	COUNTER_TABLE(X)
+#undef X
+		CTR_COUNT
+};
+
+void counter_add(enum counter c, uint64_t n);
+uint64_t counter_sum(enum counter c);
+/* Writes all counters in the text format of scrapers; returns its length. */
+size_t counters_print(char *buf, size_t size);
+
+#endif
--- /dev/null
+++ b/src/kernel/log.h
@@ -0,0 +1,66 @@
+#ifndef KERNEL_LOG_H
+#define KERNEL_LOG_H
+
+#include "decide/error.h"
+
+enum log_level {
+	LOG_ERROR,
+	LOG_WARN,
+	LOG_INFO,
+	LOG_DEBUG,
+};
+
+/*
+ * Numbered events; docs/EVENTS.md is their catalogue, kept equal by a test.
+ * Number ranges: 1xxx kernel, 2xxx callers, 3xxx databases, 4xxx promotion,
+ * 5xxx teams and limits, 6xxx configuration and platform, 7xxx peers.
+ */
+#define EVENT_TABLE(X)                                                     \
+	X(1001, VM_START, INFO, "VM starts")                               \
+	X(1002, VM_READY, INFO, "VM serves callers")                       \
+	X(1003, VM_DRAIN, INFO, "drain begins")                            \
+	X(1004, VM_STOP, INFO, "VM stops")                                 \
+	X(1005, VM_FAIL, ERROR, "VM cannot start")                         \
+	X(2001, CALLER_REFUSED, DEBUG, "request refused")                  \
+	X(2002, CALLER_UNKNOWN, WARN, "outcome of a request unknown")      \
+	X(3001, DB_LOST, WARN, "database does not answer")                 \
+	X(3002, DB_BACK, INFO, "database answers again")                   \
+	X(3003, DB_SUSPECT, WARN, "connection closed after overdue reply") \
+	X(4001, PROMOTE_SUSPECT, WARN, "primary suspected")                \
+	X(4002, PROMOTE_CLAIM, INFO, "term claimed")                       \
+	X(4003, PROMOTE_FENCE, INFO, "group fenced by majority")           \
+	X(4004, PROMOTE_DONE, INFO, "database promoted")                   \
+	X(4005, PROMOTE_PUBLISH, INFO, "new primary published")            \
+	X(4006, PROMOTE_GIVE_UP, WARN, "promotion given up")               \
+	X(4007, PROMOTE_VIEW, INFO, "new primary known")                   \
+	X(4008, HANDOVER_START, INFO, "planned hand-over begins")          \
+	X(5001, ESCROW_RECOUNT, INFO, "recount of a team limit")           \
+	X(5002, TEAM_REFUSED, DEBUG, "request over the team's rate")       \
+	X(6001, CONFIG_APPLIED, INFO, "configuration object applied")      \
+	X(6002, CONFIG_REFUSED, WARN, "configuration object refused")      \
+	X(6003, PLATFORM_DOWN, WARN, "platform does not answer")           \
+	X(6004, PLATFORM_BACK, INFO, "platform answers again")             \
+	X(6005, AUDIT, INFO, "administrative change")                      \
+	X(7001, PEER_BAD_MESSAGE, WARN, "message of a peer refused")       \
+	X(7002, PEER_JOINED, INFO, "VM joined")                            \
+	X(7003, PEER_GONE, WARN, "VM gone")
+
+enum event {
+#define X(number, id, level, text) EV_##id = (number),
+	EVENT_TABLE(X)
+#undef X
+};
+
+int log_open(const char *vm, enum log_level level, struct error *e);
+void log_close(void);
+/*
+ * Writes an event to the log and to the time line. "fmt" gives key=value
+ * fields; never a key, a secret or a statement parameter.
+ */
+void log_event(enum event ev, const char *fmt, ...)
+	__attribute__((format(printf, 2, 3)));
+void log_error(enum event ev, const struct error *err);
+const char *event_text(enum event ev);
+const char *event_name(enum event ev);
+
+#endif
--- /dev/null
+++ b/src/kernel/loop.h
@@ -0,0 +1,67 @@
+#ifndef KERNEL_LOOP_H
+#define KERNEL_LOOP_H
+
+#include "decide/error.h"
+
+/*
+ * An event loop: one thread with an inbox, timers and HTTP calls. All
+ * callbacks of a loop run on its thread.
+ */
+struct loop;
+
+struct loop_timer {
+	usec_t at;
+	void (*fn)(void *ctx);
+	void *ctx;
+	uint32_t slot; /* place in the heap plus one; 0 when not set */
+};
+
+#define HTTP_ETAG_BYTES 40
+
+/*
+ * One HTTP call, owned by whoever starts it, from loop_http() until done() is
+ * called. A reply that is overdue closes its connection; "sent" tells whether
+ * any byte of the request can have left.
+ */
+struct http_call {
+	const char *method;
+	char url[256];
+	char *body;	 /* request body, may be NULL; owned by the owner */
+	size_t body_len; /* bytes */
+	char if_match[HTTP_ETAG_BYTES]; /* sent as If-Match: "..." */
+	bool if_none_match;		/* sent as If-None-Match: * */
+	char authorization[160];	/* bearer token, may be empty */
+	usec_t timeout;			/* from start to end */
+	size_t reply_max;		/* bytes; larger replies fail */
+	bool fresh;			/* on a new connection */
+	void (*done)(struct http_call *call);
+	void *ctx;
+	/* Filled in before done(): */
+	int status; /* HTTP status; 0 if none */
+	bool sent;
+	bool timed_out;
+	char *reply; /* NUL-terminated; freed after done() */
+	size_t reply_len;
+	char etag[HTTP_ETAG_BYTES]; /* without quotes */
+	char failure[128];	    /* why there is no status */
+	/* The loop's own: */
+	void *easy;
+	void *headers;
+	size_t reply_room;
+	struct http_call *next;
+};
+
+struct loop *loop_create(const char *name, struct error *e);
+int loop_start(struct loop *l, struct error *e);
+void loop_stop(struct loop *l); /* joins the thread */
+void loop_destroy(struct loop *l);
+void loop_post(struct loop *l, void (*fn)(void *ctx), void *ctx);
+void loop_timer_set(struct loop *l, struct loop_timer *t, usec_t at);
+void loop_timer_clear(struct loop *l, struct loop_timer *t);
+void loop_http(struct loop *l, struct http_call *call); /* loop thread only */
+bool loop_is_current(const struct loop *l);
+
+usec_t clock_now(void);	     /* monotonic */
+int64_t clock_wall_us(void); /* since the epoch, for stamps and logs */
+
+#endif
--- /dev/null
+++ b/src/kernel/plugin.h
@@ -0,0 +1,44 @@
+#ifndef KERNEL_PLUGIN_H
+#define KERNEL_PLUGIN_H
+
+#include "decide/error.h"
+
+struct kernel;
+
+/*
+ * A plug-in registers itself before main() and is started in the order of
+ * "rank", drained and stopped in the reverse order. Callbacks may be NULL.
+ */
+struct plugin {
+	const char *name;
+	int rank;
+	int (*start)(struct kernel *k, struct error *e);
+	void (*drain)(struct kernel *k); /* begins; must not block */
+	bool (*drained)(struct kernel *k);
+	void (*stop)(struct kernel *k);
+	struct plugin *next;
+};
+
+enum plugin_rank {
+	RANK_PLATFORM = 10,
+	RANK_PEER = 20,
+	RANK_DATABASE = 30,
+	RANK_ENGINE = 40,
+	RANK_ADMIN = 50,
+	RANK_CALLER = 60,
+};
+
+void plugin_register(struct plugin *p);
+struct plugin *plugin_first(void);
+int plugin_start_all(struct kernel *k, struct error *e);
+void plugin_drain_all(struct kernel *k);
+bool plugin_drained_all(struct kernel *k);
+void plugin_stop_all(struct kernel *k);
+
+#define PLUGIN_REGISTER(p)                                          \
+	__attribute__((constructor)) static void register_##p(void) \
+	{                                                           \
+		plugin_register(&(p));                              \
+	}
+
+#endif
--- /dev/null
+++ b/tests/run.sh
@@ -0,0 +1,29 @@
+#!/bin/sh
+# Runs the unit tests and every tests/process/*.sh, sums their counts and ends
+# with "N passed, N failed".
+set -u
+cd "$(dirname "$0")/.."
+B=${B:-build}
+passed=0 failed=0
+log=$B/check.log
+count() {
+	line=$(grep -E '^[0-9]+ passed, [0-9]+ failed$' "$log" | tail -1)
+	if [ -z "$line" ]; then
+		echo "$1: ended without a count"
+		failed=$((failed + 1))
+		return
+	fi
+	passed=$((passed + $(echo "$line" | cut -d' ' -f1)))
+	failed=$((failed + $(echo "$line" | cut -d' ' -f3)))
+}
+"$B/check" --gtest_brief=1 >"$log" 2>&1
+grep -vE '^[0-9]+ passed, [0-9]+ failed$' "$log"
+count unit
+for t in tests/process/*.sh; do
+	[ -e "$t" ] || continue
+	timeout 240 sh "$t" >"$log" 2>&1
+	grep -E '^not ok|^#' "$log"
+	count "$t"
+done
+echo "$passed passed, $failed failed"
+[ "$failed" -eq 0 ] && [ "$passed" -gt 0 ]
