--- /dev/null
+++ b/src/kernel/peer.h
@@ -0,0 +1,34 @@
+#ifndef KERNEL_PEER_H
+#define KERNEL_PEER_H
+
+#include "decide/error.h"
+
+struct kernel;
+
+#define PEER_BODY_MAX_BYTES 262144
+
+/* Message types between VMs; each module has its own codec for its bodies. */
+enum peer_type {
+	PEER_GOSSIP = 1,   /* versions and deltas of objects, members */
+	PEER_GOSSIP_REPLY, /* what the asker lacked */
+	PEER_ESCROW,	   /* ask, grant, recount: the escrow's codec */
+	PEER_FORWARD,	   /* a request for a VM that holds connections */
+	PEER_FORWARD_REPLY,
+	PEER_OPINION, /* what do you hear of this database? */
+	PEER_OPINION_REPLY,
+	PEER_GROUP_VIEW, /* a new primary, told at once */
+	PEER_TYPE_COUNT
+};
+
+/* Runs on the peer thread; the bytes are valid only during the call. */
+typedef void (*peer_handle_fn)(void *ctx, const char *from,
+			       uint64_t incarnation, const void *body,
+			       size_t len);
+
+void peer_handle(struct kernel *k, enum peer_type type, peer_handle_fn fn,
+		 void *ctx);
+/* Any thread; the body is copied. Loss is silent, a full queue drops. */
+void peer_send(struct kernel *k, const char *to, enum peer_type type,
+	       const void *body, size_t len);
+
+#endif
--- /dev/null
+++ b/src/kernel/platform.h
@@ -0,0 +1,47 @@
+#ifndef KERNEL_PLATFORM_H
+#define KERNEL_PLATFORM_H
+
+#include "decide/error.h"
+
+struct kernel;
+
+#define OBJECT_NAME_BYTES 128
+#define OBJECT_MAX_BYTES  1048576
+
+enum platform_op {
+	PLATFORM_GET,
+	PLATFORM_PUT,
+	PLATFORM_LIST,
+	PLATFORM_WATCH,
+	PLATFORM_VMS,
+	PLATFORM_ANNOUNCE,
+};
+
+enum platform_result {
+	PLATFORM_OK,
+	PLATFORM_CONFLICT, /* the version was not the expected one */
+	PLATFORM_ABSENT,
+	PLATFORM_DOWN, /* surely without effect */
+	PLATFORM_LOST, /* may have taken effect */
+};
+
+/* One call, owned by its maker; done() runs on the platform's loop. */
+struct platform_call {
+	enum platform_op op;
+	char name[OBJECT_NAME_BYTES]; /* object, or prefix */
+	char *body;		      /* PUT, ANNOUNCE; owned by the maker */
+	uint64_t version; /* in: expected (0: must not exist); out: current */
+	uint64_t after;	  /* WATCH: revision */
+	uint32_t wait_ms; /* WATCH */
+	void (*done)(struct platform_call *c);
+	void *ctx;
+	enum platform_result result;
+	struct error error;
+	char *reply; /* JSON; freed after done() */
+	void *own;   /* the plug-in's */
+};
+
+void platform_submit(struct kernel *k, struct platform_call *c);
+bool platform_is_up(struct kernel *k); /* as far as this VM knows */
+
+#endif
--- /dev/null
+++ b/src/kernel/settings.h
@@ -0,0 +1,55 @@
+#ifndef KERNEL_SETTINGS_H
+#define KERNEL_SETTINGS_H
+
+#include "decide/error.h"
+#include "kernel/log.h"
+
+/* A VM's settings, from one JSON file; man/gypsumcleat.json.5 tells all. */
+struct settings {
+	char vm[NAME_MAX_BYTES];	    /* "vm": this VM's name */
+	char domain[NAME_MAX_BYTES];	    /* "domain": failure domain */
+	char region[NAME_MAX_BYTES];	    /* "region" */
+	char caller_listen[ADDR_MAX_BYTES]; /* "caller_listen": ip:port */
+	char admin_listen[ADDR_MAX_BYTES];  /* "admin_listen" */
+	char peer_listen[ADDR_MAX_BYTES];   /* "peer_listen" */
+	char platform[ADDR_MAX_BYTES];	    /* "platform": ip:port */
+	char operator_key_hash[65];   /* "operator_key_hash": hex of BLAKE2b-256
+				       */
+	enum log_level log_level;     /* "log_level" */
+	uint32_t shards;	      /* "shards" */
+	uint32_t caller_threads;      /* "caller_threads" */
+	uint32_t caller_connections;  /* "caller_connections" */
+	uint32_t caller_idle_ms;      /* "caller_idle_ms" */
+	uint32_t body_max_bytes;      /* "body_max_bytes" */
+	uint32_t answer_max_bytes;    /* "answer_max_bytes" */
+	uint32_t deadline_default_ms; /* "deadline_default_ms" */
+	uint32_t deadline_max_ms;     /* "deadline_max_ms" */
+	uint32_t transaction_max_ms;  /* "transaction_max_ms" */
+	uint32_t queue_max;	      /* "queue_max": per database */
+	uint32_t probe_ms;	      /* "probe_ms" */
+	uint32_t reply_timeout_ms;    /* "reply_timeout_ms": of a database */
+	uint32_t suspect_ms;	      /* "suspect_ms": silence of a primary */
+	uint32_t promote_stagger_ms;  /* "promote_stagger_ms": per rank */
+	uint32_t replica_fresh_ms;    /* "replica_fresh_ms" */
+	uint32_t platform_timeout_ms; /* "platform_timeout_ms" */
+	uint32_t keys_fresh_ms;	      /* "keys_fresh_ms" */
+	uint32_t gossip_ms;	      /* "gossip_ms" */
+	uint32_t watchers_per_domain; /* "watchers_per_domain" */
+	uint32_t escrow_wait_ms;      /* "escrow_wait_ms" */
+	uint32_t drain_notice_ms;     /* "drain_notice_ms" */
+	uint32_t drain_max_ms;	      /* "drain_max_ms" */
+	uint32_t timeline_events;     /* "timeline_events" */
+};
+
+/* Each failure found, one a line, "file: key: value: bound". */
+struct settings_report {
+	uint32_t n;
+	char text[8192];
+};
+
+int settings_load(struct settings *s, const char *path,
+		  struct settings_report *report, struct error *e);
+int settings_parse(struct settings *s, const char *json, size_t len,
+		   const char *file, struct settings_report *report);
+
+#endif
--- /dev/null
+++ b/src/kernel/teams.h
@@ -0,0 +1,43 @@
+#ifndef KERNEL_TEAMS_H
+#define KERNEL_TEAMS_H
+
+#include "decide/error.h"
+
+struct kernel;
+
+struct team_ref {
+	char team[NAME_MAX_BYTES];
+	char key_id[NAME_MAX_BYTES];
+	uint32_t weight;
+	int64_t read_staleness_us; /* the team's default stated age */
+};
+
+enum team_admission {
+	TEAM_ADMITTED,
+	TEAM_WAIT, /* call again at *again_at, no later than the deadline */
+	TEAM_OVER_RATE,
+};
+
+/*
+ * Finds the team of a caller's key for a service: 0, or -1 with KEY_UNKNOWN,
+ * FORBIDDEN or STALE_KEYS. Any thread.
+ */
+int teams_check_key(struct kernel *k, const char *secret, const char *service,
+		    struct team_ref *out, struct error *e);
+/* Is the key, found earlier by teams_check_key(), still good? */
+int teams_recheck(struct kernel *k, const char *team, const char *key_id,
+		  struct error *e);
+/*
+ * Takes one token of the team's rate. On TEAM_WAIT nothing was taken and a
+ * transfer has been asked for; "first_tried" is when this request first asked.
+ */
+enum team_admission teams_admit(struct kernel *k, const char *team, usec_t now,
+				usec_t first_tried, usec_t *again_at,
+				int64_t *retry_after_ms);
+/* Gives a taken token back for a request that was refused before it ran. */
+void teams_refund(struct kernel *k, const char *team, usec_t now);
+/* Key that authenticates session tokens; 32 bytes each; false if not known. */
+bool teams_session_secret(struct kernel *k, uint8_t current[32],
+			  uint8_t previous[32], bool *has_previous);
+
+#endif
