--- a/src/kernel/platform.h
+++ b/src/kernel/platform.h
@@ -4,6 +4,16 @@
 #include "decide/error.h"
 
 struct kernel;
+struct loop;
+struct platform_call;
+
+/* The plug-in that speaks to the platform; put into struct kernel by it. */
+struct platform {
+	void (*submit)(void *ctx, struct platform_call *c);
+	bool (*is_up)(void *ctx);
+	void *ctx;
+	struct loop *loop; /* on which done() runs; others may set timers */
+};
 
 #define OBJECT_NAME_BYTES 128
 #define OBJECT_MAX_BYTES  1048576
@@ -41,6 +51,7 @@
 	void *own;   /* the plug-in's */
 };
 
+/* Any thread. Without a platform the call is done at once, as DOWN. */
 void platform_submit(struct kernel *k, struct platform_call *c);
 bool platform_is_up(struct kernel *k); /* as far as this VM knows */
 
--- a/src/kernel/plugin.h
+++ b/src/kernel/plugin.h
@@ -20,8 +20,11 @@
 };
 
 enum plugin_rank {
+	RANK_STATE = 5, /* store and fleet: there before all, freed last */
 	RANK_PLATFORM = 10,
 	RANK_PEER = 20,
+	RANK_CONFIG = 24,
+	RANK_GOSSIP = 26,
 	RANK_DATABASE = 30,
 	RANK_ENGINE = 40,
 	RANK_ADMIN = 50,
--- a/src/kernel/store.h
+++ b/src/kernel/store.h
@@ -24,6 +24,14 @@
 /* True if the object is newer than the one known and was applied. */
 bool store_offer(struct store *s, const char *name, uint64_t version,
 		 const char *body, struct error *e);
+/* Calls fn for each object under a prefix, in no order; under the lock. */
+typedef void (*store_each_fn)(void *ctx, const char *name, uint64_t version,
+			      size_t body_len);
+void store_each(struct store *s, const char *prefix, store_each_fn fn,
+		void *ctx);
+size_t store_count(struct store *s);
+/* Version known, 0 if none. */
+uint64_t store_version(struct store *s, const char *name);
 /* A malloc'd copy of the body, or NULL. */
 char *store_get(struct store *s, const char *name, uint64_t *version);
 
