Add the event loop with timers and HTTP calls

Cause: shards, platform and databases need one kind of loop. Change: an APR pollset drives curl's sockets, a heap the timers, an inbox the tasks. Curl sends a request again by itself when a kept connection dies, even a POST that was read whole; a body marked "once" is read through a callback that cannot be rewound. Conclusion: a write without an id needs the mark.

--- a/src/kernel/loop.h
+++ b/src/kernel/loop.h
@@ -16,31 +16,33 @@
 	uint32_t slot; /* place in the heap plus one; 0 when not set */
 };
 
+#define HTTP_URL_BYTES	256
 #define HTTP_ETAG_BYTES 40
+#define HTTP_AUTH_BYTES 160
 
 /*
  * One HTTP call, owned by whoever starts it, from loop_http() until done() is
- * called. A reply that is overdue closes its connection; "sent" tells whether
- * any byte of the request can have left.
+ * called. A reply that is overdue closes its connection.
  */
 struct http_call {
 	const char *method;
-	char url[256];
-	char *body;	 /* request body, may be NULL; owned by the owner */
-	size_t body_len; /* bytes */
-	char if_match[HTTP_ETAG_BYTES]; /* sent as If-Match: "..." */
-	bool if_none_match;		/* sent as If-None-Match: * */
-	char authorization[160];	/* bearer token, may be empty */
-	usec_t timeout;			/* from start to end */
-	size_t reply_max;		/* bytes; larger replies fail */
-	bool fresh;			/* on a new connection */
+	char url[HTTP_URL_BYTES];
+	const char *body; /* request body, may be NULL; owned by the owner */
+	size_t body_len;  /* bytes */
+	bool once;	  /* the body must never be sent a second time */
+	char if_match[HTTP_ETAG_BYTES];	     /* sent as If-Match: "..." */
+	bool if_none_match;		     /* sent as If-None-Match: * */
+	char authorization[HTTP_AUTH_BYTES]; /* bearer token, may be empty */
+	usec_t timeout;			     /* from start to end */
+	size_t reply_max;		     /* bytes; larger replies fail */
+	bool fresh;			     /* on a new connection */
 	void (*done)(struct http_call *call);
 	void *ctx;
 	/* Filled in before done(): */
 	int status; /* HTTP status; 0 if none */
-	bool sent;
+	bool sent;  /* something of the request can have left */
 	bool timed_out;
-	char *reply; /* NUL-terminated; freed after done() */
+	char *reply; /* NUL-terminated; freed after done(); NULL if none */
 	size_t reply_len;
 	char etag[HTTP_ETAG_BYTES]; /* without quotes */
 	char failure[128];	    /* why there is no status */
@@ -48,12 +50,14 @@
 	void *easy;
 	void *headers;
 	size_t reply_room;
+	size_t body_given;
 	struct http_call *next;
+	struct http_call **back;
 };
 
 struct loop *loop_create(const char *name, struct error *e);
 int loop_start(struct loop *l, struct error *e);
-void loop_stop(struct loop *l); /* joins the thread */
+void loop_stop(struct loop *l); /* ends and joins the thread */
 void loop_destroy(struct loop *l);
 void loop_post(struct loop *l, void (*fn)(void *ctx), void *ctx);
 void loop_timer_set(struct loop *l, struct loop_timer *t, usec_t at);
--- /dev/null
+++ b/src/kernel/loop_http.c
@@ -0,0 +1,417 @@
+#include "kernel/loop_own.h"
+
+#include <apr_portable.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#define IDLE_HANDLES_MAX   256
+#define CONNECTIONS_CACHED 4096L
+#define REPLY_ROOM_MIN	   1024
+#define KEEPALIVE_S	   10L
+#define USER_TIMEOUT_MS	   5000
+
+static int on_socket(CURL *easy, curl_socket_t fd, int what, void *ctx,
+		     void *socket_ctx);
+static int on_curl_timeout(CURLM *multi, long ms, void *ctx);
+static void on_timer(void *ctx);
+static size_t on_reply(char *data, size_t size, size_t n, void *ctx);
+static size_t on_header(char *data, size_t size, size_t n, void *ctx);
+static size_t on_read(char *buf, size_t size, size_t n, void *ctx);
+static int on_new_socket(void *ctx, curl_socket_t fd, curlsocktype purpose);
+static CURL *take_handle(struct loop *l);
+static void give_handle(struct loop *l, CURL *easy);
+static int set_up(struct http_call *c, CURL *easy);
+static int set_body(struct http_call *c, CURL *easy);
+static int add_header(struct http_call *c, const char *line);
+static void collect_done(struct loop *l);
+static void finish(struct loop *l, struct http_call *c, CURLcode rc);
+static struct loop_socket *socket_of(struct loop *l, curl_socket_t fd);
+
+/* Readies the loop's HTTP side. */
+int loop_http_open(struct loop *l, struct error *e)
+{
+	if (curl_global_init(CURL_GLOBAL_ALL))
+		return error_set(e, ERR_SYSTEM, STEP_NONE, l->name,
+				 "no HTTP library");
+	l->multi = curl_multi_init();
+	l->sockets = calloc(LOOP_FDS_MAX, sizeof(struct loop_socket *));
+	l->idle = calloc(IDLE_HANDLES_MAX, sizeof(CURL *));
+	if (!l->multi || !l->sockets || !l->idle)
+		return error_set(e, ERR_SYSTEM, STEP_NONE, l->name,
+				 "no memory");
+	l->curl_timer.fn = on_timer;
+	l->curl_timer.ctx = l;
+	curl_multi_setopt(l->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+	curl_multi_setopt(l->multi, CURLMOPT_SOCKETDATA, l);
+	curl_multi_setopt(l->multi, CURLMOPT_TIMERFUNCTION, on_curl_timeout);
+	curl_multi_setopt(l->multi, CURLMOPT_TIMERDATA, l);
+	curl_multi_setopt(l->multi, CURLMOPT_MAXCONNECTS, CONNECTIONS_CACHED);
+	curl_multi_setopt(l->multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+	return 0;
+}
+
+/* Ends all calls with a failure and frees the HTTP side. */
+void loop_http_close(struct loop *l)
+{
+	uint32_t i;
+
+	while (l->calls)
+		finish(l, l->calls, CURLE_ABORTED_BY_CALLBACK);
+	for (i = 0; i < l->idle_n; i++)
+		curl_easy_cleanup(l->idle[i]);
+	l->idle_n = 0;
+	if (l->multi)
+		curl_multi_cleanup(l->multi);
+	l->multi = NULL;
+	for (i = 0; l->sockets && i < LOOP_FDS_MAX; i++)
+		free(l->sockets[i]);
+	free(l->sockets);
+	l->sockets = NULL;
+	free(l->idle);
+	l->idle = NULL;
+}
+
+/*
+ * Starts a call; done() comes later, never from within. On a loop that has
+ * ended the call fails at once.
+ */
+void loop_http(struct loop *l, struct http_call *c)
+{
+	CURL *easy;
+
+	c->status = 0;
+	c->sent = false;
+	c->timed_out = false;
+	c->reply = NULL;
+	c->reply_len = 0;
+	c->reply_room = 0;
+	c->body_given = 0;
+	c->headers = NULL;
+	c->easy = NULL;
+	c->etag[0] = '\0';
+	c->failure[0] = '\0';
+	c->next = l->calls;
+	c->back = &l->calls;
+	if (c->next)
+		c->next->back = &c->next;
+	l->calls = c;
+	easy = l->multi ? take_handle(l) : NULL;
+	if (!easy) {
+		finish(l, c, CURLE_OUT_OF_MEMORY);
+		return;
+	}
+	c->easy = easy;
+	if (set_up(c, easy) ||
+	    curl_multi_add_handle(l->multi, easy) != CURLM_OK)
+		finish(l, c, CURLE_FAILED_INIT);
+}
+
+/* Tells curl what a socket is ready for. */
+void loop_http_ready(struct loop *l, const apr_pollfd_t *fd)
+{
+	struct loop_socket *s = fd->client_data;
+	curl_socket_t d;
+	int what = 0, running;
+
+	apr_os_sock_get(&d, s->socket);
+	if (fd->rtnevents & APR_POLLIN)
+		what |= CURL_CSELECT_IN;
+	if (fd->rtnevents & APR_POLLOUT)
+		what |= CURL_CSELECT_OUT;
+	if (fd->rtnevents & (APR_POLLERR | APR_POLLHUP))
+		what |= CURL_CSELECT_ERR;
+	curl_multi_socket_action(l->multi, d, what, &running);
+	collect_done(l);
+}
+
+/* Curl says what to poll one of its sockets for. */
+static int on_socket(CURL *easy, curl_socket_t fd, int what, void *ctx,
+		     void *socket_ctx)
+{
+	struct loop *l = ctx;
+	struct loop_socket *s = socket_of(l, fd);
+	apr_int16_t events = 0;
+
+	(void)easy;
+	(void)socket_ctx;
+	if (!s)
+		return -1;
+	if (what == CURL_POLL_IN || what == CURL_POLL_INOUT)
+		events |= APR_POLLIN;
+	if (what == CURL_POLL_OUT || what == CURL_POLL_INOUT)
+		events |= APR_POLLOUT;
+	if (s->polled)
+		apr_pollset_remove(l->pollset, &s->poll);
+	s->polled = false;
+	if (what == CURL_POLL_REMOVE)
+		return 0;
+	s->poll.reqevents = events;
+	s->polled = apr_pollset_add(l->pollset, &s->poll) == APR_SUCCESS;
+	return s->polled ? 0 : -1;
+}
+
+/* The loop's record of a descriptor; NULL if it is out of range. */
+static struct loop_socket *socket_of(struct loop *l, curl_socket_t fd)
+{
+	struct loop_socket *s;
+
+	if (fd < 0 || fd >= LOOP_FDS_MAX)
+		return NULL;
+	s = l->sockets[fd];
+	if (s)
+		return s;
+	s = calloc(1, sizeof(*s));
+	if (!s)
+		return NULL;
+	if (apr_os_sock_put(&s->socket, &fd, l->pool) != APR_SUCCESS) {
+		free(s);
+		return NULL;
+	}
+	s->poll = (apr_pollfd_t){
+		.p = l->pool,
+		.desc_type = APR_POLL_SOCKET,
+		.desc.s = s->socket,
+		.client_data = s,
+	};
+	l->sockets[fd] = s;
+	return s;
+}
+
+/* Curl says when it wants to be called next; -1 is never. */
+static int on_curl_timeout(CURLM *multi, long ms, void *ctx)
+{
+	struct loop *l = ctx;
+
+	(void)multi;
+	if (ms < 0)
+		loop_timer_clear(l, &l->curl_timer);
+	else
+		loop_timer_set(l, &l->curl_timer,
+			       clock_now() + ms * USEC_PER_MSEC);
+	return 0;
+}
+
+/* Curl's own timer has fired. */
+static void on_timer(void *ctx)
+{
+	struct loop *l = ctx;
+	int running;
+
+	if (!l->multi)
+		return;
+	curl_multi_socket_action(l->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+	collect_done(l);
+}
+
+/* Takes an idle handle or makes one. */
+static CURL *take_handle(struct loop *l)
+{
+	if (l->idle_n)
+		return l->idle[--l->idle_n];
+	return curl_easy_init();
+}
+
+/* Keeps a handle for the next call, within bounds. */
+static void give_handle(struct loop *l, CURL *easy)
+{
+	if (!l->idle || l->idle_n == IDLE_HANDLES_MAX) {
+		curl_easy_cleanup(easy);
+		return;
+	}
+	curl_easy_reset(easy);
+	l->idle[l->idle_n++] = easy;
+}
+
+/* Sets a handle's options for a call; -1 if one is refused. */
+static int set_up(struct http_call *c, CURL *easy)
+{
+	char line[HTTP_AUTH_BYTES + 32];
+	long ms = (long)(c->timeout / USEC_PER_MSEC);
+
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(easy, CURLOPT_PRIVATE, c);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_reply);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, c);
+	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(easy, CURLOPT_HEADERDATA, c);
+	curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, on_new_socket);
+	curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
+	curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, KEEPALIVE_S);
+	curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL, KEEPALIVE_S);
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, ms > 0 ? ms : 1L);
+	curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, c->fresh ? 1L : 0L);
+	if (curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http") ||
+	    curl_easy_setopt(easy, CURLOPT_URL, c->url))
+		return -1;
+	if (c->if_match[0]) {
+		snprintf(line, sizeof(line), "If-Match: \"%s\"", c->if_match);
+		if (add_header(c, line))
+			return -1;
+	}
+	if (c->if_none_match && add_header(c, "If-None-Match: *"))
+		return -1;
+	if (c->authorization[0]) {
+		snprintf(line, sizeof(line), "Authorization: Bearer %s",
+			 c->authorization);
+		if (add_header(c, line))
+			return -1;
+	}
+	if (c->body && set_body(c, easy))
+		return -1;
+	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, c->method);
+	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, c->headers);
+	return 0;
+}
+
+/*
+ * Sets the body. Curl sends a request again when a kept connection turns out
+ * to be dead, though it may have been executed; a body that is read through a
+ * callback and cannot be rewound stops it from that.
+ */
+static int set_body(struct http_call *c, CURL *easy)
+{
+	curl_easy_setopt(easy, CURLOPT_POST, 1L);
+	curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+			 (curl_off_t)c->body_len);
+	if (c->once) {
+		curl_easy_setopt(easy, CURLOPT_READFUNCTION, on_read);
+		curl_easy_setopt(easy, CURLOPT_READDATA, c);
+	} else {
+		curl_easy_setopt(easy, CURLOPT_POSTFIELDS, c->body);
+	}
+	if (add_header(c, "Expect:"))
+		return -1;
+	return add_header(c, "Content-Type: application/json");
+}
+
+/* Adds one header line to a call. */
+static int add_header(struct http_call *c, const char *line)
+{
+	struct curl_slist *list = curl_slist_append(c->headers, line);
+
+	if (!list)
+		return -1;
+	c->headers = list;
+	return 0;
+}
+
+/* Data that nobody acknowledges for this long ends the connection. */
+static int on_new_socket(void *ctx, curl_socket_t fd, curlsocktype purpose)
+{
+	unsigned int ms = USER_TIMEOUT_MS;
+
+	(void)ctx;
+	(void)purpose;
+	if (setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms)))
+		return CURL_SOCKOPT_ERROR;
+	return CURL_SOCKOPT_OK;
+}
+
+/* Hands out the body once; asked again after the end it refuses. */
+static size_t on_read(char *buf, size_t size, size_t n, void *ctx)
+{
+	struct http_call *c = ctx;
+	size_t left = c->body_len - c->body_given;
+	size_t room = size * n;
+	size_t len = left < room ? left : room;
+
+	if (len == 0)
+		return 0;
+	memcpy(buf, c->body + c->body_given, len);
+	c->body_given += len;
+	return len;
+}
+
+/* Gathers the reply within its bound; a larger one fails the call. */
+static size_t on_reply(char *data, size_t size, size_t n, void *ctx)
+{
+	struct http_call *c = ctx;
+	size_t len = size * n, room;
+	char *p;
+
+	if (len > c->reply_max - c->reply_len)
+		return 0;
+	if (c->reply_len + len + 1 > c->reply_room) {
+		room = c->reply_room ? c->reply_room : REPLY_ROOM_MIN;
+		while (room < c->reply_len + len + 1)
+			room *= 2;
+		p = realloc(c->reply, room);
+		if (!p)
+			return 0;
+		c->reply = p;
+		c->reply_room = room;
+	}
+	memcpy(c->reply + c->reply_len, data, len);
+	c->reply_len += len;
+	c->reply[c->reply_len] = '\0';
+	return len;
+}
+
+/* Picks the entity tag out of the headers. */
+static size_t on_header(char *data, size_t size, size_t n, void *ctx)
+{
+	struct http_call *c = ctx;
+	size_t len = size * n, i, k = 0;
+
+	if (len < 5 || strncasecmp(data, "etag:", 5) != 0)
+		return len;
+	for (i = 5; i < len && k + 1 < sizeof(c->etag); i++) {
+		if (data[i] >= '0' && data[i] <= '9')
+			c->etag[k++] = data[i];
+	}
+	c->etag[k] = '\0';
+	return len;
+}
+
+/* Ends the calls that curl has finished. */
+static void collect_done(struct loop *l)
+{
+	struct http_call *c;
+	CURLMsg *m;
+	CURLcode rc;
+	int left;
+
+	while (l->multi && (m = curl_multi_info_read(l->multi, &left))) {
+		if (m->msg != CURLMSG_DONE)
+			continue;
+		rc = m->data.result;
+		curl_easy_getinfo(m->easy_handle, CURLINFO_PRIVATE, &c);
+		finish(l, c, rc);
+	}
+}
+
+/* Takes a call's result from curl and hands the call back to its owner. */
+static void finish(struct loop *l, struct http_call *c, CURLcode rc)
+{
+	long status = 0, size = 0;
+	char *reply;
+
+	*c->back = c->next;
+	if (c->next)
+		c->next->back = c->back;
+	if (c->easy) {
+		curl_easy_getinfo(c->easy, CURLINFO_RESPONSE_CODE, &status);
+		curl_easy_getinfo(c->easy, CURLINFO_REQUEST_SIZE, &size);
+		c->sent = c->once ? c->body_given > 0 : size > 0;
+		curl_multi_remove_handle(l->multi, c->easy);
+		give_handle(l, c->easy);
+		c->easy = NULL;
+	}
+	curl_slist_free_all(c->headers);
+	c->headers = NULL;
+	if (rc == CURLE_OK) {
+		c->status = (int)status;
+	} else {
+		c->timed_out = rc == CURLE_OPERATION_TIMEDOUT;
+		snprintf(c->failure, sizeof(c->failure), "%s",
+			 curl_easy_strerror(rc));
+	}
+	reply = c->reply;
+	c->done(c);
+	free(reply);
+}
--- /dev/null
+++ b/src/kernel/loop_own.h
@@ -0,0 +1,51 @@
+#ifndef KERNEL_LOOP_OWN_H
+#define KERNEL_LOOP_OWN_H
+
+#include <apr_poll.h>
+#include <apr_thread_mutex.h>
+#include <apr_thread_proc.h>
+#include <curl/curl.h>
+
+#include "kernel/loop.h"
+#include "kernel/timer_heap.h"
+
+#define LOOP_FDS_MAX 65536
+
+struct loop_task {
+	void (*fn)(void *ctx);
+	void *ctx;
+	struct loop_task *next;
+};
+
+/* A socket of curl's and what it is polled for. */
+struct loop_socket {
+	apr_socket_t *socket;
+	apr_pollfd_t poll;
+	bool polled;
+};
+
+/* Shared by loop.c and loop_http.c only. */
+struct loop {
+	char name[NAME_MAX_BYTES];
+	apr_pool_t *pool;
+	apr_thread_t *thread;
+	apr_pollset_t *pollset;
+	apr_thread_mutex_t *lock; /* of the inbox */
+	struct loop_task *inbox_first;
+	struct loop_task *inbox_last;
+	bool woken; /* a wake-up is under way */
+	bool stopping;
+	struct timer_heap timers;
+	struct loop_timer curl_timer;
+	CURLM *multi;
+	struct loop_socket **sockets; /* by descriptor */
+	CURL **idle;		      /* handles to use again */
+	uint32_t idle_n;
+	struct http_call *calls; /* under way, for the end */
+};
+
+int loop_http_open(struct loop *l, struct error *e);
+void loop_http_close(struct loop *l);
+void loop_http_ready(struct loop *l, const apr_pollfd_t *fd);
+
+#endif
