--- /dev/null
+++ b/src/kernel/database.c
@@ -0,0 +1,82 @@
+#include "kernel/database.h"
+
+#include <string.h>
+
+static const struct database_ops *database_ops;
+
+static const char *const refusal_names[] = {
+	[REFUSAL_NONE] = "none",
+	[REFUSAL_STALE_TERM] = "stale_term",
+	[REFUSAL_NOT_PRIMARY] = "not_primary",
+	[REFUSAL_TERM_AHEAD] = "term_ahead",
+	[REFUSAL_BUSY] = "busy",
+	[REFUSAL_TRANSACTION_GONE] = "transaction_gone",
+	[REFUSAL_ID_REUSED] = "id_reused",
+	[REFUSAL_BAD_STATEMENT] = "bad_statement",
+	[REFUSAL_OTHER] = "other",
+};
+
+/* Names the plug-in that carries out database calls; before any call. */
+void database_register(const struct database_ops *ops)
+{
+	database_ops = ops;
+}
+
+/* Starts a call. Loop thread. */
+void database_submit(struct db_call *c)
+{
+	c->result = DB_NOT_SENT;
+	c->refusal = REFUSAL_NONE;
+	error_clear(&c->error);
+	c->asked_at = clock_now();
+	c->heard_at = 0;
+	c->has_status = false;
+	c->rows = NULL;
+	c->replayed = false;
+	c->found = false;
+	c->at = (struct log_pos){ 0 };
+	c->new_transaction[0] = '\0';
+	c->body = NULL;
+	database_ops->submit(c);
+}
+
+/*
+ * Takes over a status, unless the view holds a later one: answers overtake
+ * each other on different connections.
+ */
+void database_view_update(struct db_view *v, const struct db_call *c)
+{
+	if (!c->has_status)
+		return;
+	if (v->known && c->asked_at < v->asked_at)
+		return;
+	v->known = true;
+	v->asked_at = c->asked_at;
+	v->heard_at = c->heard_at;
+	v->fence_term = c->status.fence_term;
+	v->end = c->status.end;
+	v->lineage = c->status.lineage;
+	v->stamp_term = c->status.stamp_term;
+	v->stamp_us = c->status.stamp_us;
+	v->role = c->status.role;
+}
+
+/* Returns the stable name of a refusal. */
+const char *db_refusal_name(enum db_refusal r)
+{
+	if ((unsigned int)r > REFUSAL_OTHER)
+		return refusal_names[REFUSAL_OTHER];
+	return refusal_names[r];
+}
+
+/* Finds a refusal by its stable name; REFUSAL_OTHER if there is none such. */
+enum db_refusal db_refusal_from_name(const char *name)
+{
+	int i;
+
+	for (i = 0; i < REFUSAL_OTHER; i++) {
+		if (strcmp(refusal_names[i], name) == 0)
+			return (enum db_refusal)i;
+	}
+	return REFUSAL_OTHER;
+}
--- /dev/null
+++ b/src/plugins/database_http.c
@@ -0,0 +1,297 @@
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "kernel/counters.h"
+#include "kernel/database.h"
+#include "kernel/plugin.h"
+
+#define REPLY_MAX_BYTES (8u << 20)
+
+static int start(struct kernel *k, struct error *e);
+static void submit(struct db_call *c);
+static int write_call(struct db_call *c);
+static json_t *body_of(const struct db_call *c);
+static int add_statement(json_t *o, const struct db_call *c);
+static void on_reply(struct http_call *h);
+static void read_reply(struct db_call *c, const struct http_call *h);
+static void read_answer(struct db_call *c, json_t *o);
+static void read_refusal(struct db_call *c, json_t *o, int status);
+static bool read_status(struct db_status *s, json_t *o);
+static bool read_lineage(struct lineage *l, json_t *a);
+static bool read_u64(json_t *o, const char *key, uint64_t *out);
+
+static struct plugin plugin = {
+	.name = "database_http",
+	.rank = RANK_DATABASE,
+	.start = start,
+};
+PLUGIN_REGISTER(plugin)
+
+static const struct database_ops http_ops = {
+	.name = "http",
+	.submit = submit,
+};
+
+/* How each operation looks on the wire; %s stands for its one argument. */
+static const struct {
+	const char *method;
+	const char *path;
+	enum step step;
+} wire[] = {
+	[DB_EXECUTE] = { "POST", "execute", STEP_EXECUTE },
+	[DB_BEGIN] = { "POST", "transactions", STEP_TX_BEGIN },
+	[DB_COMMIT] = { "POST", "transactions/%s/commit", STEP_TX_COMMIT },
+	[DB_ROLLBACK] = { "DELETE", "transactions/%s", STEP_TX_ROLLBACK },
+	[DB_STATUS] = { "GET", "status", STEP_PROBE },
+	[DB_FENCE] = { "POST", "fence", STEP_FENCE },
+	[DB_PROMOTE] = { "POST", "promote", STEP_PROMOTE },
+	[DB_FOLLOW] = { "POST", "follow", STEP_FOLLOW },
+	[DB_LOOKUP] = { "GET", "requests/%s", STEP_RESOLVE },
+};
+
+/* Offers HTTP as the way to databases. */
+static int start(struct kernel *k, struct error *e)
+{
+	(void)k;
+	(void)e;
+	database_register(&http_ops);
+	return 0;
+}
+
+/* Starts a call on its loop. */
+static void submit(struct db_call *c)
+{
+	struct http_call *h = &c->http;
+
+	memset(h, 0, sizeof(*h));
+	counter_add(c->op == DB_STATUS ? CTR_PROBES : CTR_DB_CALLS, 1);
+	if (write_call(c))
+		h->url[0] = '\0'; /* the loop fails it, nothing is sent */
+	h->body = c->body;
+	h->body_len = c->body ? strlen(c->body) : 0;
+	h->timeout = c->timeout;
+	h->reply_max = REPLY_MAX_BYTES;
+	h->fresh = c->fresh;
+	h->done = on_reply;
+	h->ctx = c;
+	loop_http(c->loop, h);
+}
+
+/*
+ * Fills in method, path and body; -1 if they do not fit. Without a request id
+ * a write must not be sent a second time.
+ */
+static int write_call(struct db_call *c)
+{
+	struct http_call *h = &c->http;
+	char path[HTTP_URL_BYTES];
+	const char *arg = c->op == DB_LOOKUP ? c->request_id : c->transaction;
+	bool writes = c->op == DB_COMMIT ||
+		      (c->op == DB_EXECUTE && c->kind == KIND_WRITE);
+	json_t *o;
+	int n;
+
+	h->method = wire[c->op].method;
+	h->once = writes && !c->request_id[0];
+	n = snprintf(path, sizeof(path), wire[c->op].path, arg);
+	if (n < 0 || (size_t)n >= sizeof(path))
+		return -1;
+	n = snprintf(h->url, sizeof(h->url), "http://%s/v1/%s", c->address,
+		     path);
+	if (n < 0 || (size_t)n >= sizeof(h->url))
+		return -1;
+	if (strcmp(h->method, "POST") != 0)
+		return 0;
+	o = body_of(c);
+	c->body = o ? json_dumps(o, JSON_COMPACT) : NULL;
+	json_decref(o);
+	return c->body ? 0 : -1;
+}
+
+/* The JSON body of a POST; NULL if the parameters are no JSON. */
+static json_t *body_of(const struct db_call *c)
+{
+	json_t *o = json_object();
+
+	json_object_set_new(o, "term", json_integer((json_int_t)c->term));
+	if (c->op == DB_FOLLOW)
+		json_object_set_new(o, "primary", json_string(c->primary));
+	if (c->op == DB_EXECUTE && add_statement(o, c)) {
+		json_decref(o);
+		return NULL;
+	}
+	if (c->request_id[0] && (c->op == DB_EXECUTE || c->op == DB_COMMIT)) {
+		json_object_set_new(o, "request_id",
+				    json_string(c->request_id));
+		json_object_set_new(o, "body_hash", json_string(c->body_hash));
+	}
+	return o;
+}
+
+/* Adds what is particular to a statement; -1 if the parameters are bad. */
+static int add_statement(json_t *o, const struct db_call *c)
+{
+	const char *kind = c->kind == KIND_WRITE ? "write" : "read";
+	json_t *p = c->parameters ? json_loads(c->parameters, 0, NULL)
+				  : json_array();
+
+	if (!p)
+		return -1;
+	json_object_set_new(o, "kind", json_string(kind));
+	json_object_set_new(o, "statement", json_string(c->statement));
+	json_object_set_new(o, "parameters", p);
+	if (c->transaction[0])
+		json_object_set_new(o, "transaction",
+				    json_string(c->transaction));
+	return 0;
+}
+
+/* The loop has an end for the call. */
+static void on_reply(struct http_call *h)
+{
+	struct db_call *c = h->ctx;
+
+	c->heard_at = clock_now();
+	free(c->body);
+	c->body = NULL;
+	if (h->status == 0) {
+		c->result = h->sent ? DB_LOST : DB_NOT_SENT;
+		error_set(&c->error, h->timed_out ? ERR_TIMEOUT : ERR_REFUSED,
+			  wire[c->op].step, c->address, "%s", h->failure);
+	} else {
+		read_reply(c, h);
+	}
+	c->done(c);
+}
+
+/*
+ * Reads a reply. What cannot be understood may have been executed, so it is
+ * lost, not refused.
+ */
+static void read_reply(struct db_call *c, const struct http_call *h)
+{
+	json_t *o = NULL;
+
+	c->result = DB_LOST;
+	if (h->reply)
+		o = json_loadb(h->reply, h->reply_len, JSON_REJECT_DUPLICATES,
+			       NULL);
+	if (!json_is_object(o)) {
+		error_set(&c->error, ERR_INTERNAL, wire[c->op].step, c->address,
+			  "status %d without a JSON object", h->status);
+		json_decref(o);
+		return;
+	}
+	c->has_status = read_status(&c->status, o);
+	if (h->status != 200)
+		read_refusal(c, o, h->status);
+	else
+		read_answer(c, o);
+	json_decref(o);
+}
+
+/* Reads the fields of a successful answer that its operation has. */
+static void read_answer(struct db_call *c, json_t *o)
+{
+	json_t *v;
+
+	if (!c->has_status) {
+		error_set(&c->error, ERR_INTERNAL, wire[c->op].step, c->address,
+			  "answer without a status");
+		return;
+	}
+	v = json_object_get(o, "at");
+	if (json_is_object(v) && (!read_u64(v, "term", &c->at.term) ||
+				  !read_u64(v, "position", &c->at.position))) {
+		error_set(&c->error, ERR_INTERNAL, wire[c->op].step, c->address,
+			  "answer with a bad position");
+		return;
+	}
+	v = json_object_get(o, "transaction");
+	if (json_is_string(v))
+		snprintf(c->new_transaction, sizeof(c->new_transaction), "%s",
+			 json_string_value(v));
+	if (c->op == DB_BEGIN && !c->new_transaction[0]) {
+		error_set(&c->error, ERR_INTERNAL, STEP_TX_BEGIN, c->address,
+			  "answer without a transaction");
+		return;
+	}
+	c->result = DB_OK;
+	c->replayed = json_is_true(json_object_get(o, "replayed"));
+	c->found = json_is_true(json_object_get(o, "found"));
+	v = json_object_get(o, "rows");
+	if (json_is_array(v))
+		c->rows = json_dumps(v, JSON_COMPACT);
+}
+
+/* Only a refusal that says "not_run" is believed to have had no effect. */
+static void read_refusal(struct db_call *c, json_t *o, int status)
+{
+	const char *out = json_string_value(json_object_get(o, "outcome"));
+	const char *why = json_string_value(json_object_get(o, "reason"));
+
+	if (!out || strcmp(out, "not_run") != 0) {
+		error_set(&c->error, ERR_INTERNAL, wire[c->op].step, c->address,
+			  "status %d without an outcome", status);
+		return;
+	}
+	c->result = DB_REFUSED;
+	c->refusal = db_refusal_from_name(why ? why : "");
+	error_set(&c->error, ERR_REFUSED, wire[c->op].step, c->address, "%s",
+		  why ? why : "no reason given");
+}
+
+/* Reads the fields that every answer carries; false if any is missing. */
+static bool read_status(struct db_status *s, json_t *o)
+{
+	const char *role = json_string_value(json_object_get(o, "role"));
+	uint64_t stamp, running, slots;
+
+	if (!role || !read_u64(o, "fence_term", &s->fence_term) ||
+	    !read_u64(o, "log_term", &s->end.term) ||
+	    !read_u64(o, "position", &s->end.position) ||
+	    !read_u64(o, "stamp_term", &s->stamp_term) ||
+	    !read_u64(o, "stamp_us", &stamp) ||
+	    !read_u64(o, "running", &running) || !read_u64(o, "slots", &slots))
+		return false;
+	s->role = strcmp(role, "primary") == 0 ? ROLE_PRIMARY : ROLE_REPLICA;
+	s->stamp_us = (int64_t)stamp;
+	s->running = (uint32_t)running;
+	s->slots = (uint32_t)slots;
+	return read_lineage(&s->lineage, json_object_get(o, "lineage"));
+}
+
+/* Reads [[term, start], ...], oldest first, of bounded length. */
+static bool read_lineage(struct lineage *l, json_t *a)
+{
+	json_t *pair, *t, *p;
+	size_t i;
+
+	if (!json_is_array(a) || json_array_size(a) > LINEAGE_MAX)
+		return false;
+	l->n = (uint32_t)json_array_size(a);
+	json_array_foreach(a, i, pair)
+	{
+		t = json_array_get(pair, 0);
+		p = json_array_get(pair, 1);
+		if (!json_is_integer(t) || !json_is_integer(p) ||
+		    json_integer_value(t) < 0 || json_integer_value(p) < 0)
+			return false;
+		l->start[i].term = (uint64_t)json_integer_value(t);
+		l->start[i].position = (uint64_t)json_integer_value(p);
+	}
+	return true;
+}
+
+/* Reads a whole number that is not negative. */
+static bool read_u64(json_t *o, const char *key, uint64_t *out)
+{
+	json_t *v = json_object_get(o, key);
+
+	if (!json_is_integer(v) || json_integer_value(v) < 0)
+		return false;
+	*out = (uint64_t)json_integer_value(v);
+	return true;
+}
