--- a/src/kernel/database.c
+++ b/src/kernel/database.c
@@ -1,21 +1,7 @@
 #include "kernel/database.h"
 
-#include <string.h>
-
 static const struct database_ops *database_ops;
 
-static const char *const refusal_names[] = {
-	[REFUSAL_NONE] = "none",
-	[REFUSAL_STALE_TERM] = "stale_term",
-	[REFUSAL_NOT_PRIMARY] = "not_primary",
-	[REFUSAL_TERM_AHEAD] = "term_ahead",
-	[REFUSAL_BUSY] = "busy",
-	[REFUSAL_TRANSACTION_GONE] = "transaction_gone",
-	[REFUSAL_ID_REUSED] = "id_reused",
-	[REFUSAL_BAD_STATEMENT] = "bad_statement",
-	[REFUSAL_OTHER] = "other",
-};
-
 /* Names the plug-in that carries out database calls; before any call. */
 void database_register(const struct database_ops *ops)
 {
@@ -60,23 +46,3 @@
 	v->stamp_us = c->status.stamp_us;
 	v->role = c->status.role;
 }
-
-/* Returns the stable name of a refusal. */
-const char *db_refusal_name(enum db_refusal r)
-{
-	if ((unsigned int)r > REFUSAL_OTHER)
-		return refusal_names[REFUSAL_OTHER];
-	return refusal_names[r];
-}
-
-/* Finds a refusal by its stable name; REFUSAL_OTHER if there is none such. */
-enum db_refusal db_refusal_from_name(const char *name)
-{
-	int i;
-
-	for (i = 0; i < REFUSAL_OTHER; i++) {
-		if (strcmp(refusal_names[i], name) == 0)
-			return (enum db_refusal)i;
-	}
-	return REFUSAL_OTHER;
-}
--- a/src/kernel/database.h
+++ b/src/kernel/database.h
@@ -1,6 +1,7 @@
 #ifndef KERNEL_DATABASE_H
 #define KERNEL_DATABASE_H
 
+#include "decide/once.h"
 #include "kernel/loop.h"
 #include "kernel/request.h"
 
@@ -23,18 +24,6 @@
 	DB_LOST,     /* may have been executed */
 };
 
-enum db_refusal {
-	REFUSAL_NONE,
-	REFUSAL_STALE_TERM,
-	REFUSAL_NOT_PRIMARY,
-	REFUSAL_TERM_AHEAD,
-	REFUSAL_BUSY,
-	REFUSAL_TRANSACTION_GONE,
-	REFUSAL_ID_REUSED,
-	REFUSAL_BAD_STATEMENT,
-	REFUSAL_OTHER,
-};
-
 /* What a database says of itself with every answer. */
 struct db_status {
 	uint64_t fence_term;
@@ -69,7 +58,7 @@
 	void *ctx;
 	/* Filled in before done(): */
 	enum db_result result;
-	enum db_refusal refusal;
+	enum refusal refusal;
 	struct error error;
 	usec_t asked_at;
 	usec_t heard_at;
@@ -94,7 +83,5 @@
 void database_submit(struct db_call *c);
 /* Copies what a call heard into the view of the database. */
 void database_view_update(struct db_view *v, const struct db_call *c);
-const char *db_refusal_name(enum db_refusal r);
-enum db_refusal db_refusal_from_name(const char *name);
 
 #endif
--- a/src/plugins/database_http.c
+++ b/src/plugins/database_http.c
@@ -238,7 +238,7 @@
 		return;
 	}
 	c->result = DB_REFUSED;
-	c->refusal = db_refusal_from_name(why ? why : "");
+	c->refusal = refusal_from_name(why ? why : "");
 	error_set(&c->error, ERR_REFUSED, wire[c->op].step, c->address, "%s",
 		  why ? why : "no reason given");
 }
