--- /dev/null
+++ b/src/kernel/counters.c
@@ -0,0 +1,119 @@
+#include "kernel/counters.h"
+
+#include <stdarg.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <string.h>
+
+#define CACHE_LINE_BYTES 64
+#define SHARD_NONE	 UINT32_MAX
+#define METRIC_PREFIX	 "gypsumcleat_"
+
+/* One shard's counters; threads of other shards never touch its lines. */
+struct counter_shard {
+	_Alignas(CACHE_LINE_BYTES) uint64_t value[CTR_COUNT];
+};
+
+static struct counter_shard shards[COUNTER_SHARDS];
+static uint32_t next_shard;
+static __thread uint32_t own_shard = SHARD_NONE;
+
+static const struct {
+	const char *name;
+	const char *help;
+} counters[CTR_COUNT] = {
+#define X(id, text, about) \
+	[CTR_##id] = { .name = METRIC_PREFIX text, .help = (about) },
+	COUNTER_TABLE(X)
+#undef X
+};
+
+static uint32_t shard_of_thread(void);
+static const char *unit_of(const char *name);
+static bool append(char *buf, size_t size, size_t *len, const char *fmt, ...)
+	__attribute__((format(printf, 4, 5)));
+
+/* Adds to a counter in the calling thread's shard. Any thread, no lock. */
+void counter_add(enum counter c, uint64_t n)
+{
+	uint64_t *v = &shards[shard_of_thread()].value[c];
+
+	__atomic_fetch_add(v, n, __ATOMIC_RELAXED);
+}
+
+/* Sums a counter over the shards; concurrent additions may be missed. */
+uint64_t counter_sum(enum counter c)
+{
+	uint64_t sum = 0;
+	uint32_t i;
+
+	for (i = 0; i < COUNTER_SHARDS; i++)
+		sum += __atomic_load_n(&shards[i].value[c], __ATOMIC_RELAXED);
+	return sum;
+}
+
+/*
+ * Writes every counter with its HELP, TYPE and UNIT lines in the text format
+ * of scrapers. Counters that do not fit whole in "size" bytes are left out.
+ * Returns the length without the final NUL.
+ */
+size_t counters_print(char *buf, size_t size)
+{
+	size_t len = 0;
+	int i;
+
+	if (size == 0)
+		return 0;
+	buf[0] = '\0';
+	for (i = 0; i < CTR_COUNT; i++) {
+		const char *name = counters[i].name;
+		bool fits;
+
+		fits = append(buf, size, &len,
+			      "# HELP %s %s\n# TYPE %s counter\n"
+			      "# UNIT %s %s\n%s %llu\n",
+			      name, counters[i].help, name, name, unit_of(name),
+			      name,
+			      (unsigned long long)counter_sum((enum counter)i));
+		if (!fits)
+			break;
+	}
+	return len;
+}
+
+/* Gives each thread a shard, in turn, at its first addition. */
+static uint32_t shard_of_thread(void)
+{
+	if (own_shard == SHARD_NONE)
+		own_shard =
+			__atomic_fetch_add(&next_shard, 1, __ATOMIC_RELAXED) %
+			COUNTER_SHARDS;
+	return own_shard;
+}
+
+/* Returns the unit that a counter's name ends in before "_total". */
+static const char *unit_of(const char *name)
+{
+	if (strstr(name, "_bytes_total"))
+		return "bytes";
+	if (strstr(name, "_microseconds_total"))
+		return "microseconds";
+	return "count";
+}
+
+/* Appends formatted text if it fits whole; else cuts back to what was there. */
+static bool append(char *buf, size_t size, size_t *len, const char *fmt, ...)
+{
+	va_list ap;
+	int n;
+
+	va_start(ap, fmt);
+	n = vsnprintf(buf + *len, size - *len, fmt, ap);
+	va_end(ap);
+	if (n < 0 || (size_t)n >= size - *len) {
+		buf[*len] = '\0';
+		return false;
+	}
+	*len += (size_t)n;
+	return true;
+}
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -55,7 +55,8 @@
 void log_close(void);
 /*
  * Writes an event to the log and to the time line. "fmt" gives key=value
- * fields; never a key, a secret or a statement parameter.
+ * fields; never a key, a secret or a statement parameter. Events of level
+ * debug are dropped, also from the time line, unless the log's level is debug.
  */
 void log_event(enum event ev, const char *fmt, ...)
 	__attribute__((format(printf, 2, 3)));
--- /dev/null
+++ b/src/kernel/settings.c
@@ -0,0 +1,467 @@
+#include "kernel/settings.h"
+
+#include <arpa/inet.h>
+#include <ctype.h>
+#include <jansson.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define FILE_MAX_BYTES 65536
+#define HASH_HEX_BYTES 64
+#define SHOWN_BYTES    80
+
+enum setting_type {
+	SETTING_NAME,
+	SETTING_LISTEN,	 /* ip:port, port 0 for any */
+	SETTING_ADDRESS, /* ip:port */
+	SETTING_HASH,
+	SETTING_LEVEL,
+	SETTING_NUMBER,
+};
+
+/* One key; numbers have a default and bounds, all else is required. */
+struct setting {
+	const char *key;
+	enum setting_type type;
+	size_t offset; /* in struct settings */
+	bool optional;
+	uint32_t min;
+	uint32_t max;
+	uint32_t preset;
+};
+
+#define TEXT(k, t)                                                             \
+	{                                                                      \
+		.key = #k, .type = (t), .offset = offsetof(struct settings, k) \
+	}
+#define NUMBER(k, lo, hi, def)                                            \
+	{                                                                 \
+		.key = #k, .type = SETTING_NUMBER,                        \
+		.offset = offsetof(struct settings, k), .optional = true, \
+		.min = (lo), .max = (hi), .preset = (def)                 \
+	}
+
+static const struct setting table[] = {
+	TEXT(vm, SETTING_NAME),
+	TEXT(domain, SETTING_NAME),
+	TEXT(region, SETTING_NAME),
+	TEXT(caller_listen, SETTING_LISTEN),
+	TEXT(admin_listen, SETTING_LISTEN),
+	TEXT(peer_listen, SETTING_LISTEN),
+	TEXT(platform, SETTING_ADDRESS),
+	TEXT(operator_key_hash, SETTING_HASH),
+	{ .key = "log_level",
+	  .type = SETTING_LEVEL,
+	  .offset = offsetof(struct settings, log_level),
+	  .optional = true,
+	  .preset = LOG_INFO },
+	NUMBER(shards, 1, 64, 8),
+	NUMBER(caller_threads, 1, 64, 4),
+	NUMBER(caller_connections, 16, 1000000, 10000),
+	NUMBER(caller_idle_ms, 100, 3600000, 60000),
+	NUMBER(body_max_bytes, 1024, 16777216, 65536),
+	NUMBER(answer_max_bytes, 1024, 67108864, 1048576),
+	NUMBER(deadline_default_ms, 10, 600000, 5000),
+	NUMBER(deadline_max_ms, 10, 600000, 30000),
+	NUMBER(transaction_max_ms, 100, 600000, 30000),
+	NUMBER(queue_max, 1, 1000000, 1024),
+	NUMBER(probe_ms, 5, 10000, 200),
+	NUMBER(reply_timeout_ms, 10, 60000, 1000),
+	NUMBER(suspect_ms, 20, 60000, 1000),
+	NUMBER(promote_stagger_ms, 10, 60000, 300),
+	NUMBER(replica_fresh_ms, 10, 600000, 2000),
+	NUMBER(platform_timeout_ms, 10, 60000, 2000),
+	NUMBER(keys_fresh_ms, 100, 60000, 3000),
+	NUMBER(gossip_ms, 10, 60000, 500),
+	NUMBER(watchers_per_domain, 1, 64, 2),
+	NUMBER(escrow_wait_ms, 0, 10000, 20),
+	NUMBER(drain_notice_ms, 0, 600000, 2000),
+	NUMBER(drain_max_ms, 0, 3600000, 30000),
+	NUMBER(timeline_events, 16, 1000000, 4096),
+};
+
+#define SETTINGS (sizeof(table) / sizeof(table[0]))
+
+static const char *const level_names[] = {
+	[LOG_ERROR] = "error",
+	[LOG_WARN] = "warn",
+	[LOG_INFO] = "info",
+	[LOG_DEBUG] = "debug",
+};
+
+#define LEVELS (sizeof(level_names) / sizeof(level_names[0]))
+
+/* What is being checked, and where the failures go. */
+struct check {
+	struct settings *settings;
+	const char *file;
+	struct settings_report *report;
+};
+
+static char *read_file(const char *path, size_t *len, struct error *e);
+static json_t *parse(const struct check *c, const char *json, size_t len);
+static void set_presets(struct settings *s);
+static void read_setting(const struct check *c, const struct setting *t,
+			 const json_t *v);
+static void read_number(const struct check *c, const struct setting *t,
+			const json_t *v);
+static void read_text(const struct check *c, const struct setting *t,
+		      const json_t *v);
+static void read_level(const struct check *c, const struct setting *t,
+		       const json_t *v);
+static void refuse_unknown(const struct check *c, json_t *root);
+static void check_pairs(const struct check *c);
+static const struct setting *find(const char *key);
+static bool is_name(const char *s);
+static bool is_address(const char *s, bool any_port);
+static bool is_hash(const char *s);
+static void fail(const struct check *c, const char *key, const json_t *v,
+		 const char *fmt, ...) __attribute__((format(printf, 4, 5)));
+static void show(const json_t *v, char *buf, size_t size);
+
+/*
+ * Reads and checks a settings file. Returns -1 with "e" if it cannot be read
+ * or if the report names at least one failure.
+ */
+int settings_load(struct settings *s, const char *path,
+		  struct settings_report *report, struct error *e)
+{
+	size_t len;
+	char *json;
+	int rc;
+
+	memset(report, 0, sizeof(*report));
+	json = read_file(path, &len, e);
+	if (!json)
+		return -1;
+	rc = settings_parse(s, json, len, path, report);
+	free(json);
+	if (rc == -1)
+		return error_set(e, ERR_SETTINGS, STEP_SETTINGS, NULL,
+				 "%s: %u settings refused", path, report->n);
+	return 0;
+}
+
+/*
+ * Checks settings given as JSON; "file" is only named in the report. Returns
+ * -1 if anything was refused; the report then names every failure.
+ */
+int settings_parse(struct settings *s, const char *json, size_t len,
+		   const char *file, struct settings_report *report)
+{
+	struct check c = { .settings = s, .file = file, .report = report };
+	json_t *root;
+	size_t i;
+
+	memset(s, 0, sizeof(*s));
+	memset(report, 0, sizeof(*report));
+	set_presets(s);
+	root = parse(&c, json, len);
+	if (!root)
+		return -1;
+	for (i = 0; i < SETTINGS; i++)
+		read_setting(&c, &table[i],
+			     json_object_get(root, table[i].key));
+	refuse_unknown(&c, root);
+	check_pairs(&c);
+	json_decref(root);
+	return report->n ? -1 : 0;
+}
+
+/* Returns the i-th key's name, or NULL after the last one. */
+const char *settings_key(size_t i)
+{
+	return i < SETTINGS ? table[i].key : NULL;
+}
+
+/* Reads a whole small file; malloc'd, with a NUL after its end. */
+static char *read_file(const char *path, size_t *len, struct error *e)
+{
+	FILE *f = fopen(path, "re");
+	char *buf;
+
+	if (!f) {
+		error_set(e, ERR_SETTINGS, STEP_SETTINGS, NULL,
+			  "%s: cannot be opened: %m", path);
+		return NULL;
+	}
+	buf = malloc(FILE_MAX_BYTES + 2);
+	if (!buf) {
+		fclose(f);
+		error_set(e, ERR_SYSTEM, STEP_SETTINGS, NULL, "no memory");
+		return NULL;
+	}
+	*len = fread(buf, 1, FILE_MAX_BYTES + 1, f);
+	if (ferror(f) || *len > FILE_MAX_BYTES) {
+		error_set(e, ERR_SETTINGS, STEP_SETTINGS, NULL,
+			  "%s: %s (at most %d bytes)", path,
+			  ferror(f) ? "cannot be read" : "too large",
+			  FILE_MAX_BYTES);
+		fclose(f);
+		free(buf);
+		return NULL;
+	}
+	fclose(f);
+	buf[*len] = '\0';
+	return buf;
+}
+
+/*
+ * Parses the file's JSON. A doubled key is reported and the rest checked all
+ * the same; broken JSON ends the check.
+ */
+static json_t *parse(const struct check *c, const char *json, size_t len)
+{
+	json_error_t why;
+	json_t *root;
+
+	root = json_loadb(json, len, JSON_REJECT_DUPLICATES | JSON_ALLOW_NUL,
+			  &why);
+	if (!root && json_error_code(&why) == json_error_duplicate_key) {
+		fail(c, "line", NULL, "%d: %s: each key at most once", why.line,
+		     why.text);
+		root = json_loadb(json, len, JSON_ALLOW_NUL, &why);
+	}
+	if (!root) {
+		fail(c, "line", NULL, "%d: %s: must be JSON", why.line,
+		     why.text);
+		return NULL;
+	}
+	if (!json_is_object(root)) {
+		fail(c, "line", NULL, "1: must be one JSON object");
+		json_decref(root);
+		return NULL;
+	}
+	return root;
+}
+
+/* Fills in the default of every number. */
+static void set_presets(struct settings *s)
+{
+	size_t i;
+
+	s->log_level = LOG_INFO;
+	for (i = 0; i < SETTINGS; i++) {
+		if (table[i].type == SETTING_NUMBER)
+			memcpy((char *)s + table[i].offset, &table[i].preset,
+			       sizeof(table[i].preset));
+	}
+}
+
+/* Checks one key's value and stores it. */
+static void read_setting(const struct check *c, const struct setting *t,
+			 const json_t *v)
+{
+	if (!v) {
+		if (!t->optional)
+			fail(c, t->key, NULL, "missing: must be given");
+		return;
+	}
+	switch (t->type) {
+	case SETTING_NUMBER:
+		read_number(c, t, v);
+		break;
+	case SETTING_LEVEL:
+		read_level(c, t, v);
+		break;
+	default:
+		read_text(c, t, v);
+		break;
+	}
+}
+
+/* Stores a whole number within the key's bounds. */
+static void read_number(const struct check *c, const struct setting *t,
+			const json_t *v)
+{
+	json_int_t n = json_integer_value(v);
+	uint32_t value;
+
+	if (!json_is_integer(v) || n < t->min || n > t->max) {
+		fail(c, t->key, v, "must be a whole number from %u to %u",
+		     t->min, t->max);
+		return;
+	}
+	value = (uint32_t)n;
+	memcpy((char *)c->settings + t->offset, &value, sizeof(value));
+}
+
+/* Stores a name, an address or a hash. */
+static void read_text(const struct check *c, const struct setting *t,
+		      const json_t *v)
+{
+	const char *text = json_string_value(v);
+	char *field = (char *)c->settings + t->offset;
+
+	if (text && strlen(text) != json_string_length(v))
+		text = NULL;
+	switch (t->type) {
+	case SETTING_NAME:
+		if (text && is_name(text))
+			snprintf(field, NAME_MAX_BYTES, "%s", text);
+		else
+			fail(c, t->key, v,
+			     "must be 1 to %d letters, digits, \".\", \"_\" "
+			     "or \"-\", a letter or digit first",
+			     NAME_MAX_BYTES - 1);
+		break;
+	case SETTING_HASH:
+		if (text && is_hash(text))
+			snprintf(field, HASH_HEX_BYTES + 1, "%s", text);
+		else
+			fail(c, t->key, NULL,
+			     "(not shown): must be %d lower-case hex digits",
+			     HASH_HEX_BYTES);
+		break;
+	default:
+		if (text && is_address(text, t->type == SETTING_LISTEN))
+			snprintf(field, ADDR_MAX_BYTES, "%s", text);
+		else
+			fail(c, t->key, v,
+			     "must be ip:port by IP number, port %d to 65535",
+			     t->type == SETTING_LISTEN ? 0 : 1);
+		break;
+	}
+}
+
+/* Stores the log level. */
+static void read_level(const struct check *c, const struct setting *t,
+		       const json_t *v)
+{
+	const char *text = json_string_value(v);
+	size_t i;
+
+	for (i = 0; text && i < LEVELS; i++) {
+		if (strcmp(text, level_names[i]) == 0) {
+			c->settings->log_level = (enum log_level)i;
+			return;
+		}
+	}
+	fail(c, t->key, v,
+	     "must be \"error\", \"warn\", \"info\" or \"debug\"");
+}
+
+/* Reports every key that is not in the table. */
+static void refuse_unknown(const struct check *c, json_t *root)
+{
+	const char *key;
+	json_t *v;
+
+	json_object_foreach(root, key, v)
+	{
+		if (!find(key))
+			fail(c, key, v, "must be a known key");
+	}
+}
+
+/* Checks the bounds that tie two settings together. */
+static void check_pairs(const struct check *c)
+{
+	const struct settings *s = c->settings;
+
+	if (s->deadline_default_ms > s->deadline_max_ms)
+		fail(c, "deadline_default_ms", NULL,
+		     "%u: must be at most deadline_max_ms, %u",
+		     s->deadline_default_ms, s->deadline_max_ms);
+	if (s->probe_ms >= s->suspect_ms)
+		fail(c, "probe_ms", NULL,
+		     "%u: must be less than suspect_ms, %u", s->probe_ms,
+		     s->suspect_ms);
+	if (s->gossip_ms >= s->keys_fresh_ms)
+		fail(c, "gossip_ms", NULL,
+		     "%u: must be less than keys_fresh_ms, %u", s->gossip_ms,
+		     s->keys_fresh_ms);
+	if (s->drain_notice_ms > s->drain_max_ms)
+		fail(c, "drain_notice_ms", NULL,
+		     "%u: must be at most drain_max_ms, %u", s->drain_notice_ms,
+		     s->drain_max_ms);
+}
+
+/* Finds a key in the table. */
+static const struct setting *find(const char *key)
+{
+	size_t i;
+
+	for (i = 0; i < SETTINGS; i++) {
+		if (strcmp(table[i].key, key) == 0)
+			return &table[i];
+	}
+	return NULL;
+}
+
+/* Names go into object names, messages and logs as they are. */
+static bool is_name(const char *s)
+{
+	size_t n = strlen(s);
+	size_t i;
+
+	if (n == 0 || n >= NAME_MAX_BYTES || !isalnum((unsigned char)s[0]))
+		return false;
+	for (i = 0; i < n; i++) {
+		if (!isalnum((unsigned char)s[i]) && !strchr("._-", s[i]))
+			return false;
+	}
+	return true;
+}
+
+/* Takes 1.2.3.4:5 and [::1]:5. */
+static bool is_address(const char *s, bool any_port)
+{
+	const char *colon = strrchr(s, ':');
+	char host[ADDR_MAX_BYTES];
+	unsigned char raw[sizeof(struct in6_addr)];
+	size_t n;
+	char *end;
+	long port;
+
+	if (!colon || strlen(s) >= ADDR_MAX_BYTES ||
+	    !isdigit((unsigned char)colon[1]))
+		return false;
+	port = strtol(colon + 1, &end, 10);
+	if (*end || port > UINT16_MAX || port < (any_port ? 0 : 1))
+		return false;
+	n = (size_t)(colon - s);
+	if (n > 2 && s[0] == '[' && s[n - 1] == ']') {
+		snprintf(host, sizeof(host), "%.*s", (int)n - 2, s + 1);
+		return inet_pton(AF_INET6, host, raw) == 1;
+	}
+	snprintf(host, sizeof(host), "%.*s", (int)n, s);
+	return inet_pton(AF_INET, host, raw) == 1;
+}
+
+/* Takes the lower-case hex digits of a 256-bit hash. */
+static bool is_hash(const char *s)
+{
+	return strlen(s) == HASH_HEX_BYTES &&
+	       strspn(s, "0123456789abcdef") == HASH_HEX_BYTES;
+}
+
+/* Adds "file: key: value: bound" to the report, if it still has room. */
+static void fail(const struct check *c, const char *key, const json_t *v,
+		 const char *fmt, ...)
+{
+	struct settings_report *r = c->report;
+	size_t used = strlen(r->text);
+	char bound[SHOWN_BYTES * 4];
+	char value[SHOWN_BYTES];
+	va_list ap;
+
+	va_start(ap, fmt);
+	vsnprintf(bound, sizeof(bound), fmt, ap);
+	va_end(ap);
+	show(v, value, sizeof(value));
+	snprintf(r->text + used, sizeof(r->text) - used, "%s: %.*s: %s%s%s\n",
+		 c->file, SHOWN_BYTES, key, value, v ? ": " : "", bound);
+	r->n++;
+}
+
+/* Writes a value as JSON, cut to the size; empty if there is none. */
+static void show(const json_t *v, char *buf, size_t size)
+{
+	char *text = v ? json_dumps(v, JSON_ENCODE_ANY | JSON_COMPACT) : NULL;
+
+	snprintf(buf, size, "%s", text ? text : "");
+	free(text);
+}
--- a/src/kernel/settings.h
+++ b/src/kernel/settings.h
@@ -4,7 +4,11 @@
 #include "decide/error.h"
 #include "kernel/log.h"
 
-/* A VM's settings, from one JSON file; man/gypsumcleat.json.5 tells all. */
+/*
+ * A VM's settings, from one JSON file; man/gypsumcleat.json.5 tells all. A
+ * plug-in that listens writes the bound address, with its port, back into its
+ * *_listen field before its start() returns.
+ */
 struct settings {
 	char vm[NAME_MAX_BYTES];	    /* "vm": this VM's name */
 	char domain[NAME_MAX_BYTES];	    /* "domain": failure domain */
@@ -51,5 +55,7 @@
 		  struct settings_report *report, struct error *e);
 int settings_parse(struct settings *s, const char *json, size_t len,
 		   const char *file, struct settings_report *report);
+/* The i-th key's name; NULL after the last one. */
+const char *settings_key(size_t i);
 
 #endif
