Add stand-ins of the database and the platform

Cause: nothing speaks the back ends' protocol yet. Change: a pure in-memory database (keys, log, request ids, transactions, fence), the platform's objects and VM list, both served by libmicrohttpd with faults over a control address; followers pull by libcurl.

--- /dev/null
+++ b/src/standin/faults.c
@@ -0,0 +1,138 @@
+#include "standin/faults.h"
+
+#include <string.h>
+
+struct number_field {
+	const char *name;
+	atomic_llong *at;
+};
+
+struct flag_field {
+	const char *name;
+	atomic_bool *at;
+};
+
+#define NUMBERS(f)                                                \
+	{                                                         \
+		{ "latency_us", &(f)->latency_us },               \
+			{ "connect_us", &(f)->connect_us },       \
+			{ "slots", &(f)->slots },                 \
+			{ "connections", &(f)->connections },     \
+			{ "lag_ms", &(f)->lag_ms },               \
+			{ "drop_replies", &(f)->drop_replies },   \
+			{ "drop_requests", &(f)->drop_requests }, \
+	}
+#define FLAGS(f)                                                        \
+	{                                                               \
+		{ "paused", &(f)->paused }, { "refuse", &(f)->refuse }, \
+			{ "cut_replication", &(f)->cut_replication },   \
+			{ "departing", &(f)->departing },               \
+	}
+#define COUNT(a) (sizeof(a) / sizeof((a)[0]))
+
+static int check_field(struct faults *f, const char *name, const json_t *v,
+		       struct error *e);
+static void set_field(struct faults *f, const char *name, const json_t *v,
+		      uint64_t next_seq);
+
+/* Sets sizes as given, and no faults. */
+void faults_init(struct faults *f, const struct fault_settings *s)
+{
+	memset(f, 0, sizeof(*f));
+	atomic_init(&f->latency_us, s->latency_us);
+	atomic_init(&f->connect_us, s->connect_us);
+	atomic_init(&f->slots, s->slots);
+	atomic_init(&f->connections, s->connections);
+	atomic_init(&f->lag_ms, s->lag_ms);
+}
+
+int faults_set(struct faults *f, const json_t *j, uint64_t next_seq,
+	       struct error *e)
+{
+	const char *name;
+	json_t *v;
+
+	if (!json_is_object(j))
+		return error_set(e, ERR_UNPROCESSABLE, STEP_PARSE, NULL,
+				 "not an object");
+	json_object_foreach((json_t *)j, name, v)
+	{
+		if (check_field(f, name, v, e))
+			return -1;
+	}
+	json_object_foreach((json_t *)j, name, v)
+		set_field(f, name, v, next_seq);
+	return 0;
+}
+
+/* Tells all that is set. */
+json_t *faults_to_json(struct faults *f)
+{
+	const struct number_field numbers[] = NUMBERS(f);
+	const struct flag_field flags[] = FLAGS(f);
+	json_t *j = json_object();
+	size_t i;
+
+	for (i = 0; i < COUNT(numbers); i++)
+		json_object_set_new(j, numbers[i].name,
+				    json_integer(atomic_load(numbers[i].at)));
+	for (i = 0; i < COUNT(flags); i++)
+		json_object_set_new(j, flags[i].name,
+				    json_boolean(atomic_load(flags[i].at)));
+	json_object_set_new(j, "silent",
+			    json_boolean(atomic_load(&f->silent_before) > 0));
+	return j;
+}
+
+bool faults_take(atomic_llong *left)
+{
+	long long n = atomic_load(left);
+
+	while (n > 0) {
+		if (atomic_compare_exchange_weak(left, &n, n - 1))
+			return true;
+	}
+	return false;
+}
+
+static int check_field(struct faults *f, const char *name, const json_t *v,
+		       struct error *e)
+{
+	const struct number_field numbers[] = NUMBERS(f);
+	const struct flag_field flags[] = FLAGS(f);
+	size_t i;
+
+	for (i = 0; i < COUNT(numbers); i++) {
+		if (strcmp(numbers[i].name, name) == 0 && json_is_integer(v) &&
+		    json_integer_value(v) >= 0)
+			return 0;
+	}
+	for (i = 0; i < COUNT(flags); i++) {
+		if (strcmp(flags[i].name, name) == 0 && json_is_boolean(v))
+			return 0;
+	}
+	if (strcmp(name, "silent") == 0 && json_is_boolean(v))
+		return 0;
+	return error_set(e, ERR_UNPROCESSABLE, STEP_PARSE, NULL,
+			 "no such control, or of another type: %s", name);
+}
+
+static void set_field(struct faults *f, const char *name, const json_t *v,
+		      uint64_t next_seq)
+{
+	const struct number_field numbers[] = NUMBERS(f);
+	const struct flag_field flags[] = FLAGS(f);
+	size_t i;
+
+	for (i = 0; i < COUNT(numbers); i++) {
+		if (strcmp(numbers[i].name, name) == 0)
+			atomic_store(numbers[i].at, json_integer_value(v));
+	}
+	for (i = 0; i < COUNT(flags); i++) {
+		if (strcmp(flags[i].name, name) == 0)
+			atomic_store(flags[i].at, json_is_true(v));
+	}
+	if (strcmp(name, "silent") == 0)
+		atomic_store(&f->silent_before,
+			     json_is_true(v) ? (long long)next_seq : 0);
+}
--- /dev/null
+++ b/src/standin/platform.c
@@ -0,0 +1,410 @@
+#include "standin/platform.h"
+
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "standin/faults.h"
+#include "standin/omap.h"
+#include "standin/platform_store.h"
+
+#define PLATFORM_THREADS     4
+#define PLATFORM_CONNECTIONS 16384
+#define WATCH_MAX_MS	     60000
+
+enum call_kind {
+	CALL_GET,
+	CALL_PUT,
+	CALL_LIST,
+	CALL_WATCH,
+	CALL_VMS,
+	CALL_ANNOUNCE,
+	CALL_KINDS,
+};
+
+static const char *const kind_names[CALL_KINDS] = {
+	[CALL_GET] = "get",   [CALL_PUT] = "put",
+	[CALL_LIST] = "list", [CALL_WATCH] = "watch",
+	[CALL_VMS] = "vms",   [CALL_ANNOUNCE] = "announce",
+};
+
+static const char objects_path[] = "/v1/objects/";
+
+struct platform {
+	struct web *web;
+	struct web *control;
+	atomic_llong latency_us;
+	atomic_llong vm_lag_ms;
+	atomic_llong lose_replies;
+	atomic_bool down;
+	atomic_llong calls[CALL_KINDS];
+	pthread_mutex_t lock;
+	struct platform_store *store;
+};
+
+/* What a call asks, worked out once. */
+struct platform_own {
+	enum call_kind kind;
+	usec_t watch_end;
+};
+
+static void on_call(struct web_request *r);
+static int kind_of(struct web_request *r);
+static void run_call(struct web_request *r);
+static void finish(struct web_request *r);
+static void get_call(struct web_request *r);
+static void put_call(struct web_request *r);
+static uint64_t expected_version(struct web_request *r, bool *given);
+static void list_call(struct web_request *r);
+static void watch_call(struct web_request *r);
+static void vms_call(struct web_request *r);
+static void announce_call(struct web_request *r);
+static void on_control(struct web_request *r);
+static int set_controls(struct platform *p, const json_t *j);
+static json_t *controls(struct platform *p);
+static void set_etag(struct web_request *r, uint64_t version);
+
+/* Starts to serve; NULL with an error. */
+struct platform *platform_start(const struct platform_options *o,
+				struct error *e)
+{
+	struct platform *p = must_alloc(sizeof(*p));
+	struct web_options wo = { .listen = o->listen,
+				  .threads = PLATFORM_THREADS,
+				  .connections = PLATFORM_CONNECTIONS,
+				  .handle = on_call,
+				  .ctx = p };
+	struct web_options co = { .listen = o->control,
+				  .threads = 1,
+				  .connections = 64,
+				  .handle = on_control,
+				  .ctx = p };
+
+	pthread_mutex_init(&p->lock, NULL);
+	atomic_store(&p->latency_us, o->latency_us);
+	atomic_store(&p->vm_lag_ms, o->vm_lag_ms);
+	p->store = platform_store_create(o->vm_expiry_ms * USEC_PER_MSEC);
+	p->web = web_start(&wo, e);
+	if (p->web)
+		p->control = web_start(&co, e);
+	if (p->control)
+		return p;
+	platform_stop(p);
+	return NULL;
+}
+
+const char *platform_address(const struct platform *p)
+{
+	return web_address(p->web);
+}
+
+const char *platform_control(const struct platform *p)
+{
+	return web_address(p->control);
+}
+
+/* Stops; calls that wait are dropped. */
+void platform_stop(struct platform *p)
+{
+	if (p->control)
+		web_stop(p->control);
+	if (p->web)
+		web_stop(p->web);
+	platform_store_destroy(p->store);
+	pthread_mutex_destroy(&p->lock);
+	free(p);
+}
+
+/* Counts a call and runs it, now or after the set latency. */
+static void on_call(struct web_request *r)
+{
+	struct platform *p = r->ctx;
+	long long latency = atomic_load(&p->latency_us);
+	struct platform_own *own;
+	int kind = kind_of(r);
+
+	if (kind == CALL_KINDS) {
+		web_reply_text(r, 404, NULL);
+		return;
+	}
+	atomic_fetch_add(&p->calls[kind], 1);
+	own = must_alloc(sizeof(*own));
+	own->kind = (enum call_kind)kind;
+	own->watch_end = -1;
+	r->own = own;
+	r->free_own = free;
+	if (latency > 0)
+		web_later(r, web_now() + latency, false, run_call);
+	else
+		run_call(r);
+}
+
+/* Returns CALL_KINDS for what is no call. */
+static int kind_of(struct web_request *r)
+{
+	bool get = strcmp(r->method, "GET") == 0;
+	bool object =
+		strncmp(r->url, objects_path, sizeof(objects_path) - 1) == 0 &&
+		r->url[sizeof(objects_path) - 1];
+
+	if (object && get)
+		return CALL_GET;
+	if (object && strcmp(r->method, "PUT") == 0)
+		return CALL_PUT;
+	if (get && strcmp(r->url, "/v1/objects") == 0)
+		return CALL_LIST;
+	if (get && strcmp(r->url, "/v1/watch") == 0)
+		return CALL_WATCH;
+	if (get && strcmp(r->url, "/v1/vms") == 0)
+		return CALL_VMS;
+	if (strcmp(r->method, "POST") == 0 && strcmp(r->url, "/v1/vms") == 0)
+		return CALL_ANNOUNCE;
+	return CALL_KINDS;
+}
+
+static void run_call(struct web_request *r)
+{
+	static const web_handler handlers[CALL_KINDS] = {
+		[CALL_GET] = get_call,	 [CALL_PUT] = put_call,
+		[CALL_LIST] = list_call, [CALL_WATCH] = watch_call,
+		[CALL_VMS] = vms_call,	 [CALL_ANNOUNCE] = announce_call,
+	};
+	struct platform *p = r->ctx;
+	const struct platform_own *own = r->own;
+
+	if (atomic_load(&p->down)) {
+		web_drop(r);
+		return;
+	}
+	handlers[own->kind](r);
+	if (r->ready)
+		finish(r);
+}
+
+/* Cuts an answer that is to be lost; its call has taken effect. */
+static void finish(struct web_request *r)
+{
+	struct platform *p = r->ctx;
+
+	if (faults_take(&p->lose_replies))
+		web_drop(r);
+}
+
+static void get_call(struct web_request *r)
+{
+	struct platform *p = r->ctx;
+	const char *name = r->url + sizeof(objects_path) - 1;
+	uint64_t version;
+	json_t *body;
+
+	pthread_mutex_lock(&p->lock);
+	body = json_incref(
+		(json_t *)platform_store_get(p->store, name, &version));
+	pthread_mutex_unlock(&p->lock);
+	if (!body) {
+		web_reply_text(r, 404, NULL);
+		return;
+	}
+	set_etag(r, version);
+	web_reply(r, 200, body);
+}
+
+static void put_call(struct web_request *r)
+{
+	struct platform *p = r->ctx;
+	const char *name = r->url + sizeof(objects_path) - 1;
+	json_t *body = json_loadb(r->body ? r->body : "", r->len, 0, NULL);
+	enum put_result rc;
+	uint64_t expected, version;
+	bool given;
+
+	expected = expected_version(r, &given);
+	if (!json_is_object(body) || !given) {
+		json_decref(body);
+		web_reply_text(r, given ? 400 : 428, NULL);
+		return;
+	}
+	pthread_mutex_lock(&p->lock);
+	rc = platform_store_put(p->store, name, expected, body, &version);
+	pthread_mutex_unlock(&p->lock);
+	json_decref(body);
+	if (version)
+		set_etag(r, version);
+	if (rc == PUT_OK)
+		web_kick(p->web);
+	web_reply_text(r,
+		       rc == PUT_OK	? 200
+		       : rc == PUT_FULL ? 507
+					: 412,
+		       NULL);
+}
+
+/* The version of If-Match, or 0 for If-None-Match: *. */
+static uint64_t expected_version(struct web_request *r, bool *given)
+{
+	const char *match = web_header(r, "If-Match");
+	const char *none = web_header(r, "If-None-Match");
+	uint64_t n;
+	char *end;
+
+	*given = false;
+	if (none && strcmp(none, "*") == 0) {
+		*given = !match;
+		return 0;
+	}
+	if (!match || match[0] != '"')
+		return 0;
+	n = strtoull(match + 1, &end, 10);
+	*given = end != match + 1 && strcmp(end, "\"") == 0 && n > 0;
+	return n;
+}
+
+static void list_call(struct web_request *r)
+{
+	struct platform *p = r->ctx;
+	const char *prefix = web_argument(r, "prefix");
+	json_t *j;
+
+	pthread_mutex_lock(&p->lock);
+	j = platform_store_list(p->store, prefix ? prefix : "", 0);
+	pthread_mutex_unlock(&p->lock);
+	web_reply(r, 200, j);
+}
+
+/* Answers once something has changed, or when the wait is over. */
+static void watch_call(struct web_request *r)
+{
+	struct platform *p = r->ctx;
+	struct platform_own *own = r->own;
+	const char *prefix = web_argument(r, "prefix");
+	uint64_t after = web_number(r, "after", 0);
+	uint64_t wait = web_number(r, "wait_ms", 0);
+	json_t *j = NULL;
+
+	if (wait > WATCH_MAX_MS)
+		wait = WATCH_MAX_MS;
+	if (own->watch_end < 0)
+		own->watch_end = web_now() + (usec_t)wait * USEC_PER_MSEC;
+	if (!prefix)
+		prefix = "";
+	pthread_mutex_lock(&p->lock);
+	if (web_now() >= own->watch_end ||
+	    platform_store_changed(p->store, prefix, after))
+		j = platform_store_list(p->store, prefix, after);
+	pthread_mutex_unlock(&p->lock);
+	if (j)
+		web_reply(r, 200, j);
+	else
+		web_later(r, own->watch_end, true, run_call);
+}
+
+static void vms_call(struct web_request *r)
+{
+	struct platform *p = r->ctx;
+	usec_t lag = atomic_load(&p->vm_lag_ms) * USEC_PER_MSEC;
+	json_t *j;
+
+	pthread_mutex_lock(&p->lock);
+	j = platform_store_vms(p->store, web_now(), lag);
+	pthread_mutex_unlock(&p->lock);
+	web_reply(r, 200, j);
+}
+
+static void announce_call(struct web_request *r)
+{
+	struct platform *p = r->ctx;
+	json_t *record = json_loadb(r->body ? r->body : "", r->len, 0, NULL);
+	struct error e = { 0 };
+	int rc;
+
+	pthread_mutex_lock(&p->lock);
+	rc = platform_store_announce(p->store, record, web_now(), &e);
+	pthread_mutex_unlock(&p->lock);
+	json_decref(record);
+	if (rc)
+		web_reply(r, error_http_status(e.code),
+			  json_pack("{s:s}", "message", e.message));
+	else
+		web_reply_text(r, 200, NULL);
+}
+
+static void on_control(struct web_request *r)
+{
+	struct platform *p = r->ctx;
+	json_t *j;
+	int rc;
+
+	if (strcmp(r->url, "/control") != 0) {
+		web_reply_text(r, 404, NULL);
+		return;
+	}
+	if (strcmp(r->method, "POST") == 0) {
+		j = json_loadb(r->body ? r->body : "", r->len, 0, NULL);
+		rc = set_controls(p, j);
+		json_decref(j);
+		if (rc) {
+			web_reply_text(r, 400, NULL);
+			return;
+		}
+		web_kick(p->web);
+	}
+	web_reply(r, 200, controls(p));
+}
+
+/* Sets all that is named, or nothing and -1. */
+static int set_controls(struct platform *p, const json_t *j)
+{
+	const json_t *down = json_object_get(j, "down");
+	const struct {
+		const char *name;
+		atomic_llong *at;
+	} numbers[] = {
+		{ "latency_us", &p->latency_us },
+		{ "vm_lag_ms", &p->vm_lag_ms },
+		{ "lose_replies", &p->lose_replies },
+	};
+	size_t known = down ? 1 : 0;
+	const json_t *v;
+	size_t i;
+
+	if (down && !json_is_boolean(down))
+		return -1;
+	for (i = 0; i < sizeof(numbers) / sizeof(numbers[0]); i++) {
+		v = json_object_get(j, numbers[i].name);
+		if (v && (!json_is_integer(v) || json_integer_value(v) < 0))
+			return -1;
+		known += v ? 1 : 0;
+	}
+	if (!json_is_object(j) || known != json_object_size(j))
+		return -1;
+	for (i = 0; i < sizeof(numbers) / sizeof(numbers[0]); i++) {
+		v = json_object_get(j, numbers[i].name);
+		if (v)
+			atomic_store(numbers[i].at, json_integer_value(v));
+	}
+	if (down)
+		atomic_store(&p->down, json_is_true(down));
+	return 0;
+}
+
+static json_t *controls(struct platform *p)
+{
+	json_t *calls = json_object();
+	int i;
+
+	for (i = 0; i < CALL_KINDS; i++)
+		json_object_set_new(calls, kind_names[i],
+				    json_integer(atomic_load(&p->calls[i])));
+	return json_pack("{s:I,s:I,s:I,s:b,s:o}", "latency_us",
+			 (json_int_t)atomic_load(&p->latency_us), "vm_lag_ms",
+			 (json_int_t)atomic_load(&p->vm_lag_ms), "lose_replies",
+			 (json_int_t)atomic_load(&p->lose_replies), "down",
+			 (int)atomic_load(&p->down), "calls", calls);
+}
+
+static void set_etag(struct web_request *r, uint64_t version)
+{
+	snprintf(r->etag, sizeof(r->etag), "\"%llu\"",
+		 (unsigned long long)version);
+}
--- /dev/null
+++ b/src/standin/statement.c
@@ -0,0 +1,162 @@
+#include "standin/statement.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+static const struct {
+	const char *name;
+	enum verb verb;
+	bool takes_value;
+} verbs[] = {
+	{ "get", VERB_GET, false },    { "put", VERB_PUT, true },
+	{ "list", VERB_LIST, false },  { "increment", VERB_INCREMENT, true },
+	{ "check", VERB_CHECK, true }, { "append", VERB_APPEND, true },
+};
+
+struct cursor {
+	const char *at;
+	const json_t *parameters;
+	size_t used;
+};
+
+static int bad(struct error *e, const char *why);
+static bool word(struct cursor *c, char *out, size_t room);
+static int take_key(struct cursor *c, char *out, struct error *e);
+static int take_value(struct cursor *c, struct statement *s, struct error *e);
+static json_t *literal(const char *text);
+static int take_amount(struct statement *s, struct error *e);
+
+/* Returns 0, or -1 with UNPROCESSABLE; on 0 end with statement_clear(). */
+int statement_parse(struct statement *s, const char *text,
+		    const json_t *parameters, struct error *e)
+{
+	struct cursor c = { .at = text, .parameters = parameters };
+	char name[16];
+	size_t i;
+
+	memset(s, 0, sizeof(*s));
+	if (!word(&c, name, sizeof(name)))
+		return bad(e, "no verb");
+	for (i = 0; i < sizeof(verbs) / sizeof(verbs[0]); i++) {
+		if (strcmp(verbs[i].name, name) == 0)
+			break;
+	}
+	if (i == sizeof(verbs) / sizeof(verbs[0]))
+		return bad(e, "unknown verb");
+	s->verb = verbs[i].verb;
+	if (take_key(&c, s->key, e))
+		return -1;
+	if (verbs[i].takes_value && take_value(&c, s, e))
+		return -1;
+	if (s->verb == VERB_INCREMENT && take_amount(s, e))
+		return -1;
+	while (*c.at == ' ')
+		c.at++;
+	if (*c.at == '\0' && c.used == json_array_size(parameters))
+		return 0;
+	statement_clear(s);
+	return bad(e, *c.at ? "text after the end" : "unused parameters");
+}
+
+/* Frees what a statement owns. */
+void statement_clear(struct statement *s)
+{
+	json_decref(s->value);
+	s->value = NULL;
+}
+
+/* Tells whether a statement may change a key. */
+bool statement_writes(const struct statement *s)
+{
+	return s->verb == VERB_PUT || s->verb == VERB_INCREMENT ||
+	       s->verb == VERB_APPEND;
+}
+
+static int bad(struct error *e, const char *why)
+{
+	return error_set(e, ERR_UNPROCESSABLE, STEP_PARSE, NULL, "%s", why);
+}
+
+/* Takes the next word; false if there is none or it is too long. */
+static bool word(struct cursor *c, char *out, size_t room)
+{
+	size_t n;
+
+	while (*c->at == ' ')
+		c->at++;
+	n = strcspn(c->at, " ");
+	if (n == 0 || n >= room)
+		return false;
+	memcpy(out, c->at, n);
+	out[n] = '\0';
+	c->at += n;
+	return true;
+}
+
+static int take_key(struct cursor *c, char *out, struct error *e)
+{
+	const json_t *p;
+
+	if (!word(c, out, KEY_MAX_BYTES))
+		return bad(e, "no key, or too long a key");
+	if (strcmp(out, "?") != 0)
+		return 0;
+	p = json_array_get(c->parameters, c->used++);
+	if (!json_is_string(p))
+		return bad(e, "the key's parameter is not a string");
+	if (json_string_length(p) == 0 ||
+	    json_string_length(p) >= KEY_MAX_BYTES)
+		return bad(e, "no key, or too long a key");
+	memcpy(out, json_string_value(p), json_string_length(p) + 1);
+	return 0;
+}
+
+static int take_value(struct cursor *c, struct statement *s, struct error *e)
+{
+	json_t *p;
+
+	while (*c->at == ' ')
+		c->at++;
+	if (*c->at == '\0')
+		return bad(e, "no value");
+	if (strcmp(c->at, "?") != 0) {
+		if (strlen(c->at) > VALUE_MAX_BYTES)
+			return bad(e, "too long a value");
+		s->value = literal(c->at);
+		c->at += strlen(c->at);
+		return s->value ? 0 : bad(e, "the value is not UTF-8");
+	}
+	c->at++;
+	p = json_array_get(c->parameters, c->used++);
+	if (!p)
+		return bad(e, "a parameter is missing");
+	if (json_string_length(p) > VALUE_MAX_BYTES)
+		return bad(e, "too long a value");
+	s->value = json_incref(p);
+	return 0;
+}
+
+/* An integer if the text reads as one, else a string. */
+static json_t *literal(const char *text)
+{
+	char *end;
+	long long n;
+
+	errno = 0;
+	n = strtoll(text, &end, 10);
+	if (end != text && *end == '\0' && errno == 0)
+		return json_integer(n);
+	return json_string(text);
+}
+
+static int take_amount(struct statement *s, struct error *e)
+{
+	if (!json_is_integer(s->value)) {
+		statement_clear(s);
+		return bad(e, "the amount is not an integer");
+	}
+	s->amount = json_integer_value(s->value);
+	statement_clear(s);
+	return 0;
+}
--- /dev/null
+++ b/src/standin/statement.h
@@ -0,0 +1,36 @@
+#ifndef STANDIN_STATEMENT_H
+#define STANDIN_STATEMENT_H
+
+#include <jansson.h>
+
+#include "decide/error.h"
+
+#define KEY_MAX_BYTES	256
+#define VALUE_MAX_BYTES 65536
+
+enum verb {
+	VERB_GET,
+	VERB_PUT,
+	VERB_INCREMENT,
+	VERB_LIST,
+	VERB_APPEND,
+	VERB_CHECK,
+};
+
+struct statement {
+	enum verb verb;
+	char key[KEY_MAX_BYTES]; /* LIST: the prefix */
+	json_t *value;		 /* PUT, APPEND, CHECK; owned */
+	int64_t amount;		 /* INCREMENT */
+};
+
+/*
+ * Parses "verb key [value]". A "?" stands for the next parameter; all must be
+ * used. The value is the rest of the text: an integer if it reads as one.
+ */
+int statement_parse(struct statement *s, const char *text,
+		    const json_t *parameters, struct error *e);
+void statement_clear(struct statement *s);
+bool statement_writes(const struct statement *s);
+
+#endif
--- /dev/null
+++ b/src/standin/web.c
@@ -0,0 +1,381 @@
+#include "standin/web.h"
+
+#include <arpa/inet.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <time.h>
+
+#include "standin/omap.h"
+#include "standin/web_timer.h"
+
+#define IDLE_SECONDS 600
+
+struct web {
+	struct MHD_Daemon *daemon;
+	struct web_timer *timer;
+	struct web_options options;
+	atomic_uint open;
+	atomic_uint_fast64_t seq;
+	char address[ADDR_MAX_BYTES];
+};
+
+static enum MHD_Result on_request(void *ctx, struct MHD_Connection *conn,
+				  const char *url, const char *method,
+				  const char *version, const char *data,
+				  size_t *len, void **own);
+static void on_completed(void *ctx, struct MHD_Connection *conn, void **own,
+			 enum MHD_RequestTerminationCode why);
+static void on_connection(void *ctx, struct MHD_Connection *conn, void **own,
+			  enum MHD_ConnectionNotificationCode what);
+static enum MHD_Result on_accept(void *ctx, const struct sockaddr *from,
+				 socklen_t len);
+static struct web_request *request_begin(struct web *w,
+					 struct MHD_Connection *conn,
+					 const char *url, const char *method);
+static void take_body(struct web_request *r, const char *data, size_t len);
+static enum MHD_Result send_reply(struct web_request *r);
+static int resolve_port(struct web *w, const struct sockaddr_in *asked,
+			struct error *e);
+
+/* Starts to serve; NULL with LISTEN on failure. */
+struct web *web_start(const struct web_options *o, struct error *e)
+{
+	struct sockaddr_in at;
+	struct web *w;
+
+	if (web_parse_address(o->listen, &at, e))
+		return NULL;
+	w = must_alloc(sizeof(*w));
+	w->options = *o;
+	w->timer = web_timer_start();
+	w->daemon = MHD_start_daemon(
+		MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, 0,
+		on_accept, w, on_request, w, MHD_OPTION_SOCK_ADDR, &at,
+		MHD_OPTION_THREAD_POOL_SIZE, o->threads,
+		MHD_OPTION_CONNECTION_LIMIT, o->connections,
+		MHD_OPTION_LISTEN_BACKLOG_SIZE, 1024U,
+		MHD_OPTION_CONNECTION_TIMEOUT, IDLE_SECONDS,
+		MHD_OPTION_NOTIFY_COMPLETED, on_completed, w,
+		MHD_OPTION_NOTIFY_CONNECTION, on_connection, w, MHD_OPTION_END);
+	if (!w->daemon) {
+		error_set(e, ERR_SYSTEM, STEP_LISTEN, o->listen,
+			  "cannot listen");
+		web_timer_stop(w->timer);
+		free(w);
+		return NULL;
+	}
+	if (resolve_port(w, &at, e) == 0)
+		return w;
+	web_stop(w);
+	return NULL;
+}
+
+/* Stops: requests that wait are dropped. */
+void web_stop(struct web *w)
+{
+	web_timer_stop(w->timer);
+	MHD_stop_daemon(w->daemon);
+	web_timer_free(w->timer);
+	free(w);
+}
+
+const char *web_address(const struct web *w)
+{
+	return w->address;
+}
+
+unsigned int web_open(struct web *w)
+{
+	return atomic_load(&w->open);
+}
+
+uint64_t web_next_seq(struct web *w)
+{
+	return atomic_load(&w->seq) + 1;
+}
+
+/* Replication holds connections of its own. */
+void web_uncount(struct web_request *r)
+{
+	if (r->peer->replication)
+		return;
+	r->peer->replication = true;
+	atomic_fetch_sub(&r->web->open, 1);
+}
+
+/* Answers with a status and a JSON document, which it takes over. */
+void web_reply(struct web_request *r, int status, json_t *body)
+{
+	char *text = json_dumps(body, JSON_COMPACT);
+
+	json_decref(body);
+	web_reply_text(r, text ? status : 500, text);
+}
+
+/* Answers with a status and a malloc'd text (NULL: none), taking it over. */
+void web_reply_text(struct web_request *r, int status, char *body)
+{
+	r->status = status;
+	r->reply = body ? body : must_strdup("");
+	r->ready = true;
+}
+
+/* Closes the connection unanswered. */
+void web_drop(struct web_request *r)
+{
+	r->drop = true;
+	r->ready = true;
+}
+
+/* Has the request's "step" called at "due", or at web_kick() if asked for. */
+void web_later(struct web_request *r, usec_t due, bool on_kick,
+	       web_handler step)
+{
+	r->later = true;
+	r->due = due;
+	r->on_kick = on_kick;
+	r->step = step;
+}
+
+void web_kick(struct web *w)
+{
+	web_timer_kick(w->timer);
+}
+
+bool web_client_gone(struct web_request *r)
+{
+	const union MHD_ConnectionInfo *info;
+	char c;
+
+	info = MHD_get_connection_info(r->conn,
+				       MHD_CONNECTION_INFO_CONNECTION_FD);
+	if (!info)
+		return true;
+	return recv(info->connect_fd, &c, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
+const char *web_argument(struct web_request *r, const char *name)
+{
+	return MHD_lookup_connection_value(r->conn, MHD_GET_ARGUMENT_KIND,
+					   name);
+}
+
+/* A number of the query; "absent" if it is not there or is none. */
+uint64_t web_number(struct web_request *r, const char *name, uint64_t absent)
+{
+	const char *text = web_argument(r, name);
+	char *end;
+	uint64_t n;
+
+	if (!text || *text < '0' || *text > '9')
+		return absent;
+	n = strtoull(text, &end, 10);
+	return *end == '\0' ? n : absent;
+}
+
+const char *web_header(struct web_request *r, const char *name)
+{
+	return MHD_lookup_connection_value(r->conn, MHD_HEADER_KIND, name);
+}
+
+usec_t web_now(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_MONOTONIC, &ts);
+	return ts.tv_sec * (usec_t)USEC_PER_SEC + ts.tv_nsec / 1000;
+}
+
+int64_t web_wall_us(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_REALTIME, &ts);
+	return ts.tv_sec * (int64_t)USEC_PER_SEC + ts.tv_nsec / 1000;
+}
+
+/* Reads "ip:port"; 0, or -1 with SETTINGS. */
+int web_parse_address(const char *text, struct sockaddr_in *out,
+		      struct error *e)
+{
+	char ip[ADDR_MAX_BYTES];
+	const char *colon = strrchr(text, ':');
+	char *end;
+	unsigned long port;
+
+	if (!colon || (size_t)(colon - text) >= sizeof(ip))
+		return error_set(e, ERR_SETTINGS, STEP_LISTEN, text,
+				 "not ip:port");
+	memcpy(ip, text, (size_t)(colon - text));
+	ip[colon - text] = '\0';
+	port = strtoul(colon + 1, &end, 10);
+	memset(out, 0, sizeof(*out));
+	out->sin_family = AF_INET;
+	out->sin_port = htons((uint16_t)port);
+	if (*end || end == colon + 1 || port > UINT16_MAX ||
+	    inet_pton(AF_INET, ip, &out->sin_addr) != 1)
+		return error_set(e, ERR_SETTINGS, STEP_LISTEN, text,
+				 "not ip:port");
+	return 0;
+}
+
+/* Called for the head, for each part of the body, and after a resume. */
+static enum MHD_Result on_request(void *ctx, struct MHD_Connection *conn,
+				  const char *url, const char *method,
+				  const char *version, const char *data,
+				  size_t *len, void **own)
+{
+	struct web_request *r = *own;
+	struct web *w = ctx;
+
+	(void)version;
+	if (!r) {
+		*own = request_begin(w, conn, url, method);
+		return MHD_YES;
+	}
+	if (*len) {
+		take_body(r, data, *len);
+		*len = 0;
+		return MHD_YES;
+	}
+	if (r->ready)
+		return r->drop ? MHD_NO : send_reply(r);
+	r->kicks = web_timer_kicks(w->timer);
+	if (r->too_large)
+		web_reply_text(r, 413, NULL);
+	else
+		w->options.handle(r);
+	if (r->ready)
+		return r->drop ? MHD_NO : send_reply(r);
+	MHD_suspend_connection(conn);
+	web_timer_add(w->timer, r);
+	return MHD_YES;
+}
+
+static void on_completed(void *ctx, struct MHD_Connection *conn, void **own,
+			 enum MHD_RequestTerminationCode why)
+{
+	struct web_request *r = *own;
+
+	(void)ctx;
+	(void)conn;
+	(void)why;
+	if (!r)
+		return;
+	*own = NULL;
+	if (r->free_own)
+		r->free_own(r->own);
+	free(r->url);
+	free(r->body);
+	free(r->reply);
+	free(r);
+}
+
+static void on_connection(void *ctx, struct MHD_Connection *conn, void **own,
+			  enum MHD_ConnectionNotificationCode what)
+{
+	struct web *w = ctx;
+	struct web_conn *c;
+
+	(void)conn;
+	if (what == MHD_CONNECTION_NOTIFY_STARTED) {
+		c = must_alloc(sizeof(*c));
+		c->seq = atomic_fetch_add(&w->seq, 1) + 1;
+		atomic_fetch_add(&w->open, 1);
+		*own = c;
+		return;
+	}
+	c = *own;
+	if (!c)
+		return;
+	if (!c->replication)
+		atomic_fetch_sub(&w->open, 1);
+	free(c);
+	*own = NULL;
+}
+
+static enum MHD_Result on_accept(void *ctx, const struct sockaddr *from,
+				 socklen_t len)
+{
+	struct web *w = ctx;
+
+	(void)from;
+	(void)len;
+	if (!w->options.accept)
+		return MHD_YES;
+	return w->options.accept(w->options.ctx, atomic_load(&w->open))
+		       ? MHD_YES
+		       : MHD_NO;
+}
+
+static struct web_request *request_begin(struct web *w,
+					 struct MHD_Connection *conn,
+					 const char *url, const char *method)
+{
+	const union MHD_ConnectionInfo *info;
+	struct web_request *r = must_alloc(sizeof(*r));
+
+	info = MHD_get_connection_info(conn,
+				       MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+	r->web = w;
+	r->ctx = w->options.ctx;
+	r->conn = conn;
+	r->peer = info ? info->socket_context : NULL;
+	r->method = method;
+	r->url = must_strdup(url);
+	return r;
+}
+
+static void take_body(struct web_request *r, const char *data, size_t len)
+{
+	char *more;
+
+	if (r->len + len > WEB_BODY_MAX) {
+		r->too_large = true;
+		return;
+	}
+	if (r->len + len + 1 > r->room) {
+		r->room = 2 * (r->len + len + 1);
+		more = realloc(r->body, r->room);
+		if (!more)
+			abort();
+		r->body = more;
+	}
+	memcpy(r->body + r->len, data, len);
+	r->len += len;
+	r->body[r->len] = '\0';
+}
+
+static enum MHD_Result send_reply(struct web_request *r)
+{
+	struct MHD_Response *resp;
+	enum MHD_Result rc;
+
+	resp = MHD_create_response_from_buffer(strlen(r->reply), r->reply,
+					       MHD_RESPMEM_MUST_COPY);
+	if (!resp)
+		return MHD_NO;
+	(void)MHD_add_response_header(resp, "Content-Type", "application/json");
+	if (r->etag[0])
+		(void)MHD_add_response_header(resp, "ETag", r->etag);
+	rc = MHD_queue_response(r->conn, (unsigned int)r->status, resp);
+	MHD_destroy_response(resp);
+	return rc;
+}
+
+static int resolve_port(struct web *w, const struct sockaddr_in *asked,
+			struct error *e)
+{
+	const union MHD_DaemonInfo *info;
+	char ip[INET_ADDRSTRLEN];
+
+	info = MHD_get_daemon_info(w->daemon, MHD_DAEMON_INFO_BIND_PORT);
+	if (!info || !inet_ntop(AF_INET, &asked->sin_addr, ip, sizeof(ip)))
+		return error_set(e, ERR_SYSTEM, STEP_LISTEN, w->options.listen,
+				 "no port");
+	snprintf(w->address, sizeof(w->address), "%s:%u", ip, info->port);
+	return 0;
+}
