Read msgpack messages with bounded sizes

Cause: every module between VMs needs the same careful reading. Change: kernel/wire, a reader over msgpack arrays; types for telling an object. Conclusion: usable by the codecs of forwards and escrow.

--- a/src/kernel/peer.h
+++ b/src/kernel/peer.h
@@ -5,7 +5,7 @@
 
 struct kernel;
 
-#define PEER_BODY_MAX_BYTES 262144
+#define PEER_BODY_MAX_BYTES 1179648 /* an object of 1 MB and its frame */
 
 /* Message types between VMs; each module has its own codec for its bodies. */
 enum peer_type {
@@ -17,6 +17,8 @@
 	PEER_OPINION, /* what do you hear of this database? */
 	PEER_OPINION_REPLY,
 	PEER_GROUP_VIEW, /* a new primary, told at once */
+	PEER_TELL,	 /* an object just written, told at once */
+	PEER_TOLD,	 /* the version of it that is now known */
 	PEER_TYPE_COUNT
 };
 
--- /dev/null
+++ b/src/kernel/wire.c
@@ -0,0 +1,146 @@
+#include "kernel/wire.h"
+
+#include <string.h>
+
+static const msgpack_object *take(struct wire_reader *r,
+				  msgpack_object_type type);
+
+/*
+ * Unpacks one message. The caller destroys "u" in either case, which it has
+ * initialised.
+ */
+bool wire_unpack(msgpack_unpacked *u, const void *buf, size_t len)
+{
+	size_t off = 0;
+
+	if (msgpack_unpack_next(u, buf, len, &off) != MSGPACK_UNPACK_SUCCESS)
+		return false;
+	return off == len;
+}
+
+/* Begins to read an array; a reader that is bad at once if it is none. */
+struct wire_reader wire_array(const msgpack_object *o, uint32_t min)
+{
+	struct wire_reader r = { .bad = true };
+
+	if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size < min)
+		return r;
+	r.next = o->via.array.ptr;
+	r.left = o->via.array.size;
+	r.bad = false;
+	return r;
+}
+
+/* Reads an integer that is not negative. */
+uint64_t wire_u64(struct wire_reader *r)
+{
+	const msgpack_object *o = take(r, MSGPACK_OBJECT_POSITIVE_INTEGER);
+
+	return o ? o->via.u64 : 0;
+}
+
+/* Reads an integer of either sign that fits 64 bits. */
+int64_t wire_i64(struct wire_reader *r)
+{
+	const msgpack_object *o;
+
+	if (!r->bad && r->left &&
+	    r->next->type == MSGPACK_OBJECT_NEGATIVE_INTEGER) {
+		o = take(r, MSGPACK_OBJECT_NEGATIVE_INTEGER);
+		return o->via.i64;
+	}
+	o = take(r, MSGPACK_OBJECT_POSITIVE_INTEGER);
+	if (!o)
+		return 0;
+	if (o->via.u64 > INT64_MAX) {
+		r->bad = true;
+		return 0;
+	}
+	return (int64_t)o->via.u64;
+}
+
+/* Reads a truth value. */
+bool wire_bool(struct wire_reader *r)
+{
+	const msgpack_object *o = take(r, MSGPACK_OBJECT_BOOLEAN);
+
+	return o && o->via.boolean;
+}
+
+/* Copies a string, NUL-terminated; empty if the reader is bad. */
+void wire_str(struct wire_reader *r, char *out, size_t size)
+{
+	const msgpack_object *o = take(r, MSGPACK_OBJECT_STR);
+
+	memset(out, 0, size);
+	if (!o)
+		return;
+	if (o->via.str.size >= size ||
+	    memchr(o->via.str.ptr, '\0', o->via.str.size)) {
+		r->bad = true;
+		return;
+	}
+	memcpy(out, o->via.str.ptr, o->via.str.size);
+}
+
+/* Reads bytes; the pointer is good as long as the unpacked message. */
+const char *wire_bin(struct wire_reader *r, size_t max, size_t *len)
+{
+	const msgpack_object *o = take(r, MSGPACK_OBJECT_BIN);
+
+	*len = 0;
+	if (!o)
+		return NULL;
+	if (o->via.bin.size > max) {
+		r->bad = true;
+		return NULL;
+	}
+	*len = o->via.bin.size;
+	return o->via.bin.ptr;
+}
+
+/* Reads a nested array; on failure both readers are bad. */
+struct wire_reader wire_sub(struct wire_reader *r, uint32_t max)
+{
+	struct wire_reader sub = { .bad = true };
+	const msgpack_object *o = take(r, MSGPACK_OBJECT_ARRAY);
+
+	if (!o)
+		return sub;
+	sub = wire_array(o, 0);
+	if (sub.left > max) {
+		sub.bad = true;
+		sub.left = 0;
+		r->bad = true;
+	}
+	return sub;
+}
+
+/* Writes a string. */
+void wire_put_str(msgpack_packer *p, const char *s)
+{
+	size_t len = strlen(s);
+
+	msgpack_pack_str(p, len);
+	msgpack_pack_str_body(p, s, len);
+}
+
+/* Writes bytes. */
+void wire_put_bin(msgpack_packer *p, const void *data, size_t len)
+{
+	msgpack_pack_bin(p, len);
+	if (len)
+		msgpack_pack_bin_body(p, data, len);
+}
+
+/* Takes the next field if it has the type; else the reader is bad. */
+static const msgpack_object *take(struct wire_reader *r,
+				  msgpack_object_type type)
+{
+	if (r->bad || r->left == 0 || r->next->type != type) {
+		r->bad = true;
+		return NULL;
+	}
+	r->left--;
+	return r->next++;
+}
