Let settings name peers to start from and the fleet's secret

Cause: a VM that starts while the platform is down knows no peer, and whoever reaches the peer address could speak as a VM. Change: optional "peers" and "peer_secret". Result: settings tests with good and bad lists. Conclusion: peer_zmq can use both.

--- a/src/kernel/peer.h
+++ b/src/kernel/peer.h
@@ -48,7 +48,10 @@
 /* For the plug-in: hands a received body to the type's handler, if any. */
 void peer_dispatch(struct kernel *k, enum peer_type type, const char *from,
 		   uint64_t incarnation, const void *body, size_t len);
-/* Any thread; the body is copied. Loss is silent, a full queue drops. */
+/*
+ * Any thread; the body is copied. Loss is silent, a full queue drops. "to" is
+ * a VM's name, or the ip:port of one whose name is not known yet.
+ */
 void peer_send(struct kernel *k, const char *to, enum peer_type type,
 	       const void *body, size_t len);
 
--- a/src/kernel/settings.c
+++ b/src/kernel/settings.c
@@ -17,6 +17,7 @@
 	SETTING_LISTEN,	 /* ip:port, port 0 for any */
 	SETTING_ADDRESS, /* ip:port */
 	SETTING_HASH,
+	SETTING_PEERS, /* a list of ip:port */
 	SETTING_LEVEL,
 	SETTING_NUMBER,
 };
@@ -52,6 +53,14 @@
 	TEXT(peer_listen, SETTING_LISTEN),
 	TEXT(platform, SETTING_ADDRESS),
 	TEXT(operator_key_hash, SETTING_HASH),
+	{ .key = "peer_secret",
+	  .type = SETTING_HASH,
+	  .offset = offsetof(struct settings, peer_secret),
+	  .optional = true },
+	{ .key = "peers",
+	  .type = SETTING_PEERS,
+	  .offset = offsetof(struct settings, peers),
+	  .optional = true },
 	{ .key = "log_level",
 	  .type = SETTING_LEVEL,
 	  .offset = offsetof(struct settings, log_level),
@@ -111,6 +120,8 @@
 		      const json_t *v);
 static void read_level(const struct check *c, const struct setting *t,
 		       const json_t *v);
+static void read_peers(const struct check *c, const struct setting *t,
+		       const json_t *v);
 static void refuse_unknown(const struct check *c, json_t *root);
 static void check_pairs(const struct check *c);
 static const struct setting *find(const char *key);
@@ -266,6 +277,9 @@
 	case SETTING_LEVEL:
 		read_level(c, t, v);
 		break;
+	case SETTING_PEERS:
+		read_peers(c, t, v);
+		break;
 	default:
 		read_text(c, t, v);
 		break;
@@ -343,6 +357,32 @@
 	     "must be \"error\", \"warn\", \"info\" or \"debug\"");
 }
 
+/* Stores the addresses of other VMs. */
+static void read_peers(const struct check *c, const struct setting *t,
+		       const json_t *v)
+{
+	struct settings *s = c->settings;
+	const char *text;
+	size_t n = json_array_size(v);
+	size_t i;
+
+	if (!json_is_array(v) || n > SEED_PEERS_MAX) {
+		fail(c, t->key, v, "must be a list of at most %d addresses",
+		     SEED_PEERS_MAX);
+		return;
+	}
+	for (i = 0; i < n; i++) {
+		text = json_string_value(json_array_get(v, i));
+		if (!text || !is_address(text, false)) {
+			fail(c, t->key, json_array_get(v, i),
+			     "must be ip:port by IP number, port 1 to 65535");
+			return;
+		}
+		snprintf(s->peers.address[i], ADDR_MAX_BYTES, "%s", text);
+	}
+	s->peers.n = (uint32_t)n;
+}
+
 /* Reports every key that is not in the table. */
 static void refuse_unknown(const struct check *c, json_t *root)
 {
--- a/src/kernel/settings.h
+++ b/src/kernel/settings.h
@@ -4,6 +4,8 @@
 #include "decide/error.h"
 #include "kernel/log.h"
 
+#define SEED_PEERS_MAX 16
+
 /*
  * A VM's settings, from one JSON file; man/gypsumcleat.json.5 tells all. A
  * plug-in that listens writes the bound address, with its port, back into its
@@ -17,8 +19,13 @@
 	char admin_listen[ADDR_MAX_BYTES];  /* "admin_listen" */
 	char peer_listen[ADDR_MAX_BYTES];   /* "peer_listen" */
 	char platform[ADDR_MAX_BYTES];	    /* "platform": ip:port */
-	char operator_key_hash[65];   /* "operator_key_hash": hex of BLAKE2b-256
-				       */
+	char operator_key_hash[65]; /* "operator_key_hash": hex of BLAKE2b-256
+				     */
+	char peer_secret[65]; /* "peer_secret": 32 bytes in hex, or empty */
+	struct {
+		uint32_t n;
+		char address[SEED_PEERS_MAX][ADDR_MAX_BYTES];
+	} peers; /* "peers": VMs to ask while the platform is down */
 	enum log_level log_level;     /* "log_level" */
 	uint32_t shards;	      /* "shards" */
 	uint32_t caller_threads;      /* "caller_threads" */
--- a/tests/kernel/settings_test.cc
+++ b/tests/kernel/settings_test.cc
@@ -48,6 +48,30 @@
 	EXPECT_EQ(s.caller_threads, 4u);
 }
 
+TEST(Settings, PeersAndTheirSecret)
+{
+	struct settings s;
+	struct settings_report r;
+	ASSERT_EQ(parse(with(std::string(",\"peer_secret\":\"") + kHash +
+			     "\",\"peers\":[\"10.0.0.1:7\",\"[::1]:8\"]"),
+			&s, &r),
+		  0)
+		<< r.text;
+	EXPECT_STREQ(s.peer_secret, kHash);
+	ASSERT_EQ(s.peers.n, 2u);
+	EXPECT_STREQ(s.peers.address[1], "[::1]:8");
+	std::string many = ",\"peers\":[\"10.0.0.1:7\"";
+	for (int i = 0; i < SEED_PEERS_MAX; i++)
+		many += ",\"10.0.0.1:7\"";
+	for (const std::string &more :
+	     { std::string(",\"peers\":\"10.0.0.1:7\""),
+	       std::string(",\"peers\":[\"vm-1:7\"]"),
+	       std::string(",\"peers\":[\"10.0.0.1:0\"]"),
+	       std::string(",\"peers\":[7]"), many + "]",
+	       std::string(",\"peer_secret\":\"12\"") })
+		EXPECT_EQ(parse(with(more), &s, &r), -1) << more;
+}
+
 TEST(Settings, EachFailureNamesFileKeyValueAndBound)
 {
 	const struct {
