Decide on tokens, routes, confirmation, promotion and outcomes

Cause: sessions, confirmed writes and promotion rest on decisions that run under any fault. Change: the pure modules behind their headers, with suspicion, election and upkeep split from the phases of a promotion. Conclusion: the engine can be built on them.

--- /dev/null
+++ b/src/decide/elect.h
@@ -0,0 +1,17 @@
+#ifndef DECIDE_ELECT_H
+#define DECIDE_ELECT_H
+
+#include "decide/promote.h"
+
+/* The part of a promotion from its term to the choice of a database. */
+void elect_begin(struct promote *p, const struct promote_env *env,
+		 struct promote_actions *out);
+bool elect_term_in_hand(const struct promote *p, const struct promote_env *env);
+uint64_t elect_next_term(const struct promote *p,
+			 const struct promote_env *env);
+void elect_choose(struct promote *p, const struct promote_env *env,
+		  struct promote_actions *out);
+void elect_fence(struct promote *p, const struct promote_env *env,
+		 struct promote_actions *out);
+
+#endif
--- a/src/decide/handover.h
+++ b/src/decide/handover.h
@@ -28,9 +28,9 @@
 
 /* A replica that may take over from a departing primary, or DB_NONE. */
 uint32_t handover_target(const struct group_view *v, usec_t fresh_us,
-			 usec_t now);
+			 uint32_t clock_rate_ppm, usec_t now);
 bool handover_due(const struct handover *h, const struct group_view *v,
-		  usec_t fresh_us, usec_t now);
+		  usec_t now);
 void handover_begin(struct handover *h, uint32_t target, usec_t now);
 /* Moves on; "running" is this VM's writes still at the primary. */
 enum handover_state handover_step(struct handover *h,
--- a/src/decide/probe.h
+++ b/src/decide/probe.h
@@ -18,6 +18,8 @@
 	usec_t last_at;	 /* the last question of any kind that was answered */
 	usec_t tried_at; /* the last probe sent */
 	uint32_t misses; /* lost ones in a row */
+	usec_t unanswered_at; /* first question since the last answer; 0: none
+			       */
 };
 
 /* What the group needs now. */
--- /dev/null
+++ b/src/decide/promote.c
@@ -0,0 +1,524 @@
+#include "decide/promote.h"
+
+#include <string.h>
+
+#include "decide/elect.h"
+#include "decide/suspect.h"
+#include "decide/upkeep.h"
+
+#define BACKOFF_DOUBLINGS 5
+
+static void emit_until(struct promote_actions *out, enum promote_act act,
+		       usec_t until);
+static void restart(struct promote *p, const struct promote_env *env,
+		    struct promote_actions *out);
+static void wake(struct promote *p, const struct promote_env *env);
+static void give_up(struct promote *p, const struct promote_env *env,
+		    struct promote_actions *out);
+static void release(struct promote *p, const struct promote_env *env,
+		    struct promote_actions *out);
+static void learn_floor(struct promote *p, const struct promote_env *env);
+static bool adopt_seen(struct promote *p, const struct promote_env *env,
+		       struct promote_actions *out);
+static void tick_idle(struct promote *p, const struct promote_env *env,
+		      struct promote_actions *out);
+static void tick_suspect(struct promote *p, const struct promote_env *env,
+			 struct promote_actions *out);
+static void tick_handover(struct promote *p, const struct promote_env *env,
+			  struct promote_actions *out);
+static void tick_calls(struct promote *p, const struct promote_env *env,
+		       struct promote_actions *out);
+static enum promote_cause lasting_cause(struct promote *p,
+					const struct promote_env *env);
+static bool backed_by_others(const struct promote *p,
+			     const struct promote_env *env);
+static void start_handover(struct promote *p, const struct promote_env *env,
+			   struct promote_actions *out);
+static void finish(struct promote *p, const struct promote_env *env,
+		   struct promote_actions *out);
+
+/* Starts the watch over one group; nothing is known of it yet. */
+void promote_init(struct promote *p, const struct promote_policy *policy,
+		  usec_t now)
+{
+	memset(p, 0, sizeof(*p));
+	p->policy = *policy;
+	p->ticked_at = now;
+	p->phase_at = now;
+	p->woke_at = now;
+	p->target = DB_NONE;
+}
+
+/*
+ * Moves on with time. After a gap longer than pause_us nothing that was heard
+ * before it is trusted: the attempt ends, its term is spent, and suspicion
+ * starts anew.
+ */
+void promote_tick(struct promote *p, const struct promote_env *env,
+		  struct promote_actions *out)
+{
+	bool paused = env->now - p->ticked_at > p->policy.pause_us;
+
+	p->ticked_at = env->now;
+	learn_floor(p, env);
+	if (paused) {
+		restart(p, env, out);
+		wake(p, env);
+	}
+	if (adopt_seen(p, env, out))
+		return;
+	switch (p->phase) {
+	case PROMOTE_IDLE:
+		tick_idle(p, env, out);
+		break;
+	case PROMOTE_SUSPECT:
+		tick_suspect(p, env, out);
+		break;
+	case PROMOTE_HANDOVER:
+		tick_handover(p, env, out);
+		break;
+	case PROMOTE_CLAIMING:
+	case PROMOTE_FENCING:
+	case PROMOTE_PROMOTING:
+		tick_calls(p, env, out);
+		break;
+	}
+}
+
+/*
+ * The platform's word on a claim. A term is this VM's only if the claim is
+ * known to have taken effect; a claim in doubt is passed over.
+ */
+void promote_claimed(struct promote *p, const struct promote_env *env,
+		     uint64_t term, enum call_result r, uint64_t claimed,
+		     struct promote_actions *out)
+{
+	if (claimed > p->claimed)
+		p->claimed = claimed;
+	if (r == CALL_LOST && term > p->claimed)
+		p->claimed = term;
+	if (term != p->ahead_ask)
+		return;
+	p->ahead_ask = 0;
+	if (r == CALL_OK) {
+		p->ahead = term;
+		if (term > p->claimed)
+			p->claimed = term;
+	}
+	if (p->phase != PROMOTE_CLAIMING)
+		return;
+	if (r == CALL_OK || r == CALL_REFUSED || r == CALL_LOST)
+		elect_begin(p, env, out);
+}
+
+/* One database's report that it is fenced; positions count only with it. */
+void promote_fenced(struct promote *p, const struct promote_env *env,
+		    uint32_t db, uint64_t term, enum call_result r,
+		    const struct db_view *status, struct promote_actions *out)
+{
+	if (p->phase != PROMOTE_FENCING || term != p->term || db >= DB_MAX)
+		return;
+	if (r == CALL_REFUSED) {
+		if (status && status->fence_term > p->floor)
+			p->floor = status->fence_term;
+		give_up(p, env, out);
+		return;
+	}
+	if (r != CALL_OK || !status || status->fence_term != term)
+		return;
+	p->fenced |= 1U << db;
+	p->end[db] = status->end;
+	elect_choose(p, env, out);
+}
+
+/* The chosen database's word on its promotion. */
+void promote_promoted(struct promote *p, const struct promote_env *env,
+		      uint32_t db, uint64_t term, enum call_result r,
+		      struct promote_actions *out)
+{
+	if (p->phase != PROMOTE_PROMOTING || term != p->term || db != p->target)
+		return;
+	if (r == CALL_OK)
+		finish(p, env, out);
+	else if (r == CALL_REFUSED)
+		give_up(p, env, out);
+}
+
+/* The platform's word on a publication; what it lacks is tried again. */
+void promote_published(struct promote *p, const struct promote_env *env,
+		       uint64_t term, enum call_result r)
+{
+	if (r == CALL_OK && term > p->published)
+		p->published = term;
+	else
+		p->publish_at = env->now + p->policy.backoff_us;
+}
+
+/* A peer's opinion; it counts only while this VM still asks. */
+void promote_opinion(struct promote *p, const struct promote_env *env,
+		     uint64_t term, enum opinion o)
+{
+	if (p->phase != PROMOTE_SUSPECT || term != env->view->term)
+		return;
+	if (o == OPINION_ALIVE)
+		p->alive_opinions++;
+	else if (o == OPINION_SILENT)
+		p->silent_opinions++;
+}
+
+/* A view of the platform or of a peer; a later term ends what runs here. */
+void promote_heard(struct promote *p, const struct promote_env *env,
+		   uint64_t term, uint32_t primary, bool published,
+		   uint64_t claimed, struct promote_actions *out)
+{
+	if (claimed > p->claimed)
+		p->claimed = claimed;
+	if (published && term > p->published)
+		p->published = term;
+	if (term <= env->view->term)
+		return;
+	if (term > p->term)
+		restart(p, env, out);
+	wake(p, env);
+	promote_emit(out, ACT_ADOPT, primary, primary, term);
+}
+
+/* Answers a peer that suspects the primary. */
+enum opinion promote_give_opinion(const struct promote *p,
+				  const struct group_view *v, uint64_t term,
+				  usec_t unanswered_at, usec_t now)
+{
+	const struct db_view *d;
+	usec_t since = unanswered_at;
+
+	if (term != v->term || v->primary >= v->n)
+		return OPINION_NONE;
+	if (since && since < p->woke_at)
+		since = p->woke_at;
+	if (since && now - since >= p->policy.suspect_us / 2)
+		return OPINION_SILENT;
+	d = &v->db[v->primary];
+	if (!d->known || now - d->heard_at > p->policy.suspect_us / 2)
+		return OPINION_NONE;
+	if (d->role != ROLE_PRIMARY || d->fence_term != term)
+		return OPINION_SILENT;
+	return OPINION_ALIVE;
+}
+
+/* Returns the name of a phase for logs and the status page. */
+const char *promote_phase_name(enum promote_phase phase)
+{
+	static const char *const names[] = {
+		[PROMOTE_IDLE] = "idle",
+		[PROMOTE_SUSPECT] = "suspect",
+		[PROMOTE_HANDOVER] = "handover",
+		[PROMOTE_CLAIMING] = "claiming",
+		[PROMOTE_FENCING] = "fencing",
+		[PROMOTE_PROMOTING] = "promoting",
+	};
+
+	if ((unsigned int)phase >= sizeof(names) / sizeof(names[0]))
+		return "idle";
+	return names[phase];
+}
+
+/* Returns the name of a cause for logs and the status page. */
+const char *promote_cause_name(enum promote_cause cause)
+{
+	static const char *const names[] = {
+		[CAUSE_NONE] = "none",
+		[CAUSE_SILENT] = "silent",
+		[CAUSE_FENCED] = "fenced",
+		[CAUSE_UNFOLLOWED] = "unfollowed",
+		[CAUSE_DEPARTING] = "departing",
+	};
+
+	if ((unsigned int)cause >= sizeof(names) / sizeof(names[0]))
+		return "none";
+	return names[cause];
+}
+
+/* Appends an action; the table holds all that one event can cause. */
+void promote_emit(struct promote_actions *out, enum promote_act act,
+		  uint32_t db, uint32_t primary, uint64_t term)
+{
+	if (out->n == PROMOTE_ACTIONS_MAX)
+		return;
+	out->a[out->n++] = (struct promote_action){
+		.act = act,
+		.db = db,
+		.primary = primary,
+		.term = term,
+	};
+}
+
+/* Begins a phase. */
+void promote_enter(struct promote *p, const struct promote_env *env,
+		   enum promote_phase phase)
+{
+	p->phase = phase;
+	p->phase_at = env->now;
+	p->asked_at = env->now;
+}
+
+static void emit_until(struct promote_actions *out, enum promote_act act,
+		       usec_t until)
+{
+	promote_emit(out, act, DB_NONE, DB_NONE, 0);
+	out->a[out->n - 1].until = until;
+}
+
+/* Drops all that was under way, with the evidence it rested on. */
+static void restart(struct promote *p, const struct promote_env *env,
+		    struct promote_actions *out)
+{
+	release(p, env, out);
+	promote_enter(p, env, PROMOTE_IDLE);
+	p->cause = CAUSE_NONE;
+	p->term = 0;
+	p->target = DB_NONE;
+	p->fenced = 0;
+}
+
+/* What was heard of the primary so far no longer counts against it. */
+static void wake(struct promote *p, const struct promote_env *env)
+{
+	p->woke_at = env->now;
+	p->seen_cause = CAUSE_NONE;
+	p->cause_at = env->now;
+}
+
+/* As restart(), with a jittered wait, so that rivals do not go on to duel. */
+static void give_up(struct promote *p, const struct promote_env *env,
+		    struct promote_actions *out)
+{
+	usec_t wait = p->policy.backoff_us;
+	uint32_t n = p->failures++;
+
+	wait <<= n < BACKOFF_DOUBLINGS ? n : BACKOFF_DOUBLINGS;
+	restart(p, env, out);
+	p->quiet_until = env->now + wait / 2 +
+			 (usec_t)(env->random % (uint64_t)(wait / 2 + 1));
+}
+
+/* Lets held writes go, here and at the peers, if a hand-over held them. */
+static void release(struct promote *p, const struct promote_env *env,
+		    struct promote_actions *out)
+{
+	if (!p->holding)
+		return;
+	p->holding = false;
+	if (p->handover.state != HANDOVER_IDLE)
+		handover_abandon(&p->handover, &p->policy.handover, env->now);
+	promote_emit(out, ACT_RELEASE_WRITES, DB_NONE, DB_NONE, 0);
+	promote_emit(out, ACT_TELL_RELEASE, DB_NONE, DB_NONE, 0);
+}
+
+static void learn_floor(struct promote *p, const struct promote_env *env)
+{
+	uint32_t i;
+
+	if (env->view->term > p->floor)
+		p->floor = env->view->term;
+	for (i = 0; i < env->view->n; i++) {
+		if (env->view->db[i].known &&
+		    env->view->db[i].fence_term > p->floor)
+			p->floor = env->view->db[i].fence_term;
+	}
+}
+
+/* Takes up a promotion whose promoter told nobody. */
+static bool adopt_seen(struct promote *p, const struct promote_env *env,
+		       struct promote_actions *out)
+{
+	uint32_t db = suspect_new_primary(env->view);
+	uint64_t term;
+
+	if (db == DB_NONE)
+		return false;
+	term = env->view->db[db].fence_term;
+	if (term <= p->term)
+		return false;
+	restart(p, env, out);
+	wake(p, env);
+	promote_emit(out, ACT_ADOPT, db, db, term);
+	promote_emit(out, ACT_TELL_PEERS, db, db, term);
+	return true;
+}
+
+static void tick_idle(struct promote *p, const struct promote_env *env,
+		      struct promote_actions *out)
+{
+	enum promote_cause cause = lasting_cause(p, env);
+
+	upkeep_tick(p, env, cause, out);
+	if (cause == CAUSE_NONE || env->now < p->quiet_until)
+		return;
+	if (env->now - p->cause_at < suspect_patience(&p->policy, cause))
+		return;
+	if (cause == CAUSE_DEPARTING) {
+		start_handover(p, env, out);
+		return;
+	}
+	p->cause = cause;
+	p->alive_opinions = 0;
+	p->silent_opinions = 0;
+	promote_enter(p, env, PROMOTE_SUSPECT);
+	if (cause == CAUSE_SILENT)
+		promote_emit(out, ACT_ASK_OPINION, env->view->primary,
+			     env->view->primary, env->view->term);
+	tick_suspect(p, env, out);
+}
+
+/* Waits for this rank's turn; asks again in case opinions were lost. */
+static void tick_suspect(struct promote *p, const struct promote_env *env,
+			 struct promote_actions *out)
+{
+	usec_t waited = env->now - p->phase_at;
+
+	if (lasting_cause(p, env) != p->cause) {
+		promote_enter(p, env, PROMOTE_IDLE);
+		return;
+	}
+	if (p->alive_opinions) {
+		promote_enter(p, env, PROMOTE_IDLE);
+		p->quiet_until = env->now + p->policy.suspect_us / 2;
+		return;
+	}
+	if (waited < (usec_t)env->rank * p->policy.stagger_us)
+		return;
+	if (!backed_by_others(p, env)) {
+		if (env->now - p->asked_at < p->policy.call_us)
+			return;
+		p->asked_at = env->now;
+		promote_emit(out, ACT_ASK_OPINION, env->view->primary,
+			     env->view->primary, env->view->term);
+		return;
+	}
+	promote_enter(p, env, PROMOTE_CLAIMING);
+	elect_begin(p, env, out);
+}
+
+static void tick_handover(struct promote *p, const struct promote_env *env,
+			  struct promote_actions *out)
+{
+	enum handover_state s;
+
+	s = handover_step(&p->handover, &p->policy.handover, env->view,
+			  env->running, env->now);
+	if (s == HANDOVER_IDLE) {
+		restart(p, env, out);
+		return;
+	}
+	if (s != HANDOVER_READY)
+		return;
+	promote_enter(p, env, PROMOTE_CLAIMING);
+	elect_begin(p, env, out);
+}
+
+/* Repeats calls that may be lost, and bounds the phase. */
+static void tick_calls(struct promote *p, const struct promote_env *env,
+		       struct promote_actions *out)
+{
+	if (env->now - p->phase_at >= p->policy.phase_us) {
+		give_up(p, env, out);
+		return;
+	}
+	if (p->phase == PROMOTE_FENCING) {
+		elect_choose(p, env, out);
+		if (p->phase != PROMOTE_FENCING)
+			return;
+	}
+	if (env->now - p->asked_at < p->policy.call_us)
+		return;
+	p->asked_at = env->now;
+	if (p->phase == PROMOTE_CLAIMING)
+		elect_begin(p, env, out);
+	else if (p->phase == PROMOTE_FENCING)
+		elect_fence(p, env, out);
+	else
+		promote_emit(out, ACT_PROMOTE, p->target, p->target, p->term);
+}
+
+/* The present cause; its begin is kept in cause_at. */
+static enum promote_cause lasting_cause(struct promote *p,
+					const struct promote_env *env)
+{
+	enum promote_cause cause;
+
+	cause = suspect_cause(&p->policy, env->view, env->unanswered_at,
+			      p->woke_at, env->now);
+	if (cause != p->seen_cause) {
+		p->seen_cause = cause;
+		p->cause_at = env->now;
+	}
+	return cause;
+}
+
+/*
+ * Silence heard by this VM alone is no ground to act: it may be this VM that
+ * is cut off. A VM or a majority of the databases has to hear nothing too.
+ */
+static bool backed_by_others(const struct promote *p,
+			     const struct promote_env *env)
+{
+	if (p->cause != CAUSE_SILENT)
+		return true;
+	if (env->now - p->phase_at < p->policy.opinion_us)
+		return false;
+	if (p->silent_opinions)
+		return true;
+	if (!env->other_domains)
+		return true;
+	return suspect_replicas_agree(&p->policy, env->view, env->now);
+}
+
+/* Holds writes only once a term is in hand and a replica can take over. */
+static void start_handover(struct promote *p, const struct promote_env *env,
+			   struct promote_actions *out)
+{
+	usec_t until = env->now + p->policy.handover.hold_max_us;
+	uint32_t target;
+
+	if (env->now - p->cause_at < (usec_t)env->rank * p->policy.stagger_us)
+		return;
+	if (!handover_due(&p->handover, env->view, env->now))
+		return;
+	target = handover_target(env->view, p->policy.replica_fresh_us,
+				 p->policy.clock_rate_ppm, env->now);
+	if (target == DB_NONE)
+		return;
+	if (!elect_term_in_hand(p, env)) {
+		upkeep_claim(p, env, out);
+		return;
+	}
+	p->cause = CAUSE_DEPARTING;
+	p->holding = true;
+	handover_begin(&p->handover, target, env->now);
+	promote_enter(p, env, PROMOTE_HANDOVER);
+	emit_until(out, ACT_HOLD_WRITES, until);
+	emit_until(out, ACT_TELL_HOLD, until);
+}
+
+/* Promoted: this VM serves it at once, the rest learn of it. */
+static void finish(struct promote *p, const struct promote_env *env,
+		   struct promote_actions *out)
+{
+	uint64_t term = p->term;
+	uint32_t db = p->target;
+	uint32_t i;
+
+	if (p->cause == CAUSE_DEPARTING && env->view->db[db].state == DB_LIVE)
+		handover_end(&p->handover);
+	p->failures = 0;
+	promote_emit(out, ACT_ADOPT, db, db, term);
+	promote_emit(out, ACT_TELL_PEERS, db, db, term);
+	for (i = 0; i < env->view->n; i++) {
+		if (i != db)
+			promote_emit(out, ACT_FOLLOW, i, db, term);
+	}
+	promote_emit(out, ACT_PUBLISH, db, db, term);
+	restart(p, env, out);
+	wake(p, env);
+	p->publish_at = env->now + p->policy.phase_us;
+}
--- a/src/decide/promote.h
+++ b/src/decide/promote.h
@@ -70,9 +70,10 @@
 struct promote_env {
 	usec_t now;
 	const struct group_view *view;
-	uint32_t rank;	    /* of this VM for the group */
-	uint32_t running;   /* this VM's writes at the primary */
-	bool other_domains; /* live VMs in other domains exist */
+	uint32_t rank;	      /* of this VM for the group */
+	uint32_t running;     /* this VM's writes at the primary */
+	usec_t unanswered_at; /* of the primary's struct probe */
+	bool other_domains;   /* live VMs in other domains exist */
 	bool platform_up;
 	uint64_t random;
 };
@@ -100,15 +101,18 @@
 	usec_t phase_at; /* begin of the phase */
 	usec_t asked_at; /* last round of calls in it */
 	usec_t quiet_until;
-	usec_t unfollowed_at; /* 0: followed */
-	usec_t cause_at;      /* begin of the cause; 0: none */
-	uint64_t ahead;	      /* claimed here, unused; 0: none */
-	uint64_t ahead_ask;   /* claim under way; 0: none */
+	usec_t woke_at; /* what was heard before counts for nothing */
+	enum promote_cause seen_cause;
+	bool holding;	    /* writes are held by this hand-over */
+	usec_t cause_at;    /* begin of the cause; 0: none */
+	uint64_t ahead;	    /* claimed here, unused; 0: none */
+	uint64_t ahead_ask; /* claim under way; 0: none */
 	usec_t ahead_at;
-	uint64_t term;	 /* of this attempt */
-	uint64_t floor;	 /* highest claimed or fenced term heard of */
-	uint32_t target; /* DB_NONE until the fence is done */
-	uint32_t fenced; /* mask */
+	uint64_t term;	  /* of this attempt */
+	uint64_t floor;	  /* highest fence or published term heard of */
+	uint64_t claimed; /* highest claim heard of */
+	uint32_t target;  /* DB_NONE until the fence is done */
+	uint32_t fenced;  /* mask */
 	struct log_pos end[DB_MAX]; /* reported with the fence */
 	uint32_t alive_opinions;
 	uint32_t silent_opinions;
@@ -146,10 +150,19 @@
 void promote_heard(struct promote *p, const struct promote_env *env,
 		   uint64_t term, uint32_t primary, bool published,
 		   uint64_t claimed, struct promote_actions *out);
-/* This VM's answer to a peer's ACT_ASK_OPINION. */
+/*
+ * This VM's answer to a peer's ACT_ASK_OPINION; "unanswered_at" is that of the
+ * primary's struct probe. A VM that does not probe the group answers NONE and
+ * should begin to probe it.
+ */
 enum opinion promote_give_opinion(const struct promote *p,
 				  const struct group_view *v, uint64_t term,
-				  usec_t now);
+				  usec_t unanswered_at, usec_t now);
+/* For the parts of a promotion, elect.c and upkeep.c. */
+void promote_emit(struct promote_actions *out, enum promote_act act,
+		  uint32_t db, uint32_t primary, uint64_t term);
+void promote_enter(struct promote *p, const struct promote_env *env,
+		   enum promote_phase phase);
 const char *promote_phase_name(enum promote_phase phase);
 const char *promote_cause_name(enum promote_cause cause);
 
--- a/src/decide/route.h
+++ b/src/decide/route.h
@@ -23,6 +23,7 @@
 	usec_t wait_max_us;	 /* for a replica, before the primary */
 	usec_t wait_step_us;	 /* look again after */
 	usec_t guard_us;	 /* a primary's majority is seen this lately */
+	usec_t departing_us;	 /* a departing primary takes work so long */
 	uint32_t clock_rate_ppm; /* bound between the rates of two clocks */
 };
 
@@ -64,7 +65,10 @@
 		     const struct route_policy *policy, usec_t now);
 /* Upper bound of a replica's age in microseconds, or ROUTE_AGE_UNKNOWN. */
 int64_t route_age(const struct group_view *v, uint32_t db,
-		  const struct route_policy *policy, usec_t now);
+		  uint32_t clock_rate_ppm, usec_t now);
+/* Does this replica follow the view's primary, with an age within fresh_us? */
+bool route_follows(const struct group_view *v, uint32_t db, usec_t fresh_us,
+		   uint32_t clock_rate_ppm, usec_t now);
 /* Has a majority reported the view's term to questions asked since? */
 bool route_term_held(const struct group_view *v, usec_t since);
 
--- a/src/decide/transaction.h
+++ b/src/decide/transaction.h
@@ -43,7 +43,7 @@
 enum tx_next {
 	TX_SEND,     /* now, on the transaction's own connection */
 	TX_QUEUE,    /* after the running one, in order of arrival */
-	TX_ROLLBACK, /* send a rollback, then end */
+	TX_ROLLBACK, /* send a rollback; the statement at hand is refused */
 	TX_REFUSE,   /* with outcome and why */
 	TX_NOTHING,
 };
--- a/src/decide/types.h
+++ b/src/decide/types.h
@@ -70,8 +70,9 @@
 	int64_t stamp_us;    /* primary's clock at the last replay */
 	enum db_role role;
 	enum db_state state;
-	uint32_t running; /* statements of this VM running there */
-	uint32_t slots;	  /* statements this VM may run there */
+	usec_t departing_at; /* first known as departing; 0: live */
+	uint32_t running;    /* statements of this VM running there */
+	uint32_t slots;	     /* statements this VM may run there */
 };
 
 /* What a VM knows of one group; index into db[] is the database's handle. */
