Decode callers' bodies; read and write addresses in one place

Cause: callers send JSON that must be bounded and checked before anything else; settings and every listener read ip:port. Conclusion: the decoder is ready for the caller plug-in.

--- a/src/kernel/settings.c
+++ b/src/kernel/settings.c
@@ -1,6 +1,5 @@
 #include "kernel/settings.h"
 
-#include <arpa/inet.h>
 #include <ctype.h>
 #include <jansson.h>
 #include <stdarg.h>
@@ -8,6 +7,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "kernel/address.h"
+
 #define FILE_MAX_BYTES 65536
 #define HASH_HEX_BYTES 64
 #define SHOWN_BYTES    80
@@ -446,29 +447,15 @@
 	return true;
 }
 
-/* Takes 1.2.3.4:5 and [::1]:5. */
+/* Takes an IP number and a port, 0 only where any will do. */
 static bool is_address(const char *s, bool any_port)
 {
-	const char *colon = strrchr(s, ':');
-	char host[ADDR_MAX_BYTES];
-	unsigned char raw[sizeof(struct in6_addr)];
-	size_t n;
-	char *end;
-	long port;
-
-	if (!colon || strlen(s) >= ADDR_MAX_BYTES ||
-	    !isdigit((unsigned char)colon[1]))
-		return false;
-	port = strtol(colon + 1, &end, 10);
-	if (*end || port > UINT16_MAX || port < (any_port ? 0 : 1))
+	struct sockaddr_storage sa;
+	socklen_t len;
+
+	if (!address_parse(s, &sa, &len))
 		return false;
-	n = (size_t)(colon - s);
-	if (n > 2 && s[0] == '[' && s[n - 1] == ']') {
-		snprintf(host, sizeof(host), "%.*s", (int)n - 2, s + 1);
-		return inet_pton(AF_INET6, host, raw) == 1;
-	}
-	snprintf(host, sizeof(host), "%.*s", (int)n, s);
-	return inet_pton(AF_INET, host, raw) == 1;
+	return any_port || strtol(strrchr(s, ':') + 1, NULL, 10) != 0;
 }
 
 /* Takes the lower-case hex digits of a 256-bit hash. */
--- /dev/null
+++ b/src/plugins/caller_body.c
@@ -0,0 +1,323 @@
+#include "plugins/caller_body.h"
+
+#include <jansson.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define HASH_BYTES 16
+
+/* What a body is read into. */
+struct fields {
+	struct request *request;
+	const struct caller_limits *limits;
+	struct error *error;
+	bool max_age_given;
+};
+
+struct field {
+	const char *name;
+	int (*read)(struct fields *f, const json_t *v);
+};
+
+static json_t *parse(const char *body, size_t len, struct error *e);
+static int read_fields(struct fields *f, json_t *root,
+		       const struct field *table, size_t n);
+static int read_statement(struct fields *f, const json_t *v);
+static int read_parameters(struct fields *f, const json_t *v);
+static int read_kind(struct fields *f, const json_t *v);
+static int read_max_age(struct fields *f, const json_t *v);
+static int read_deadline(struct fields *f, const json_t *v);
+static int read_transaction(struct fields *f, const json_t *v);
+static int read_number(struct fields *f, const json_t *v, const char *name,
+		       json_int_t min, json_int_t max, json_int_t *out);
+static int check_whole(const struct fields *f);
+static void set_deadline(struct fields *f, json_int_t ms);
+static bool too_deep(const json_t *v, int left);
+static int refuse(struct error *e, const char *name, const char *bound);
+static void hash_text(crypto_generichash_state *h, const char *text);
+
+static const struct field statement_fields[] = {
+	{ .name = "statement", .read = read_statement },
+	{ .name = "parameters", .read = read_parameters },
+	{ .name = "kind", .read = read_kind },
+	{ .name = "max_age_ms", .read = read_max_age },
+	{ .name = "deadline_ms", .read = read_deadline },
+	{ .name = "transaction", .read = read_transaction },
+};
+
+static const struct field transaction_fields[] = {
+	{ .name = "deadline_ms", .read = read_deadline },
+};
+
+#define COUNT(table) (sizeof(table) / sizeof((table)[0]))
+
+/*
+ * Fills in a statement from a caller's body: broken JSON is BAD_REQUEST, a
+ * field that is unknown, missing, of the wrong type or out of bounds is
+ * UNPROCESSABLE. Without a kind a statement is a write. Messages name fields
+ * and bounds, never values.
+ */
+int caller_body_statement(struct request *r, const char *body, size_t len,
+			  const struct caller_limits *l, struct error *e)
+{
+	struct fields f = { .request = r, .limits = l, .error = e };
+	json_t *root = parse(body, len, e);
+	int rc;
+
+	if (!root)
+		return -1;
+	r->op = OP_STATEMENT;
+	r->kind = KIND_WRITE;
+	set_deadline(&f, l->deadline_default_ms);
+	rc = read_fields(&f, root, statement_fields, COUNT(statement_fields));
+	json_decref(root);
+	if (rc == -1)
+		return -1;
+	return check_whole(&f);
+}
+
+/* Fills in the deadline of a transaction's begin, commit or rollback. */
+int caller_body_transaction(struct request *r, const char *body, size_t len,
+			    const struct caller_limits *l, struct error *e)
+{
+	struct fields f = { .request = r, .limits = l, .error = e };
+	json_t *root;
+	int rc;
+
+	r->kind = KIND_WRITE;
+	set_deadline(&f, l->deadline_default_ms);
+	if (len == 0)
+		return 0;
+	root = parse(body, len, e);
+	if (!root)
+		return -1;
+	rc = read_fields(&f, root, transaction_fields,
+			 COUNT(transaction_fields));
+	json_decref(root);
+	return rc;
+}
+
+/*
+ * Hashes operation, service, transaction, kind, statement and parameters, but
+ * not the deadline or the session: a repeated request may state others.
+ */
+void caller_body_hash(struct request *r)
+{
+	static const char *const ops[] = {
+		[OP_STATEMENT] = "statement",
+		[OP_BEGIN] = "begin",
+		[OP_COMMIT] = "commit",
+		[OP_ROLLBACK] = "rollback",
+	};
+	unsigned char raw[HASH_BYTES];
+	crypto_generichash_state h;
+
+	crypto_generichash_init(&h, NULL, 0, sizeof(raw));
+	hash_text(&h, ops[r->op]);
+	hash_text(&h, r->service);
+	hash_text(&h, r->transaction);
+	hash_text(&h, r->kind == KIND_READ ? "read" : "write");
+	hash_text(&h, r->statement ? r->statement : "");
+	hash_text(&h, r->parameters ? r->parameters : "");
+	crypto_generichash_final(&h, raw, sizeof(raw));
+	sodium_bin2hex(r->body_hash, sizeof(r->body_hash), raw, sizeof(raw));
+}
+
+/* Parses a body into an object of bounded depth without doubled keys. */
+static json_t *parse(const char *body, size_t len, struct error *e)
+{
+	json_error_t why;
+	json_t *root = json_loadb(body, len, JSON_REJECT_DUPLICATES, &why);
+
+	if (!root) {
+		error_set(e, ERR_BAD_REQUEST, STEP_PARSE, NULL,
+			  json_error_code(&why) == json_error_duplicate_key
+				  ? "body: a key is given twice, line %d"
+				  : "body: not JSON, line %d",
+			  why.line);
+		return NULL;
+	}
+	if (!json_is_object(root)) {
+		error_set(e, ERR_BAD_REQUEST, STEP_PARSE, NULL,
+			  "body: must be a JSON object");
+		json_decref(root);
+		return NULL;
+	}
+	if (too_deep(root, BODY_DEPTH_MAX)) {
+		error_set(e, ERR_BAD_REQUEST, STEP_PARSE, NULL,
+			  "body: nested deeper than %d", BODY_DEPTH_MAX);
+		json_decref(root);
+		return NULL;
+	}
+	return root;
+}
+
+/* Reads every field of the object by its table; unknown ones are refused. */
+static int read_fields(struct fields *f, json_t *root,
+		       const struct field *table, size_t n)
+{
+	const char *key;
+	json_t *v;
+	size_t i;
+
+	json_object_foreach(root, key, v)
+	{
+		for (i = 0; i < n && strcmp(key, table[i].name) != 0; i++)
+			;
+		if (i == n)
+			return refuse(f->error, key, "unknown field");
+		if (table[i].read(f, v) == -1)
+			return -1;
+	}
+	return 0;
+}
+
+/* Keeps the statement; its language is the back end's. */
+static int read_statement(struct fields *f, const json_t *v)
+{
+	if (!json_is_string(v) || json_string_length(v) == 0)
+		return refuse(f->error, "statement",
+			      "must be a string, not empty");
+	f->request->statement = strdup(json_string_value(v));
+	if (!f->request->statement)
+		return error_set(f->error, ERR_SYSTEM, STEP_PARSE, NULL,
+				 "no memory");
+	return 0;
+}
+
+/* Keeps the parameters as compact JSON. */
+static int read_parameters(struct fields *f, const json_t *v)
+{
+	if (!json_is_array(v))
+		return refuse(f->error, "parameters", "must be an array");
+	f->request->parameters = json_dumps(v, JSON_COMPACT | JSON_SORT_KEYS);
+	if (!f->request->parameters)
+		return error_set(f->error, ERR_SYSTEM, STEP_PARSE, NULL,
+				 "no memory");
+	return 0;
+}
+
+/* Reads the kind. */
+static int read_kind(struct fields *f, const json_t *v)
+{
+	const char *kind = json_string_value(v);
+
+	if (kind && strcmp(kind, "read") == 0)
+		f->request->kind = KIND_READ;
+	else if (!kind || strcmp(kind, "write") != 0)
+		return refuse(f->error, "kind",
+			      "must be \"read\" or \"write\"");
+	return 0;
+}
+
+/* Reads the age of data that the caller accepts. */
+static int read_max_age(struct fields *f, const json_t *v)
+{
+	json_int_t ms;
+
+	if (read_number(f, v, "max_age_ms", 0, MAX_AGE_MAX_MS, &ms) == -1)
+		return -1;
+	f->request->max_age_us = ms * USEC_PER_MSEC;
+	f->max_age_given = true;
+	return 0;
+}
+
+/* Reads the deadline, counted from the request's arrival. */
+static int read_deadline(struct fields *f, const json_t *v)
+{
+	json_int_t ms;
+
+	if (read_number(f, v, "deadline_ms", 1, f->limits->deadline_max_ms,
+			&ms) == -1)
+		return -1;
+	set_deadline(f, ms);
+	return 0;
+}
+
+/* Reads the transaction that a statement belongs to. */
+static int read_transaction(struct fields *f, const json_t *v)
+{
+	const char *id = json_string_value(v);
+	size_t len = json_string_length(v);
+
+	if (!id || len == 0 || len >= TRANSACTION_ID_BYTES)
+		return error_set(f->error, ERR_UNPROCESSABLE, STEP_PARSE, NULL,
+				 "transaction: must be a string of 1 to %d "
+				 "bytes",
+				 TRANSACTION_ID_BYTES - 1);
+	memcpy(f->request->transaction, id, len + 1);
+	return 0;
+}
+
+/* Reads a whole number within its bounds. */
+static int read_number(struct fields *f, const json_t *v, const char *name,
+		       json_int_t min, json_int_t max, json_int_t *out)
+{
+	*out = json_integer_value(v);
+	if (json_is_integer(v) && *out >= min && *out <= max)
+		return 0;
+	return error_set(f->error, ERR_UNPROCESSABLE, STEP_PARSE, NULL,
+			 "%s: must be a whole number from %lld to %lld", name,
+			 (long long)min, (long long)max);
+}
+
+/* Checks what ties a statement's fields together. */
+static int check_whole(const struct fields *f)
+{
+	const struct request *r = f->request;
+
+	if (!r->statement)
+		return refuse(f->error, "statement", "missing");
+	if (f->max_age_given && r->kind != KIND_READ)
+		return refuse(f->error, "max_age_ms", "only for reads");
+	if (f->max_age_given && r->transaction[0])
+		return refuse(f->error, "max_age_ms",
+			      "not inside a transaction");
+	return 0;
+}
+
+/* Sets the deadline "ms" after the arrival. */
+static void set_deadline(struct fields *f, json_int_t ms)
+{
+	f->request->deadline = f->request->arrived + ms * USEC_PER_MSEC;
+}
+
+/* Tells whether a value nests deeper than "left" levels. */
+static bool too_deep(const json_t *v, int left)
+{
+	const char *key;
+	json_t *child;
+	size_t i;
+
+	if (!json_is_object(v) && !json_is_array(v))
+		return false;
+	if (left == 0)
+		return true;
+	json_array_foreach(v, i, child)
+	{
+		if (too_deep(child, left - 1))
+			return true;
+	}
+	json_object_foreach((json_t *)v, key, child)
+	{
+		if (too_deep(child, left - 1))
+			return true;
+	}
+	return false;
+}
+
+/* Refuses a body over one field: its name and what it must be. */
+static int refuse(struct error *e, const char *name, const char *bound)
+{
+	return error_set(e, ERR_UNPROCESSABLE, STEP_PARSE, NULL, "%.40s: %s",
+			 name, bound);
+}
+
+/* Adds a text with its NUL, so that neighbours cannot run together. */
+static void hash_text(crypto_generichash_state *h, const char *text)
+{
+	crypto_generichash_update(h, (const unsigned char *)text,
+				  strlen(text) + 1);
+}
--- /dev/null
+++ b/src/plugins/caller_body.h
@@ -0,0 +1,23 @@
+#ifndef PLUGINS_CALLER_BODY_H
+#define PLUGINS_CALLER_BODY_H
+
+#include "kernel/request.h"
+
+#define BODY_DEPTH_MAX 32
+#define MAX_AGE_MAX_MS 3600000
+
+struct caller_limits {
+	int64_t deadline_default_ms;
+	int64_t deadline_max_ms;
+};
+
+/* Fills in a request from a body; "arrived" must be set. -1 with "e" if bad. */
+int caller_body_statement(struct request *r, const char *body, size_t len,
+			  const struct caller_limits *l, struct error *e);
+/* The same for begin, commit and rollback, whose bodies may be empty. */
+int caller_body_transaction(struct request *r, const char *body, size_t len,
+			    const struct caller_limits *l, struct error *e);
+/* Hash of all that makes two requests with one request id the same. */
+void caller_body_hash(struct request *r);
+
+#endif
--- a/tests/kernel/settings_test.cc
+++ b/tests/kernel/settings_test.cc
@@ -146,6 +146,7 @@
 		{ "caller_listen", "\"127.0.0.1:1x\"", false },
 		{ "caller_listen", "\"localhost:80\"", false },
 		{ "platform", "\"127.0.0.1:0\"", false },
+		{ "platform", "\"127.0.0.1:00\"", false },
 		{ "platform", "\"127.0.0.1:1\"", true },
 		{ "operator_key_hash", "\"abc\"", false },
 	};
