--- a/src/decide/config.h
+++ b/src/decide/config.h
@@ -65,33 +65,7 @@
 	char change[CHANGE_ID_BYTES];
 };
 
-enum change_kind {
-	CHANGE_PUT_TEAM,
-	CHANGE_DELETE_TEAM, /* its keys are withdrawn with it */
-	CHANGE_ADD_KEY,
-	CHANGE_WITHDRAW_KEY,
-	CHANGE_PUT_EXCEPTION, /* one team has at most one exception */
-	CHANGE_DELETE_EXCEPTION,
-	CHANGE_PUT_DEFAULTS,
-};
-
-/* One administrative change; "id" is unique, chosen by whoever makes it. */
-struct change {
-	enum change_kind kind;
-	char id[CHANGE_ID_BYTES];
-	char by[NAME_MAX_BYTES]; /* operator, for the audit */
-	char team[NAME_MAX_BYTES];
-	char key_id[NAME_MAX_BYTES];
-	char key_hash[KEY_HASH_HEX_BYTES];
-	char exception_id[NAME_MAX_BYTES];
-	char reason[REASON_MAX_BYTES];
-	uint32_t n_services;
-	char services[TEAM_SERVICES_MAX][NAME_MAX_BYTES];
-	uint32_t weight; /* 0: not given, 1 */
-	struct limits_patch patch;
-};
-
-/* Calls of config_each_team() and config_each_key(). */
+/* A team, its keys apart, as config_teams_each() passes it. */
 struct team_config {
 	char team[NAME_MAX_BYTES];
 	uint32_t weight;
@@ -99,6 +73,8 @@
 	char services[TEAM_SERVICES_MAX][NAME_MAX_BYTES];
 };
 
+typedef void (*config_exception_fn)(void *ctx, const char *team,
+				    const struct limits_patch *p);
 typedef void (*config_team_fn)(void *ctx, const struct team_config *t);
 typedef void (*config_key_fn)(void *ctx, const char *team, const char *key_id,
 			      const uint8_t hash[32], bool withdrawn);
@@ -108,33 +84,26 @@
 int config_check(const char *name, const char *body, struct error *e);
 /* Is this a name that teams, keys, services and exceptions may have? */
 bool config_name_ok(const char *name);
-/* The object that holds a team: "teams/BB". */
+/* The object that holds a team: "teams/BB", and the number BB. */
 void config_team_object(const char *team, char name[CONFIG_OBJECT_NAME_BYTES]);
+uint32_t config_team_bucket(const char *team);
 
 int config_defaults_parse(const char *body, struct limits *out,
 			  struct error *e);
 int config_group_parse(const char *body, struct group_config *out,
 		       struct error *e);
+int config_teams_check(const char *name, const json_t *root, struct error *e);
 int config_teams_each(const char *body, config_team_fn team, config_key_fn key,
 		      void *ctx, struct error *e);
 /* The exception of one team in "config/exceptions"; false if it has none. */
 bool config_exception_find(const char *body, const char *team,
 			   struct limits_patch *out);
+int config_exceptions_each(const char *body, config_exception_fn fn, void *ctx,
+			   struct error *e);
 struct limits config_effective(const struct limits *defaults,
 			       const struct limits_patch *exception);
 int config_session_secrets(const char *body, uint8_t current[32],
 			   uint8_t previous[32], bool *has_previous,
 			   struct error *e);
 
-/* The name of the object that a change is made in. */
-int change_object(const struct change *c, char name[CONFIG_OBJECT_NAME_BYTES],
-		  struct error *e);
-/*
- * The object's new body, malloc'd and fully checked, or NULL with the reason.
- * "body" is the current one, NULL if the object does not exist yet.
- */
-char *change_apply(const struct change *c, const char *body, struct error *e);
-/* Did the change with this id take effect in the object? */
-bool change_took_effect(const char *body, const char *id);
-
 #endif
--- /dev/null
+++ b/src/decide/json_check.c
@@ -0,0 +1,94 @@
+#include "decide/json_check.h"
+
+#include <sodium.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+
+/* Parses a body that has to be an object; NULL with the line of a failure. */
+json_t *json_check_load(const char *body, const char *place, struct error *e)
+{
+	json_error_t err;
+	json_t *root = json_loads(body, JSON_REJECT_DUPLICATES, &err);
+
+	if (!root) {
+		json_check_fail(e, place, "line %d: %s", err.line, err.text);
+		return NULL;
+	}
+	if (!json_is_object(root)) {
+		json_check_fail(e, place, "not an object");
+		json_decref(root);
+		return NULL;
+	}
+	return root;
+}
+
+/* Fails a check: -1, the message beginning with the place. */
+int json_check_fail(struct error *e, const char *place, const char *fmt, ...)
+{
+	char text[ERROR_MESSAGE_BYTES];
+	va_list ap;
+
+	va_start(ap, fmt);
+	vsnprintf(text, sizeof(text), fmt, ap);
+	va_end(ap);
+	return error_set(e, ERR_UNPROCESSABLE, STEP_CONFIG_CHECK, "", "%s: %s",
+			 place, text);
+}
+
+/* An optional integer within its bounds; *has tells whether it is there. */
+int json_check_uint(const json_t *o, const char *key, uint32_t least,
+		    uint32_t most, const char *place, uint32_t *out, bool *has,
+		    struct error *e)
+{
+	const json_t *v = json_object_get(o, key);
+
+	*has = v != NULL;
+	if (!v)
+		return 0;
+	if (!json_is_integer(v) || json_integer_value(v) < least ||
+	    json_integer_value(v) > most)
+		return json_check_fail(e, place, "%s: not from %u to %u", key,
+				       least, most);
+	*out = (uint32_t)json_integer_value(v);
+	return 0;
+}
+
+/* A required integer that is not negative. */
+int json_check_u64(const json_t *o, const char *key, const char *place,
+		   uint64_t *out, struct error *e)
+{
+	const json_t *v = json_object_get(o, key);
+
+	if (!json_is_integer(v) || json_integer_value(v) < 0)
+		return json_check_fail(e, place, "%s: not a count", key);
+	*out = (uint64_t)json_integer_value(v);
+	return 0;
+}
+
+/* A required text that fits into "size" bytes with its NUL, not empty. */
+int json_check_text(const json_t *o, const char *key, size_t size,
+		    const char *place, char *out, struct error *e)
+{
+	const char *s = json_string_value(json_object_get(o, key));
+
+	if (!s || !*s || strlen(s) >= size)
+		return json_check_fail(e, place, "%s: not a text of 1 to %zu",
+				       key, size - 1);
+	snprintf(out, size, "%s", s);
+	return 0;
+}
+
+/* 32 bytes from 64 hex digits. */
+bool json_check_hex32(const json_t *v, uint8_t out[32])
+{
+	const char *s = json_string_value(v);
+	const char *end;
+	size_t n;
+
+	if (!s || strlen(s) != 64)
+		return false;
+	if (sodium_hex2bin(out, 32, s, 64, NULL, &n, &end) != 0)
+		return false;
+	return n == 32 && end == s + 64;
+}
--- /dev/null
+++ b/src/decide/members.c
@@ -0,0 +1,346 @@
+#include "decide/members.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "decide/hash_index.h"
+#include "decide/members_own.h"
+
+#define ROOM_FIRST 16
+#define SELF	   0
+
+static vm_handle add(struct members *m, const struct member *vm);
+static void replace(struct members *m, vm_handle h, const struct member *vm);
+static void set_suspect(struct members *m, vm_handle h, bool suspect);
+
+/* A table with this VM alone, or NULL without memory. */
+struct members *members_create(const struct member *self)
+{
+	struct members *m = calloc(1, sizeof(*m));
+
+	if (!m)
+		return NULL;
+	if (add(m, self) == HANDLE_NONE) {
+		members_destroy(m);
+		return NULL;
+	}
+	return m;
+}
+
+void members_destroy(struct members *m)
+{
+	if (!m)
+		return;
+	hash_index_free(&m->index);
+	free(m->vms);
+	free(m);
+}
+
+/* Begins a newer list of the platform. */
+void members_list_begin(struct members *m)
+{
+	m->list++;
+}
+
+/*
+ * Adds a VM of the newer list. An earlier incarnation than the one known is
+ * passed over: the list lags. -1 without memory.
+ */
+int members_list_add(struct members *m, const struct member *vm)
+{
+	vm_handle h = members_find(m, vm->name);
+	struct vm *v;
+
+	if (h == HANDLE_NONE) {
+		h = add(m, vm);
+		if (h == HANDLE_NONE)
+			return -1;
+	} else if (vm->incarnation > m->vms[h].m.incarnation && h != SELF) {
+		replace(m, h, vm);
+	}
+	v = &m->vms[h];
+	if (vm->incarnation < v->m.incarnation)
+		return 0;
+	if (vm->departing && !v->m.departing) {
+		v->m.departing = true;
+		v->m.told = 0;
+	}
+	v->list = m->list;
+	v->m.listed = true;
+	v->m.unlisted_at = 0;
+	return 0;
+}
+
+/* Ends a newer list: whoever was not on it is off the list from now on. */
+void members_list_end(struct members *m, usec_t now)
+{
+	vm_handle h;
+
+	for (h = 0; h < m->n; h++) {
+		struct vm *v = &m->vms[h];
+
+		if (!v->used || v->list == m->list)
+			continue;
+		if (v->m.listed || v->m.unlisted_at == 0) {
+			v->m.listed = false;
+			v->m.unlisted_at = now;
+			v->m.told = 0;
+		}
+	}
+}
+
+/*
+ * Word from a VM itself. It refutes a suspicion. False if the word is of an
+ * earlier incarnation, or of a VM not known.
+ */
+bool members_heard(struct members *m, const char *name, uint64_t incarnation,
+		   usec_t now)
+{
+	vm_handle h = members_find(m, name);
+	struct member *v;
+
+	if (h == HANDLE_NONE)
+		return false;
+	v = &m->vms[h].m;
+	if (incarnation < v->incarnation)
+		return false;
+	if (incarnation > v->incarnation) {
+		struct member next = *v;
+
+		if (h == SELF)
+			return false;
+		next.beat = 0;
+		next.suspect = false;
+		next.incarnation = incarnation;
+		next.departing = false;
+		replace(m, h, &next);
+		v = &m->vms[h].m;
+	}
+	if (now > v->heard_at)
+		v->heard_at = now;
+	set_suspect(m, h, false);
+	return true;
+}
+
+/* A question to a VM went unanswered: it is suspect until it is heard of. */
+void members_unanswered(struct members *m, const char *name,
+			uint64_t incarnation)
+{
+	vm_handle h = members_find(m, name);
+
+	if (h == HANDLE_NONE || h == SELF ||
+	    m->vms[h].m.incarnation != incarnation)
+		return;
+	set_suspect(m, h, true);
+}
+
+/*
+ * News of a VM through a peer: a later incarnation replaces, a later beat
+ * overrules a suspicion; a departure stays, and so does having left the
+ * list, until a list read here shows otherwise. A suspicion of this VM itself
+ * is answered by a higher beat. True if it changed what is known.
+ */
+bool members_news(struct members *m, const struct member_news *news, usec_t now)
+{
+	const struct member *w = &news->member;
+	vm_handle h = members_find(m, w->name);
+	struct member *v;
+	bool changed = false;
+
+	if (h == HANDLE_NONE) {
+		h = add(m, w);
+		if (h == HANDLE_NONE)
+			return false;
+		m->vms[h].m.listed = news->from_list;
+		if (news->off_list)
+			m->vms[h].m.unlisted_at = now;
+		return true;
+	}
+	v = &m->vms[h].m;
+	if (w->incarnation < v->incarnation)
+		return false;
+	if (h == SELF) {
+		if (w->incarnation != v->incarnation || !w->suspect ||
+		    w->beat < v->beat)
+			return false;
+		v->beat = w->beat + 1;
+		v->told = 0;
+		return true;
+	}
+	if (w->incarnation > v->incarnation) {
+		replace(m, h, w);
+		return true;
+	}
+	if (w->departing && !v->departing) {
+		v->departing = true;
+		changed = true;
+	}
+	if (news->off_list && v->unlisted_at == 0) {
+		v->listed = false;
+		v->unlisted_at = now;
+		changed = true;
+	}
+	if (w->beat > v->beat || (w->beat == v->beat && w->suspect)) {
+		changed = changed || w->beat > v->beat ||
+			  v->suspect != w->suspect;
+		v->beat = w->beat;
+		v->suspect = w->suspect;
+	}
+	if (changed)
+		v->told = 0;
+	return changed;
+}
+
+/* Marks this VM as departing; the news spreads. */
+void members_depart_self(struct members *m)
+{
+	m->vms[SELF].m.departing = true;
+	m->vms[SELF].m.told = 0;
+}
+
+/* Handles go from 0 to this, with gaps. */
+size_t members_count(const struct members *m)
+{
+	return m->n;
+}
+
+/* A VM by its handle; NULL if there is none any more. */
+const struct member *members_at(const struct members *m, vm_handle h)
+{
+	if (h >= m->n || !m->vms[h].used)
+		return NULL;
+	return &m->vms[h].m;
+}
+
+vm_handle members_find(const struct members *m, const char *name)
+{
+	uint64_t hash = hash_name(name);
+	uint32_t cursor;
+	vm_handle h;
+
+	for (h = hash_index_first(&m->index, hash, &cursor); h != HANDLE_NONE;
+	     h = hash_index_next(&m->index, hash, &cursor)) {
+		if (strcmp(m->vms[h].m.name, name) == 0)
+			break;
+	}
+	return h;
+}
+
+/* This VM's own handle. */
+vm_handle members_self(const struct members *m)
+{
+	(void)m;
+	return SELF;
+}
+
+/* Has no list left this VM out since it was last seen on one? */
+bool members_self_listed(const struct members *m)
+{
+	return m->vms[SELF].m.unlisted_at == 0;
+}
+
+/* Is a VM known, on the list as far as known, not suspect, not departing? */
+bool members_alive(const struct members *m, vm_handle h)
+{
+	const struct member *v = members_at(m, h);
+
+	if (!v || v->departing)
+		return false;
+	if (h == SELF)
+		return true;
+	return !v->suspect && (v->listed || v->unlisted_at == 0);
+}
+
+/*
+ * Can this incarnation never act again? A later one is known, or it has been
+ * off the list for gone_after. False for a VM that is not known.
+ */
+bool members_gone(const struct members *m, const char *name,
+		  uint64_t incarnation, usec_t now, usec_t gone_after)
+{
+	const struct member *v = members_at(m, members_find(m, name));
+
+	if (!v)
+		return false;
+	if (v->incarnation > incarnation)
+		return true;
+	return !v->listed && v->unlisted_at != 0 &&
+	       now - v->unlisted_at >= gone_after;
+}
+
+/* Forgets VMs that have been off the list for twice gone_after. */
+void members_expire(struct members *m, usec_t now, usec_t gone_after)
+{
+	vm_handle h;
+
+	for (h = 1; h < m->n; h++) {
+		struct vm *v = &m->vms[h];
+
+		if (!v->used || v->m.listed || v->m.unlisted_at == 0 ||
+		    now - v->m.unlisted_at < 2 * gone_after)
+			continue;
+		hash_index_remove(&m->index, hash_name(v->m.name), h);
+		v->used = false;
+		m->used--;
+	}
+}
+
+/* Adds a VM at a free handle; HANDLE_NONE without memory. */
+static vm_handle add(struct members *m, const struct member *vm)
+{
+	vm_handle h;
+
+	h = m->n;
+	if (m->used < m->n) {
+		for (h = 0; m->vms[h].used; h++)
+			;
+	}
+	if (h == m->room) {
+		uint32_t room = m->room ? m->room * 2 : ROOM_FIRST;
+		void *p = realloc(m->vms, room * sizeof(*m->vms));
+
+		if (!p)
+			return HANDLE_NONE;
+		m->vms = p;
+		m->room = room;
+	}
+	if (!hash_index_put(&m->index, hash_name(vm->name), h))
+		return HANDLE_NONE;
+	m->vms[h] = (struct vm){
+		.m = *vm,
+		.hash = hash_name(vm->name),
+		.used = true,
+	};
+	m->vms[h].m.told = 0;
+	m->vms[h].m.unlisted_at = 0;
+	m->vms[h].m.heard_at = INT64_MIN;
+	if (h == m->n)
+		m->n++;
+	m->used++;
+	return h;
+}
+
+/* Puts a later incarnation in the place of an earlier: a new VM. */
+static void replace(struct members *m, vm_handle h, const struct member *vm)
+{
+	struct vm *v = &m->vms[h];
+
+	v->m = *vm;
+	v->m.listed = false;
+	v->m.told = 0;
+	v->m.unlisted_at = 0;
+	v->m.heard_at = INT64_MIN;
+	v->list = 0;
+}
+
+/* Changes whether a VM is suspect; a change is news. */
+static void set_suspect(struct members *m, vm_handle h, bool suspect)
+{
+	struct member *v = &m->vms[h].m;
+
+	if (v->suspect == suspect)
+		return;
+	v->suspect = suspect;
+	v->told = 0;
+}
--- a/src/decide/members.h
+++ b/src/decide/members.h
@@ -24,8 +24,9 @@
 
 /* A member's state as gossip carries it: news of one VM. */
 struct member_news {
-	struct member member; /* name, domain, addresses, incarnation... */
-	bool from_list;	      /* the sender has it from the platform's list */
+	struct member member; /* unlisted_at and heard_at stay behind */
+	bool from_list;	      /* the sender knows it to be on the list */
+	bool off_list;	      /* the sender knows it to be off the list */
 };
 
 struct members *members_create(const struct member *self);
@@ -38,7 +39,7 @@
  * earlier, whose handle is then that of a new VM.
  */
 void members_list_begin(struct members *m);
-int members_list_add(struct members *m, const struct member *vm, usec_t now);
+int members_list_add(struct members *m, const struct member *vm);
 void members_list_end(struct members *m, usec_t now);
 
 /* Word from a VM itself; an earlier incarnation's word is ignored: false. */
@@ -46,7 +47,7 @@
 		   usec_t now);
 /* A question to it went unanswered. */
 void members_unanswered(struct members *m, const char *name,
-			uint64_t incarnation, usec_t now);
+			uint64_t incarnation);
 /* News through a peer; true if it changed what is known. */
 bool members_news(struct members *m, const struct member_news *news,
 		  usec_t now);
@@ -76,6 +77,8 @@
 /* The first live ones for a key, in order; at most "max". */
 size_t members_top(const struct members *m, const char *key, vm_handle *out,
 		   size_t max);
+/* Is this VM on the platform's list, as far as known? */
+bool members_self_listed(const struct members *m);
 /* Is this VM one of the first "per_domain" of its domain to watch? */
 bool members_watches(const struct members *m, uint32_t per_domain);
 /* Live members of other failure domains than this VM's. */
--- /dev/null
+++ b/src/decide/members_rank.c
@@ -0,0 +1,154 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "decide/members_own.h"
+
+static uint64_t weight(uint64_t key, uint64_t vm);
+static uint32_t told_limit(const struct members *m);
+static bool picked(const struct member_news *out, size_t n, const char *name);
+
+/* How far a piece of news is passed on: grows with the log of the fleet. */
+#define TOLD_PER_DOUBLING 3
+
+/*
+ * Picks the news that have been told least often, none more often than it
+ * takes to reach all, at most "max"; each then counts as told once more.
+ */
+size_t members_pick_news(struct members *m, struct member_news *out, size_t max)
+{
+	uint32_t limit = told_limit(m);
+	uint32_t told;
+	size_t n = 0;
+	vm_handle h;
+
+	for (told = 0; told < limit && n < max; told++) {
+		for (h = 0; h < m->n && n < max; h++) {
+			struct vm *v = &m->vms[h];
+
+			if (!v->used || v->m.told != told)
+				continue;
+			if (picked(out, n, v->m.name))
+				continue;
+			v->m.told++;
+			out[n] = (struct member_news){
+				.member = v->m,
+				.from_list = v->m.listed,
+				.off_list = v->m.unlisted_at != 0,
+			};
+			n++;
+		}
+	}
+	return n;
+}
+
+/* The rank of h for a key among the live VMs; 0 comes first. */
+uint32_t members_rank(const struct members *m, const char *key, vm_handle h)
+{
+	uint64_t k = hash_name(key);
+	uint64_t own = weight(k, m->vms[h].hash);
+	uint32_t rank = 0;
+	vm_handle i;
+
+	for (i = 0; i < m->n; i++) {
+		uint64_t w;
+
+		if (i == h || !members_alive(m, i))
+			continue;
+		w = weight(k, m->vms[i].hash);
+		if (w > own || (w == own && i < h))
+			rank++;
+	}
+	return rank;
+}
+
+/* The first live ones for a key, in order; at most "max". */
+size_t members_top(const struct members *m, const char *key, vm_handle *out,
+		   size_t max)
+{
+	uint64_t k = hash_name(key);
+	size_t n = 0;
+	vm_handle h;
+
+	for (h = 0; h < m->n; h++) {
+		uint64_t w = weight(k, m->vms[h].hash);
+		size_t i;
+
+		if (!members_alive(m, h))
+			continue;
+		for (i = n; i > 0 && weight(k, m->vms[out[i - 1]].hash) < w;
+		     i--) {
+			if (i < max)
+				out[i] = out[i - 1];
+		}
+		if (i < max) {
+			out[i] = h;
+			if (n < max)
+				n++;
+		}
+	}
+	return n;
+}
+
+/* Is this VM one of the first "per_domain" of its domain to watch? */
+bool members_watches(const struct members *m, uint32_t per_domain)
+{
+	const struct vm *self = &m->vms[members_self(m)];
+	uint64_t k = hash_name("watch");
+	uint64_t own = weight(k, self->hash);
+	uint32_t before = 0;
+	vm_handle h;
+
+	if (!members_alive(m, members_self(m)))
+		return false;
+	for (h = 1; h < m->n; h++) {
+		if (members_alive(m, h) &&
+		    strcmp(m->vms[h].m.domain, self->m.domain) == 0 &&
+		    weight(k, m->vms[h].hash) > own)
+			before++;
+	}
+	return before < per_domain;
+}
+
+/* Live members of other failure domains than this VM's. */
+size_t members_other_domains(const struct members *m)
+{
+	const char *own = m->vms[members_self(m)].m.domain;
+	size_t n = 0;
+	vm_handle h;
+
+	for (h = 1; h < m->n; h++) {
+		if (members_alive(m, h) && strcmp(m->vms[h].m.domain, own) != 0)
+			n++;
+	}
+	return n;
+}
+
+/* Rendezvous weight of a VM for a key; the same on all VMs. */
+static uint64_t weight(uint64_t key, uint64_t vm)
+{
+	const uint64_t pair[2] = { key, vm };
+
+	return hash_bytes(pair, sizeof(pair));
+}
+
+/* Times that news is told: a multiple of the doublings to the fleet's size. */
+static uint32_t told_limit(const struct members *m)
+{
+	uint32_t doublings = 1;
+
+	while ((1U << doublings) < m->n)
+		doublings++;
+	return TOLD_PER_DOUBLING * doublings;
+}
+
+/* Is a VM among the news picked so far? */
+static bool picked(const struct member_news *out, size_t n, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		if (strcmp(out[i].member.name, name) == 0)
+			return true;
+	}
+	return false;
+}
--- a/src/decide/spread.h
+++ b/src/decide/spread.h
@@ -24,11 +24,24 @@
 	uint64_t revision; /* 0: not yet seen in a watch */
 };
 
+/*
+ * How far an answer went. A peer's next question carries it back, so that a
+ * long answer comes in pieces; all zero begins anew.
+ */
+struct spread_cursor {
+	uint64_t revision;
+	uint64_t hash;
+	uint64_t upto; /* the asker is complete to this after the last piece */
+	bool ended;    /* that was the last piece */
+	bool whole;    /* and nothing newer is here: freshness may be taken */
+};
+
 /* A question to a peer; its answer is matched to it by "id". */
 struct spread_ask {
 	uint64_t id;
-	uint64_t complete; /* all up to this revision is here */
-	uint32_t n;	   /* unseen ones that the asker has */
+	uint64_t complete;	     /* all up to this revision is here */
+	struct spread_cursor cursor; /* of the same peer's last answer */
+	uint32_t n;		     /* unseen ones that the asker has */
 	struct spread_object unseen[SPREAD_UNSEEN_MAX];
 };
 
@@ -46,17 +59,19 @@
 uint64_t spread_complete(const struct spread *s);
 void spread_ask_fill(const struct spread *s, uint64_t id,
 		     struct spread_ask *out);
+/* Bytes that an object takes in a message. */
+typedef size_t (*spread_size_fn)(void *ctx, const char *name);
+
 /*
  * What to send to a peer that asked: objects in the order of their revision,
- * then unseen ones it did not name, up to "max" of them and, by the callback
- * that tells an object's size, "bytes". *upto is the revision up to which
- * the peer will be complete with these; *whole is whether nothing is left.
+ * then unseen ones that it did not name, up to "max" of them and "bytes", but
+ * at least one if any is due. Returns how many. When the cursor has ended, the
+ * asker that has applied all pieces may call spread_complete_to(upto).
  */
-typedef size_t (*spread_size_fn)(void *ctx, const char *name);
 size_t spread_answer(const struct spread *s, const struct spread_ask *ask,
 		     struct spread_object *out, size_t max, size_t bytes,
-		     spread_size_fn size, void *ctx, uint64_t *upto,
-		     bool *whole);
+		     spread_size_fn size, void *ctx,
+		     struct spread_cursor *cursor);
 /*
  * Does this VM have all that the asker named as unseen? If not, it should ask
  * the asker in turn.
--- /dev/null
+++ b/tests/decide/keyring_test.cc
@@ -0,0 +1,181 @@
+#include <cstring>
+#include <gtest/gtest.h>
+#include <random>
+#include <string>
+#include <unordered_set>
+#include <vector>
+
+extern "C" {
+#include "decide/freshness.h"
+#include "decide/hash_index.h"
+#include "decide/keyring.h"
+}
+
+namespace
+{
+struct keyring_key key(const char *secret, const char *team, bool withdrawn)
+{
+	struct keyring_key k = {};
+	key_hash(secret, k.hash);
+	snprintf(k.team, sizeof(k.team), "%s", team);
+	snprintf(k.key_id, sizeof(k.key_id), "id-%s", secret);
+	k.withdrawn = withdrawn;
+	return k;
+}
+
+const struct keyring_key *look(struct keyring *k, const char *secret)
+{
+	uint8_t h[KEY_HASH_BYTES];
+	key_hash(secret, h);
+	return keyring_find(k, h);
+}
+
+TEST(Keyring, ReplaceWithdrawsAndForgets)
+{
+	struct keyring *k = keyring_create();
+	std::vector<struct keyring_key> v = { key("s1", "ant", false),
+					      key("s2", "ant", false) };
+	ASSERT_EQ(keyring_replace(k, 7, v.data(), v.size()), 0);
+	struct keyring_key other = key("s3", "bee", false);
+	ASSERT_EQ(keyring_replace(k, 8, &other, 1), 0);
+	ASSERT_NE(look(k, "s1"), nullptr);
+	EXPECT_STREQ(look(k, "s1")->team, "ant");
+	EXPECT_EQ(look(k, "s4"), nullptr);
+
+	v = { key("s1", "ant", true) };
+	ASSERT_EQ(keyring_replace(k, 7, v.data(), v.size()), 0);
+	EXPECT_TRUE(look(k, "s1")->withdrawn);
+	EXPECT_EQ(look(k, "s2"), nullptr) << "not in the newer version";
+	EXPECT_NE(look(k, "s3"), nullptr) << "of another object";
+
+	v = { key("s1", "ant", false) };
+	ASSERT_EQ(keyring_replace(k, 7, v.data(), v.size()), 0);
+	EXPECT_TRUE(look(k, "s1")->withdrawn) << "never live again";
+	EXPECT_EQ(keyring_count(k), 2u);
+	keyring_destroy(k);
+}
+
+TEST(Keyring, ManyKeysComeAndGo)
+{
+	struct keyring *k = keyring_create();
+	for (uint32_t round = 0; round < 5; round++) {
+		std::vector<struct keyring_key> v;
+		for (int i = 0; i < 1000; i++)
+			v.push_back(key(
+				("s" + std::to_string(round * 500 + i)).c_str(),
+				"ant", false));
+		ASSERT_EQ(keyring_replace(k, 1, v.data(), v.size()), 0);
+		ASSERT_EQ(keyring_count(k), 1000u);
+		for (const auto &c : v)
+			ASSERT_NE(keyring_find(k, c.hash), nullptr);
+	}
+	EXPECT_EQ(look(k, "s0"), nullptr);
+	keyring_destroy(k);
+}
+
+TEST(HashIndex, AgreesWithASetUnderCollisions)
+{
+	struct hash_index ix = {};
+	std::unordered_set<uint32_t> in;
+	std::mt19937 rng(5);
+	for (int i = 0; i < 20000; i++) {
+		uint32_t h = rng() % 300;
+		uint64_t hash = h % 37;
+		if (in.count(h)) {
+			hash_index_remove(&ix, hash, h);
+			in.erase(h);
+		} else {
+			ASSERT_TRUE(hash_index_put(&ix, hash, h));
+			in.insert(h);
+		}
+		uint32_t want = rng() % 300;
+		uint32_t cursor;
+		bool found = false;
+		for (uint32_t g = hash_index_first(&ix, want % 37, &cursor);
+		     g != HANDLE_NONE;
+		     g = hash_index_next(&ix, want % 37, &cursor))
+			found = found || g == want;
+		ASSERT_EQ(found, in.count(want) == 1);
+	}
+	hash_index_free(&ix);
+}
+
+TEST(Freshness, WhenKeysMayBeReliedOn)
+{
+	const usec_t s = USEC_PER_SEC;
+	const usec_t now = 100 * s;
+	const struct {
+		const char *name;
+		usec_t platform; // age of own word, -1 none
+		usec_t peer;	 // age of a peer's answer, -1 none
+		usec_t word;	 // age of the word in it
+		usec_t b, c;	 // age of contact with domains b, c; -1 none
+		bool others;
+		enum freshness_state want;
+	} cases[] = {
+		{ "nothing heard", -1, -1, 0, -1, -1, true, FRESH_LAPSED },
+		{ "own word", 2 * s, -1, 0, -1, -1, true, FRESH },
+		{ "own word old", 4 * s, -1, 0, -1, -1, true, FRESH_LAPSED },
+		{ "word of a peer", -1, s, s, -1, -1, true, FRESH },
+		{ "word of a peer too old", -1, s, 3 * s, -1, -1, true,
+		  FRESH_OUTAGE }, // b answered, c alone may be missing
+		{ "outage, all agree", 60 * s, s, 60 * s, s, s, true,
+		  FRESH_OUTAGE },
+		{ "outage, one domain out of touch", 60 * s, s, 60 * s, s, -1,
+		  true, FRESH_OUTAGE },
+		{ "cut off with the own domain", 60 * s, -1, 0, -1, -1, true,
+		  FRESH_LAPSED },
+		{ "contacts old", 60 * s, 9 * s, 60 * s, 9 * s, 9 * s, true,
+		  FRESH_LAPSED },
+	};
+	for (const auto &c : cases) {
+		struct freshness f;
+		freshness_init(&f, "a");
+		freshness_domain(&f, "b");
+		freshness_domain(&f, "c");
+		if (c.platform >= 0)
+			freshness_platform(&f, now - c.platform);
+		if (c.peer >= 0)
+			freshness_peer(&f, "b", now - c.peer, c.word);
+		freshness_contact(&f, "b", now, c.b);
+		freshness_contact(&f, "c", now, c.c);
+		EXPECT_EQ(freshness_check(&f, now, 3 * s, c.others), c.want)
+			<< c.name;
+	}
+}
+
+TEST(Freshness, AloneInTheFleet)
+{
+	struct freshness f;
+	freshness_init(&f, "a");
+	EXPECT_EQ(freshness_check(&f, 100, 10, false), FRESH_LAPSED);
+	freshness_platform(&f, 0);
+	EXPECT_EQ(freshness_check(&f, 100, 10, false), FRESH_OUTAGE);
+	EXPECT_EQ(freshness_check(&f, 100, 10, true), FRESH_LAPSED);
+}
+
+// No change can be accepted by VMs of two domains while the others, of all
+// domains but one, still serve.
+TEST(Freshness, ServingInAnOutageExcludesAcceptance)
+{
+	const char *names[] = { "a", "b", "c", "d", "e" };
+	for (unsigned n = 2; n <= 5; n++) {
+		for (unsigned reach = 1; reach < (1U << n); reach += 2) {
+			struct freshness f;
+			freshness_init(&f, "a");
+			freshness_platform(&f, 0);
+			for (unsigned i = 1; i < n; i++) {
+				freshness_domain(&f, names[i]);
+				if (reach & (1U << i))
+					freshness_peer(&f, names[i], 1000,
+						       1000);
+			}
+			f.peer_at = 1000;
+			bool serves = freshness_check(&f, 1000, 100, true) ==
+				      FRESH_OUTAGE;
+			unsigned beyond = n - __builtin_popcount(reach);
+			EXPECT_EQ(serves, beyond < 2) << n << " " << reach;
+		}
+	}
+}
+} // namespace
--- /dev/null
+++ b/tests/decide/members_test.cc
@@ -0,0 +1,221 @@
+#include <gtest/gtest.h>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "decide/holder.h"
+#include "decide/members.h"
+}
+
+namespace
+{
+using Members = std::unique_ptr<struct members, void (*)(struct members *)>;
+
+struct member vm(int i, uint64_t incarnation = 1)
+{
+	struct member m = {};
+	snprintf(m.name, sizeof(m.name), "vm%d", i);
+	snprintf(m.domain, sizeof(m.domain), "%c", 'a' + i % 3);
+	m.incarnation = incarnation;
+	return m;
+}
+
+Members fleet(int n)
+{
+	struct member self = vm(0);
+	Members m(members_create(&self), members_destroy);
+	members_list_begin(m.get());
+	for (int i = 0; i < n; i++) {
+		struct member v = vm(i);
+		members_list_add(m.get(), &v);
+	}
+	members_list_end(m.get(), 1);
+	return m;
+}
+
+void list(struct members *m, const std::vector<struct member> &vms, usec_t now)
+{
+	members_list_begin(m);
+	for (const auto &v : vms)
+		members_list_add(m, &v);
+	members_list_end(m, now);
+}
+
+bool alive(struct members *m, const char *name)
+{
+	vm_handle h = members_find(m, name);
+	return h != HANDLE_NONE && members_alive(m, h);
+}
+
+TEST(Members, GoneIsProvenOnly)
+{
+	const usec_t after = 1000;
+	Members m = fleet(3);
+	EXPECT_FALSE(members_gone(m.get(), "vm1", 1, 1, after));
+	members_unanswered(m.get(), "vm1", 1);
+	EXPECT_FALSE(alive(m.get(), "vm1"));
+	EXPECT_FALSE(members_gone(m.get(), "vm1", 1, 99999, after))
+		<< "silence proves nothing";
+	list(m.get(), { vm(0), vm(2) }, 10);
+	EXPECT_FALSE(members_gone(m.get(), "vm1", 1, 1009, after));
+	EXPECT_TRUE(members_gone(m.get(), "vm1", 1, 1010, after));
+	list(m.get(), { vm(0), vm(1), vm(2) }, 1011);
+	EXPECT_FALSE(members_gone(m.get(), "vm1", 1, 5000, after))
+		<< "on a list again";
+	EXPECT_TRUE(members_heard(m.get(), "vm2", 2, 20));
+	EXPECT_TRUE(members_gone(m.get(), "vm2", 1, 20, after))
+		<< "a later incarnation";
+	EXPECT_FALSE(members_gone(m.get(), "vm9", 1, 20, after)) << "unknown";
+}
+
+TEST(Members, RestartedIsANewVm)
+{
+	Members m = fleet(2);
+	struct member v2 = vm(1, 5);
+	list(m.get(), { vm(0), v2 }, 2);
+	EXPECT_FALSE(members_heard(m.get(), "vm1", 1, 3)) << "earlier self";
+	list(m.get(), { vm(0), vm(1, 1) }, 4);
+	EXPECT_EQ(
+		members_at(m.get(), members_find(m.get(), "vm1"))->incarnation,
+		5u)
+		<< "the list lags";
+	EXPECT_FALSE(members_heard(m.get(), "vm0", 9, 3)) << "not this VM";
+}
+
+TEST(Members, SuspicionIsRefutedByTheVmItself)
+{
+	Members a = fleet(3);
+	struct member self = vm(1);
+	Members b(members_create(&self), members_destroy);
+	struct member_news out[8];
+	members_unanswered(a.get(), "vm1", 1);
+	size_t n = members_pick_news(a.get(), out, 8);
+	bool told = false;
+	for (size_t i = 0; i < n; i++) {
+		if (std::string(out[i].member.name) == "vm1")
+			told = members_news(b.get(), &out[i], 5);
+	}
+	EXPECT_TRUE(told);
+	n = members_pick_news(b.get(), out, 8);
+	for (size_t i = 0; i < n; i++)
+		members_news(a.get(), &out[i], 6);
+	EXPECT_TRUE(alive(a.get(), "vm1"));
+}
+
+TEST(Members, NewsOfDepartureAndOfTheListSpread)
+{
+	Members a = fleet(4);
+	Members b = fleet(4);
+	struct member_news out[16];
+	list(a.get(), { vm(0), vm(1), vm(2) }, 10);
+	struct member d = vm(2);
+	d.departing = true;
+	list(a.get(), { vm(0), vm(1), d }, 11);
+	size_t n = members_pick_news(a.get(), out, 16);
+	for (size_t i = 0; i < n; i++)
+		members_news(b.get(), &out[i], 12);
+	EXPECT_FALSE(alive(b.get(), "vm2"));
+	EXPECT_FALSE(alive(b.get(), "vm3"));
+	EXPECT_TRUE(members_gone(b.get(), "vm3", 1, 112, 100));
+	members_expire(b.get(), 300, 100);
+	EXPECT_EQ(members_find(b.get(), "vm3"), HANDLE_NONE);
+	EXPECT_TRUE(members_self_listed(b.get()));
+}
+
+TEST(Members, NewsAreBoundedAndCease)
+{
+	Members m = fleet(100);
+	struct member_news out[8];
+	int rounds = 0;
+	while (members_pick_news(m.get(), out, 8) > 0)
+		rounds++;
+	EXPECT_LT(rounds, 400);
+	members_unanswered(m.get(), "vm7", 1);
+	ASSERT_EQ(members_pick_news(m.get(), out, 8), 1u);
+	EXPECT_STREQ(out[0].member.name, "vm7");
+}
+
+TEST(Members, RanksAreOneOrderAndMoveLittle)
+{
+	Members m = fleet(9);
+	for (int k = 0; k < 50; k++) {
+		std::string key = "key" + std::to_string(k);
+		vm_handle top[9];
+		ASSERT_EQ(members_top(m.get(), key.c_str(), top, 9), 9u);
+		for (uint32_t i = 0; i < 9; i++)
+			EXPECT_EQ(members_rank(m.get(), key.c_str(), top[i]),
+				  i);
+		vm_handle first;
+		ASSERT_EQ(members_top(m.get(), key.c_str(), &first, 1), 1u);
+		EXPECT_EQ(first, top[0]);
+		if (top[8] != 0) {
+			members_unanswered(
+				m.get(), members_at(m.get(), top[8])->name, 1);
+			members_top(m.get(), key.c_str(), &first, 1);
+			EXPECT_EQ(first, top[0]) << "another's loss";
+			members_heard(m.get(),
+				      members_at(m.get(), top[8])->name, 1, 9);
+		}
+	}
+}
+
+TEST(Members, WatchersPerDomain)
+{
+	for (uint32_t per = 1; per <= 3; per++) {
+		std::map<std::string, uint32_t> watchers;
+		for (int i = 0; i < 12; i++) {
+			struct member self = vm(i);
+			Members m(members_create(&self), members_destroy);
+			members_list_begin(m.get());
+			for (int j = 0; j < 12; j++) {
+				struct member v = vm(j);
+				members_list_add(m.get(), &v);
+			}
+			members_list_end(m.get(), 1);
+			if (members_watches(m.get(), per))
+				watchers[self.domain]++;
+		}
+		EXPECT_EQ(watchers.size(), 3u);
+		for (const auto &w : watchers)
+			EXPECT_EQ(w.second, per);
+	}
+}
+
+TEST(Holder, SpreadOverDomainsAndPreferNear)
+{
+	Members m = fleet(12);
+	for (int s = 0; s < 20; s++) {
+		std::string service = "s" + std::to_string(s);
+		vm_handle out[HOLDERS_MAX];
+		ASSERT_EQ(holder_pick(m.get(), service.c_str(), 6, out,
+				      HOLDERS_MAX),
+			  6u);
+		std::map<std::string, int> per;
+		std::set<vm_handle> distinct(out, out + 6);
+		for (int i = 0; i < 6; i++)
+			per[members_at(m.get(), out[i])->domain]++;
+		EXPECT_EQ(distinct.size(), 6u);
+		for (const auto &p : per)
+			EXPECT_EQ(p.second, 2);
+		vm_handle to = HANDLE_NONE;
+		bool own = distinct.count(0) == 1;
+		EXPECT_EQ(holder_decide(m.get(), service.c_str(), 6, 77, &to),
+			  own ? HOLDER_DIRECT : HOLDER_FORWARD);
+		if (!own) {
+			EXPECT_STREQ(members_at(m.get(), to)->domain, "a");
+		}
+	}
+}
+
+TEST(Holder, Counts)
+{
+	EXPECT_EQ(holder_count(40, 4, 9), 9u);
+	EXPECT_EQ(holder_count(40, 4, 7400), 10u);
+	EXPECT_EQ(holder_count(3, 4, 7400), 1u);
+	EXPECT_EQ(holder_count(1000, 1, 7400), (uint32_t)HOLDERS_MAX);
+}
+} // namespace
--- /dev/null
+++ b/tests/standin/dbstore_test.cc
@@ -0,0 +1,498 @@
+#include <gtest/gtest.h>
+#include <memory>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "standin/dbstore.h"
+}
+
+namespace
+{
+// One database with short forms of its calls; time is what the test says.
+class Db
+{
+      public:
+	explicit Db(const char *name, size_t log_max = 0)
+	{
+		struct dbstore_options o = {};
+		o.name = name;
+		o.boot = 7;
+		o.log_max = log_max;
+		o.transaction_idle = 1000;
+		d = dbstore_create(&o);
+	}
+	~Db()
+	{
+		dbstore_destroy(d);
+	}
+	Db(const Db &) = delete;
+	Db &operator=(const Db &) = delete;
+
+	// Runs a statement; the rows' text, or the refusal's name.
+	std::string run(uint64_t term, const char *kind, const char *text,
+			const char *id = nullptr, const char *hash = nullptr,
+			const char *tx = nullptr)
+	{
+		struct statement s;
+		struct error e = {};
+		if (statement_parse(&s, text, nullptr, &e))
+			return e.message;
+		struct db_call c = {};
+		c.term = term;
+		c.kind = *kind == 'r' ? KIND_READ : KIND_WRITE;
+		c.statement = &s;
+		c.request_id = id;
+		c.body_hash = hash;
+		c.transaction = tx;
+		std::string out = show(dbstore_execute(d, &c, now, now));
+		statement_clear(&s);
+		return out;
+	}
+	std::string commit(uint64_t term, const std::string &tx,
+			   const char *id = nullptr)
+	{
+		struct db_call c = {};
+		c.term = term;
+		c.transaction = tx.c_str();
+		c.request_id = id;
+		return show(dbstore_commit(d, &c, now, now));
+	}
+	std::string begin(uint64_t term)
+	{
+		char tx[DB_TX_ID_BYTES];
+		enum db_refusal r = dbstore_begin(d, term, now, tx);
+		return r == DB_OK ? tx : db_refusal_name(r);
+	}
+	void lead(uint64_t term)
+	{
+		ASSERT_EQ(dbstore_fence(d, term), DB_OK);
+		ASSERT_EQ(dbstore_promote(d, term, now), DB_OK);
+	}
+	struct db_view view()
+	{
+		struct db_view v;
+		dbstore_view(d, now, &v);
+		return v;
+	}
+	// Replicates from a primary until nothing is left; calls made.
+	int pull(const Db &primary, uint64_t term, size_t batch = 2)
+	{
+		struct error e = {};
+		for (int calls = 1; calls < 1000; calls++) {
+			json_t *out = nullptr;
+			uint64_t cut;
+			enum db_refusal r = dbstore_log_read(
+				primary.d, term,
+				ask_all ? log_pos{} : view().end, batch,
+				primary.now, &out, &cut);
+			ask_all = false;
+			if (r == DB_NOT_ON_LOG) {
+				ask_all = dbstore_cut(d, term, cut, &e) != 0;
+				continue;
+			}
+			if (r != DB_OK)
+				return -1;
+			int rc = dbstore_log_take(d, term, out, &e);
+			bool whole =
+				json_is_true(json_object_get(out, "complete"));
+			json_decref(out);
+			if (rc)
+				return -1;
+			if (whole)
+				return calls;
+		}
+		return -1;
+	}
+
+	struct dbstore *d;
+	usec_t now = 100;
+	bool replayed = false;
+	bool ask_all = false;
+	struct log_pos at = {};
+
+      private:
+	std::string show(struct db_answer a)
+	{
+		replayed = a.replayed;
+		at = a.at;
+		if (a.refusal != DB_OK)
+			return db_refusal_name(a.refusal);
+		std::string out;
+		size_t i;
+		json_t *r;
+		json_array_foreach(a.rows, i, r)
+		{
+			char *v = json_dumps(json_object_get(r, "value"),
+					     JSON_ENCODE_ANY);
+			out += std::string(i ? " " : "") +
+			       json_string_value(json_object_get(r, "key")) +
+			       "=" + v;
+			free(v);
+		}
+		json_decref(a.rows);
+		return out;
+	}
+};
+
+TEST(Dbstore, Statements)
+{
+	const struct {
+		const char *kind, *text, *want;
+	} cases[] = {
+		{ "write", "put a/1 wire", "a/1=\"wire\"" },
+		{ "read", "get a/1", "a/1=\"wire\"" },
+		{ "read", "get none", "" },
+		{ "write", "put a/2 7", "a/2=7" },
+		{ "write", "increment a/2 -3", "a/2=4" },
+		{ "write", "increment n 5", "n=5" },
+		{ "write", "increment a/1 1", "bad_statement" },
+		{ "write", "increment n 9223372036854775807", "bad_statement" },
+		{ "write", "append a/1 -x", "a/1=\"wire-x\"" },
+		{ "read", "list a/", "a/1=\"wire-x\" a/2=4" },
+		{ "read", "put a/1 no", "bad_statement" },
+		{ "read", "check n 5", "" },
+		{ "read", "check n 6", "bad_statement" },
+		{ "read", "get", "no key, or too long a key" },
+		{ "read", "drop a", "unknown verb" },
+		{ "read", "get a b", "text after the end" },
+		{ "write", "put a ?", "a parameter is missing" },
+	};
+	Db db("a");
+	db.lead(1);
+	for (const auto &c : cases)
+		EXPECT_EQ(db.run(1, c.kind, c.text), c.want) << c.text;
+}
+
+TEST(Dbstore, TermsAndRoles)
+{
+	// "f" fence, "p" promote, "F" follow, "r" read, "w" write.
+	const struct {
+		const char *name;
+		std::vector<std::pair<char, uint64_t>> steps;
+		const char *want;
+	} cases[] = {
+		{ "read of its term", { { 'f', 3 }, { 'r', 3 } }, "" },
+		{ "older term", { { 'f', 3 }, { 'r', 2 } }, "stale_term" },
+		{ "term unheard of", { { 'f', 3 }, { 'r', 4 } }, "term_ahead" },
+		{ "write at a fenced one",
+		  { { 'f', 3 }, { 'w', 3 } },
+		  "not_primary" },
+		{ "write at a primary",
+		  { { 'f', 3 }, { 'p', 3 }, { 'w', 3 } },
+		  "k=1" },
+		{ "fenced again by its own term",
+		  { { 'f', 3 }, { 'p', 3 }, { 'f', 3 }, { 'w', 3 } },
+		  "k=1" },
+		{ "superseded",
+		  { { 'f', 3 }, { 'p', 3 }, { 'f', 4 }, { 'w', 3 } },
+		  "stale_term" },
+		{ "superseded, new term",
+		  { { 'f', 3 }, { 'p', 3 }, { 'f', 4 }, { 'w', 4 } },
+		  "not_primary" },
+		{ "fence below", { { 'f', 3 }, { 'f', 2 } }, "stale_term" },
+		{ "promote below", { { 'f', 3 }, { 'p', 2 } }, "stale_term" },
+		{ "promote unfenced",
+		  { { 'f', 3 }, { 'p', 4 } },
+		  "term_ahead" },
+		{ "promote twice",
+		  { { 'f', 3 }, { 'p', 3 }, { 'p', 3 } },
+		  "ok" },
+		{ "promote a follower",
+		  { { 'F', 3 }, { 'p', 3 } },
+		  "not_primary" },
+		{ "follow below", { { 'f', 3 }, { 'F', 2 } }, "stale_term" },
+		{ "follow as primary",
+		  { { 'f', 3 }, { 'p', 3 }, { 'F', 3 } },
+		  "not_primary" },
+		{ "follow raises the fence",
+		  { { 'F', 5 }, { 'f', 4 } },
+		  "stale_term" },
+		{ "write at a follower",
+		  { { 'F', 5 }, { 'w', 5 } },
+		  "not_primary" },
+	};
+	for (const auto &c : cases) {
+		Db db("a");
+		std::string last;
+		for (auto [what, term] : c.steps) {
+			switch (what) {
+			case 'f':
+				last = db_refusal_name(
+					dbstore_fence(db.d, term));
+				break;
+			case 'p':
+				last = db_refusal_name(
+					dbstore_promote(db.d, term, 1));
+				break;
+			case 'F':
+				last = db_refusal_name(
+					dbstore_follow(db.d, term));
+				break;
+			case 'r':
+				last = db.run(term, "read", "get k");
+				break;
+			default:
+				last = db.run(term, "write", "increment k 1");
+			}
+		}
+		EXPECT_EQ(last, c.want) << c.name;
+	}
+}
+
+TEST(Dbstore, RequestIds)
+{
+	Db db("a");
+	db.lead(1);
+	EXPECT_EQ(db.run(1, "write", "increment n 1", "t/1", "h"), "n=1");
+	struct log_pos first = db.at;
+	EXPECT_EQ(db.run(1, "write", "increment n 1"), "n=2");
+	EXPECT_EQ(db.run(1, "write", "increment n 1", "t/1", "h"), "n=1");
+	EXPECT_TRUE(db.replayed);
+	EXPECT_EQ(log_pos_cmp(db.at, first), 0);
+	EXPECT_EQ(db.run(1, "write", "increment n 9", "t/1", "g"), "id_reused");
+	EXPECT_EQ(db.run(1, "read", "get n"), "n=2");
+}
+
+TEST(Dbstore, RequestIdsSurviveAPromotion)
+{
+	Db a("a"), b("b");
+	a.lead(1);
+	ASSERT_EQ(dbstore_follow(b.d, 1), DB_OK);
+	a.run(1, "write", "increment n 1", "t/1", "h");
+	EXPECT_GT(b.pull(a, 1), 0);
+	EXPECT_EQ(b.view().end.position, a.view().end.position);
+	b.lead(2);
+	EXPECT_EQ(b.run(2, "write", "increment n 1", "t/1", "h"), "n=1");
+	EXPECT_TRUE(b.replayed);
+	EXPECT_EQ(b.run(2, "read", "get n"), "n=1");
+}
+
+TEST(Dbstore, DivergentTailIsCut)
+{
+	const struct {
+		const char *name;
+		int shared, lost, newer;
+	} cases[] = {
+		{ "same logs", 3, 0, 0 },
+		{ "tail of one", 3, 1, 0 },
+		{ "tail longer than the new log", 3, 9, 1 },
+		{ "tail shorter than the new log", 3, 2, 9 },
+		{ "nothing shared", 0, 4, 2 },
+	};
+	for (const auto &c : cases) {
+		Db a("a"), b("b");
+		a.lead(1);
+		ASSERT_EQ(dbstore_follow(b.d, 1), DB_OK);
+		for (int i = 0; i < c.shared; i++)
+			a.run(1, "write", "increment n 1");
+		ASSERT_GT(b.pull(a, 1), 0) << c.name;
+		for (int i = 0; i < c.lost; i++) {
+			a.run(1, "write", "increment n 100", "t/lost", "h");
+			a.run(1, "write", "put lost/x 1");
+		}
+		b.lead(3);
+		for (int i = 0; i < c.newer; i++)
+			b.run(3, "write", "increment n 1");
+		ASSERT_EQ(dbstore_follow(a.d, 3), DB_OK);
+		ASSERT_GT(a.pull(b, 3), 0) << c.name;
+		EXPECT_EQ(a.run(3, "read", "get n"), b.run(3, "read", "get n"))
+			<< c.name;
+		EXPECT_EQ(a.run(3, "read", "list lost/"), "") << c.name;
+		EXPECT_EQ(log_pos_cmp(a.view().end, b.view().end), 0) << c.name;
+		ASSERT_EQ(a.view().lineage.n, 2U) << c.name;
+		EXPECT_EQ(a.view().lineage.start[1].position,
+			  b.view().lineage.start[1].position)
+			<< c.name;
+		struct log_pos at;
+		json_t *rows;
+		char *hash;
+		EXPECT_FALSE(dbstore_request(a.d, "t/lost", &at, &rows, &hash))
+			<< c.name;
+	}
+}
+
+// Several terms that one follower never heard of, and one only it knew.
+TEST(Dbstore, CutOverSeveralTerms)
+{
+	Db a("a"), b("b"), c("c");
+	a.lead(1);
+	a.run(1, "write", "increment n 1");
+	ASSERT_EQ(dbstore_follow(b.d, 1), DB_OK);
+	ASSERT_EQ(dbstore_follow(c.d, 1), DB_OK);
+	b.pull(a, 1);
+	c.pull(a, 1);
+	b.lead(2);
+	b.run(2, "write", "increment n 10");
+	c.lead(4);
+	c.run(4, "write", "increment n 100");
+	a.lead(5);
+	a.run(5, "write", "increment n 1000");
+	for (Db *d : { &b, &c }) {
+		ASSERT_EQ(dbstore_follow(d->d, 5), DB_OK);
+		EXPECT_GT(d->pull(a, 5), 0);
+		EXPECT_EQ(d->run(5, "read", "get n"), "n=1001");
+		EXPECT_EQ(d->view().lineage.n, 2U);
+	}
+}
+
+TEST(Dbstore, FollowerFarBehindGetsAll)
+{
+	Db a("a", 8), b("b", 8);
+	a.lead(1);
+	a.run(1, "write", "increment n 1", "t/old", "h");
+	for (int i = 0; i < 20; i++)
+		a.run(1, "write", "increment n 1", "t/same", "h");
+	for (int i = 0; i < 20; i++)
+		a.run(1, "write", "increment m 1");
+	a.run(1, "write", "increment n 1", "t/new", "h");
+	struct log_pos at;
+	json_t *rows;
+	char *hash;
+	EXPECT_FALSE(dbstore_request(a.d, "t/old", &at, &rows, &hash));
+	ASSERT_EQ(dbstore_follow(b.d, 1), DB_OK);
+	EXPECT_EQ(b.pull(a, 1), 1);
+	EXPECT_EQ(b.run(1, "read", "list "), "no key, or too long a key");
+	EXPECT_EQ(b.run(1, "read", "get m"), "m=20");
+	EXPECT_EQ(b.run(1, "read", "get n"), "n=3");
+	b.lead(2);
+	EXPECT_EQ(b.run(2, "write", "increment n 1", "t/new", "h"), "n=3");
+	EXPECT_TRUE(b.replayed);
+}
+
+TEST(Dbstore, FollowerOfAnOlderTermTakesNothing)
+{
+	Db a("a"), b("b");
+	struct error e = {};
+	json_t *out = nullptr;
+	uint64_t cut;
+	a.lead(1);
+	ASSERT_EQ(dbstore_follow(b.d, 1), DB_OK);
+	ASSERT_EQ(dbstore_log_read(a.d, 1, {}, 9, 5, &out, &cut), DB_OK);
+	ASSERT_EQ(dbstore_fence(b.d, 2), DB_OK);
+	EXPECT_EQ(dbstore_log_take(b.d, 1, out, &e), -1);
+	EXPECT_EQ(e.code, ERR_SUPERSEDED);
+	EXPECT_EQ(dbstore_cut(b.d, 1, 0, &e), -1);
+	json_decref(out);
+	EXPECT_EQ(b.view().end.position, 0U);
+	EXPECT_EQ(dbstore_log_read(b.d, 2, {}, 9, 5, &out, &cut),
+		  DB_NOT_PRIMARY);
+	EXPECT_EQ(dbstore_log_read(a.d, 2, {}, 9, 5, &out, &cut),
+		  DB_TERM_AHEAD);
+}
+
+TEST(Dbstore, StampsFollowThePrimarysClock)
+{
+	Db a("a"), b("b");
+	a.lead(1);
+	ASSERT_EQ(dbstore_follow(b.d, 1), DB_OK);
+	a.now = 500;
+	b.now = 90000;
+	b.pull(a, 1);
+	EXPECT_EQ(b.view().stamp_us, 500);
+	EXPECT_EQ(b.view().stamp_term, 1U);
+	a.now = 900;
+	EXPECT_EQ(a.view().stamp_us, 900);
+	EXPECT_EQ(b.view().stamp_us, 500);
+	b.pull(a, 1);
+	EXPECT_EQ(b.view().stamp_us, 900);
+}
+
+TEST(Dbstore, Transactions)
+{
+	const struct {
+		const char *name;
+		std::vector<const char *> inside;
+		const char *between; // by another, before the commit
+		const char *want;    // of the commit
+		const char *after;   // list k
+	} cases[] = {
+		{ "atomic",
+		  { "put k1 1", "put k2 2" },
+		  nullptr,
+		  "",
+		  "k1=1 k2=2" },
+		{ "read then changed",
+		  { "get k1", "put k2 2" },
+		  "put k1 9",
+		  "transaction_gone",
+		  "k1=9" },
+		{ "another key changed",
+		  { "get k1", "put k2 2" },
+		  "put k3 9",
+		  "",
+		  "k2=2 k3=9" },
+		{ "listed then added",
+		  { "list k", "put k2 2" },
+		  "put k3 9",
+		  "transaction_gone",
+		  "k3=9" },
+		{ "blind put loses nothing",
+		  { "put k1 1" },
+		  "put k1 9",
+		  "",
+		  "k1=1" },
+		{ "increment of a changed key",
+		  { "increment k1 1" },
+		  "increment k1 1",
+		  "transaction_gone",
+		  "k1=1" },
+		{ "check fails",
+		  { "put k1 1", "check k1 2" },
+		  nullptr,
+		  "transaction_gone",
+		  "" },
+		{ "check holds",
+		  { "put k1 1", "check k1 1" },
+		  nullptr,
+		  "",
+		  "k1=1" },
+	};
+	for (const auto &c : cases) {
+		Db db("a");
+		db.lead(1);
+		std::string tx = db.begin(1);
+		for (const char *s : c.inside)
+			db.run(1, "write", s, nullptr, nullptr, tx.c_str());
+		EXPECT_EQ(db.run(1, "read", "list k"), "") << c.name;
+		if (c.between)
+			db.run(1, "write", c.between);
+		EXPECT_EQ(db.commit(1, tx), c.want) << c.name;
+		EXPECT_EQ(db.run(1, "read", "list k"), c.after) << c.name;
+		EXPECT_EQ(db.commit(1, tx), "transaction_gone") << c.name;
+	}
+}
+
+TEST(Dbstore, TransactionsSeeThemselvesAndEnd)
+{
+	Db db("a");
+	db.lead(1);
+	std::string tx = db.begin(1);
+	auto in = [&](const char *s) {
+		return db.run(1, "write", s, nullptr, nullptr, tx.c_str());
+	};
+	EXPECT_EQ(in("increment k 1"), "k=1");
+	EXPECT_EQ(in("increment k 1"), "k=2");
+	EXPECT_EQ(in("list k"), "k=2");
+	EXPECT_EQ(db.commit(1, tx, "t/c"), "");
+	EXPECT_EQ(db.commit(1, tx, "t/c"), "");
+	EXPECT_TRUE(db.replayed);
+	EXPECT_EQ(db.run(1, "read", "get k"), "k=2");
+
+	tx = db.begin(1);
+	db.now += 1001;
+	EXPECT_EQ(in("get k"), "transaction_gone") << "idle for too long";
+	tx = db.begin(1);
+	EXPECT_EQ(dbstore_rollback(db.d, tx.c_str(), 1), DB_OK);
+	EXPECT_EQ(in("get k"), "transaction_gone") << "rolled back";
+	tx = db.begin(1);
+	in("put k 9");
+	db.lead(2);
+	EXPECT_EQ(db.commit(1, tx), "stale_term");
+	EXPECT_EQ(db.commit(2, tx), "transaction_gone") << "superseded";
+	EXPECT_EQ(dbstore_transactions(db.d), 0U);
+	for (int i = 0; i < DB_TRANSACTIONS_MAX; i++)
+		db.begin(2);
+	EXPECT_EQ(db.begin(2), "busy");
+}
+} // namespace
