--- a/src/decide/once.c
+++ b/src/decide/once.c
@@ -14,6 +14,7 @@
 static struct once_verdict on_wrong_term(const struct once_call *c);
 static enum outcome so_far(const struct once_call *c);
 static bool in_transaction(const struct once_call *c);
+static bool writes(const struct once_call *c);
 
 /*
  * Decides what follows the end of one call. "not_run" is said only if no call
@@ -99,7 +100,10 @@
 	};
 }
 
-/* Tries again if the budget and the deadline allow, else says what is true. */
+/*
+ * Tries again if the budget and the deadline allow, else says what is true. A
+ * write in doubt goes out again only under an id.
+ */
 static struct once_verdict again(const struct once_call *c, enum once_next next,
 				 enum error_code why, bool close)
 {
@@ -107,6 +111,8 @@
 
 	if (v.outcome == OUTCOME_UNKNOWN)
 		v.why = ERR_UNKNOWN;
+	if (writes(c) && c->maybe_ran && !c->has_id)
+		return v;
 	if (c->retry_ok && c->now < c->deadline)
 		v.next = next;
 	return v;
@@ -116,7 +122,7 @@
 {
 	struct once_verdict v = answer(OUTCOME_DONE, ERR_NONE, false);
 
-	if (c->kind == ONCE_WRITE || c->kind == ONCE_TX_COMMIT) {
+	if (writes(c)) {
 		v.next = ONCE_CONFIRM;
 		v.outcome = OUTCOME_UNKNOWN;
 		v.why = ERR_UNKNOWN;
@@ -230,3 +236,8 @@
 {
 	return c->kind == ONCE_TX_STATEMENT || c->kind == ONCE_TX_COMMIT;
 }
+
+static bool writes(const struct once_call *c)
+{
+	return c->kind == ONCE_WRITE || c->kind == ONCE_TX_COMMIT;
+}
--- /dev/null
+++ b/tests/decide/probe_test.cc
@@ -0,0 +1,113 @@
+#include <gtest/gtest.h>
+
+extern "C" {
+#include "decide/probe.h"
+}
+
+namespace
+{
+constexpr usec_t kNow = 50 * USEC_PER_SEC;
+constexpr struct probe_policy kPolicy = {
+	.busy_us = 1000,
+	.active_us = 50000,
+	.idle_us = 500000,
+	.active_for_us = 5 * USEC_PER_SEC,
+	.reply_us = 100000,
+	.backoff_max_us = 2 * USEC_PER_SEC,
+};
+
+TEST(Probe, Due)
+{
+	const usec_t never = 0;
+	const struct {
+		const char *name;
+		struct probe p;
+		struct probe_need need;
+		bool primary;
+		usec_t due;
+	} cases[] = {
+		{ "never asked", {}, { 0, false, never }, false, kNow },
+		{ "idle",
+		  { 0, kNow, kNow, 0, 0 },
+		  { 0, false, never },
+		  false,
+		  kNow + 500000 },
+		{ "active",
+		  { 0, kNow, kNow, 0, 0 },
+		  { 0, false, kNow },
+		  false,
+		  kNow + 50000 },
+		{ "writes wait, replica",
+		  { 0, kNow, kNow, 0, 0 },
+		  { 3, false, kNow },
+		  false,
+		  kNow + 1000 },
+		{ "writes wait, primary",
+		  { 0, kNow, kNow, 0, 0 },
+		  { 3, false, kNow },
+		  true,
+		  kNow + 50000 },
+		{ "promotion",
+		  { 0, kNow, kNow, 0, 0 },
+		  { 0, true, kNow },
+		  true,
+		  kNow + 1000 },
+		{ "heard by a statement",
+		  { 0, kNow, kNow - 40000, 0, 0 },
+		  { 0, false, kNow },
+		  false,
+		  kNow + 50000 },
+		{ "one under way",
+		  { kNow - 10, 0, kNow - 10, 0, 0 },
+		  { 3, false, kNow },
+		  false,
+		  kNow - 10 + 100000 },
+		{ "missed twice",
+		  { 0, 1, kNow, 2, 1 },
+		  { 3, false, kNow },
+		  false,
+		  kNow + 4000 },
+		{ "missed for long",
+		  { 0, 1, kNow, 99, 1 },
+		  { 0, false, never },
+		  false,
+		  kNow + 2 * USEC_PER_SEC },
+		{ "primary missed",
+		  { 0, 1, kNow, 9, 1 },
+		  { 0, false, kNow },
+		  true,
+		  kNow + 50000 },
+	};
+	for (const auto &c : cases)
+		EXPECT_EQ(probe_due(&c.p, &kPolicy, &c.need, c.primary, kNow),
+			  c.due)
+			<< c.name;
+}
+
+TEST(Probe, SilenceIsCountedFromTheFirstUnansweredQuestion)
+{
+	struct probe p = {};
+	probe_sent(&p, 1000);
+	EXPECT_EQ(p.unanswered_at, 1000);
+	EXPECT_FALSE(probe_expire(&p, &kPolicy, 100999));
+	EXPECT_TRUE(probe_expire(&p, &kPolicy, 101000));
+	EXPECT_FALSE(probe_expire(&p, &kPolicy, 102000));
+	probe_sent(&p, 110000);
+	EXPECT_EQ(p.unanswered_at, 1000);
+	EXPECT_EQ(p.misses, 1U);
+	probe_heard(&p, 110000);
+	EXPECT_EQ(p.unanswered_at, 0);
+	EXPECT_EQ(p.misses, 0U);
+	EXPECT_EQ(p.asked_at, 0);
+}
+
+TEST(Probe, AnswerToAnEarlierQuestionLeavesTheLaterOneOpen)
+{
+	struct probe p = {};
+	probe_sent(&p, 2000);
+	probe_heard(&p, 1500);
+	EXPECT_EQ(p.asked_at, 2000);
+	EXPECT_EQ(p.unanswered_at, 2000);
+	EXPECT_EQ(p.last_at, 1500);
+}
+} // namespace
