--- /dev/null
+++ b/src/kernel/fleet.c
@@ -0,0 +1,245 @@
+#include "kernel/fleet.h"
+
+#include <apr_general.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "kernel/fleet_own.h"
+#include "kernel/kernel.h"
+
+#define TOP_MAX 64
+
+static int make_lock(struct fleet *f);
+static void copy_vm(const struct members *m, vm_handle h, struct fleet_vm *out);
+static bool may_pick(const struct members *m, vm_handle h,
+		     const char *not_domain);
+
+/* Makes a fleet that knows this VM only; NULL if memory is short. */
+struct fleet *fleet_create(const struct kernel *k)
+{
+	const struct settings *s = &k->settings;
+	struct fleet *f = calloc(1, sizeof(*f));
+	struct member self = { .incarnation = k->incarnation };
+
+	if (!f)
+		return NULL;
+	snprintf(self.name, sizeof(self.name), "%s", s->vm);
+	snprintf(self.domain, sizeof(self.domain), "%s", s->domain);
+	snprintf(self.peer, sizeof(self.peer), "%s", s->peer_listen);
+	snprintf(self.caller, sizeof(self.caller), "%s", s->caller_listen);
+	f->members = members_create(&self);
+	if (!f->members || make_lock(f)) {
+		fleet_destroy(f);
+		return NULL;
+	}
+	freshness_init(&f->fresh, s->domain);
+	return f;
+}
+
+/* Frees a fleet; nobody may use it any more. */
+void fleet_destroy(struct fleet *f)
+{
+	if (!f)
+		return;
+	members_destroy(f->members);
+	if (f->pool)
+		apr_pool_destroy(f->pool);
+	free(f);
+}
+
+/* Takes the lock for a plug-in that uses the members or the freshness. */
+void fleet_lock(struct fleet *f)
+{
+	apr_thread_mutex_lock(f->lock);
+}
+
+/* Gives the lock back. */
+void fleet_unlock(struct fleet *f)
+{
+	apr_thread_mutex_unlock(f->lock);
+}
+
+/* Copies at most "max" of the known VMs. Takes the lock. */
+size_t fleet_snapshot(struct kernel *k, struct fleet_vm *out, size_t max)
+{
+	struct fleet *f = k->fleet;
+	size_t n, i;
+
+	fleet_lock(f);
+	n = members_count(f->members);
+	if (n > max)
+		n = max;
+	for (i = 0; i < n; i++)
+		copy_vm(f->members, (vm_handle)i, &out[i]);
+	fleet_unlock(f);
+	return n;
+}
+
+/* Returns how many VMs are known. Takes the lock. */
+size_t fleet_size(struct kernel *k)
+{
+	size_t n;
+
+	fleet_lock(k->fleet);
+	n = members_count(k->fleet->members);
+	fleet_unlock(k->fleet);
+	return n;
+}
+
+/* Copies one VM by its name; false if it is not known. Takes the lock. */
+bool fleet_find(struct kernel *k, const char *name, struct fleet_vm *out)
+{
+	struct fleet *f = k->fleet;
+	vm_handle h;
+
+	fleet_lock(f);
+	h = members_find(f->members, name);
+	if (h != HANDLE_NONE)
+		copy_vm(f->members, h, out);
+	fleet_unlock(f);
+	return h != HANDLE_NONE;
+}
+
+/* Returns this VM's place for a key; 0 acts first. Takes the lock. */
+uint32_t fleet_rank(struct kernel *k, const char *key)
+{
+	struct fleet *f = k->fleet;
+	uint32_t rank;
+
+	fleet_lock(f);
+	rank = members_rank(f->members, key, members_self(f->members));
+	fleet_unlock(f);
+	return rank;
+}
+
+/* Copies the first live VMs for a key, at most 64. Takes the lock. */
+size_t fleet_top(struct kernel *k, const char *key, struct fleet_vm *out,
+		 size_t max)
+{
+	struct fleet *f = k->fleet;
+	vm_handle top[TOP_MAX];
+	size_t n, i;
+
+	fleet_lock(f);
+	n = members_top(f->members, key, top, max < TOP_MAX ? max : TOP_MAX);
+	for (i = 0; i < n; i++)
+		copy_vm(f->members, top[i], &out[i]);
+	fleet_unlock(f);
+	return n;
+}
+
+/*
+ * Draws other live VMs: each that fits is kept with the chance that gives all
+ * the same one, in one pass and without memory. Takes the lock.
+ */
+size_t fleet_pick(struct kernel *k, size_t n, const char *not_domain,
+		  struct fleet_vm *out)
+{
+	struct fleet *f = k->fleet;
+	size_t seen = 0, place;
+	vm_handle h, count;
+
+	fleet_lock(f);
+	count = (vm_handle)members_count(f->members);
+	for (h = 0; h < count; h++) {
+		if (!may_pick(f->members, h, not_domain))
+			continue;
+		seen++;
+		place = seen <= n ? seen - 1
+				  : randombytes_uniform((uint32_t)seen);
+		if (place < n)
+			copy_vm(f->members, h, &out[place]);
+	}
+	fleet_unlock(f);
+	return seen < n ? seen : n;
+}
+
+/* Notes word from a VM; false if its incarnation is past. Takes the lock. */
+bool fleet_heard(struct kernel *k, const char *name, uint64_t incarnation,
+		 usec_t now)
+{
+	struct fleet *f = k->fleet;
+	bool ok = true;
+
+	fleet_lock(f);
+	if (members_find(f->members, name) != HANDLE_NONE)
+		ok = members_heard(f->members, name, incarnation, now);
+	fleet_unlock(f);
+	return ok;
+}
+
+/* Tells whether an incarnation can never act again. Takes the lock. */
+bool fleet_gone(struct kernel *k, const char *name, uint64_t incarnation,
+		usec_t now, usec_t gone_after)
+{
+	bool gone;
+
+	fleet_lock(k->fleet);
+	gone = members_gone(k->fleet->members, name, incarnation, now,
+			    gone_after);
+	fleet_unlock(k->fleet);
+	return gone;
+}
+
+/* Judges this VM's knowledge of keys. Takes the lock. */
+enum freshness_state fleet_freshness(struct kernel *k, usec_t now)
+{
+	usec_t limit = (usec_t)k->settings.keys_fresh_ms * USEC_PER_MSEC;
+	struct fleet *f = k->fleet;
+	enum freshness_state state;
+
+	fleet_lock(f);
+	state = freshness_check(&f->fresh, now, limit,
+				members_count(f->members) > 1);
+	fleet_unlock(f);
+	return state;
+}
+
+/* Tells whether most failure domains were in contact lately. */
+bool fleet_majority(struct kernel *k, usec_t now, usec_t within)
+{
+	bool majority;
+
+	fleet_lock(k->fleet);
+	majority = freshness_majority(&k->fleet->fresh, now, within);
+	fleet_unlock(k->fleet);
+	return majority;
+}
+
+/* Makes the lock and its pool. */
+static int make_lock(struct fleet *f)
+{
+	if (apr_initialize() != APR_SUCCESS ||
+	    apr_pool_create(&f->pool, NULL) != APR_SUCCESS)
+		return -1;
+	return apr_thread_mutex_create(&f->lock, APR_THREAD_MUTEX_DEFAULT,
+				       f->pool) == APR_SUCCESS
+		       ? 0
+		       : -1;
+}
+
+/* Copies what others may know of a VM; the lock is held. */
+static void copy_vm(const struct members *m, vm_handle h, struct fleet_vm *out)
+{
+	const struct member *vm = members_at(m, h);
+
+	memset(out, 0, sizeof(*out));
+	memcpy(out->name, vm->name, sizeof(out->name));
+	memcpy(out->domain, vm->domain, sizeof(out->domain));
+	memcpy(out->peer, vm->peer, sizeof(out->peer));
+	memcpy(out->caller, vm->caller, sizeof(out->caller));
+	out->incarnation = vm->incarnation;
+	out->departing = vm->departing;
+	out->alive = members_alive(m, h);
+}
+
+/* Is this another live VM, of another domain if one is excluded? */
+static bool may_pick(const struct members *m, vm_handle h,
+		     const char *not_domain)
+{
+	if (h == members_self(m) || !members_alive(m, h))
+		return false;
+	return !not_domain || strcmp(members_at(m, h)->domain, not_domain) != 0;
+}
--- /dev/null
+++ b/src/kernel/fleet_own.h
@@ -0,0 +1,25 @@
+#ifndef KERNEL_FLEET_OWN_H
+#define KERNEL_FLEET_OWN_H
+
+#include <apr_pools.h>
+#include <apr_thread_mutex.h>
+
+#include "decide/keyring.h"
+#include "decide/members.h"
+#include "kernel/fleet.h"
+
+/*
+ * For the plug-ins that keep the fleet's state up to date. All but the pool
+ * is under the lock.
+ */
+struct fleet {
+	apr_pool_t *pool;
+	apr_thread_mutex_t *lock;
+	struct members *members;
+	struct freshness fresh;
+};
+
+void fleet_lock(struct fleet *f);
+void fleet_unlock(struct fleet *f);
+
+#endif
--- /dev/null
+++ b/src/plugins/peer_codec.h
@@ -0,0 +1,30 @@
+#ifndef PLUGINS_PEER_CODEC_H
+#define PLUGINS_PEER_CODEC_H
+
+#include <msgpack.h>
+
+#include "kernel/peer.h"
+#include "kernel/timeline.h"
+
+#define PEER_PROTOCOL	     1
+#define PEER_FRAME_MAX_BYTES (PEER_BODY_MAX_BYTES + 512)
+
+/*
+ * The frame of every message between VMs: a msgpack array
+ * [protocol, type, sender, incarnation, wall, count, body].
+ */
+struct peer_frame {
+	enum peer_type type;
+	char from[NAME_MAX_BYTES];
+	uint64_t incarnation;
+	struct hlc at;
+	const char *body; /* decoded: points into the unpacked message */
+	size_t body_len;
+};
+
+void peer_encode(msgpack_sbuffer *out, const struct peer_frame *f);
+/* "u" is initialised by the caller, who destroys it after using the body. */
+int peer_decode(msgpack_unpacked *u, const void *buf, size_t len,
+		struct peer_frame *out, struct error *e);
+
+#endif
--- /dev/null
+++ b/src/plugins/vm_state.c
@@ -0,0 +1,40 @@
+#include "kernel/fleet.h"
+#include "kernel/kernel.h"
+#include "kernel/peer.h"
+#include "kernel/plugin.h"
+#include "kernel/store.h"
+
+static int start(struct kernel *k, struct error *e);
+static void stop(struct kernel *k);
+
+static struct plugin plugin = {
+	.name = "vm_state",
+	.rank = RANK_STATE,
+	.start = start,
+	.stop = stop,
+};
+PLUGIN_REGISTER(plugin);
+
+/* Makes the tables that all other plug-ins fill and read. */
+static int start(struct kernel *k, struct error *e)
+{
+	k->store = store_create();
+	k->fleet = fleet_create(k);
+	k->peer = peer_create();
+	if (k->store && k->fleet && k->peer)
+		return 0;
+	stop(k);
+	return error_set(e, ERR_SYSTEM, STEP_NONE, k->settings.vm,
+			 "no memory for the VM's tables");
+}
+
+/* Frees the tables; every thread that used them has ended. */
+static void stop(struct kernel *k)
+{
+	peer_destroy(k->peer);
+	fleet_destroy(k->fleet);
+	store_destroy(k->store);
+	k->peer = NULL;
+	k->fleet = NULL;
+	k->store = NULL;
+}
