Spread objects, members and freshness between VMs by gossip

Cause: only a few VMs may watch the platform; the rest must learn within seconds, and a change counts once a VM of another failure domain knows it. Change: questions and answers over decide/spread, news of members, freshness taken from whole answers; a new object makes a VM ask at once, and whoever is asked by a VM that is ahead asks back; an accepted change is told directly.

--- a/src/decide/members.c
+++ b/src/decide/members.c
@@ -199,6 +199,16 @@
 	m->vms[SELF].m.told = 0;
 }
 
+/* Sets the addresses that this VM tells of itself. */
+void members_address_self(struct members *m, const char *peer,
+			  const char *caller)
+{
+	struct member *self = &m->vms[SELF].m;
+
+	snprintf(self->peer, sizeof(self->peer), "%s", peer);
+	snprintf(self->caller, sizeof(self->caller), "%s", caller);
+}
+
 /* Handles go from 0 to this, with gaps. */
 size_t members_count(const struct members *m)
 {
--- a/src/decide/members.h
+++ b/src/decide/members.h
@@ -55,6 +55,9 @@
 size_t members_pick_news(struct members *m, struct member_news *out,
 			 size_t max);
 void members_depart_self(struct members *m);
+/* Where this VM is reached, once its listeners know. */
+void members_address_self(struct members *m, const char *peer,
+			  const char *caller);
 
 size_t members_count(const struct members *m);
 const struct member *members_at(const struct members *m, vm_handle h);
--- a/src/kernel/fleet.c
+++ b/src/kernel/fleet.c
@@ -65,14 +65,14 @@
 size_t fleet_snapshot(struct kernel *k, struct fleet_vm *out, size_t max)
 {
 	struct fleet *f = k->fleet;
-	size_t n, i;
+	size_t n = 0;
+	vm_handle h;
 
 	fleet_lock(f);
-	n = members_count(f->members);
-	if (n > max)
-		n = max;
-	for (i = 0; i < n; i++)
-		copy_vm(f->members, (vm_handle)i, &out[i]);
+	for (h = 0; h < members_count(f->members) && n < max; h++) {
+		if (members_at(f->members, h))
+			copy_vm(f->members, h, &out[n++]);
+	}
 	fleet_unlock(f);
 	return n;
 }
@@ -80,10 +80,15 @@
 /* Returns how many VMs are known. Takes the lock. */
 size_t fleet_size(struct kernel *k)
 {
-	size_t n;
+	struct members *m = k->fleet->members;
+	size_t n = 0;
+	vm_handle h;
 
 	fleet_lock(k->fleet);
-	n = members_count(k->fleet->members);
+	for (h = 0; h < members_count(m); h++) {
+		if (members_at(m, h))
+			n++;
+	}
 	fleet_unlock(k->fleet);
 	return n;
 }
@@ -208,6 +213,17 @@
 	return majority;
 }
 
+/* Returns the age of this VM's word of the platform; -1: it has none. */
+int64_t fleet_word_age(struct kernel *k, usec_t now)
+{
+	int64_t age;
+
+	fleet_lock(k->fleet);
+	age = freshness_word_age(&k->fleet->fresh, now);
+	fleet_unlock(k->fleet);
+	return age;
+}
+
 /* Makes the lock and its pool. */
 static int make_lock(struct fleet *f)
 {
--- a/src/kernel/fleet_own.h
+++ b/src/kernel/fleet_own.h
@@ -4,7 +4,7 @@
 #include <apr_pools.h>
 #include <apr_thread_mutex.h>
 
-#include "decide/keyring.h"
+#include "decide/freshness.h"
 #include "decide/members.h"
 #include "kernel/fleet.h"
 
--- a/src/kernel/plugin.h
+++ b/src/kernel/plugin.h
@@ -23,12 +23,13 @@
 	RANK_STATE = 5, /* store and fleet: there before all, freed last */
 	RANK_PLATFORM = 10,
 	RANK_PEER = 20,
-	RANK_CONFIG = 24,
-	RANK_GOSSIP = 26,
 	RANK_DATABASE = 30,
 	RANK_ENGINE = 40,
-	RANK_ADMIN = 50,
 	RANK_CALLER = 60,
+	/* From here on every listener's address is known. */
+	RANK_GOSSIP = 70,
+	RANK_CONFIG = 72,
+	RANK_ADMIN = 80,
 };
 
 void plugin_register(struct plugin *p);
--- a/src/kernel/store.c
+++ b/src/kernel/store.c
@@ -180,6 +180,19 @@
 	return n;
 }
 
+/* Returns the bytes of an object's body; 0 if it is not known. */
+size_t store_size(struct store *s, const char *name)
+{
+	const struct object *o;
+	size_t len;
+
+	apr_thread_mutex_lock(s->lock);
+	o = find(s, name);
+	len = o ? o->body_len : 0;
+	apr_thread_mutex_unlock(s->lock);
+	return len;
+}
+
 /* Returns the version known of an object; 0 if it is not known. */
 uint64_t store_version(struct store *s, const char *name)
 {
--- a/src/kernel/store.h
+++ b/src/kernel/store.h
@@ -30,6 +30,8 @@
 void store_each(struct store *s, const char *prefix, store_each_fn fn,
 		void *ctx);
 size_t store_count(struct store *s);
+/* Bytes of the body known, 0 if none. */
+size_t store_size(struct store *s, const char *name);
 /* Version known, 0 if none. */
 uint64_t store_version(struct store *s, const char *name);
 /* A malloc'd copy of the body, or NULL. */
--- /dev/null
+++ b/src/plugins/gossip_codec.c
@@ -0,0 +1,308 @@
+#include "plugins/gossip_codec.h"
+
+#include <string.h>
+
+#include "kernel/wire.h"
+
+#define ASK_FIELDS     5
+#define ANSWER_FIELDS  6
+#define CURSOR_FIELDS  5
+#define TELL_FIELDS    4
+#define OBJECT_FIELDS  4
+#define UNSEEN_FIELDS  2
+#define CONTACT_FIELDS 2
+#define NEWS_FIELDS    10
+
+static void put_cursor(msgpack_packer *p, const struct spread_cursor *c);
+static void get_cursor(struct wire_reader *r, struct spread_cursor *out);
+static void put_news(msgpack_packer *p, const struct gossip_news *news);
+static void get_news(struct wire_reader *r, struct gossip_news *out);
+static void get_news_item(struct wire_reader *r, struct member_news *out);
+static void put_unseen(msgpack_packer *p, const struct spread_ask *a);
+static void get_unseen(struct wire_reader *r, struct spread_ask *out);
+static void put_object(msgpack_packer *p, const struct gossip_object *o);
+static void get_object(struct wire_reader *r, struct gossip_object *out);
+static void get_objects(struct wire_reader *r, struct gossip_answer *out);
+static void get_contacts(struct wire_reader *r, struct gossip_answer *out);
+static void merge_bad(struct wire_reader *r, const struct wire_reader *sub);
+static int malformed(struct error *e, const char *what);
+
+/* Appends a question to a buffer. */
+void gossip_ask_encode(msgpack_sbuffer *out, const struct gossip_ask *a)
+{
+	msgpack_packer p;
+
+	msgpack_packer_init(&p, out, msgpack_sbuffer_write);
+	msgpack_pack_array(&p, ASK_FIELDS);
+	msgpack_pack_uint64(&p, a->spread.id);
+	msgpack_pack_uint64(&p, a->spread.complete);
+	put_cursor(&p, &a->spread.cursor);
+	put_unseen(&p, &a->spread);
+	put_news(&p, &a->news);
+}
+
+/* Reads a question; -1 if it is malformed or over a bound. */
+int gossip_ask_decode(const void *buf, size_t len, struct gossip_ask *out,
+		      struct error *e)
+{
+	struct wire_reader r = { .bad = true };
+	msgpack_unpacked u;
+
+	memset(out, 0, sizeof(*out));
+	msgpack_unpacked_init(&u);
+	if (wire_unpack(&u, buf, len))
+		r = wire_array(&u.data, ASK_FIELDS);
+	out->spread.id = wire_u64(&r);
+	out->spread.complete = wire_u64(&r);
+	get_cursor(&r, &out->spread.cursor);
+	get_unseen(&r, &out->spread);
+	get_news(&r, &out->news);
+	msgpack_unpacked_destroy(&u);
+	return r.bad ? malformed(e, "question") : 0;
+}
+
+/* Appends an answer to a buffer. */
+void gossip_answer_encode(msgpack_sbuffer *out, const struct gossip_answer *a)
+{
+	msgpack_packer p;
+	uint32_t i;
+
+	msgpack_packer_init(&p, out, msgpack_sbuffer_write);
+	msgpack_pack_array(&p, ANSWER_FIELDS);
+	msgpack_pack_uint64(&p, a->id);
+	put_cursor(&p, &a->cursor);
+	msgpack_pack_int64(&p, a->word_age_us);
+	msgpack_pack_array(&p, a->n_contacts);
+	for (i = 0; i < a->n_contacts; i++) {
+		msgpack_pack_array(&p, CONTACT_FIELDS);
+		wire_put_str(&p, a->contacts[i].domain);
+		msgpack_pack_int64(&p, a->contacts[i].age_us);
+	}
+	put_news(&p, &a->news);
+	msgpack_pack_array(&p, a->n_objects);
+	for (i = 0; i < a->n_objects; i++)
+		put_object(&p, &a->objects[i]);
+}
+
+/* Reads an answer; -1 if it is malformed or over a bound. */
+int gossip_answer_decode(msgpack_unpacked *u, const void *buf, size_t len,
+			 struct gossip_answer *out, struct error *e)
+{
+	struct wire_reader r = { .bad = true };
+
+	memset(out, 0, sizeof(*out));
+	if (wire_unpack(u, buf, len))
+		r = wire_array(&u->data, ANSWER_FIELDS);
+	out->id = wire_u64(&r);
+	get_cursor(&r, &out->cursor);
+	out->word_age_us = wire_i64(&r);
+	get_contacts(&r, out);
+	get_news(&r, &out->news);
+	get_objects(&r, out);
+	return r.bad ? malformed(e, "answer") : 0;
+}
+
+/* Appends an object, or the version of one, to a buffer. */
+void gossip_tell_encode(msgpack_sbuffer *out, const struct gossip_tell *t)
+{
+	msgpack_packer p;
+
+	msgpack_packer_init(&p, out, msgpack_sbuffer_write);
+	msgpack_pack_array(&p, TELL_FIELDS);
+	msgpack_pack_uint64(&p, t->id);
+	wire_put_str(&p, t->object.name);
+	msgpack_pack_uint64(&p, t->object.version);
+	wire_put_bin(&p, t->object.body, t->object.body_len);
+}
+
+/* Reads what gossip_tell_encode() wrote; -1 if it is malformed. */
+int gossip_tell_decode(msgpack_unpacked *u, const void *buf, size_t len,
+		       struct gossip_tell *out, struct error *e)
+{
+	struct gossip_object *o = &out->object;
+	struct wire_reader r = { .bad = true };
+
+	memset(out, 0, sizeof(*out));
+	if (wire_unpack(u, buf, len))
+		r = wire_array(&u->data, TELL_FIELDS);
+	out->id = wire_u64(&r);
+	wire_str(&r, o->name, sizeof(o->name));
+	o->version = wire_u64(&r);
+	o->body = wire_bin(&r, OBJECT_MAX_BYTES, &o->body_len);
+	return r.bad ? malformed(e, "object") : 0;
+}
+
+/* Writes how far an answer went. */
+static void put_cursor(msgpack_packer *p, const struct spread_cursor *c)
+{
+	msgpack_pack_array(p, CURSOR_FIELDS);
+	msgpack_pack_uint64(p, c->revision);
+	msgpack_pack_uint64(p, c->hash);
+	msgpack_pack_uint64(p, c->upto);
+	msgpack_pack_uint8(p, c->ended);
+	msgpack_pack_uint8(p, c->whole);
+}
+
+/* Reads how far an answer went. */
+static void get_cursor(struct wire_reader *r, struct spread_cursor *out)
+{
+	struct wire_reader c = wire_sub(r, CURSOR_FIELDS);
+
+	out->revision = wire_u64(&c);
+	out->hash = wire_u64(&c);
+	out->upto = wire_u64(&c);
+	out->ended = wire_u64(&c) != 0;
+	out->whole = wire_u64(&c) != 0;
+	merge_bad(r, &c);
+}
+
+/* Writes news of VMs. */
+static void put_news(msgpack_packer *p, const struct gossip_news *news)
+{
+	uint32_t i;
+
+	msgpack_pack_array(p, news->n);
+	for (i = 0; i < news->n; i++) {
+		const struct member_news *w = &news->item[i];
+		const struct member *m = &w->member;
+
+		msgpack_pack_array(p, NEWS_FIELDS);
+		wire_put_str(p, m->name);
+		wire_put_str(p, m->domain);
+		wire_put_str(p, m->peer);
+		wire_put_str(p, m->caller);
+		msgpack_pack_uint64(p, m->incarnation);
+		msgpack_pack_uint64(p, m->beat);
+		msgpack_pack_uint8(p, m->departing);
+		msgpack_pack_uint8(p, m->suspect);
+		msgpack_pack_uint8(p, w->from_list);
+		msgpack_pack_uint8(p, w->off_list);
+	}
+}
+
+/* Reads news of VMs, at most GOSSIP_NEWS_MAX. */
+static void get_news(struct wire_reader *r, struct gossip_news *out)
+{
+	struct wire_reader list = wire_sub(r, GOSSIP_NEWS_MAX);
+	struct wire_reader item;
+
+	while (!list.bad && list.left) {
+		item = wire_sub(&list, NEWS_FIELDS);
+		get_news_item(&item, &out->item[out->n++]);
+		merge_bad(&list, &item);
+	}
+	merge_bad(r, &list);
+}
+
+/* Reads the news of one VM, which must have a name and a domain. */
+static void get_news_item(struct wire_reader *r, struct member_news *out)
+{
+	struct member *m = &out->member;
+
+	wire_str(r, m->name, sizeof(m->name));
+	wire_str(r, m->domain, sizeof(m->domain));
+	wire_str(r, m->peer, sizeof(m->peer));
+	wire_str(r, m->caller, sizeof(m->caller));
+	m->incarnation = wire_u64(r);
+	m->beat = wire_u64(r);
+	m->departing = wire_u64(r) != 0;
+	m->suspect = wire_u64(r) != 0;
+	out->from_list = wire_u64(r) != 0;
+	out->off_list = wire_u64(r) != 0;
+	if (m->name[0] == '\0' || m->domain[0] == '\0')
+		r->bad = true;
+}
+
+/* Writes the names and versions of what is not seen in a watch yet. */
+static void put_unseen(msgpack_packer *p, const struct spread_ask *a)
+{
+	uint32_t i;
+
+	msgpack_pack_array(p, a->n);
+	for (i = 0; i < a->n; i++) {
+		msgpack_pack_array(p, UNSEEN_FIELDS);
+		wire_put_str(p, a->unseen[i].name);
+		msgpack_pack_uint64(p, a->unseen[i].version);
+	}
+}
+
+/* Reads names and versions, at most SPREAD_UNSEEN_MAX. */
+static void get_unseen(struct wire_reader *r, struct spread_ask *out)
+{
+	struct wire_reader list = wire_sub(r, SPREAD_UNSEEN_MAX);
+	struct wire_reader item;
+
+	while (!list.bad && list.left) {
+		struct spread_object *o = &out->unseen[out->n++];
+
+		item = wire_sub(&list, UNSEEN_FIELDS);
+		wire_str(&item, o->name, sizeof(o->name));
+		o->version = wire_u64(&item);
+		merge_bad(&list, &item);
+	}
+	merge_bad(r, &list);
+}
+
+/* Writes one object. */
+static void put_object(msgpack_packer *p, const struct gossip_object *o)
+{
+	msgpack_pack_array(p, OBJECT_FIELDS);
+	wire_put_str(p, o->name);
+	msgpack_pack_uint64(p, o->version);
+	msgpack_pack_uint64(p, o->revision);
+	wire_put_bin(p, o->body, o->body_len);
+}
+
+/* Reads one object; its body stays in the message. */
+static void get_object(struct wire_reader *r, struct gossip_object *out)
+{
+	wire_str(r, out->name, sizeof(out->name));
+	out->version = wire_u64(r);
+	out->revision = wire_u64(r);
+	out->body = wire_bin(r, OBJECT_MAX_BYTES, &out->body_len);
+}
+
+/* Reads objects, at most GOSSIP_OBJECTS_MAX. */
+static void get_objects(struct wire_reader *r, struct gossip_answer *out)
+{
+	struct wire_reader list = wire_sub(r, GOSSIP_OBJECTS_MAX);
+	struct wire_reader item;
+
+	while (!list.bad && list.left) {
+		item = wire_sub(&list, OBJECT_FIELDS);
+		get_object(&item, &out->objects[out->n_objects++]);
+		merge_bad(&list, &item);
+	}
+	merge_bad(r, &list);
+}
+
+/* Reads the failure domains that the peer is in contact with. */
+static void get_contacts(struct wire_reader *r, struct gossip_answer *out)
+{
+	struct wire_reader list = wire_sub(r, FRESHNESS_DOMAINS_MAX);
+	struct wire_reader item;
+
+	while (!list.bad && list.left) {
+		struct gossip_contact *c = &out->contacts[out->n_contacts++];
+
+		item = wire_sub(&list, CONTACT_FIELDS);
+		wire_str(&item, c->domain, sizeof(c->domain));
+		c->age_us = wire_i64(&item);
+		merge_bad(&list, &item);
+	}
+	merge_bad(r, &list);
+}
+
+/* What is bad within makes the whole bad. */
+static void merge_bad(struct wire_reader *r, const struct wire_reader *sub)
+{
+	if (sub->bad)
+		r->bad = true;
+}
+
+/* Names what could not be read. */
+static int malformed(struct error *e, const char *what)
+{
+	return error_set(e, ERR_BAD_REQUEST, STEP_GOSSIP, NULL, "malformed %s",
+			 what);
+}
--- /dev/null
+++ b/src/plugins/gossip_confirm.c
@@ -0,0 +1,235 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "kernel/counters.h"
+#include "kernel/fleet_own.h"
+#include "kernel/log.h"
+#include "kernel/store.h"
+#include "plugins/gossip_own.h"
+
+/* A change that waits until another VM knows it. */
+struct confirm_job {
+	struct confirm_job *next; /* under the gossip's lock, as is the rest */
+	struct gossip *gossip;
+	struct gossip_confirm *owner;
+	struct spread_acceptance acceptance;
+	struct loop_timer timer; /* the loop's */
+	uint64_t id;
+	usec_t deadline;
+	bool ended; /* told() has posted the end */
+};
+
+static void begin(void *ctx);
+static void on_timer(void *ctx);
+static void tell_peers(struct confirm_job *j);
+static void send_object(struct gossip *g, const char *to, uint64_t id,
+			const char *name);
+static void finish(void *ctx);
+static void unlink_job(struct confirm_job *j);
+static void hear(struct gossip *g, const char *from,
+		 const struct gossip_tell *told);
+
+/* Begins to confirm a change; any thread. */
+void gossip_confirm(struct kernel *k, struct gossip_confirm *c)
+{
+	struct confirm_job *j = calloc(1, sizeof(*j));
+
+	(void)k;
+	if (!j)
+		abort();
+	j->gossip = &gossip;
+	j->owner = c;
+	j->deadline = clock_now() + c->timeout;
+	j->timer.fn = on_timer;
+	j->timer.ctx = j;
+	c->known_by[0] = '\0';
+	c->known_domain[0] = '\0';
+	loop_post(gossip.loop, begin, j);
+}
+
+/* A peer tells of an object just written: apply it, say what is known. */
+void gossip_on_tell(void *ctx, const char *from, uint64_t incarnation,
+		    const void *body, size_t len)
+{
+	struct gossip *g = ctx;
+	struct gossip_tell t;
+	struct error e = { 0 };
+	msgpack_unpacked u;
+	msgpack_sbuffer buf;
+	char *text;
+
+	(void)incarnation;
+	msgpack_unpacked_init(&u);
+	if (gossip_tell_decode(&u, body, len, &t, &e)) {
+		counter_add(CTR_PEER_BAD, 1);
+		log_error(EV_PEER_BAD_MESSAGE, &e);
+		msgpack_unpacked_destroy(&u);
+		return;
+	}
+	text = strndup(t.object.body ? t.object.body : "", t.object.body_len);
+	if (text)
+		gossip_offer(g->kernel, t.object.name, t.object.version, 0,
+			     text, &e);
+	free(text);
+	msgpack_unpacked_destroy(&u);
+	t.object.version = store_version(g->kernel->store, t.object.name);
+	t.object.body = NULL;
+	t.object.body_len = 0;
+	msgpack_sbuffer_init(&buf);
+	gossip_tell_encode(&buf, &t);
+	peer_send(g->kernel, from, PEER_TOLD, buf.data, buf.size);
+	msgpack_sbuffer_destroy(&buf);
+}
+
+/* A peer says which version of an object it knows. */
+void gossip_on_told(void *ctx, const char *from, uint64_t incarnation,
+		    const void *body, size_t len)
+{
+	struct gossip_tell told;
+	struct error e = { 0 };
+	msgpack_unpacked u;
+
+	(void)incarnation;
+	msgpack_unpacked_init(&u);
+	if (gossip_tell_decode(&u, body, len, &told, &e) == 0)
+		hear(ctx, from, &told);
+	else
+		log_error(EV_PEER_BAD_MESSAGE, &e);
+	msgpack_unpacked_destroy(&u);
+}
+
+/* Puts the job among those that wait; on the loop. */
+static void begin(void *ctx)
+{
+	struct confirm_job *j = ctx;
+	struct gossip *g = j->gossip;
+
+	fleet_lock(g->kernel->fleet);
+	spread_acceptance_init(&j->acceptance, g->kernel->fleet->members);
+	fleet_unlock(g->kernel->fleet);
+	if (j->acceptance.accepted) {
+		finish(j);
+		return;
+	}
+	apr_thread_mutex_lock(g->lock);
+	j->id = ++g->next_id;
+	j->next = g->confirms;
+	g->confirms = j;
+	apr_thread_mutex_unlock(g->lock);
+	on_timer(j);
+}
+
+/* Tells more peers, until the time is over. */
+static void on_timer(void *ctx)
+{
+	struct confirm_job *j = ctx;
+	usec_t now = clock_now();
+	bool ended;
+
+	apr_thread_mutex_lock(j->gossip->lock);
+	ended = j->ended;
+	if (!ended && now >= j->deadline)
+		unlink_job(j);
+	apr_thread_mutex_unlock(j->gossip->lock);
+	if (ended)
+		return;
+	if (now >= j->deadline) {
+		finish(j);
+		return;
+	}
+	tell_peers(j);
+	loop_timer_set(j->gossip->loop, &j->timer, now + CONFIRM_RETRY_US);
+}
+
+/* Draws peers whose word would count, and tells them. */
+static void tell_peers(struct confirm_job *j)
+{
+	struct kernel *k = j->gossip->kernel;
+	const char *not_domain =
+		j->acceptance.need_domain ? k->settings.domain : NULL;
+	struct fleet_vm peers[CONFIRM_PEERS];
+	size_t n, i;
+
+	n = fleet_pick(k, CONFIRM_PEERS, not_domain, peers);
+	for (i = 0; i < n; i++)
+		send_object(j->gossip, peers[i].name, j->id, j->owner->name);
+}
+
+/* Sends one object as it is in force here. */
+static void send_object(struct gossip *g, const char *to, uint64_t id,
+			const char *name)
+{
+	struct gossip_tell t = { .id = id };
+	msgpack_sbuffer buf;
+	char *body;
+
+	body = store_get(g->kernel->store, name, &t.object.version);
+	if (!body)
+		return;
+	snprintf(t.object.name, sizeof(t.object.name), "%s", name);
+	t.object.body = body;
+	t.object.body_len = strlen(body);
+	msgpack_sbuffer_init(&buf);
+	gossip_tell_encode(&buf, &t);
+	peer_send(g->kernel, to, PEER_TELL, buf.data, buf.size);
+	msgpack_sbuffer_destroy(&buf);
+	free(body);
+}
+
+/* Tells the owner what came of it; on the loop, once. */
+static void finish(void *ctx)
+{
+	struct confirm_job *j = ctx;
+	struct gossip_confirm *c = j->owner;
+
+	loop_timer_clear(j->gossip->loop, &j->timer);
+	c->missing = MISSING_NOTHING;
+	if (!j->acceptance.accepted)
+		c->missing = j->acceptance.need_domain ? MISSING_DOMAIN
+						       : MISSING_PEER;
+	free(j);
+	c->done(c);
+}
+
+/* Takes a job out of those that wait; the lock is held. */
+static void unlink_job(struct confirm_job *j)
+{
+	struct confirm_job **p;
+
+	for (p = &j->gossip->confirms; *p; p = &(*p)->next) {
+		if (*p == j) {
+			*p = j->next;
+			return;
+		}
+	}
+}
+
+/* Ends the job that a peer's word completes. */
+static void hear(struct gossip *g, const char *from,
+		 const struct gossip_tell *told)
+{
+	struct fleet_vm peer;
+	struct confirm_job *j;
+
+	if (!fleet_find(g->kernel, from, &peer))
+		return;
+	apr_thread_mutex_lock(g->lock);
+	for (j = g->confirms; j; j = j->next) {
+		if (j->id == told->id &&
+		    strcmp(j->owner->name, told->object.name) == 0 &&
+		    told->object.version >= j->owner->version &&
+		    spread_acceptance_heard(&j->acceptance, peer.domain))
+			break;
+	}
+	if (j) {
+		memcpy(j->owner->known_by, peer.name, sizeof(peer.name));
+		memcpy(j->owner->known_domain, peer.domain,
+		       sizeof(peer.domain));
+		j->ended = true;
+		unlink_job(j);
+	}
+	apr_thread_mutex_unlock(g->lock);
+	if (j)
+		loop_post(g->loop, finish, j);
+}
