Refund tokens by the time at which they were taken

Cause: a token taken before the bucket was full again, and refunded after, would let a team exceed its burst by one. Change: teams_refund() takes the time of the admission. Conclusion: callers keep the time that they passed to teams_admit().

--- a/src/kernel/teams.h
+++ b/src/kernel/teams.h
@@ -34,8 +34,12 @@
 enum team_admission teams_admit(struct kernel *k, const char *team, usec_t now,
 				usec_t first_tried, usec_t *again_at,
 				int64_t *retry_after_ms);
-/* Gives a taken token back for a request that was refused before it ran. */
-void teams_refund(struct kernel *k, const char *team, usec_t now);
+/*
+ * Gives a taken token back for a request that was refused before it ran.
+ * "admitted_at" is the "now" of the call of teams_admit() that took it: a
+ * token that the bucket could not have kept until now is not given back.
+ */
+void teams_refund(struct kernel *k, const char *team, usec_t admitted_at);
 /* Key that authenticates session tokens; 32 bytes each; false if not known. */
 bool teams_session_secret(struct kernel *k, uint8_t current[32],
 			  uint8_t previous[32], bool *has_previous);
