--- /dev/null
+++ b/src/plugins/admin_request.c
@@ -0,0 +1,403 @@
+#include "plugins/admin_request.h"
+
+#include <errno.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define SEGMENTS_MAX 4
+
+struct segments {
+	size_t n;
+	char part[SEGMENTS_MAX][NAME_MAX_BYTES];
+};
+
+/* Which methods each place takes. */
+static const struct place {
+	const char *first;
+	size_t n;	   /* segments */
+	const char *third; /* NULL: none, or any */
+	enum admin_place place;
+	bool takes[ADMIN_METHODS];
+} places[] = {
+	{ "teams", 1, NULL, PLACE_TEAMS, { [ADMIN_GET] = true } },
+	{ "teams",
+	  2,
+	  NULL,
+	  PLACE_TEAM,
+	  { [ADMIN_GET] = true, [ADMIN_PUT] = true, [ADMIN_DELETE] = true } },
+	{ "teams", 3, "keys", PLACE_KEYS, { [ADMIN_POST] = true } },
+	{ "teams", 4, "keys", PLACE_KEY, { [ADMIN_DELETE] = true } },
+	{ "defaults",
+	  1,
+	  NULL,
+	  PLACE_DEFAULTS,
+	  { [ADMIN_GET] = true, [ADMIN_PUT] = true } },
+	{ "exceptions", 1, NULL, PLACE_EXCEPTIONS, { [ADMIN_GET] = true } },
+	{ "exceptions",
+	  2,
+	  NULL,
+	  PLACE_EXCEPTION,
+	  { [ADMIN_GET] = true, [ADMIN_PUT] = true, [ADMIN_DELETE] = true } },
+	{ "status", 1, NULL, PLACE_STATUS, { [ADMIN_GET] = true } },
+	{ "events", 1, NULL, PLACE_EVENTS, { [ADMIN_GET] = true } },
+};
+
+static const char *const method_names[ADMIN_METHODS] = {
+	[ADMIN_GET] = "GET",
+	[ADMIN_PUT] = "PUT",
+	[ADMIN_POST] = "POST",
+	[ADMIN_DELETE] = "DELETE",
+};
+
+static int split(const char *path, struct segments *out);
+static const struct place *find_place(const struct segments *s);
+static int parse_method(const char *method);
+static json_t *load(const char *body, size_t len, struct error *e);
+static int parse_team(json_t *root, struct change *out, struct error *e);
+static int parse_limits(json_t *root, const char *const *also, size_t n_also,
+			struct change *out, struct error *e);
+static int parse_limit(const json_t *v, const char *key, struct change *out,
+		       struct error *e);
+static int parse_exception(json_t *root, struct change *out, struct error *e);
+static int parse_key(json_t *root, struct change *out, struct error *e);
+static int copy_text(const json_t *root, const char *key, char *out,
+		     size_t size, struct error *e);
+static bool one_of(const char *key, const char *const *list, size_t n);
+static int refuse(struct error *e, const char *what, const char *why);
+
+/* See the header. */
+int admin_target_parse(const char *method, const char *path,
+		       struct admin_target *out, struct error *e)
+{
+	const struct place *p = NULL;
+	struct segments s;
+	int m = parse_method(method);
+
+	memset(out, 0, sizeof(*out));
+	if (split(path, &s) == 0)
+		p = find_place(&s);
+	if (!p)
+		return error_set(e, ERR_NOT_FOUND, STEP_PARSE, NULL,
+				 "no such address");
+	if (m < 0 || !p->takes[m])
+		return error_set(e, ERR_METHOD, STEP_PARSE, NULL,
+				 "method not allowed here");
+	out->method = (enum admin_method)m;
+	out->place = p->place;
+	if (strcmp(p->first, "teams") == 0 && s.n > 1)
+		memcpy(out->team, s.part[1], sizeof(out->team));
+	else if (s.n > 1)
+		memcpy(out->id, s.part[1], sizeof(out->id));
+	if (s.n == SEGMENTS_MAX)
+		memcpy(out->id, s.part[3], sizeof(out->id));
+	return 0;
+}
+
+/* See the header. */
+int admin_condition_parse(const char *if_match, const char *if_none_match,
+			  struct admin_condition *out, struct error *e)
+{
+	char *end;
+
+	memset(out, 0, sizeof(*out));
+	if (if_none_match) {
+		if (strcmp(if_none_match, "*") != 0)
+			return error_set(e, ERR_BAD_REQUEST, STEP_PARSE, NULL,
+					 "If-None-Match must be *");
+		out->absent = true;
+	}
+	if (!if_match)
+		return 0;
+	errno = 0;
+	if (if_match[0] == '"' && if_match[1] >= '0' && if_match[1] <= '9') {
+		out->version = strtoull(if_match + 1, &end, 10);
+		out->has_version = errno == 0 && strcmp(end, "\"") == 0;
+	}
+	if (!out->has_version || out->absent)
+		return error_set(e, ERR_BAD_REQUEST, STEP_PARSE, NULL,
+				 "If-Match must be one \"VERSION\"");
+	return 0;
+}
+
+/* Issuing and withdrawing a key hurt nobody else's change of the team. */
+bool admin_condition_needed(const struct admin_target *t)
+{
+	return admin_is_change(t) && t->place != PLACE_KEYS &&
+	       t->place != PLACE_KEY;
+}
+
+/* See the header. */
+bool admin_is_change(const struct admin_target *t)
+{
+	return t->method != ADMIN_GET;
+}
+
+/* See the header. */
+int admin_change_parse(const struct admin_target *t, const char *body,
+		       size_t len, struct change *out, struct error *e)
+{
+	bool put = t->method == ADMIN_PUT;
+	json_t *root = NULL;
+	int rc = 0;
+
+	memcpy(out->team, t->team, sizeof(out->team));
+	if (t->method != ADMIN_DELETE) {
+		root = load(body, len, e);
+		if (!root)
+			return -1;
+	}
+	switch (t->place) {
+	case PLACE_TEAM:
+		out->kind = put ? CHANGE_PUT_TEAM : CHANGE_DELETE_TEAM;
+		rc = put ? parse_team(root, out, e) : 0;
+		break;
+	case PLACE_KEYS:
+		out->kind = CHANGE_ADD_KEY;
+		rc = parse_key(root, out, e);
+		break;
+	case PLACE_KEY:
+		out->kind = CHANGE_WITHDRAW_KEY;
+		memcpy(out->key_id, t->id, sizeof(out->key_id));
+		break;
+	case PLACE_DEFAULTS:
+		out->kind = CHANGE_PUT_DEFAULTS;
+		rc = parse_limits(root, NULL, 0, out, e);
+		break;
+	case PLACE_EXCEPTION:
+		out->kind =
+			put ? CHANGE_PUT_EXCEPTION : CHANGE_DELETE_EXCEPTION;
+		memcpy(out->exception_id, t->id, sizeof(out->exception_id));
+		rc = put ? parse_exception(root, out, e) : 0;
+		break;
+	default:
+		rc = error_set(e, ERR_METHOD, STEP_PARSE, NULL,
+			       "nothing to change here");
+		break;
+	}
+	json_decref(root);
+	return rc;
+}
+
+/* Splits the path after its prefix; every segment must be a name. */
+static int split(const char *path, struct segments *out)
+{
+	const char *slash;
+	size_t len;
+
+	memset(out, 0, sizeof(*out));
+	if (strncmp(path, ADMIN_PREFIX, strlen(ADMIN_PREFIX)) != 0)
+		return -1;
+	path += strlen(ADMIN_PREFIX);
+	for (;;) {
+		slash = strchrnul(path, '/');
+		len = (size_t)(slash - path);
+		if (out->n == SEGMENTS_MAX || len == 0 || len >= NAME_MAX_BYTES)
+			return -1;
+		memcpy(out->part[out->n], path, len);
+		if (!config_name_ok(out->part[out->n++]))
+			return -1;
+		if (*slash == '\0')
+			return 0;
+		path = slash + 1;
+	}
+}
+
+/* Finds the place that the segments name. */
+static const struct place *find_place(const struct segments *s)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(places) / sizeof(places[0]); i++) {
+		const struct place *p = &places[i];
+
+		if (s->n == p->n && strcmp(s->part[0], p->first) == 0 &&
+		    (!p->third || strcmp(s->part[2], p->third) == 0))
+			return p;
+	}
+	return NULL;
+}
+
+/* Finds a method by its name; -1 if it is none of ours. */
+static int parse_method(const char *method)
+{
+	int i;
+
+	for (i = 0; i < ADMIN_METHODS; i++) {
+		if (strcmp(method, method_names[i]) == 0)
+			return i;
+	}
+	return -1;
+}
+
+/* Parses a body; none counts as an empty object. */
+static json_t *load(const char *body, size_t len, struct error *e)
+{
+	json_error_t why;
+	json_t *root;
+
+	if (len == 0)
+		return json_object();
+	if (len > ADMIN_BODY_MAX_BYTES) {
+		error_set(e, ERR_TOO_LARGE, STEP_PARSE, NULL,
+			  "body over %d bytes", ADMIN_BODY_MAX_BYTES);
+		return NULL;
+	}
+	root = json_loadb(body, len, JSON_REJECT_DUPLICATES, &why);
+	if (!root) {
+		error_set(e, ERR_BAD_REQUEST, STEP_PARSE, NULL,
+			  "body, line %d: %s", why.line, why.text);
+		return NULL;
+	}
+	if (!json_is_object(root)) {
+		json_decref(root);
+		error_set(e, ERR_BAD_REQUEST, STEP_PARSE, NULL,
+			  "body: must be a JSON object");
+		return NULL;
+	}
+	return root;
+}
+
+/* Reads {"services": [...], "weight": N}. */
+static int parse_team(json_t *root, struct change *out, struct error *e)
+{
+	static const char *const keys[] = { "services", "weight", "reason" };
+	json_t *services = json_object_get(root, "services");
+	json_t *weight = json_object_get(root, "weight");
+	const char *key, *text;
+	json_t *v;
+	size_t i;
+
+	json_object_foreach(root, key, v)
+	{
+		if (!one_of(key, keys, sizeof(keys) / sizeof(keys[0])))
+			return refuse(e, key, "not a field of a team");
+	}
+	if (!json_is_array(services) ||
+	    json_array_size(services) > TEAM_SERVICES_MAX)
+		return refuse(e, "services", "must be a list of names");
+	json_array_foreach(services, i, v)
+	{
+		text = json_string_value(v);
+		if (!text || !config_name_ok(text))
+			return refuse(e, "services", "must hold names");
+		snprintf(out->services[i], NAME_MAX_BYTES, "%s", text);
+	}
+	out->n_services = (uint32_t)json_array_size(services);
+	if (weight) {
+		if (!json_is_integer(weight) ||
+		    json_integer_value(weight) < 1 ||
+		    json_integer_value(weight) > WEIGHT_MAX)
+			return refuse(e, "weight", "must be from 1 to 1000");
+		out->weight = (uint32_t)json_integer_value(weight);
+	}
+	return copy_text(root, "reason", out->reason, sizeof(out->reason), e);
+}
+
+/* Reads limits, and refuses every field that is neither one nor in "also". */
+static int parse_limits(json_t *root, const char *const *also, size_t n_also,
+			struct change *out, struct error *e)
+{
+	const char *key;
+	json_t *v;
+
+	json_object_foreach(root, key, v)
+	{
+		if (one_of(key, also, n_also))
+			continue;
+		if (parse_limit(v, key, out, e))
+			return -1;
+	}
+	return 0;
+}
+
+/* Reads one limit; its bounds are checked with the whole object. */
+static int parse_limit(const json_t *v, const char *key, struct change *out,
+		       struct error *e)
+{
+	struct limits_patch *p = &out->patch;
+	json_int_t n = json_integer_value(v);
+
+	if (!json_is_integer(v) || n < 0 || n > UINT32_MAX)
+		return refuse(e, key, "must be a whole number");
+	if (strcmp(key, "rate_per_s") == 0) {
+		p->limits.rate_per_s = (uint32_t)n;
+		p->has_rate = true;
+	} else if (strcmp(key, "burst") == 0) {
+		p->limits.burst = (uint32_t)n;
+		p->has_burst = true;
+	} else if (strcmp(key, "read_staleness_ms") == 0) {
+		p->limits.read_staleness_ms = (uint32_t)n;
+		p->has_staleness = true;
+	} else {
+		return refuse(e, key, "not a limit");
+	}
+	return 0;
+}
+
+/* Reads {"team": T, "reason": R} and limits. */
+static int parse_exception(json_t *root, struct change *out, struct error *e)
+{
+	static const char *const also[] = { "team", "reason" };
+
+	if (copy_text(root, "team", out->team, sizeof(out->team), e) ||
+	    copy_text(root, "reason", out->reason, sizeof(out->reason), e))
+		return -1;
+	if (!config_name_ok(out->team))
+		return refuse(e, "team", "must be a name");
+	if (strspn(out->reason, " \t\r\n") == strlen(out->reason))
+		return refuse(e, "reason", "an exception needs one");
+	return parse_limits(root, also, 2, out, e);
+}
+
+/* Reads {"key_id": ID}, which may be left out. */
+static int parse_key(json_t *root, struct change *out, struct error *e)
+{
+	const char *key;
+	json_t *v;
+
+	json_object_foreach(root, key, v)
+	{
+		if (strcmp(key, "key_id") != 0)
+			return refuse(e, key, "not a field of a key");
+	}
+	if (copy_text(root, "key_id", out->key_id, sizeof(out->key_id), e))
+		return -1;
+	if (out->key_id[0] != '\0' && !config_name_ok(out->key_id))
+		return refuse(e, "key_id", "must be a name");
+	return 0;
+}
+
+/* Copies a text that may be left out. */
+static int copy_text(const json_t *root, const char *key, char *out,
+		     size_t size, struct error *e)
+{
+	const json_t *v = json_object_get(root, key);
+
+	if (!v)
+		return 0;
+	if (!json_is_string(v) || json_string_length(v) >= size)
+		return refuse(e, key, "must be a text that fits");
+	memcpy(out, json_string_value(v), json_string_length(v) + 1);
+	return 0;
+}
+
+/* Is a key in a list? */
+static bool one_of(const char *key, const char *const *list, size_t n)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		if (strcmp(key, list[i]) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* Names the field and what it must be. */
+static int refuse(struct error *e, const char *what, const char *why)
+{
+	return error_set(e, ERR_UNPROCESSABLE, STEP_CONFIG_CHECK, NULL,
+			 "%.64s: %s", what, why);
+}
--- a/src/standin/omap.c
+++ b/src/standin/omap.c
@@ -77,11 +77,10 @@
 	}
 	n = node_create(key, key_levels(key));
 	n->value = value;
-	i = 0;
-	do {
+	for (i = 0; i < n->levels; i++) {
 		n->next[i] = before[i]->next[i];
 		before[i]->next[i] = n;
-	} while (++i < n->levels);
+	}
 	m->n++;
 }
 
