Serve and check: settings, signals, drain; callers over HTTP

Cause: a VM must start, serve callers and stop without interrupting a request. Change: serve and check read the settings; kernel.c drains by decide/drain; the callers' HTTP server on libmicrohttpd with suspended requests, to which teams and engine are handed as callbacks. Conclusion: the plug-in registers once teams and engine can be linked.

--- a/src/cmd/check.c
+++ b/src/cmd/check.c
@@ -1,10 +1,16 @@
 #include "cmd/cmd.h"
 
-#include <sysexits.h>
+#include <stdio.h>
 
+#include "cmd/settings_file.h"
+
+/* Checks a settings file and starts nothing: 0, or 78 if it has failures. */
 int cmd_check(int argc, char **argv)
 {
-	(void)argc;
-	(void)argv;
-	return EX_USAGE;
+	struct settings s;
+	int rc = settings_from_arguments(argc, argv, &s);
+
+	if (rc == 0)
+		printf("settings: ok\n");
+	return rc;
 }
--- /dev/null
+++ b/src/kernel/kernel.c
@@ -0,0 +1,101 @@
+#include "kernel/kernel.h"
+
+#include <apr_time.h>
+
+#include "decide/drain.h"
+#include "kernel/log.h"
+#include "kernel/loop.h"
+#include "kernel/plugin.h"
+
+#define DRAIN_STEP_MAX (5 * USEC_PER_MSEC)
+#define DRAIN_GIVE_MAX (2 * USEC_PER_SEC)
+
+static struct drain_load load_of(struct kernel *k, enum drain_phase phase);
+static void enter(struct kernel *k, enum drain_phase phase);
+static void set_flag(bool *flag);
+
+/* Starts the plug-ins by rank. */
+int kernel_start(struct kernel *k, struct error *e)
+{
+	k->incarnation = (uint64_t)clock_wall_us();
+	log_event(EV_VM_START, "domain=%s region=%s incarnation=%llu",
+		  k->settings.domain, k->settings.region,
+		  (unsigned long long)k->incarnation);
+	return plugin_start_all(k, e);
+}
+
+/*
+ * Goes through the phases of a graceful shutdown: not ready, refusing new
+ * work, giving back. Returns false if work was left when the time ran out.
+ */
+bool kernel_drain(struct kernel *k)
+{
+	const struct settings *s = &k->settings;
+	const struct drain_limits limits = {
+		.notice = (usec_t)s->drain_notice_ms * USEC_PER_MSEC,
+		.most = (usec_t)s->drain_max_ms * USEC_PER_MSEC,
+		.give = DRAIN_GIVE_MAX,
+	};
+	enum drain_phase phase = DRAIN_SERVING;
+	struct drain_load load;
+	struct drain d;
+
+	drain_init(&d);
+	drain_signal(&d, clock_now());
+	for (;;) {
+		for (; phase < d.phase; phase++)
+			enter(k, phase + 1);
+		if (phase == DRAIN_EXIT)
+			break;
+		apr_sleep(DRAIN_STEP_MAX);
+		load = load_of(k, phase);
+		drain_tick(&d, &limits, &load, clock_now());
+	}
+	return !d.forced;
+}
+
+/* Stops the plug-ins, the last started first. */
+void kernel_stop(struct kernel *k)
+{
+	plugin_stop_all(k);
+	log_event(EV_VM_STOP, "incarnation=%llu",
+		  (unsigned long long)k->incarnation);
+}
+
+/* What drained() means depends on the phase: see kernel/plugin.h. */
+static struct drain_load load_of(struct kernel *k, enum drain_phase phase)
+{
+	const uint32_t left = plugin_drained_all(k) ? 0 : 1;
+	struct drain_load load = { 0 };
+
+	if (phase <= DRAIN_REFUSE)
+		load.running = left;
+	else
+		load.shares = left;
+	return load;
+}
+
+/* Does what a phase begins with. */
+static void enter(struct kernel *k, enum drain_phase phase)
+{
+	log_event(EV_VM_DRAIN, "phase=%s", drain_phase_name(phase));
+	switch (phase) {
+	case DRAIN_NOTICE:
+		set_flag(&k->draining);
+		break;
+	case DRAIN_REFUSE:
+		set_flag(&k->refusing);
+		break;
+	case DRAIN_GIVE:
+		plugin_drain_all(k);
+		break;
+	default:
+		break;
+	}
+}
+
+/* Sets a flag that other threads read. */
+static void set_flag(bool *flag)
+{
+	__atomic_store_n(flag, true, __ATOMIC_RELEASE);
+}
--- a/src/kernel/kernel.h
+++ b/src/kernel/kernel.h
@@ -20,7 +20,18 @@
 	struct engine *engine;
 	struct peer *peer;
 	struct platform *platform;
-	bool draining; /* read and written with __atomic */
+	/* Both read and written with __atomic: */
+	bool draining; /* not ready, departing; still takes all work */
+	bool refusing; /* takes no new statement and no new transaction */
 };
 
+/* Starts the plug-ins; on failure what had started is stopped again. */
+int kernel_start(struct kernel *k, struct error *e);
+/*
+ * Drains the VM and returns when it may stop: false if drain_max_ms ran out
+ * with work unfinished. Blocks.
+ */
+bool kernel_drain(struct kernel *k);
+void kernel_stop(struct kernel *k);
+
 #endif
--- a/src/kernel/plugin.h
+++ b/src/kernel/plugin.h
@@ -8,6 +8,9 @@
 /*
  * A plug-in registers itself before main() and is started in the order of
  * "rank", drained and stopped in the reverse order. Callbacks may be NULL.
+ * drain() is called once no request of a caller is left, to give back what the
+ * VM holds; until then drained() tells whether requests are left, afterwards
+ * whether all is given back. Departing is told earlier, by kernel->draining.
  */
 struct plugin {
 	const char *name;
--- /dev/null
+++ b/src/plugins/caller_http_answer.c
@@ -0,0 +1,286 @@
+#include "plugins/caller_http.h"
+
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "kernel/counters.h"
+#include "kernel/log.h"
+
+#define METRICS_MAX_BYTES      16384
+#define MSEC_PER_SEC	       1000
+#define RETRY_AFTER_DEFAULT_MS 1000
+#define HTTP_OK		       200
+#define HTTP_TOO_MANY	       429
+#define HTTP_UNAVAILABLE       503
+#define HTTP_UNKNOWN	       504
+#define JSON_TYPE	       "application/json"
+#define TEXT_TYPE	       "text/plain; charset=utf-8"
+#define ROWS_KEY	       ",\"rows\":"
+
+static enum MHD_Result answer_open(struct exchange *x);
+static enum MHD_Result answer_error(struct exchange *x, enum outcome outcome,
+				    const struct error *e);
+static enum MHD_Result answer_request(struct exchange *x);
+static enum MHD_Result queue(struct exchange *x, int status, const char *type,
+			     char *body, const struct request *r,
+			     int64_t retry_after_ms);
+static void add_headers(struct exchange *x, struct MHD_Response *resp,
+			int status, const char *type, const struct request *r,
+			int64_t retry_after_ms);
+static void add_error(json_t *root, const struct error *e);
+static json_t *ascii(const char *text);
+static char *splice_rows(char *json, const char *rows);
+static void count(enum outcome outcome);
+static void note(const struct exchange *x, enum outcome outcome,
+		 const struct error *e);
+
+/* Queues the answer of an exchange that is refused, done or abandoned. */
+enum MHD_Result caller_answer(struct exchange *x)
+{
+	if (x->refused)
+		return answer_error(x, OUTCOME_NOT_RUN, &x->error);
+	if (!x->request)
+		return answer_open(x);
+	if (__atomic_load_n(&x->phase, __ATOMIC_ACQUIRE) == EXCHANGE_ABANDONED)
+		return answer_error(x, OUTCOME_UNKNOWN, &x->error);
+	return answer_request(x);
+}
+
+/* Returns the body of an engine's answer as malloc'd JSON. */
+char *caller_answer_json(const struct request *r)
+{
+	const struct answer *a = &r->answer;
+	json_t *root;
+	char *text;
+
+	if (a->outcome != OUTCOME_DONE)
+		return caller_error_json(a->outcome, &a->error,
+					 a->retry_after_ms);
+	root = json_pack("{s:s}", "outcome", outcome_name(a->outcome));
+	if (r->op == OP_STATEMENT)
+		json_object_set_new(
+			root, "served_by",
+			json_string(a->from_replica ? "replica" : "primary"));
+	if (a->at.position > 0) {
+		json_object_set_new(root, "term",
+				    json_integer((json_int_t)a->at.term));
+		json_object_set_new(root, "position",
+				    json_integer((json_int_t)a->at.position));
+	}
+	if (a->age_us >= 0)
+		json_object_set_new(root, "age_ms",
+				    json_integer(a->age_us / USEC_PER_MSEC));
+	if (a->transaction[0])
+		json_object_set_new(root, "transaction", ascii(a->transaction));
+	text = json_dumps(root, JSON_COMPACT);
+	json_decref(root);
+	return splice_rows(text, a->rows);
+}
+
+/* Returns an outcome other than done, with its error, as malloc'd JSON. */
+char *caller_error_json(enum outcome outcome, const struct error *e,
+			int64_t retry_after_ms)
+{
+	json_t *root = json_pack("{s:s}", "outcome", outcome_name(outcome));
+	char *text;
+
+	add_error(root, e);
+	if (retry_after_ms > 0)
+		json_object_set_new(root, "retry_after_ms",
+				    json_integer(retry_after_ms));
+	text = json_dumps(root, JSON_COMPACT);
+	json_decref(root);
+	return text;
+}
+
+/*
+ * Returns the HTTP status: 200 only for done, 504 only for unknown. A code
+ * that has no status of its own for "not run" counts as 503.
+ */
+int caller_answer_status(enum outcome outcome, enum error_code code)
+{
+	int status;
+
+	if (outcome == OUTCOME_DONE)
+		return HTTP_OK;
+	if (outcome == OUTCOME_UNKNOWN)
+		return HTTP_UNKNOWN;
+	status = error_http_status(code);
+	if (status == HTTP_OK || status == HTTP_UNKNOWN)
+		return HTTP_UNAVAILABLE;
+	return status;
+}
+
+/* A refusal that may pass always says when to come back. */
+int64_t caller_retry_after_ms(int status, int64_t asked_ms)
+{
+	if (status != HTTP_TOO_MANY && status != HTTP_UNAVAILABLE)
+		return 0;
+	return asked_ms > 0 ? asked_ms : RETRY_AFTER_DEFAULT_MS;
+}
+
+/* Answers the routes that need no key. */
+static enum MHD_Result answer_open(struct exchange *x)
+{
+	bool draining =
+		__atomic_load_n(&x->http->kernel->draining, __ATOMIC_RELAXED);
+	char *text;
+
+	switch (x->route) {
+	case ROUTE_METRICS:
+		text = malloc(METRICS_MAX_BYTES);
+		if (!text)
+			return MHD_NO;
+		counters_print(text, METRICS_MAX_BYTES);
+		return queue(x, HTTP_OK, TEXT_TYPE, text, NULL, 0);
+	case ROUTE_READY:
+		text = strdup(draining ? "draining\n" : "ready\n");
+		return queue(x, draining ? HTTP_UNAVAILABLE : HTTP_OK,
+			     TEXT_TYPE, text, NULL, 0);
+	default:
+		return queue(x, HTTP_OK, TEXT_TYPE, strdup("ok\n"), NULL, 0);
+	}
+}
+
+/* Answers what the engine never saw, or what it has not finished. */
+static enum MHD_Result answer_error(struct exchange *x, enum outcome outcome,
+				    const struct error *e)
+{
+	int status = caller_answer_status(outcome, e->code);
+	int64_t retry_ms = caller_retry_after_ms(status, 0);
+
+	if (outcome == OUTCOME_NOT_RUN)
+		counter_add(CTR_REQUESTS, 1);
+	count(outcome);
+	note(x, outcome, e);
+	return queue(x, status, JSON_TYPE,
+		     caller_error_json(outcome, e, retry_ms), NULL, retry_ms);
+}
+
+/* Answers what the engine has answered. */
+static enum MHD_Result answer_request(struct exchange *x)
+{
+	struct request *r = x->request;
+	struct answer *a = &r->answer;
+	int status = caller_answer_status(a->outcome, a->error.code);
+
+	a->retry_after_ms = caller_retry_after_ms(status, a->retry_after_ms);
+	note(x, a->outcome, &a->error);
+	return queue(x, status, JSON_TYPE, caller_answer_json(r), r,
+		     a->retry_after_ms);
+}
+
+/* Queues a body, which it frees, with the headers. */
+static enum MHD_Result queue(struct exchange *x, int status, const char *type,
+			     char *body, const struct request *r,
+			     int64_t retry_after_ms)
+{
+	struct MHD_Response *resp;
+	enum MHD_Result rc;
+
+	if (!body)
+		return MHD_NO;
+	resp = MHD_create_response_from_buffer(strlen(body), body,
+					       MHD_RESPMEM_MUST_FREE);
+	if (!resp) {
+		free(body);
+		return MHD_NO;
+	}
+	add_headers(x, resp, status, type, r, retry_after_ms);
+	rc = MHD_queue_response(x->mhd, (unsigned int)status, resp);
+	MHD_destroy_response(resp);
+	return rc;
+}
+
+/* While the VM drains, callers are told to connect elsewhere next time. */
+static void add_headers(struct exchange *x, struct MHD_Response *resp,
+			int status, const char *type, const struct request *r,
+			int64_t retry_after_ms)
+{
+	char seconds[24];
+
+	(void)MHD_add_response_header(resp, "Content-Type", type);
+	if (r && r->answer.token[0])
+		(void)MHD_add_response_header(resp, "Gypsumcleat-Session",
+					      r->answer.token);
+	if (retry_after_ms > 0) {
+		snprintf(seconds, sizeof(seconds), "%lld",
+			 (long long)((retry_after_ms + MSEC_PER_SEC - 1) /
+				     MSEC_PER_SEC));
+		(void)MHD_add_response_header(resp, "Retry-After", seconds);
+	}
+	if (status == error_http_status(ERR_KEY_UNKNOWN))
+		(void)MHD_add_response_header(resp, "WWW-Authenticate",
+					      "Bearer");
+	if (x->allow)
+		(void)MHD_add_response_header(resp, "Allow", x->allow);
+	if (x->close ||
+	    __atomic_load_n(&x->http->kernel->draining, __ATOMIC_RELAXED))
+		(void)MHD_add_response_header(resp, "Connection", "close");
+}
+
+/* Adds {"code","step","peer","message"}. */
+static void add_error(json_t *root, const struct error *e)
+{
+	json_t *error = json_pack("{s:s,s:s}", "code", error_code_name(e->code),
+				  "step", step_name(e->step));
+
+	json_object_set_new(error, "peer", ascii(e->peer));
+	json_object_set_new(error, "message", ascii(e->message));
+	json_object_set_new(root, "error", error);
+}
+
+/* A cut text may end inside a character: only ASCII is passed on. */
+static json_t *ascii(const char *text)
+{
+	char clean[ERROR_MESSAGE_BYTES];
+	size_t i;
+
+	for (i = 0; text[i] && i < sizeof(clean) - 1; i++)
+		clean[i] = (signed char)text[i] < 0 ? '?' : text[i];
+	clean[i] = '\0';
+	return json_string(clean);
+}
+
+/* Puts the rows, JSON already, before the object's closing brace. */
+static char *splice_rows(char *json, const char *rows)
+{
+	size_t len;
+	size_t add;
+	char *more;
+
+	if (!json || !rows)
+		return json;
+	len = strlen(json) - 1;
+	add = strlen(ROWS_KEY) + strlen(rows) + sizeof("}");
+	more = realloc(json, len + add);
+	if (!more) {
+		free(json);
+		return NULL;
+	}
+	snprintf(more + len, add, ROWS_KEY "%s}", rows);
+	return more;
+}
+
+/* Counts a request that the engine does not count, having not finished it. */
+static void count(enum outcome outcome)
+{
+	counter_add(outcome == OUTCOME_UNKNOWN ? CTR_UNKNOWN : CTR_NOT_RUN, 1);
+}
+
+/* Logs an answer that is not done. */
+static void note(const struct exchange *x, enum outcome outcome,
+		 const struct error *e)
+{
+	const struct request *r = x->request;
+
+	if (outcome == OUTCOME_DONE)
+		return;
+	log_event(outcome == OUTCOME_UNKNOWN ? EV_CALLER_UNKNOWN
+					     : EV_CALLER_REFUSED,
+		  "code=%s step=%s peer=%s team=%s service=%s",
+		  error_code_name(e->code), step_name(e->step), e->peer,
+		  r ? r->team : "", r ? r->service : "");
+}
--- /dev/null
+++ b/src/plugins/caller_http_head.c
@@ -0,0 +1,326 @@
+#include "plugins/caller_http.h"
+
+#include <ctype.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "kernel/address.h"
+
+#define SERVICES_PATH "/v1/services/"
+#define BEARER	      "Bearer "
+#define KEY_MAX_BYTES 256
+
+enum head_field {
+	HEAD_AUTHORIZATION,
+	HEAD_REQUEST_ID,
+	HEAD_SESSION,
+	HEAD_CONTENT_LENGTH,
+	HEAD_TRANSFER_ENCODING,
+	HEAD_HOST,
+	HEAD_FIELDS
+};
+
+static const char *const field_names[HEAD_FIELDS] = {
+	[HEAD_AUTHORIZATION] = "Authorization",
+	[HEAD_REQUEST_ID] = "Idempotency-Key",
+	[HEAD_SESSION] = "Gypsumcleat-Session",
+	[HEAD_CONTENT_LENGTH] = "Content-Length",
+	[HEAD_TRANSFER_ENCODING] = "Transfer-Encoding",
+	[HEAD_HOST] = "Host",
+};
+
+/* What a head holds; values live as long as the server's request. */
+struct head {
+	size_t bytes;
+	const char *value[HEAD_FIELDS];
+	uint32_t count[HEAD_FIELDS];
+};
+
+static enum MHD_Result read_field(void *cls, enum MHD_ValueKind kind,
+				  const char *name, const char *value);
+static int check_framing(struct exchange *x, const struct head *h);
+static int find_route(struct exchange *x, const char *url, const char *method);
+static int find_open_route(struct exchange *x, const char *url);
+static int find_service_route(struct exchange *x, const char *path,
+			      struct request *r);
+static int find_transaction_route(struct exchange *x, const char *path,
+				  struct request *r);
+static int check_method(struct exchange *x, const char *method);
+static int check_key(struct exchange *x, const struct head *h);
+static int read_request_id(struct exchange *x, const struct head *h);
+static int read_session(struct exchange *x, const struct head *h);
+static bool copy_part(char *out, size_t size, const char *from, size_t len);
+static bool is_name(const char *s);
+static int refuse(struct exchange *x, enum error_code code, enum step step,
+		  const char *message);
+
+/*
+ * Checks a request's head: framing, size, route, key, and the headers that
+ * may be given once. On failure fills in the exchange's error. Sets "close"
+ * where the body's end cannot be trusted or is not worth waiting for.
+ */
+bool caller_head_check(struct exchange *x, const char *url, const char *method)
+{
+	struct head h = { .bytes = strlen(url) };
+
+	MHD_get_connection_values(x->mhd, MHD_HEADER_KIND, read_field, &h);
+	if (check_framing(x, &h) == -1 || find_route(x, url, method) == -1 ||
+	    check_method(x, method) == -1)
+		return false;
+	if (!x->request)
+		return true;
+	return check_key(x, &h) == 0 && read_request_id(x, &h) == 0 &&
+	       read_session(x, &h) == 0;
+}
+
+/* Notes one header: its size and, if it is one of ours, its first value. */
+static enum MHD_Result read_field(void *cls, enum MHD_ValueKind kind,
+				  const char *name, const char *value)
+{
+	struct head *h = cls;
+	int i;
+
+	(void)kind;
+	h->bytes += strlen(name) + (value ? strlen(value) : 0);
+	for (i = 0; i < HEAD_FIELDS; i++) {
+		if (strcasecmp(name, field_names[i]) != 0)
+			continue;
+		if (h->count[i]++ == 0)
+			h->value[i] = value ? value : "";
+		break;
+	}
+	return MHD_YES;
+}
+
+/* A head that leaves the body's length in doubt ends the connection. */
+static int check_framing(struct exchange *x, const struct head *h)
+{
+	const uint32_t body_max = x->http->kernel->settings.body_max_bytes;
+	const char *length = h->value[HEAD_CONTENT_LENGTH];
+	char text[80];
+	int i;
+
+	x->close = true;
+	if (h->bytes > CALLER_HEAD_MAX_BYTES)
+		return refuse(x, ERR_TOO_LARGE, STEP_PARSE,
+			      "head larger than 8192 bytes");
+	for (i = 0; i < HEAD_FIELDS; i++) {
+		if (h->count[i] <= 1)
+			continue;
+		snprintf(text, sizeof(text), "%s: given twice", field_names[i]);
+		return refuse(x, ERR_BAD_REQUEST, STEP_PARSE, text);
+	}
+	if (length && h->value[HEAD_TRANSFER_ENCODING])
+		return refuse(x, ERR_BAD_REQUEST, STEP_PARSE,
+			      "Content-Length and Transfer-Encoding given");
+	if (length && strtoull(length, NULL, 10) > body_max) {
+		snprintf(text, sizeof(text), "body larger than %u bytes",
+			 body_max);
+		return refuse(x, ERR_TOO_LARGE, STEP_PARSE, text);
+	}
+	x->close = false;
+	return 0;
+}
+
+/* Finds the route of a path and makes the request that it stands for. */
+static int find_route(struct exchange *x, const char *url, const char *method)
+{
+	size_t n = strlen(SERVICES_PATH);
+	struct request *r;
+
+	if (strncmp(url, SERVICES_PATH, n) != 0)
+		return find_open_route(x, url);
+	r = request_create();
+	if (!r)
+		return refuse(x, ERR_SYSTEM, STEP_PARSE, "no memory");
+	x->request = r;
+	r->arrived = clock_now();
+	if (find_service_route(x, url + n, r) == -1)
+		return -1;
+	if (x->route == ROUTE_COMMIT && strcmp(method, "DELETE") == 0)
+		x->route = ROUTE_ROLLBACK;
+	return 0;
+}
+
+/* The routes that need no key. */
+static int find_open_route(struct exchange *x, const char *url)
+{
+	static const struct {
+		const char *url;
+		enum caller_route route;
+	} open[] = {
+		{ "/healthz", ROUTE_HEALTH },
+		{ "/readyz", ROUTE_READY },
+		{ "/metrics", ROUTE_METRICS },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(open) / sizeof(open[0]); i++) {
+		if (strcmp(url, open[i].url) != 0)
+			continue;
+		x->route = open[i].route;
+		return 0;
+	}
+	return refuse(x, ERR_NOT_FOUND, STEP_PARSE, "no such path");
+}
+
+/* Splits SERVICE/statements and SERVICE/transactions... */
+static int find_service_route(struct exchange *x, const char *path,
+			      struct request *r)
+{
+	size_t n = strcspn(path, "/");
+
+	if (!copy_part(r->service, sizeof(r->service), path, n) ||
+	    !is_name(r->service))
+		return refuse(x, ERR_NOT_FOUND, STEP_PARSE, "no such service");
+	path += n;
+	if (strcmp(path, "/statements") == 0) {
+		x->route = ROUTE_STATEMENT;
+		return 0;
+	}
+	if (strcmp(path, "/transactions") == 0) {
+		x->route = ROUTE_BEGIN;
+		return 0;
+	}
+	if (strncmp(path, "/transactions/", strlen("/transactions/")) == 0)
+		return find_transaction_route(
+			x, path + strlen("/transactions/"), r);
+	return refuse(x, ERR_NOT_FOUND, STEP_PARSE, "no such path");
+}
+
+/* Splits ID and ID/commit. */
+static int find_transaction_route(struct exchange *x, const char *path,
+				  struct request *r)
+{
+	size_t n = strcspn(path, "/");
+
+	if (!copy_part(r->transaction, sizeof(r->transaction), path, n))
+		return refuse(x, ERR_NOT_FOUND, STEP_PARSE,
+			      "no such transaction");
+	if (path[n] == '\0') {
+		x->route = ROUTE_ROLLBACK;
+		return 0;
+	}
+	if (strcmp(path + n, "/commit") == 0) {
+		x->route = ROUTE_COMMIT;
+		return 0;
+	}
+	return refuse(x, ERR_NOT_FOUND, STEP_PARSE, "no such path");
+}
+
+/* Each route has one method; HEAD is taken where GET is. */
+static int check_method(struct exchange *x, const char *method)
+{
+	static const char *const methods[] = {
+		[ROUTE_STATEMENT] = "POST", [ROUTE_BEGIN] = "POST",
+		[ROUTE_COMMIT] = "POST",    [ROUTE_ROLLBACK] = "DELETE",
+		[ROUTE_HEALTH] = "GET",	    [ROUTE_READY] = "GET",
+		[ROUTE_METRICS] = "GET",
+	};
+	const char *want = methods[x->route];
+
+	if (strcmp(method, want) == 0)
+		return 0;
+	if (strcmp(want, "GET") == 0 && strcmp(method, "HEAD") == 0)
+		return 0;
+	x->allow = want;
+	return refuse(x, ERR_METHOD, STEP_PARSE, "method not allowed here");
+}
+
+/* Finds the team of the key that came with this request. */
+static int check_key(struct exchange *x, const struct head *h)
+{
+	const struct caller_ops *ops = &x->http->ops;
+	const char *auth = h->value[HEAD_AUTHORIZATION];
+	struct request *r = x->request;
+	struct team_ref team;
+
+	if (!auth || strncasecmp(auth, BEARER, strlen(BEARER)) != 0)
+		return refuse(x, ERR_KEY_UNKNOWN, STEP_KEY,
+			      "Authorization: Bearer KEY is missing");
+	auth += strlen(BEARER);
+	if (*auth == '\0' || strlen(auth) > KEY_MAX_BYTES)
+		return refuse(x, ERR_KEY_UNKNOWN, STEP_KEY, "key not known");
+	if (ops->check_key(ops->ctx, auth, r->service, &team, &x->error) ==
+	    -1) {
+		x->refused = true;
+		return -1;
+	}
+	x->key_checked = clock_now();
+	x->read_staleness_us = team.read_staleness_us;
+	memcpy(r->team, team.team, sizeof(r->team));
+	memcpy(r->key_id, team.key_id, sizeof(r->key_id));
+	return 0;
+}
+
+/* Takes an id of visible ASCII characters. */
+static int read_request_id(struct exchange *x, const struct head *h)
+{
+	const char *id = h->value[HEAD_REQUEST_ID];
+	size_t i;
+
+	if (!id)
+		return 0;
+	if (!copy_part(x->request->request_id, sizeof(x->request->request_id),
+		       id, strlen(id)))
+		return refuse(x, ERR_BAD_REQUEST, STEP_PARSE,
+			      "Idempotency-Key: must be 1 to 127 bytes");
+	for (i = 0; id[i]; i++) {
+		if (!isgraph((unsigned char)id[i]))
+			return refuse(x, ERR_BAD_REQUEST, STEP_PARSE,
+				      "Idempotency-Key: must be visible ASCII");
+	}
+	return 0;
+}
+
+/* Takes the session's token; whether it is genuine is the engine's matter. */
+static int read_session(struct exchange *x, const struct head *h)
+{
+	const char *token = h->value[HEAD_SESSION];
+
+	if (!token)
+		return 0;
+	if (!copy_part(x->request->token, sizeof(x->request->token), token,
+		       strlen(token)))
+		return refuse(x, ERR_BAD_TOKEN, STEP_PARSE,
+			      "Gypsumcleat-Session: must be 1 to 1023 bytes");
+	x->request->token_given = true;
+	return 0;
+}
+
+/* Copies "len" bytes with a NUL; false if empty or too long. */
+static bool copy_part(char *out, size_t size, const char *from, size_t len)
+{
+	if (len == 0 || len >= size)
+		return false;
+	memcpy(out, from, len);
+	out[len] = '\0';
+	return true;
+}
+
+/* Services have names like those in the settings. */
+static bool is_name(const char *s)
+{
+	for (; *s; s++) {
+		if (!isalnum((unsigned char)*s) && !strchr("._-", *s))
+			return false;
+	}
+	return true;
+}
+
+/* Makes an error the exchange's answer, its peer being the caller. */
+static int refuse(struct exchange *x, enum error_code code, enum step step,
+		  const char *message)
+{
+	const union MHD_ConnectionInfo *info;
+	char peer[ADDR_MAX_BYTES] = "";
+
+	info = MHD_get_connection_info(x->mhd,
+				       MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+	if (info)
+		address_format(info->client_addr, peer);
+	x->refused = true;
+	return error_set(&x->error, code, step, peer, "%s", message);
+}
--- /dev/null
+++ b/src/plugins/caller_http_request.c
@@ -0,0 +1,295 @@
+#include "plugins/caller_http.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "kernel/address.h"
+
+#define BODY_ROOM_BYTES 1024
+/* A chunked body is read past its bound by this factor, then cut off. */
+#define BODY_DISCARD_FACTOR 4
+/* A key found longer ago is checked again before the request runs. */
+#define KEY_RECHECK_US	(500 * USEC_PER_MSEC)
+#define DRAIN_MESSAGE	"VM takes no new work"
+#define ABANDON_MESSAGE "VM stopped before the answer"
+
+static enum MHD_Result take_head(struct exchange *x, const char *url,
+				 const char *method);
+static enum MHD_Result take_body(struct exchange *x, const char *data,
+				 size_t *size);
+static bool append_body(struct exchange *x, const char *data, size_t len);
+static enum MHD_Result run(struct exchange *x);
+static int read_body(struct exchange *x);
+static int check_again(struct exchange *x);
+static void done(struct request *r);
+static int refuse(struct exchange *x, enum error_code code, enum step step,
+		  const char *message);
+static void await_caller(struct exchange *x);
+static void set_current(struct caller_conn *c, struct exchange *x);
+static void release(struct exchange *x);
+
+/* A request line has arrived: the exchange begins. NULL without memory. */
+void *caller_request_begin(void *cls, const char *uri,
+			   struct MHD_Connection *mhd)
+{
+	const union MHD_ConnectionInfo *info;
+	struct exchange *x;
+
+	(void)uri;
+	info = MHD_get_connection_info(mhd, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+	if (!info || !info->socket_context)
+		return NULL;
+	x = calloc(1, sizeof(*x));
+	if (!x)
+		return NULL;
+	x->holders = 1;
+	x->http = cls;
+	x->mhd = mhd;
+	x->conn = info->socket_context;
+	set_current(x->conn, x);
+	await_caller(x);
+	return x;
+}
+
+/*
+ * Called for the head, for each part of the body, at the body's end, and once
+ * more when the engine has answered.
+ */
+enum MHD_Result caller_request_step(void *cls, struct MHD_Connection *mhd,
+				    const char *url, const char *method,
+				    const char *version, const char *data,
+				    size_t *size, void **ctx)
+{
+	struct exchange *x = *ctx;
+
+	(void)cls;
+	(void)mhd;
+	(void)version;
+	if (!x)
+		return MHD_NO;
+	switch (__atomic_load_n(&x->phase, __ATOMIC_ACQUIRE)) {
+	case EXCHANGE_HEAD:
+		return take_head(x, url, method);
+	case EXCHANGE_BODY:
+		if (*size > 0)
+			return take_body(x, data, size);
+		return run(x);
+	case EXCHANGE_RUNNING:
+		return MHD_YES;
+	case EXCHANGE_DONE:
+	case EXCHANGE_ABANDONED:
+		break;
+	}
+	await_caller(x);
+	return caller_answer(x);
+}
+
+/* The server is done with the request, answered or cut off. */
+void caller_request_end(void *cls, struct MHD_Connection *mhd, void **ctx,
+			enum MHD_RequestTerminationCode why)
+{
+	struct exchange *x = *ctx;
+
+	(void)cls;
+	(void)mhd;
+	(void)why;
+	if (!x)
+		return;
+	*ctx = NULL;
+	await_caller(x);
+	set_current(x->conn, NULL);
+	release(x);
+}
+
+/*
+ * Answers a running exchange with "unknown" while the engine still has the
+ * request; its later answer is dropped. The stripe's lock is held.
+ */
+void caller_request_abandon(struct exchange *x)
+{
+	enum exchange_phase from = EXCHANGE_RUNNING;
+
+	if (!__atomic_compare_exchange_n(&x->phase, &from, EXCHANGE_ABANDONED,
+					 false, __ATOMIC_ACQ_REL,
+					 __ATOMIC_ACQUIRE))
+		return;
+	error_set(&x->error, ERR_UNKNOWN, STEP_DRAIN, NULL, ABANDON_MESSAGE);
+	MHD_resume_connection(x->mhd);
+}
+
+/* Checks the head; a refusal that leaves the framing sound waits for the body.
+ */
+static enum MHD_Result take_head(struct exchange *x, const char *url,
+				 const char *method)
+{
+	await_caller(x);
+	__atomic_store_n(&x->phase, EXCHANGE_BODY, __ATOMIC_RELEASE);
+	if (!caller_head_check(x, url, method) && x->close)
+		return caller_answer(x);
+	return MHD_YES;
+}
+
+/* Keeps a part of the body, or drops it if the request is refused already. */
+static enum MHD_Result take_body(struct exchange *x, const char *data,
+				 size_t *size)
+{
+	const size_t body_max = x->http->kernel->settings.body_max_bytes;
+	const size_t len = *size;
+
+	*size = 0;
+	if (x->len + len > body_max * BODY_DISCARD_FACTOR)
+		return MHD_NO;
+	if (x->refused || !x->request) {
+		x->len += len;
+		return MHD_YES;
+	}
+	if (x->len + len > body_max) {
+		refuse(x, ERR_TOO_LARGE, STEP_PARSE, "body too large");
+		x->close = true;
+		x->len += len;
+		return MHD_YES;
+	}
+	return append_body(x, data, len) ? MHD_YES : MHD_NO;
+}
+
+/* Grows the kept body by doubling, so that a slow sender holds little. */
+static bool append_body(struct exchange *x, const char *data, size_t len)
+{
+	size_t room = x->room ? x->room : BODY_ROOM_BYTES;
+	char *more;
+
+	while (room < x->len + len)
+		room *= 2;
+	if (room > x->room) {
+		more = realloc(x->body, room);
+		if (!more)
+			return false;
+		x->body = more;
+		x->room = room;
+	}
+	memcpy(x->body + x->len, data, len);
+	x->len += len;
+	return true;
+}
+
+/* The request is whole: refuses it, answers it here or gives it on. */
+static enum MHD_Result run(struct exchange *x)
+{
+	struct request *r = x->request;
+
+	if (x->refused || !r || read_body(x) == -1 || check_again(x) == -1) {
+		await_caller(x);
+		return caller_answer(x);
+	}
+	r->done = done;
+	r->ctx = x;
+	__atomic_store_n(&x->conn->since, 0, __ATOMIC_RELAXED);
+	__atomic_add_fetch(&x->holders, 1, __ATOMIC_RELAXED);
+	MHD_suspend_connection(x->mhd);
+	__atomic_store_n(&x->phase, EXCHANGE_RUNNING, __ATOMIC_RELEASE);
+	x->http->ops.submit(x->http->ops.ctx, r);
+	return MHD_YES;
+}
+
+/* Fills in the request from its body. */
+static int read_body(struct exchange *x)
+{
+	static const enum request_op ops[] = {
+		[ROUTE_STATEMENT] = OP_STATEMENT,
+		[ROUTE_BEGIN] = OP_BEGIN,
+		[ROUTE_COMMIT] = OP_COMMIT,
+		[ROUTE_ROLLBACK] = OP_ROLLBACK,
+	};
+	struct request *r = x->request;
+	const struct caller_limits *l = &x->http->limits;
+	struct error e;
+	int rc;
+
+	r->op = ops[x->route];
+	if (r->op == OP_STATEMENT)
+		rc = caller_body_statement(r, x->body, x->len, l, &e);
+	else
+		rc = caller_body_transaction(r, x->body, x->len, l, &e);
+	free(x->body);
+	x->body = NULL;
+	if (rc == -1)
+		return refuse(x, e.code, e.step, e.message);
+	if (r->kind == KIND_READ && r->max_age_us == MAX_AGE_NONE &&
+	    !r->transaction[0])
+		r->max_age_us = x->read_staleness_us;
+	if (r->request_id[0])
+		caller_body_hash(r);
+	return 0;
+}
+
+/*
+ * Checks what may have changed while the body arrived: the key, and whether
+ * the VM still takes new work. A transaction under way may go on.
+ */
+static int check_again(struct exchange *x)
+{
+	const struct caller_ops *ops = &x->http->ops;
+	struct kernel *k = x->http->kernel;
+	struct request *r = x->request;
+
+	if (clock_now() - x->key_checked > KEY_RECHECK_US &&
+	    ops->recheck_key(ops->ctx, r->team, r->key_id, &x->error) == -1) {
+		x->refused = true;
+		return -1;
+	}
+	if (!r->transaction[0] &&
+	    __atomic_load_n(&k->refusing, __ATOMIC_RELAXED))
+		return refuse(x, ERR_DRAINING, STEP_DRAIN, DRAIN_MESSAGE);
+	return 0;
+}
+
+/* The engine has answered; any thread. */
+static void done(struct request *r)
+{
+	struct exchange *x = r->ctx;
+	enum exchange_phase from = EXCHANGE_RUNNING;
+
+	if (__atomic_compare_exchange_n(&x->phase, &from, EXCHANGE_DONE, false,
+					__ATOMIC_ACQ_REL, __ATOMIC_ACQUIRE))
+		MHD_resume_connection(x->mhd);
+	release(x);
+}
+
+/* Makes an error the exchange's answer, its peer being the caller. */
+static int refuse(struct exchange *x, enum error_code code, enum step step,
+		  const char *message)
+{
+	const union MHD_ConnectionInfo *info;
+	char peer[ADDR_MAX_BYTES] = "";
+
+	info = MHD_get_connection_info(x->mhd,
+				       MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+	if (info)
+		address_format(info->client_addr, peer);
+	x->refused = true;
+	return error_set(&x->error, code, step, peer, "%s", message);
+}
+
+/* From now on the caller has caller_idle_ms for what it must do next. */
+static void await_caller(struct exchange *x)
+{
+	__atomic_store_n(&x->conn->since, clock_now(), __ATOMIC_RELAXED);
+}
+
+/* Tells the connection which exchange is under way. Takes its stripe's lock. */
+static void set_current(struct caller_conn *c, struct exchange *x)
+{
+	apr_thread_mutex_lock(c->stripe->lock);
+	c->exchange = x;
+	apr_thread_mutex_unlock(c->stripe->lock);
+}
+
+/* Gives up one hold; the last one frees the exchange and its request. */
+static void release(struct exchange *x)
+{
+	if (__atomic_sub_fetch(&x->holders, 1, __ATOMIC_ACQ_REL) > 0)
+		return;
+	request_destroy(x->request);
+	free(x->body);
+	free(x);
+}
