--- a/src/plugins/config_sync.c
+++ b/src/plugins/config_sync.c
@@ -41,6 +41,7 @@
 	struct repeated_call announce;
 	struct repeated_call secret;
 	uint64_t revision; /* of the answer being applied */
+	uint32_t taken;	   /* objects in it */
 	bool listed;
 };
 
@@ -60,6 +61,7 @@
 static void look(void *ctx);
 static bool should_watch(struct config_sync *s);
 static void on_objects(struct platform_call *c);
+static usec_t word_at(const struct config_sync *s);
 static void take_object(void *ctx, const char *name, uint64_t version,
 			const char *body);
 static void ask_vms(void *ctx);
@@ -220,6 +222,7 @@
 	struct error e = { 0 };
 
 	r->busy = false;
+	s->taken = 0;
 	if (c->result != PLATFORM_OK) {
 		again_at(s, r, retry_delay(s, r));
 		return;
@@ -232,10 +235,26 @@
 	}
 	r->failures = 0;
 	s->listed = true;
-	gossip_complete(s->kernel, s->revision, r->asked_at);
+	gossip_complete(s->kernel, s->revision, word_at(s));
 	loop_timer_set(s->loop, &r->timer, clock_now());
 }
 
+/*
+ * The time of which the answer tells. A watch that brought nothing was held
+ * for its whole wait, so it tells of the end of that; any other answer may be
+ * as old as its question.
+ */
+static usec_t word_at(const struct config_sync *s)
+{
+	const struct repeated_call *r = &s->objects;
+	usec_t held = (usec_t)r->call.wait_ms * USEC_PER_MSEC;
+
+	if (r->call.op == PLATFORM_WATCH && s->taken == 0 &&
+	    clock_now() - r->asked_at >= held)
+		return r->asked_at + held;
+	return r->asked_at;
+}
+
 /* Offers one object, with the revision by which it was seen at the latest. */
 static void take_object(void *ctx, const char *name, uint64_t version,
 			const char *body)
@@ -243,6 +262,7 @@
 	struct config_sync *s = ctx;
 	struct error e;
 
+	s->taken++;
 	gossip_offer(s->kernel, name, version, s->revision, body, &e);
 }
 
--- a/src/plugins/peer_links.c
+++ b/src/plugins/peer_links.c
@@ -34,7 +34,8 @@
  * connection that something between the two ends has forgotten; nothing is
  * kept for a socket that is closed.
  */
-int peer_socket_prepare(void *socket, const struct peer_keys *keys, bool server,
+int peer_socket_prepare(void *socket, const char *address,
+			const struct peer_keys *keys, bool server,
 			struct error *e)
 {
 	static const struct {
@@ -54,7 +55,6 @@
 		{ ZMQ_HANDSHAKE_IVL, PEER_HANDSHAKE_MS },
 		{ ZMQ_RECONNECT_IVL, PEER_RECONNECT_MS },
 		{ ZMQ_RECONNECT_IVL_MAX, PEER_RECONNECT_MAX },
-		{ ZMQ_IPV6, 1 },
 	};
 	int64_t max = PEER_FRAME_MAX_BYTES;
 	size_t i;
@@ -67,6 +67,7 @@
 					 zmq_strerror(zmq_errno()));
 	}
 	if (zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &max, sizeof(max)) ||
+	    set_int(socket, ZMQ_IPV6, address[0] == '[') ||
 	    (keys->set && set_keys(socket, keys, server)))
 		return error_set(e, ERR_SYSTEM, STEP_CONNECT, NULL,
 				 "socket option: %s",
@@ -178,7 +179,7 @@
 		free(k);
 		return NULL;
 	}
-	if (peer_socket_prepare(k->socket, &l->keys, false, NULL) ||
+	if (peer_socket_prepare(k->socket, address, &l->keys, false, NULL) ||
 	    zmq_connect(k->socket, endpoint)) {
 		zmq_close(k->socket);
 		free(k);
--- a/src/plugins/peer_links.h
+++ b/src/plugins/peer_links.h
@@ -29,7 +29,8 @@
 };
 
 /* Bounds queues, finds dead connections and sets the keys of a socket. */
-int peer_socket_prepare(void *socket, const struct peer_keys *keys, bool server,
+int peer_socket_prepare(void *socket, const char *address,
+			const struct peer_keys *keys, bool server,
 			struct error *e);
 
 struct peer_links *peer_links_create(void *zmq, const struct peer_keys *keys);
--- a/src/plugins/peer_zmq.c
+++ b/src/plugins/peer_zmq.c
@@ -175,7 +175,7 @@
 	if (!p->router)
 		return error_set(e, ERR_SYSTEM, STEP_LISTEN, NULL,
 				 "no ZeroMQ socket");
-	if (peer_socket_prepare(p->router, &p->keys, true, e))
+	if (peer_socket_prepare(p->router, address, &p->keys, true, e))
 		return -1;
 	snprintf(endpoint, sizeof(endpoint), "tcp://%s", address);
 	if (zmq_bind(p->router, endpoint) ||
