--- a/src/plugins/admin_change.c
+++ b/src/plugins/admin_change.c
@@ -9,6 +9,7 @@
 #include "kernel/log.h"
 
 #define RETRY_US	   (100 * (usec_t)USEC_PER_MSEC)
+#define READ_TRIES	   3
 #define CONFLICT_TRIES	   8
 #define CONFIRM_TIMEOUT_US (2 * (usec_t)USEC_PER_SEC)
 
@@ -21,7 +22,6 @@
 static bool target_exists(const struct admin_change *a, const char *body);
 static void write_object(struct admin_change *a);
 static void on_written(struct platform_call *c);
-static void on_lost_read(struct admin_change *a);
 static void written(struct admin_change *a, const char *body, uint64_t version);
 static void on_confirmed(struct gossip_confirm *c);
 static void conflict(struct admin_change *a, uint64_t current);
@@ -87,8 +87,9 @@
 		on_absent_or_found(a, NULL, 0);
 		return;
 	}
-	if (a->maybe_done) {
-		on_lost_read(a);
+	/* A lost write has to be resolved; else a few tries are enough. */
+	if (a->maybe_done || ++a->reads < READ_TRIES) {
+		read_later(a);
 		return;
 	}
 	a->error = c->error;
@@ -215,18 +216,6 @@
 	end(a, ADMIN_REFUSED);
 }
 
-/* The read that was to resolve a lost reply failed, too. */
-static void on_lost_read(struct admin_change *a)
-{
-	if (clock_now() < a->deadline) {
-		read_later(a);
-		return;
-	}
-	error_set(&a->error, ERR_UNKNOWN, STEP_CONFIG_WRITE, a->object,
-		  "reply lost: %s", a->call.error.message);
-	end(a, ADMIN_UNKNOWN);
-}
-
 /* The change is in the object: takes it into force here, makes it known. */
 static void written(struct admin_change *a, const char *body, uint64_t version)
 {
@@ -273,14 +262,16 @@
 /* Reads again after a pause, or gives up at the deadline. */
 static void read_later(struct admin_change *a)
 {
-	if (clock_now() >= a->deadline) {
-		error_set(&a->error, ERR_UNKNOWN, STEP_CONFIG_WRITE, a->object,
-			  "reply lost");
-		end(a, ADMIN_UNKNOWN);
+	if (clock_now() < a->deadline) {
+		loop_timer_set(a->kernel->platform->loop, &a->timer,
+			       clock_now() + RETRY_US);
 		return;
 	}
-	loop_timer_set(a->kernel->platform->loop, &a->timer,
-		       clock_now() + RETRY_US);
+	a->error = a->call.error;
+	if (a->maybe_done)
+		error_set(&a->error, ERR_UNKNOWN, STEP_CONFIG_WRITE, a->object,
+			  "reply lost: %s", a->call.error.message);
+	end(a, a->maybe_done ? ADMIN_UNKNOWN : ADMIN_REFUSED);
 }
 
 /* Records the outcome and hands the change back. */
--- a/src/plugins/admin_change.h
+++ b/src/plugins/admin_change.h
@@ -42,7 +42,8 @@
 	char *body;	 /* as written */
 	uint64_t base;	 /* version that the write was of */
 	bool maybe_done; /* a write of "body" on "base" was lost */
-	uint32_t tries;
+	uint32_t tries;	 /* writes that met another change */
+	uint32_t reads;	 /* that failed before anything was written */
 };
 
 void admin_change_start(struct admin_change *a);
