Tell a VM whether it is on the platform's list

Cause: a VM may hold shares only while the list has it, and one that is not on a list yet must not be taken for gone. Change: news of the list reach the VM itself; off the list counts at once, on it again after ten seconds; a VM that spoke for itself has a minute to appear. Conclusion: shares can rely on fleet_self_listed().

--- a/src/decide/members.c
+++ b/src/decide/members.c
@@ -9,9 +9,15 @@
 
 #define ROOM_FIRST 16
 #define SELF	   0
+/* A VM that spoke for itself gets so long to appear on a list. */
+#define ANNOUNCE_US (60 * (usec_t)USEC_PER_SEC)
+/* News that a VM is on the list overrules such that it is not after this. */
+#define RELIST_US (10 * (usec_t)USEC_PER_SEC)
 
 static vm_handle add(struct members *m, const struct member *vm);
 static void replace(struct members *m, vm_handle h, const struct member *vm);
+static bool list_news(struct member *v, const struct member_news *news,
+		      usec_t now);
 static void set_suspect(struct members *m, vm_handle h, bool suspect);
 
 /* A table with this VM alone, or NULL without memory. */
@@ -66,13 +72,18 @@
 		v->m.departing = true;
 		v->m.told = 0;
 	}
+	if (!v->m.listed)
+		v->m.told = 0;
 	v->list = m->list;
 	v->m.listed = true;
 	v->m.unlisted_at = 0;
 	return 0;
 }
 
-/* Ends a newer list: whoever was not on it is off the list from now on. */
+/*
+ * Ends a newer list: whoever was not on it is off the list from now on. A VM
+ * that was never on one may not have got there yet.
+ */
 void members_list_end(struct members *m, usec_t now)
 {
 	vm_handle h;
@@ -82,7 +93,8 @@
 
 		if (!v->used || v->list == m->list)
 			continue;
-		if (v->m.listed || v->m.unlisted_at == 0) {
+		if (v->m.listed || (v->m.unlisted_at == 0 &&
+				    now - v->known_at > ANNOUNCE_US)) {
 			v->m.listed = false;
 			v->m.unlisted_at = now;
 			v->m.told = 0;
@@ -137,8 +149,7 @@
 
 /*
  * News of a VM through a peer: a later incarnation replaces, a later beat
- * overrules a suspicion; a departure stays, and so does having left the
- * list, until a list read here shows otherwise. A suspicion of this VM itself
+ * overrules a suspicion, a departure stays. A suspicion of this VM itself
  * is answered by a higher beat. True if it changed what is known.
  */
 bool members_news(struct members *m, const struct member_news *news, usec_t now)
@@ -152,35 +163,37 @@
 		h = add(m, w);
 		if (h == HANDLE_NONE)
 			return false;
-		m->vms[h].m.listed = news->from_list;
-		if (news->off_list)
-			m->vms[h].m.unlisted_at = now;
+		m->vms[h].known_at = now;
+		m->vms[h].m.listed = false;
+		list_news(&m->vms[h].m, news, now);
 		return true;
 	}
 	v = &m->vms[h].m;
 	if (w->incarnation < v->incarnation)
 		return false;
 	if (h == SELF) {
-		if (w->incarnation != v->incarnation || !w->suspect ||
-		    w->beat < v->beat)
+		if (w->incarnation != v->incarnation)
 			return false;
-		v->beat = w->beat + 1;
-		v->told = 0;
-		return true;
+		changed = list_news(v, news, now);
+		if (w->suspect && w->beat >= v->beat) {
+			v->beat = w->beat + 1;
+			changed = true;
+		}
+		if (changed)
+			v->told = 0;
+		return changed;
 	}
 	if (w->incarnation > v->incarnation) {
 		replace(m, h, w);
+		list_news(&m->vms[h].m, news, now);
 		return true;
 	}
 	if (w->departing && !v->departing) {
 		v->departing = true;
 		changed = true;
 	}
-	if (news->off_list && v->unlisted_at == 0) {
-		v->listed = false;
-		v->unlisted_at = now;
+	if (list_news(v, news, now))
 		changed = true;
-	}
 	if (w->beat > v->beat || (w->beat == v->beat && w->suspect)) {
 		changed = changed || w->beat > v->beat ||
 			  v->suspect != w->suspect;
@@ -244,10 +257,10 @@
 	return SELF;
 }
 
-/* Has no list left this VM out since it was last seen on one? */
+/* Is this VM on the platform's list, as far as known? */
 bool members_self_listed(const struct members *m)
 {
-	return m->vms[SELF].m.unlisted_at == 0;
+	return m->vms[SELF].m.listed;
 }
 
 /* Is a VM known, on the list as far as known, not suspect, not departing? */
@@ -344,6 +357,26 @@
 	v->list = 0;
 }
 
+/*
+ * Takes news of whether a VM is on the platform's list. That it is not counts
+ * at once, that it is again only after a while, as news may be old.
+ */
+static bool list_news(struct member *v, const struct member_news *news,
+		      usec_t now)
+{
+	if (news->off_list && v->unlisted_at == 0) {
+		v->listed = false;
+		v->unlisted_at = now;
+		return true;
+	}
+	if (!news->from_list || v->listed ||
+	    (v->unlisted_at != 0 && now - v->unlisted_at < RELIST_US))
+		return false;
+	v->listed = true;
+	v->unlisted_at = 0;
+	return true;
+}
+
 /* Changes whether a VM is suspect; a change is news. */
 static void set_suspect(struct members *m, vm_handle h, bool suspect)
 {
--- a/src/decide/members_own.h
+++ b/src/decide/members_own.h
@@ -7,8 +7,9 @@
 /* Shared by members.c and members_rank.c alone. */
 struct vm {
 	struct member m;
-	uint64_t hash; /* of the name */
-	uint64_t list; /* newest list that had it */
+	uint64_t hash;	 /* of the name */
+	uint64_t list;	 /* newest list that had it */
+	usec_t known_at; /* first known, by news */
 	bool used;
 };
 
--- a/src/kernel/fleet.c
+++ b/src/kernel/fleet.c
@@ -202,6 +202,17 @@
 	return state;
 }
 
+/* Tells whether the platform's list has this VM. Takes the lock. */
+bool fleet_self_listed(struct kernel *k)
+{
+	bool listed;
+
+	fleet_lock(k->fleet);
+	listed = members_self_listed(k->fleet->members);
+	fleet_unlock(k->fleet);
+	return listed;
+}
+
 /* Tells whether most failure domains were in contact lately. */
 bool fleet_majority(struct kernel *k, usec_t now, usec_t within)
 {
--- a/src/kernel/fleet.h
+++ b/src/kernel/fleet.h
@@ -47,6 +47,8 @@
 		usec_t now, usec_t gone_after);
 /* How recent this VM's knowledge of keys is, against settings.keys_fresh_ms. */
 enum freshness_state fleet_freshness(struct kernel *k, usec_t now);
+/* Is this VM on the platform's list, as far as it knows? */
+bool fleet_self_listed(struct kernel *k);
 /* Age of the newest word of the platform, in microseconds; -1: none. */
 int64_t fleet_word_age(struct kernel *k, usec_t now);
 /* Is this VM in contact with most failure domains? */
--- a/tests/decide/escrow_test.cc
+++ b/tests/decide/escrow_test.cc
@@ -194,6 +194,19 @@
 	EXPECT_EQ(r.share, 0u);
 }
 
+TEST(Escrow, WhatWasMissingComesWithoutTokens)
+{
+	Pair p({ 1000, 100 });
+	drain(&p.a, 0);
+	escrow_move(&p.a, 2, 0);
+	escrow_move(&p.b, 2, 0);
+	EXPECT_FALSE(escrow_add_missing(&p.b, 1, 5, 0)) << "an older claim";
+	EXPECT_TRUE(escrow_add_missing(&p.b, 2, ESCROW_ONE / 2, 0));
+	EXPECT_FALSE(escrow_add_missing(&p.b, 2, ESCROW_ONE, 0));
+	EXPECT_EQ(drain(&p.b, 0), 0);
+	EXPECT_EQ(drain(&p.b, 10 * kMs), 5);
+}
+
 TEST(Escrow, WholeUnits)
 {
 	struct escrow_vm va, vb;
