Merge the time lines of many VMs

Cause: what a fleet did shows only over all its processes. Events are ASCII, so that no page fails over a cut character. Conclusion: to be shown against running VMs once these start whole.

--- /dev/null
+++ b/src/cmd/timeline_merge.c
@@ -0,0 +1,189 @@
+#include "cmd/timeline_merge.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "kernel/timeline.h"
+
+#define ROWS_FIRST 256
+
+struct timeline_row {
+	struct hlc at;
+	uint64_t number; /* of the VM's event */
+	int event;
+	char vm[NAME_MAX_BYTES];
+	char name[NAME_MAX_BYTES];
+	char text[TIMELINE_TEXT_BYTES];
+};
+
+struct timeline_gap {
+	char vm[NAME_MAX_BYTES];
+	uint64_t lost; /* events overwritten before they were read */
+};
+
+static int add_row(struct timeline_merge *m, const char *vm, json_t *event);
+static int add_gap(struct timeline_merge *m, const char *vm, uint64_t lost);
+static struct timeline_row *new_row(struct timeline_merge *m);
+static int compare(const void *a, const void *b);
+static void copy(char *out, size_t size, const char *text);
+static void print_row(const struct timeline_row *r, FILE *out);
+
+/* Adds a page; what it holds is bounded by the sizes of a row. */
+int timeline_merge_add(struct timeline_merge *m, const json_t *page)
+{
+	const char *vm;
+	json_int_t lost;
+	json_t *events;
+	json_t *event;
+	size_t i;
+
+	if (json_unpack((json_t *)page, "{s:s,s:I,s:o}", "vm", &vm, "lost",
+			&lost, "events", &events) == -1 ||
+	    !json_is_array(events) || lost < 0)
+		return -1;
+	if (add_gap(m, vm, (uint64_t)lost) == -1)
+		return -1;
+	json_array_foreach(events, i, event)
+	{
+		if (add_row(m, vm, event) == -1)
+			return -1;
+	}
+	return 0;
+}
+
+/* Orders by stamp; equal stamps of different VMs by name, then number. */
+void timeline_merge_sort(struct timeline_merge *m)
+{
+	if (m->n > 0)
+		qsort(m->rows, m->n, sizeof(m->rows[0]), compare);
+}
+
+/* Prints "# VM: N events lost" for each gap, then the events. */
+void timeline_merge_print(const struct timeline_merge *m, FILE *out)
+{
+	size_t i;
+
+	for (i = 0; i < m->vms; i++) {
+		if (m->gaps[i].lost > 0)
+			fprintf(out, "# %s: %llu events lost\n", m->gaps[i].vm,
+				(unsigned long long)m->gaps[i].lost);
+	}
+	for (i = 0; i < m->n; i++)
+		print_row(&m->rows[i], out);
+}
+
+/* Frees what was added. */
+void timeline_merge_free(struct timeline_merge *m)
+{
+	free(m->rows);
+	free(m->gaps);
+	memset(m, 0, sizeof(*m));
+}
+
+/* Reads one event of a page. */
+static int add_row(struct timeline_merge *m, const char *vm, json_t *event)
+{
+	json_int_t number;
+	json_int_t wall;
+	json_int_t count;
+	json_int_t id;
+	const char *name;
+	const char *text;
+	struct timeline_row *r;
+
+	if (json_unpack(event, "{s:I,s:I,s:I,s:I,s:s,s:s}", "number", &number,
+			"wall_us", &wall, "count", &count, "event", &id, "name",
+			&name, "text", &text) == -1 ||
+	    number < 0 || count < 0 || count > UINT32_MAX)
+		return -1;
+	r = new_row(m);
+	if (!r)
+		return -1;
+	r->at = (struct hlc){ .wall_us = wall, .count = (uint32_t)count };
+	r->number = (uint64_t)number;
+	r->event = (int)id;
+	copy(r->vm, sizeof(r->vm), vm);
+	copy(r->name, sizeof(r->name), name);
+	copy(r->text, sizeof(r->text), text);
+	return 0;
+}
+
+/* Adds up what a VM's pages say was lost. */
+static int add_gap(struct timeline_merge *m, const char *vm, uint64_t lost)
+{
+	struct timeline_gap *more;
+	size_t i;
+
+	for (i = 0; i < m->vms; i++) {
+		if (strcmp(m->gaps[i].vm, vm) != 0)
+			continue;
+		m->gaps[i].lost += lost;
+		return 0;
+	}
+	more = realloc(m->gaps, (m->vms + 1) * sizeof(*more));
+	if (!more)
+		return -1;
+	m->gaps = more;
+	copy(more[m->vms].vm, sizeof(more[m->vms].vm), vm);
+	more[m->vms].lost = lost;
+	m->vms++;
+	return 0;
+}
+
+/* Returns room for one more row, or NULL without memory. */
+static struct timeline_row *new_row(struct timeline_merge *m)
+{
+	struct timeline_row *more;
+	size_t room = m->room ? 2 * m->room : ROWS_FIRST;
+
+	if (m->n == m->room) {
+		more = realloc(m->rows, room * sizeof(*more));
+		if (!more)
+			return NULL;
+		m->rows = more;
+		m->room = room;
+	}
+	return &m->rows[m->n++];
+}
+
+/* Order of two rows. */
+static int compare(const void *a, const void *b)
+{
+	const struct timeline_row *x = a;
+	const struct timeline_row *y = b;
+	int by_name;
+
+	if (x->at.wall_us != y->at.wall_us)
+		return x->at.wall_us < y->at.wall_us ? -1 : 1;
+	if (x->at.count != y->at.count)
+		return x->at.count < y->at.count ? -1 : 1;
+	by_name = strcmp(x->vm, y->vm);
+	if (by_name != 0)
+		return by_name;
+	return x->number < y->number ? -1 : x->number > y->number;
+}
+
+/* Copies a text within its bound; it came from another process. */
+static void copy(char *out, size_t size, const char *text)
+{
+	size_t i;
+
+	for (i = 0; text[i] && i < size - 1; i++)
+		out[i] = (unsigned char)text[i] < ' ' ? '?' : text[i];
+	out[i] = '\0';
+}
+
+/* Prints time, counter, VM, number, event, name and fields. */
+static void print_row(const struct timeline_row *r, FILE *out)
+{
+	const time_t seconds = (time_t)(r->at.wall_us / USEC_PER_SEC);
+	char when[32] = "";
+	struct tm tm;
+
+	if (gmtime_r(&seconds, &tm))
+		strftime(when, sizeof(when), "%Y-%m-%dT%H:%M:%S", &tm);
+	fprintf(out, "%s.%06lldZ+%u %s #%llu %d %s %s\n", when,
+		(long long)(r->at.wall_us % USEC_PER_SEC), r->at.count, r->vm,
+		(unsigned long long)r->number, r->event, r->name, r->text);
+}
--- a/src/kernel/log.c
+++ b/src/kernel/log.c
@@ -200,11 +200,11 @@
 			   (int)info->event, info->name, vm_name, text);
 }
 
-/* An event is one line whatever its fields hold. */
+/* An event is one line of ASCII whatever its fields hold. */
 static void clean(char *text)
 {
 	for (; *text; text++) {
-		if (iscntrl((unsigned char)*text))
+		if (!isprint((unsigned char)*text))
 			*text = '?';
 	}
 }
