Settle the linters on the kernel and the callers

Cause: clang-tidy and cppcheck had findings in new files. Change: counters printed without varargs; wide constants; bounds checked first.

--- a/src/cmd/serve.c
+++ b/src/cmd/serve.c
@@ -95,7 +95,7 @@
 /* Starts the plug-ins, serves, drains and stops. */
 static int serve(struct kernel *k, apr_pool_t *pool, struct error *e)
 {
-	apr_thread_t *thread;
+	apr_thread_t *thread = NULL;
 	apr_status_t ignored;
 
 	if (open_signals(pool, &thread, e) == -1)
--- a/src/cmd/timeline_merge.c
+++ b/src/cmd/timeline_merge.c
@@ -169,7 +169,7 @@
 {
 	size_t i;
 
-	for (i = 0; text[i] && i < size - 1; i++)
+	for (i = 0; i < size - 1 && text[i]; i++)
 		out[i] = (unsigned char)text[i] < ' ' ? '?' : text[i];
 	out[i] = '\0';
 }
--- a/src/kernel/counters.c
+++ b/src/kernel/counters.c
@@ -1,6 +1,5 @@
 #include "kernel/counters.h"
 
-#include <stdarg.h>
 #include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
@@ -30,8 +29,7 @@
 
 static uint32_t shard_of_thread(void);
 static const char *unit_of(const char *name);
-static bool append(char *buf, size_t size, size_t *len, const char *fmt, ...)
-	__attribute__((format(printf, 4, 5)));
+static size_t print_one(int c, char *buf, size_t size);
 
 /* Adds to a counter in the calling thread's shard. Any thread, no lock. */
 void counter_add(enum counter c, uint64_t n)
@@ -60,24 +58,19 @@
 size_t counters_print(char *buf, size_t size)
 {
 	size_t len = 0;
-	int i;
+	size_t n;
+	int c;
 
 	if (size == 0)
 		return 0;
 	buf[0] = '\0';
-	for (i = 0; i < CTR_COUNT; i++) {
-		const char *name = counters[i].name;
-		bool fits;
-
-		fits = append(buf, size, &len,
-			      "# HELP %s %s\n# TYPE %s counter\n"
-			      "# UNIT %s %s\n%s %llu\n",
-			      name, counters[i].help, name, name, unit_of(name),
-			      name,
-			      (unsigned long long)counter_sum((enum counter)i));
-		if (!fits)
+	for (c = 0; c < CTR_COUNT; c++) {
+		n = print_one(c, buf + len, size - len);
+		if (n >= size - len)
 			break;
+		len += n;
 	}
+	buf[len] = '\0';
 	return len;
 }
 
@@ -101,19 +94,16 @@
 	return "count";
 }
 
-/* Appends formatted text if it fits whole; else cuts back to what was there. */
-static bool append(char *buf, size_t size, size_t *len, const char *fmt, ...)
+/* Writes one counter; returns its length, even if it did not fit. */
+static size_t print_one(int c, char *buf, size_t size)
 {
-	va_list ap;
+	const char *name = counters[c].name;
 	int n;
 
-	va_start(ap, fmt);
-	n = vsnprintf(buf + *len, size - *len, fmt, ap);
-	va_end(ap);
-	if (n < 0 || (size_t)n >= size - *len) {
-		buf[*len] = '\0';
-		return false;
-	}
-	*len += (size_t)n;
-	return true;
+	n = snprintf(buf, size,
+		     "# HELP %s %s\n# TYPE %s counter\n# UNIT %s %s\n"
+		     "%s %llu\n",
+		     name, counters[c].help, name, name, unit_of(name), name,
+		     (unsigned long long)counter_sum((enum counter)c));
+	return n < 0 ? size : (size_t)n;
 }
--- a/src/kernel/kernel.c
+++ b/src/kernel/kernel.c
@@ -7,8 +7,8 @@
 #include "kernel/loop.h"
 #include "kernel/plugin.h"
 
-#define DRAIN_STEP_MAX (5 * USEC_PER_MSEC)
-#define DRAIN_GIVE_MAX (2 * USEC_PER_SEC)
+#define DRAIN_STEP_MAX (5L * USEC_PER_MSEC)
+#define DRAIN_GIVE_MAX (2L * USEC_PER_SEC)
 
 static struct drain_load load_of(struct kernel *k, enum drain_phase phase);
 static void enter(struct kernel *k, enum drain_phase phase);
--- a/src/plugins/caller_http_answer.c
+++ b/src/plugins/caller_http_answer.c
@@ -238,7 +238,7 @@
 	char clean[ERROR_MESSAGE_BYTES];
 	size_t i;
 
-	for (i = 0; text[i] && i < sizeof(clean) - 1; i++)
+	for (i = 0; i < sizeof(clean) - 1 && text[i]; i++)
 		clean[i] = (signed char)text[i] < 0 ? '?' : text[i];
 	clean[i] = '\0';
 	return json_string(clean);
--- a/src/plugins/caller_http_request.c
+++ b/src/plugins/caller_http_request.c
@@ -9,7 +9,7 @@
 /* A chunked body is read past its bound by this factor, then cut off. */
 #define BODY_DISCARD_FACTOR 4
 /* A key found longer ago is checked again before the request runs. */
-#define KEY_RECHECK_US	(500 * USEC_PER_MSEC)
+#define KEY_RECHECK_US	(500L * USEC_PER_MSEC)
 #define DRAIN_MESSAGE	"VM takes no new work"
 #define ABANDON_MESSAGE "VM stopped before the answer"
 
