Test members, dispatch and the connections between VMs

Cause: fleet, peer and the links had no tests of their own. Change: tables for picks, ranks, incarnations, freshness; links' idle closing, room, a peer that is down, and that no handshake succeeds without the fleet's secret.

--- /dev/null
+++ b/tests/kernel/fleet_test.cc
@@ -0,0 +1,139 @@
+#include <gtest/gtest.h>
+
+#include <map>
+#include <set>
+#include <string>
+
+extern "C" {
+#include "kernel/fleet.h"
+#include "kernel/fleet_own.h"
+#include "kernel/kernel.h"
+}
+
+namespace
+{
+struct Fleet : testing::Test {
+	struct kernel k = {};
+
+	Fleet()
+	{
+		snprintf(k.settings.vm, NAME_MAX_BYTES, "vm-0");
+		snprintf(k.settings.domain, NAME_MAX_BYTES, "a");
+		snprintf(k.settings.peer_listen, ADDR_MAX_BYTES, "10.0.0.1:7");
+		k.settings.keys_fresh_ms = 3000;
+		k.incarnation = 100;
+		k.fleet = fleet_create(&k);
+	}
+	~Fleet() override
+	{
+		fleet_destroy(k.fleet);
+	}
+	void list(const std::map<std::string, std::string> &domains,
+		  uint64_t incarnation = 5)
+	{
+		struct members *m = k.fleet->members;
+		members_list_begin(m);
+		for (const auto &d : domains) {
+			struct member vm = {};
+			snprintf(vm.name, sizeof(vm.name), "%s",
+				 d.first.c_str());
+			snprintf(vm.domain, sizeof(vm.domain), "%s",
+				 d.second.c_str());
+			vm.incarnation = incarnation;
+			members_list_add(m, &vm);
+		}
+		members_list_end(m, 1000);
+	}
+};
+
+TEST_F(Fleet, KnowsItselfFirst)
+{
+	struct fleet_vm vm;
+	EXPECT_EQ(fleet_size(&k), 1u);
+	ASSERT_TRUE(fleet_find(&k, "vm-0", &vm));
+	EXPECT_STREQ(vm.domain, "a");
+	EXPECT_STREQ(vm.peer, "10.0.0.1:7");
+	EXPECT_EQ(vm.incarnation, 100u);
+	EXPECT_TRUE(vm.alive);
+	EXPECT_EQ(fleet_rank(&k, "groups/x"), 0u);
+	EXPECT_FALSE(fleet_find(&k, "vm-9", &vm));
+}
+
+TEST_F(Fleet, PicksOtherLiveVmsEachWithTheSameChance)
+{
+	list({ { "vm-0", "a" },
+	       { "vm-1", "a" },
+	       { "vm-2", "b" },
+	       { "vm-3", "c" },
+	       { "vm-4", "c" } });
+	members_unanswered(k.fleet->members, "vm-4", 5);
+	const struct {
+		size_t n;
+		const char *not_domain;
+		size_t got;
+		std::set<std::string> from;
+	} cases[] = {
+		{ 9, nullptr, 3, { "vm-1", "vm-2", "vm-3" } },
+		{ 2, nullptr, 2, { "vm-1", "vm-2", "vm-3" } },
+		{ 9, "a", 2, { "vm-2", "vm-3" } },
+		{ 0, nullptr, 0, {} },
+	};
+	for (const auto &c : cases) {
+		struct fleet_vm out[9];
+		size_t n = fleet_pick(&k, c.n, c.not_domain, out);
+		std::set<std::string> names;
+		EXPECT_EQ(n, c.got);
+		for (size_t i = 0; i < n; i++) {
+			EXPECT_TRUE(c.from.count(out[i].name)) << out[i].name;
+			names.insert(out[i].name);
+		}
+		EXPECT_EQ(names.size(), n) << "one was picked twice";
+	}
+	// Of 3000 draws of one out of three, each has about 1000; 800 is more
+	// than seven standard deviations below.
+	std::map<std::string, int> counts;
+	for (int i = 0; i < 3000; i++) {
+		struct fleet_vm vm;
+		ASSERT_EQ(fleet_pick(&k, 1, nullptr, &vm), 1u);
+		counts[vm.name]++;
+	}
+	for (const auto &c : counts)
+		EXPECT_GT(c.second, 800) << c.first;
+}
+
+TEST_F(Fleet, AnEarlierIncarnationIsNotHeard)
+{
+	list({ { "vm-0", "a" }, { "vm-1", "b" } }, 50);
+	EXPECT_TRUE(fleet_heard(&k, "vm-1", 50, 2000));
+	EXPECT_FALSE(fleet_heard(&k, "vm-1", 49, 2000));
+	EXPECT_TRUE(fleet_heard(&k, "vm-1", 51, 2000));
+	EXPECT_FALSE(fleet_heard(&k, "vm-1", 50, 2000));
+	EXPECT_TRUE(fleet_gone(&k, "vm-1", 50, 2000, 1000));
+	EXPECT_FALSE(fleet_gone(&k, "vm-1", 51, 2000, 1000));
+	// Not known yet: gossip will tell who it is.
+	EXPECT_TRUE(fleet_heard(&k, "vm-9", 1, 2000));
+}
+
+TEST_F(Fleet, TopAndRankAgree)
+{
+	list({ { "vm-0", "a" }, { "vm-1", "a" }, { "vm-2", "b" } });
+	struct fleet_vm top[3];
+	ASSERT_EQ(fleet_top(&k, "groups/quotes", top, 3), 3u);
+	EXPECT_STREQ(top[fleet_rank(&k, "groups/quotes")].name, "vm-0");
+}
+
+TEST_F(Fleet, FreshnessLapsesWithoutWord)
+{
+	usec_t now = 10 * USEC_PER_SEC;
+	EXPECT_EQ(fleet_freshness(&k, now), FRESH_LAPSED);
+	EXPECT_EQ(fleet_word_age(&k, now), -1);
+	freshness_platform(&k.fleet->fresh, now);
+	EXPECT_EQ(fleet_freshness(&k, now + 3000000), FRESH);
+	EXPECT_EQ(fleet_word_age(&k, now + 3000000), 3000000);
+	// Alone, an outage cannot be told from being cut off only if the
+	// fleet has others.
+	EXPECT_EQ(fleet_freshness(&k, now + 3000001), FRESH_OUTAGE);
+	list({ { "vm-0", "a" }, { "vm-1", "b" } });
+	EXPECT_EQ(fleet_freshness(&k, now + 3000001), FRESH_LAPSED);
+}
+} // namespace
--- /dev/null
+++ b/tests/plugins/peer_links_test.cc
@@ -0,0 +1,152 @@
+#include <gtest/gtest.h>
+#include <sodium.h>
+#include <zmq.h>
+
+#include <cstring>
+#include <string>
+
+extern "C" {
+#include "plugins/peer_links.h"
+}
+
+namespace
+{
+#define RECEIVE_MS 5000
+
+struct peer_keys keys_of(const char *seed_text)
+{
+	struct peer_keys k = {};
+	uint8_t seed[crypto_box_SEEDBYTES];
+	crypto_generichash(seed, sizeof(seed), (const uint8_t *)seed_text,
+			   strlen(seed_text), nullptr, 0);
+	crypto_box_seed_keypair(k.public_key, k.secret_key, seed);
+	k.set = true;
+	return k;
+}
+
+struct Router {
+	void *socket;
+	std::string address;
+
+	Router(void *zmq, const struct peer_keys &keys)
+	{
+		int ms = RECEIVE_MS;
+		char endpoint[128];
+		size_t len = sizeof(endpoint);
+		socket = zmq_socket(zmq, ZMQ_ROUTER);
+		EXPECT_EQ(peer_socket_prepare(socket, "127.0.0.1:0", &keys,
+					      true, nullptr),
+			  0);
+		zmq_setsockopt(socket, ZMQ_RCVTIMEO, &ms, sizeof(ms));
+		EXPECT_EQ(zmq_bind(socket, "tcp://127.0.0.1:0"), 0);
+		zmq_getsockopt(socket, ZMQ_LAST_ENDPOINT, endpoint, &len);
+		address = std::string(endpoint).substr(6);
+	}
+	~Router()
+	{
+		zmq_close(socket);
+	}
+	std::string receive()
+	{
+		char buf[256];
+		if (zmq_recv(socket, buf, sizeof(buf), 0) < 0)
+			return "nothing";
+		int n = zmq_recv(socket, buf, sizeof(buf), 0);
+		return n < 0 ? "nothing" : std::string(buf, (size_t)n);
+	}
+};
+
+struct PeerLinks : testing::Test {
+	void *zmq = zmq_ctx_new();
+	struct peer_keys none = {};
+	~PeerLinks() override
+	{
+		zmq_ctx_term(zmq);
+	}
+	static bool send(struct peer_links *l, const std::string &to,
+			 const std::string &text, usec_t now)
+	{
+		return peer_links_send(l, to.c_str(), text.data(), text.size(),
+				       now);
+	}
+};
+
+TEST_F(PeerLinks, CarriesMessagesAndClosesIdleOnes)
+{
+	Router r(zmq, none);
+	struct peer_links *l = peer_links_create(zmq, &none);
+	EXPECT_TRUE(send(l, r.address, "one", 1));
+	EXPECT_TRUE(send(l, r.address, "two", 2));
+	EXPECT_EQ(r.receive(), "one");
+	EXPECT_EQ(r.receive(), "two");
+	EXPECT_EQ(peer_links_count(l), 1u);
+	peer_links_close_idle(l, 2 + PEER_LINK_IDLE_US);
+	EXPECT_EQ(peer_links_count(l), 1u);
+	peer_links_close_idle(l, 3 + PEER_LINK_IDLE_US);
+	EXPECT_EQ(peer_links_count(l), 0u);
+	EXPECT_TRUE(send(l, r.address, "three", 4));
+	EXPECT_EQ(r.receive(), "three");
+	peer_links_destroy(l);
+}
+
+TEST_F(PeerLinks, TheOldestMakesRoom)
+{
+	Router r(zmq, none);
+	struct peer_links *l = peer_links_create(zmq, &none);
+	for (int i = 0; i < PEER_LINKS_MAX; i++)
+		send(l, "127.0.0.1:" + std::to_string(1 + i), "x", 10 + i);
+	EXPECT_EQ(peer_links_count(l), (size_t)PEER_LINKS_MAX);
+	EXPECT_TRUE(send(l, r.address, "room", 5000));
+	EXPECT_EQ(peer_links_count(l), (size_t)PEER_LINKS_MAX);
+	EXPECT_EQ(r.receive(), "room");
+	peer_links_destroy(l);
+}
+
+TEST_F(PeerLinks, AVmThatIsDownBlocksNobody)
+{
+	struct peer_links *l = peer_links_create(zmq, &none);
+	int sent = 0;
+	for (int i = 0; i < 4 * PEER_SEND_HWM; i++)
+		sent += send(l, "127.0.0.1:1", "x", 1);
+	EXPECT_EQ(sent, PEER_SEND_HWM);
+	peer_links_destroy(l);
+}
+
+// Waits until a handshake with the socket has failed.
+bool handshake_fails(void *monitor)
+{
+	uint8_t event[6];
+	char address[128];
+
+	if (zmq_recv(monitor, event, sizeof(event), 0) < 0)
+		return false;
+	zmq_recv(monitor, address, sizeof(address), 0);
+	return true;
+}
+
+TEST_F(PeerLinks, OnlyTheFleetsSecretGetsThrough)
+{
+	struct peer_keys ours = keys_of("ours"), other = keys_of("other");
+	Router r(zmq, ours);
+	int ms = RECEIVE_MS;
+	zmq_socket_monitor(r.socket, "inproc://handshakes",
+			   ZMQ_EVENT_HANDSHAKE_FAILED_NO_DETAIL |
+				   ZMQ_EVENT_HANDSHAKE_FAILED_PROTOCOL |
+				   ZMQ_EVENT_HANDSHAKE_FAILED_AUTH);
+	void *monitor = zmq_socket(zmq, ZMQ_PAIR);
+	zmq_setsockopt(monitor, ZMQ_RCVTIMEO, &ms, sizeof(ms));
+	ASSERT_EQ(zmq_connect(monitor, "inproc://handshakes"), 0);
+	for (const struct peer_keys &wrong : { other, none }) {
+		struct peer_links *l = peer_links_create(zmq, &wrong);
+		send(l, r.address, "let me in", 1);
+		EXPECT_TRUE(handshake_fails(monitor));
+		peer_links_destroy(l);
+	}
+	struct peer_links *vm = peer_links_create(zmq, &ours);
+	EXPECT_TRUE(send(vm, r.address, "vm", 1));
+	EXPECT_EQ(r.receive(), "vm");
+	peer_links_destroy(vm);
+	zmq_socket_monitor(r.socket, nullptr, 0);
+	zmq_close(monitor);
+}
+} // namespace
