--- a/src/decide/escrow.c
+++ b/src/decide/escrow.c
@@ -138,6 +138,12 @@
 	return b->tokens < low && escrow_demand_per_s(b, now) > 0;
 }
 
+/* Has the VM had no word of the fleet, so that it holds nothing now? */
+bool escrow_lapsed_now(const struct escrow *b, usec_t now)
+{
+	return now > b->vm->good_until;
+}
+
 /* When one token will be there from this share alone; INT64_MAX if never. */
 usec_t escrow_next_at(const struct escrow *b, usec_t now)
 {
--- a/src/decide/escrow.h
+++ b/src/decide/escrow.h
@@ -54,6 +54,7 @@
 struct escrow {
 	struct escrow_vm *vm;
 	struct escrow_limit limit;
+	bool leaving;	 /* the VM drains: it keeps nothing */
 	bool units;	 /* whole units, such as connections; no tokens */
 	uint32_t whole;	 /* ESCROW_ONE, or how many units there are */
 	uint32_t in_use; /* units that this VM uses */
@@ -111,6 +112,8 @@
 void escrow_put_back(struct escrow *b, usec_t taken_at, usec_t now);
 /* Should this VM ask for more, so that requests need not wait? */
 bool escrow_short(struct escrow *b, usec_t now);
+/* Has the VM had no word of the fleet, so that it holds nothing now? */
+bool escrow_lapsed_now(const struct escrow *b, usec_t now);
 /* When one token will be there from this share alone; INT64_MAX if never. */
 usec_t escrow_next_at(const struct escrow *b, usec_t now);
 /* Requests a second lately. */
--- a/src/decide/escrow_give.c
+++ b/src/decide/escrow_give.c
@@ -202,6 +202,8 @@
 	if (b->units) {
 		if (b->share > b->in_use)
 			g->share = (b->share - b->in_use + 1) / 2;
+		if (b->leaving)
+			g->share = b->share;
 		b->share -= g->share;
 		return;
 	}
@@ -228,6 +230,8 @@
 	uint64_t total = (uint64_t)b->share + msg->share;
 	uint32_t keep;
 
+	if (b->leaving)
+		return 0;
 	if (total > b->whole)
 		return b->share;
 	keep = (uint32_t)(total * own / (own + theirs));
--- a/src/kernel/plugin.h
+++ b/src/kernel/plugin.h
@@ -26,6 +26,7 @@
 	RANK_STATE = 5, /* store and fleet: there before all, freed last */
 	RANK_PLATFORM = 10,
 	RANK_PEER = 20,
+	RANK_TEAMS = 22,
 	RANK_DATABASE = 30,
 	RANK_ENGINE = 40,
 	RANK_CALLER = 60,
--- a/src/kernel/teams.h
+++ b/src/kernel/teams.h
@@ -4,6 +4,8 @@
 #include "decide/error.h"
 
 struct kernel;
+struct teams;
+struct escrow_msg;
 
 struct team_ref {
 	char team[NAME_MAX_BYTES];
@@ -44,4 +46,23 @@
 bool teams_session_secret(struct kernel *k, uint8_t current[32],
 			  uint8_t previous[32], bool *has_previous);
 
+/* NULL if memory is short. Subscribes to k->store, which must be there. */
+struct teams *teams_create(struct kernel *k);
+void teams_destroy(struct teams *t);
+/* How escrow messages reach a VM; for the plug-in that carries them. */
+void teams_carry(struct teams *t,
+		 void (*send)(void *ctx, const char *to,
+			      const struct escrow_msg *msg),
+		 void *ctx);
+/* A peer's message. Any thread. */
+void teams_receive(struct kernel *k, const char *from, uint64_t incarnation,
+		   const struct escrow_msg *msg, usec_t now);
+/* Asks again, claims, gives back; called every TEAMS_TICK_MS. */
+#define TEAMS_TICK_MS 5
+void teams_tick(struct kernel *k, usec_t now);
+/* Begins to give all shares back to peers. */
+void teams_leave(struct kernel *k);
+/* How many limits this VM still holds a share of. */
+uint32_t teams_shares(struct kernel *k);
+
 #endif
--- /dev/null
+++ b/src/kernel/teams_escrow.c
@@ -0,0 +1,369 @@
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "kernel/counters.h"
+#include "kernel/fleet.h"
+#include "kernel/kernel.h"
+#include "kernel/loop.h"
+#include "kernel/teams_own.h"
+
+/* When to come back if nothing is known of the team yet. */
+#define RETRY_UNKNOWN_MS 1000
+/* A request that waits for a transfer looks again after this. */
+#define LOOK_AGAIN_US (2 * USEC_PER_MSEC)
+/* Least and most time between rounds of questions to peers. */
+#define ROUND_LEAST_US (4 * USEC_PER_MSEC)
+#define ROUND_MOST_US  (64 * USEC_PER_MSEC)
+/* How many keys_fresh_ms off the list prove that a VM is gone. */
+#define GONE_FOR 4
+/* Refusals that are further apart don't count as going on. */
+#define REFUSALS_APART_US USEC_PER_SEC
+
+static enum team_admission refuse(struct team_bucket *b, usec_t now,
+				  int64_t *retry_after_ms);
+static void send_all(struct teams_outbox *box);
+static void note_refusal(struct team_bucket *b, usec_t now);
+static void on_grant(struct team *team, uint64_t peer,
+		     const struct escrow_msg *msg, usec_t now,
+		     struct teams_outbox *box);
+static void on_report(struct team_bucket *b, const char *from,
+		      uint64_t incarnation, const struct escrow_msg *msg,
+		      usec_t now);
+
+/*
+ * Takes one token of the team's rate; see the header. A request that lacks
+ * one waits while peers are asked, but is refused at once when they have said
+ * that they have none and none will be there in time.
+ */
+enum team_admission teams_admit(struct kernel *k, const char *team_name,
+				usec_t now, usec_t first_tried,
+				usec_t *again_at, int64_t *retry_after_ms)
+{
+	struct teams *t = k->teams;
+	struct team_shard *s = teams_shard(t, team_name);
+	usec_t wait = (usec_t)k->settings.escrow_wait_ms * USEC_PER_MSEC;
+	enum team_admission result = TEAM_WAIT;
+	struct teams_outbox box = { .teams = t };
+	struct team_bucket *b = NULL;
+	struct team *team;
+	usec_t next;
+
+	*retry_after_ms = RETRY_UNKNOWN_MS;
+	apr_thread_mutex_lock(s->lock);
+	team = teams_find(s, team_name);
+	if (team)
+		b = teams_bucket(s, team, now);
+	if (!b) {
+		apr_thread_mutex_unlock(s->lock);
+		return TEAM_OVER_RATE;
+	}
+	if (first_tried >= now)
+		escrow_demand(&b->escrow, now);
+	if (escrow_take(&b->escrow, now)) {
+		result = TEAM_ADMITTED;
+		if (escrow_short(&b->escrow, now)) {
+			teams_busy(s, b);
+			teams_ask_round(team, false, now, &box);
+		}
+	} else {
+		teams_busy(s, b);
+		teams_ask_round(team, true, now, &box);
+		next = escrow_next_at(&b->escrow, now);
+		if (now - first_tried >= wait ||
+		    (now < b->empty_until && next > first_tried + wait))
+			result = refuse(b, now, retry_after_ms);
+		*again_at = now + LOOK_AGAIN_US;
+		if (next > now && next < *again_at)
+			*again_at = next;
+	}
+	apr_thread_mutex_unlock(s->lock);
+	teams_flush(&box);
+	return result;
+}
+
+/* Gives a taken token back; see the header. */
+void teams_refund(struct kernel *k, const char *team_name, usec_t admitted_at)
+{
+	struct team_shard *s = teams_shard(k->teams, team_name);
+	struct team *team;
+
+	apr_thread_mutex_lock(s->lock);
+	team = teams_find(s, team_name);
+	if (team && team->bucket)
+		escrow_put_back(&team->bucket->escrow, admitted_at,
+				k->teams->clock());
+	apr_thread_mutex_unlock(s->lock);
+}
+
+/* A peer's message; one about a team not known yet is dropped. */
+void teams_receive(struct kernel *k, const char *from, uint64_t incarnation,
+		   const struct escrow_msg *msg, usec_t now)
+{
+	struct teams *t = k->teams;
+	struct team_shard *s = teams_shard(t, msg->bucket);
+	struct teams_outbox box = { .teams = t };
+	struct escrow_msg out = { 0 };
+	struct team_bucket *b = NULL;
+	struct team *team;
+	uint64_t peer = hash_name(from);
+
+	apr_thread_mutex_lock(s->lock);
+	team = teams_find(s, msg->bucket);
+	if (team)
+		b = teams_bucket(s, team, now);
+	if (!b) {
+		apr_thread_mutex_unlock(s->lock);
+		return;
+	}
+	switch (msg->type) {
+	case ESCROW_ASK:
+		escrow_on_ask(&b->escrow, peer, incarnation, msg, now, &out);
+		if (out.share || out.tokens)
+			counter_add(CTR_ESCROW_GIVES, 1);
+		teams_post(&box, from, team->name, &out);
+		break;
+	case ESCROW_GRANT:
+		on_grant(team, peer, msg, now, &box);
+		break;
+	case ESCROW_OFFER:
+		if (!__atomic_load_n(&t->leaving, __ATOMIC_RELAXED) &&
+		    fleet_self_listed(k) &&
+		    escrow_ask(&b->escrow, peer, now, &out)) {
+			teams_busy(s, b);
+			teams_post(&box, from, team->name, &out);
+		}
+		break;
+	case ESCROW_MOVE:
+		escrow_move(&b->escrow, msg->epoch, now);
+		escrow_report(&b->escrow, &out);
+		teams_post(&box, from, team->name, &out);
+		break;
+	case ESCROW_REPORT:
+		on_report(b, from, incarnation, msg, now);
+		break;
+	case ESCROW_TYPE_COUNT:
+		break;
+	}
+	apr_thread_mutex_unlock(s->lock);
+	teams_flush(&box);
+}
+
+/* Begins to give all shares back to peers. */
+void teams_leave(struct kernel *k)
+{
+	__atomic_store_n(&k->teams->leaving, true, __ATOMIC_RELAXED);
+}
+
+/* How many limits this VM still holds a share of. */
+uint32_t teams_shares(struct kernel *k)
+{
+	struct teams *t = k->teams;
+	uint32_t n = 0;
+	uint32_t i;
+	uint32_t j;
+
+	for (i = 0; i < TEAM_SHARDS; i++) {
+		struct team_shard *s = &t->shards[i];
+
+		apr_thread_mutex_lock(s->lock);
+		for (j = 0; j < s->n; j++) {
+			if (s->teams[j] && s->teams[j]->bucket &&
+			    s->teams[j]->bucket->escrow.share > 0)
+				n++;
+		}
+		apr_thread_mutex_unlock(s->lock);
+	}
+	return n;
+}
+
+/* A team's bucket, made when it is first used; NULL without memory. */
+struct team_bucket *teams_bucket(struct team_shard *s, struct team *t,
+				 usec_t now)
+{
+	struct escrow_limit l = {
+		.rate_per_s = t->limits.rate_per_s,
+		.burst = t->limits.burst,
+	};
+
+	if (t->bucket)
+		return t->bucket;
+	t->bucket = calloc(1, sizeof(*t->bucket));
+	if (!t->bucket)
+		return NULL;
+	escrow_init(&t->bucket->escrow, &s->vm, &l, now);
+	t->bucket->interval = ROUND_LEAST_US;
+	teams_busy(s, t->bucket);
+	return t->bucket;
+}
+
+/* Marks a bucket to be ticked. */
+void teams_busy(struct team_shard *s, struct team_bucket *b)
+{
+	if (b->busy)
+		return;
+	b->busy = true;
+	__atomic_add_fetch(&s->busy, 1, __ATOMIC_RELAXED);
+}
+
+/*
+ * Asks peers, all of them or the next one, if a round is due. While rounds
+ * bring nothing they become rarer.
+ */
+void teams_ask_round(struct team *team, bool all, usec_t now,
+		     struct teams_outbox *box)
+{
+	struct teams *t = box->teams;
+	struct team_bucket *b = team->bucket;
+	struct escrow_msg out = { 0 };
+	uint32_t i;
+	uint32_t n;
+
+	if (now < b->ask_at || !fleet_self_listed(t->kernel) ||
+	    __atomic_load_n(&t->leaving, __ATOMIC_RELAXED))
+		return;
+	teams_refresh_peers(t, team);
+	n = all ? b->n_peers : (b->n_peers > 0);
+	b->asked = 0;
+	b->empties = 0;
+	for (i = 0; i < n; i++) {
+		struct team_peer *p = &b->peers[b->next_peer++ % b->n_peers];
+
+		if (!escrow_ask(&b->escrow, p->hash, now, &out))
+			continue;
+		b->asked++;
+		counter_add(CTR_ESCROW_ASKS, 1);
+		teams_post(box, p->name, team->name, &out);
+	}
+	b->ask_at = now + b->interval;
+	if (b->interval < ROUND_MOST_US)
+		b->interval *= 2;
+}
+
+/* Adds a message to be sent once the lock is released. */
+void teams_post(struct teams_outbox *box, const char *to, const char *bucket,
+		const struct escrow_msg *msg)
+{
+	if (box->n == sizeof(box->out) / sizeof(box->out[0]))
+		send_all(box);
+	snprintf(box->out[box->n].to, NAME_MAX_BYTES, "%s", to);
+	box->out[box->n].msg = *msg;
+	snprintf(box->out[box->n].msg.bucket, ESCROW_BUCKET, "%s", bucket);
+	box->n++;
+}
+
+/* Sends what was posted and starts calls; no lock is held. */
+void teams_flush(struct teams_outbox *box)
+{
+	uint32_t i;
+
+	send_all(box);
+	for (i = 0; i < box->n_calls; i++)
+		platform_submit(box->teams->kernel, box->calls[i]);
+	box->n_calls = 0;
+}
+
+/*
+ * How long a VM must be off the platform's list until its shares may be
+ * handed out anew. Its own shares lapse before: word that is fresh is at most
+ * keys_fresh old, and shares are good for keys_fresh after it.
+ */
+usec_t teams_gone_after(const struct kernel *k)
+{
+	return (usec_t)k->settings.keys_fresh_ms * USEC_PER_MSEC * GONE_FOR;
+}
+
+/* Hands the messages to the carrier, which does not block. */
+static void send_all(struct teams_outbox *box)
+{
+	struct teams *t = box->teams;
+	uint32_t i;
+
+	for (i = 0; i < box->n && t->send; i++)
+		t->send(t->send_ctx, box->out[i].to, &box->out[i].msg);
+	box->n = 0;
+}
+
+/* Refuses, with the time when a token will be there, and jitter. */
+static enum team_admission refuse(struct team_bucket *b, usec_t now,
+				  int64_t *retry_after_ms)
+{
+	uint32_t rate = b->escrow.limit.rate_per_s;
+	usec_t next = escrow_next_at(&b->escrow, now);
+	int64_t ms;
+
+	if (next == INT64_MAX)
+		next = now + (rate ? USEC_PER_SEC / rate : USEC_PER_SEC);
+	ms = (next - now) / USEC_PER_MSEC + 1;
+	*retry_after_ms = ms + randombytes_uniform(
+				       (uint32_t)(ms < 1000 ? ms : 1000) + 10);
+	note_refusal(b, now);
+	return TEAM_OVER_RATE;
+}
+
+/* Keeps since when refusals go on: share may have been lost. */
+static void note_refusal(struct team_bucket *b, usec_t now)
+{
+	if (b->refused_first == 0 || now - b->refused_last > REFUSALS_APART_US)
+		b->refused_first = now;
+	b->refused_last = now;
+}
+
+/* The peers to ask: the first for the team by rank, who hold what is idle. */
+void teams_refresh_peers(struct teams *t, struct team *team)
+{
+	struct fleet_vm top[ESCROW_ASKS + 1];
+	struct team_bucket *b = team->bucket;
+	size_t n = fleet_top(t->kernel, team->name, top, ESCROW_ASKS + 1);
+	size_t i;
+
+	b->n_peers = 0;
+	for (i = 0; i < n && b->n_peers < ESCROW_ASKS; i++) {
+		struct team_peer *p = &b->peers[b->n_peers];
+
+		if (strcmp(top[i].name, t->kernel->settings.vm) == 0)
+			continue;
+		memcpy(p->name, top[i].name, sizeof(p->name));
+		p->hash = hash_name(p->name);
+		b->n_peers++;
+	}
+}
+
+/* An answer: what it brought decides on when to ask next. */
+static void on_grant(struct team *team, uint64_t peer,
+		     const struct escrow_msg *msg, usec_t now,
+		     struct teams_outbox *box)
+{
+	struct team_bucket *b = team->bucket;
+
+	switch (escrow_on_grant(&b->escrow, peer, msg, now)) {
+	case ESCROW_GOT:
+		b->interval = ROUND_LEAST_US;
+		b->empty_until = 0;
+		break;
+	case ESCROW_NEWER:
+		b->ask_at = now;
+		teams_ask_round(team, true, now, box);
+		break;
+	case ESCROW_EMPTY:
+		if (++b->empties == b->asked && b->asked == b->n_peers)
+			b->empty_until = now + ROUND_MOST_US;
+		break;
+	case ESCROW_NOTHING:
+		break;
+	}
+}
+
+/* A report to this VM's recount; a later epoch there ends the recount. */
+static void on_report(struct team_bucket *b, const char *from,
+		      uint64_t incarnation, const struct escrow_msg *msg,
+		      usec_t now)
+{
+	escrow_move(&b->escrow, msg->epoch, now);
+	if (b->claim != CLAIM_COUNTING)
+		return;
+	if (recount_report(&b->recount, from, incarnation, msg->epoch,
+			   msg->share) != 0)
+		recount_end(&b->recount);
+}
