Run requests through groups, queues, confirmations and promotions

Cause: the decisions stood without anything that carries them out. Change: shards own groups; a request takes a token, a place in its database's queue, a call and a confirmation; a group's timer drives probes and promotion; claims and publications go to the platform by conditional update; peers exchange opinions, views and holds; transactions live at one VM, and other VMs forward to it.

--- a/src/kernel/engine_own.h
+++ b/src/kernel/engine_own.h
@@ -5,6 +5,7 @@
 #include <apr_thread_mutex.h>
 
 #include "decide/admit.h"
+#include "decide/config.h"
 #include "decide/confirm.h"
 #include "decide/once.h"
 #include "decide/probe.h"
@@ -18,14 +19,27 @@
 #include "kernel/engine.h"
 #include "kernel/kernel.h"
 
-#define CHANGE_ID_BYTES 40
-#define RANDOM_WORDS	64
+#define RANDOM_WORDS 64
+
+#define FORWARDS_SEEN 256
 
 struct engine;
 struct group;
 struct run;
 struct tx;
 
+/* A request that another VM has passed on: never taken twice. */
+struct forward_seen {
+	uint64_t incarnation;
+	uint64_t id;
+};
+
+/* A list of runs, in order. */
+struct run_list {
+	struct run *first;
+	struct run **last;
+};
+
 /* One thread's part of the groups, with the lock that guards it. */
 struct shard {
 	struct engine *engine;
@@ -38,8 +52,11 @@
 	apr_hash_t *by_tx; /* transactions held here, by number */
 	uint64_t random[RANDOM_WORDS];
 	uint32_t random_left;
-	uint32_t runs;	       /* requests not yet answered */
-	uint32_t transactions; /* open ones */
+	uint32_t runs;		   /* requests not yet answered */
+	uint32_t transactions;	   /* open ones */
+	struct run_list forwarded; /* at other VMs */
+	struct forward_seen seen[FORWARDS_SEEN];
+	uint32_t seen_next;
 };
 
 struct engine {
@@ -47,7 +64,8 @@
 	apr_pool_t *pool;
 	uint32_t n;
 	struct shard *shards;
-	uint64_t tx_numbers; /* __atomic */
+	uint64_t tx_numbers;	  /* __atomic */
+	uint64_t forward_numbers; /* __atomic */
 	struct retry_policy retry;
 	struct route_policy route;
 	struct confirm_policy confirm;
@@ -57,6 +75,7 @@
 
 /* One database of a group as its VM uses it. */
 struct group_db {
+	uint32_t index; /* in its group; DB_NONE once it has left */
 	char name[NAME_MAX_BYTES];
 	char address[ADDR_MAX_BYTES];
 	char domain[NAME_MAX_BYTES];
@@ -66,16 +85,12 @@
 	struct db_call probing;
 	bool probe_under_way;
 	bool lost; /* told so in the log */
+	struct group *group;
+	struct group_db *next; /* in left */
 	struct admit *reads;
 	struct slots reads_limit;
 };
 
-/* A list of runs, in order. */
-struct run_list {
-	struct run *first;
-	struct run **last;
-};
-
 /* One group: its view, its queues and its promotion. */
 struct group {
 	struct group *next;
@@ -83,10 +98,12 @@
 	char service[NAME_MAX_BYTES];
 	uint64_t version; /* of the platform's object */
 	struct group_view view;
-	struct group_db db[DB_MAX];
+	struct group_db *db[DB_MAX];
+	struct group_db *left; /* databases that have left, by next */
 	struct admit *primary; /* queue of all that needs the primary */
 	struct slots primary_limit;
 	bool held;
+	bool hold_here;	   /* this VM's promotion says so */
 	usec_t hold_until; /* on a peer's word; 0: none */
 	struct run_list parked;
 	struct run_list confirming;
@@ -99,15 +116,15 @@
 	uint32_t rank;
 	usec_t rank_at;
 	struct tx *transactions;
-	bool gone; /* its object holds no database any more */
 };
 
 enum run_stage {
-	RUN_ADMIT,   /* waits for a token of its team */
-	RUN_PARKED,  /* waits for a view, a replica or its back-off */
-	RUN_QUEUED,  /* in a database's queue */
-	RUN_CALLING, /* at a database */
-	RUN_CONFIRM, /* waits for a second database */
+	RUN_ADMIT,     /* waits for a token of its team */
+	RUN_PARKED,    /* waits for a view, a replica or its back-off */
+	RUN_QUEUED,    /* in a database's queue */
+	RUN_CALLING,   /* at a database */
+	RUN_CONFIRM,   /* waits for a second database */
+	RUN_FORWARDED, /* at another VM */
 };
 
 /* One request in the engine. */
@@ -129,7 +146,7 @@
 	admit_handle queued;
 	bool in_slot;
 	usec_t slot_at;
-	uint32_t db;
+	struct group_db *db;
 	uint32_t attempts;
 	bool maybe_ran;
 	bool wants_view; /* parked until the view changes */
@@ -138,6 +155,7 @@
 	struct confirm confirm;
 	struct tx *tx;
 	struct run *tx_next; /* behind the running statement */
+	uint64_t forward_id;
 };
 
 /* An open transaction, held by this VM. */
@@ -150,6 +168,9 @@
 	struct run *waiting_first;
 	struct run **waiting_last;
 	char key_id[NAME_MAX_BYTES];
+	struct group_db *db;
+	struct run *active; /* at the database */
+	usec_t key_checked_at;
 	struct db_call rollback;
 	bool rolling_back;
 };
@@ -168,7 +189,7 @@
 void group_tick(void *ctx); /* takes the lock itself */
 void group_poke(struct group *g);
 void group_view_changed(struct group *g);
-void group_heard(struct group *g, uint32_t db, const struct db_call *c);
+void group_heard(struct group_db *db, const struct db_call *c);
 void group_pump(struct group *g);
 void group_set_primary(struct group *g, uint64_t term, uint32_t primary);
 uint32_t group_find_db(const struct group *g, const char *name);
@@ -188,12 +209,11 @@
 void run_list_add(struct run_list *l, struct run *run);
 
 /* run_call.c */
-void run_call(struct run *run, uint32_t db);
+void run_call(struct run *run, struct group_db *db);
 void run_check_confirm(struct run *run, usec_t now);
 void run_resolved(struct run *run, enum call_end end, enum refusal refusal);
 
 /* tx.c */
-void tx_run_begin(struct run *run);
 void tx_run_begun(struct run *run, bool ok);
 void tx_run_arrive(struct run *run);
 void tx_run_ended(struct run *run, enum outcome o, enum error_code why);
@@ -201,6 +221,11 @@
 void tx_group_tick(struct group *g, usec_t now);
 void tx_group_drop(struct group *g);
 
+/* forward.c */
+void forward_start(struct engine *e);
+void forward_run(struct run *run, const char *vm);
+void forward_overdue(struct run *run);
+
 /* failover.c */
 void failover_act(struct group *g, const struct promote_actions *out);
 void failover_heard(struct group *g, uint64_t term, uint32_t primary,
--- /dev/null
+++ b/src/kernel/failover.c
@@ -0,0 +1,179 @@
+#include "kernel/engine_own.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "kernel/counters.h"
+#include "kernel/log.h"
+
+/* A fence, promote or follow on its way to a database. */
+struct order {
+	struct db_call call;
+	struct group_db *db;
+};
+
+static void act(struct group *g, const struct promote_action *a);
+static void send_order(struct group *g, enum db_op op,
+		       const struct promote_action *a);
+static void on_order(struct db_call *c);
+static enum call_result result_of(const struct db_call *c);
+static void view_of(struct db_view *v, const struct db_call *c);
+
+/* Carries out what a promotion decided, in order. Shard's lock. */
+void failover_act(struct group *g, const struct promote_actions *out)
+{
+	uint32_t i;
+
+	for (i = 0; i < out->n; i++)
+		act(g, &out->a[i]);
+}
+
+/*
+ * A term is known from the platform's object or a peer. The view follows at
+ * once; the promotion learns of it. Shard's lock.
+ */
+void failover_heard(struct group *g, uint64_t term, uint32_t primary,
+		    bool published, uint64_t claimed)
+{
+	struct promote_env env = group_env(g, clock_now());
+	struct promote_actions out = { 0 };
+
+	promote_heard(&g->promote, &env, term, primary, published, claimed,
+		      &out);
+	failover_act(g, &out);
+}
+
+/* Carries out one action. */
+static void act(struct group *g, const struct promote_action *a)
+{
+	usec_t now = clock_now();
+
+	switch (a->act) {
+	case ACT_CLAIM:
+		failover_claim(g, a->term);
+		return;
+	case ACT_FENCE:
+		send_order(g, DB_FENCE, a);
+		return;
+	case ACT_PROMOTE:
+		log_event(EV_PROMOTE_FENCE, "service=%s term=%llu", g->service,
+			  (unsigned long long)a->term);
+		send_order(g, DB_PROMOTE, a);
+		return;
+	case ACT_FOLLOW:
+		send_order(g, DB_FOLLOW, a);
+		return;
+	case ACT_PUBLISH:
+		failover_publish(g, a->term, a->primary);
+		return;
+	case ACT_ASK_OPINION:
+		log_event(EV_PROMOTE_SUSPECT, "service=%s term=%llu cause=%s",
+			  g->service, (unsigned long long)a->term,
+			  promote_cause_name(g->promote.cause));
+		group_peer_ask_opinion(g, a->term);
+		return;
+	case ACT_HOLD_WRITES:
+		g->hold_here = true;
+		group_view_changed(g);
+		return;
+	case ACT_RELEASE_WRITES:
+		g->hold_here = false;
+		group_view_changed(g);
+		return;
+	case ACT_TELL_HOLD:
+		log_event(EV_HANDOVER_START, "service=%s term=%llu", g->service,
+			  (unsigned long long)g->view.term);
+		group_peer_tell_hold(g, g->view.term, a->until - now);
+		return;
+	case ACT_TELL_RELEASE:
+		group_peer_tell_hold(g, g->view.term, 0);
+		return;
+	case ACT_TELL_PEERS:
+		group_peer_tell_view(g, a->term, a->primary);
+		return;
+	case ACT_ADOPT:
+		group_set_primary(g, a->term, a->primary);
+		return;
+	}
+}
+
+/* Sends a fence, a promotion or an order to follow. */
+static void send_order(struct group *g, enum db_op op,
+		       const struct promote_action *a)
+{
+	struct order *o = calloc(1, sizeof(*o));
+
+	if (!o)
+		abort();
+	o->db = g->db[a->db];
+	o->call.op = op;
+	o->call.loop = g->shard->loop;
+	memcpy(o->call.address, o->db->address, sizeof(o->call.address));
+	o->call.term = a->term;
+	if (op == DB_FOLLOW)
+		memcpy(o->call.primary, g->db[a->primary]->address,
+		       sizeof(o->call.primary));
+	o->call.timeout = g->promote.policy.call_us;
+	o->call.done = on_order;
+	o->call.ctx = o;
+	database_submit(&o->call);
+}
+
+/* A database has carried out an order, or not. Takes the lock. */
+static void on_order(struct db_call *c)
+{
+	struct order *o = c->ctx;
+	struct group_db *db = o->db;
+	struct group *g = db->group;
+	struct promote_actions out = { 0 };
+	struct promote_env env;
+	struct db_view view = { 0 };
+
+	shard_lock(g->shard);
+	group_heard(db, c);
+	if (db->index != DB_NONE) {
+		env = group_env(g, clock_now());
+		view_of(&view, c);
+		if (c->op == DB_FENCE) {
+			promote_fenced(&g->promote, &env, db->index, c->term,
+				       result_of(c), &view, &out);
+		} else if (c->op == DB_PROMOTE) {
+			promote_promoted(&g->promote, &env, db->index, c->term,
+					 result_of(c), &out);
+			if (c->result == DB_OK) {
+				counter_add(CTR_PROMOTIONS, 1);
+				log_event(EV_PROMOTE_DONE,
+					  "service=%s term=%llu database=%s",
+					  g->service,
+					  (unsigned long long)c->term,
+					  db->name);
+			}
+		}
+		failover_act(g, &out);
+		group_poke(g);
+	}
+	shard_unlock(g->shard);
+	free(o);
+}
+
+/* The result of a call as the promotion sees it. */
+static enum call_result result_of(const struct db_call *c)
+{
+	switch (c->result) {
+	case DB_OK:
+		return CALL_OK;
+	case DB_REFUSED:
+		return CALL_REFUSED;
+	case DB_NOT_SENT:
+		return CALL_DOWN;
+	case DB_LOST:
+		break;
+	}
+	return CALL_LOST;
+}
+
+/* The status that came with an answer; "known" only if there was one. */
+static void view_of(struct db_view *v, const struct db_call *c)
+{
+	database_view_update(v, c);
+}
--- a/src/kernel/request.h
+++ b/src/kernel/request.h
@@ -49,6 +49,7 @@
 	char transaction[TRANSACTION_ID_BYTES];
 	char token[TOKEN_MAX_BYTES];
 	bool token_given;
+	bool forwarded; /* came from another VM; is not passed on again */
 	struct answer answer;
 	void (*done)(struct request *r);
 	void *ctx;
--- /dev/null
+++ b/src/kernel/run_call.c
@@ -0,0 +1,300 @@
+#include "kernel/engine_own.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "kernel/counters.h"
+#include "kernel/log.h"
+
+#define VIEW_RETRY (20 * USEC_PER_MSEC)
+
+static void fill_call(struct run *run, struct group_db *db, usec_t now);
+static void on_call(struct db_call *c);
+static void on_answer(struct run *run, usec_t now);
+static enum once_kind once_kind_of(const struct run *run);
+static enum call_end call_end_of(const struct db_call *c);
+static void take_answer(struct run *run);
+static enum step step_of(const struct run *run);
+static bool writes(const struct run *run);
+
+/*
+ * Sends a request to a database. It holds a slot of its queue, unless it is a
+ * statement of a transaction. Shard's lock.
+ */
+void run_call(struct run *run, struct group_db *db)
+{
+	usec_t now = clock_now();
+
+	if (now >= run->r->deadline) {
+		run_finish(run,
+			   run->maybe_ran ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN,
+			   run->maybe_ran ? ERR_UNKNOWN : ERR_DEADLINE,
+			   STEP_EXECUTE, db->address,
+			   "deadline passed before the call");
+		return;
+	}
+	run->stage = RUN_CALLING;
+	run->db = db;
+	run->attempts++;
+	fill_call(run, db, now);
+	run->sent_term = run->call.term;
+	if (db->index != DB_NONE)
+		run->group->view.db[db->index].running++;
+	if (writes(run))
+		run->group->writes++;
+	database_submit(&run->call);
+}
+
+/* A confirmation may have come nearer. Shard's lock. */
+void run_check_confirm(struct run *run, usec_t now)
+{
+	struct group *g = run->group;
+
+	switch (confirm_check(&run->confirm, &g->view, now)) {
+	case CONFIRM_WAIT:
+		return;
+	case CONFIRM_DONE:
+		run_unlink(run);
+		g->confirms--;
+		counter_add(CTR_CONFIRMS, 1);
+		counter_add(CTR_CONFIRM_WAIT_US,
+			    (uint64_t)(now - run->call.heard_at));
+		if (run->tx)
+			tx_run_ended(run, OUTCOME_DONE, ERR_NONE);
+		run_finish(run, OUTCOME_DONE, ERR_NONE, STEP_CONFIRM, "", "");
+		return;
+	case CONFIRM_LOST:
+		run_unlink(run);
+		g->confirms--;
+		run_resolved(run, CALL_END_LOST, REFUSAL_NONE);
+		return;
+	case CONFIRM_UNKNOWN:
+		run_unlink(run);
+		g->confirms--;
+		run_resolved(run, CALL_END_UNSURE, REFUSAL_NONE);
+		return;
+	}
+}
+
+/*
+ * A call has ended some way; decides what follows: an answer, a confirmation
+ * or another call. Shard's lock.
+ */
+void run_resolved(struct run *run, enum call_end end, enum refusal refusal)
+{
+	struct group *g = run->group;
+	struct engine *e = g->shard->engine;
+	usec_t now = clock_now();
+	struct once_verdict v;
+	struct once_call c = {
+		.kind = once_kind_of(run),
+		.has_id = run->r->request_id[0] != '\0',
+		.maybe_ran = run->maybe_ran,
+		.end = end,
+		.refusal = refusal,
+		.now = now,
+		.deadline = run->r->deadline,
+	};
+	usec_t delay =
+		retry_delay(&e->retry, run->attempts, shard_random(g->shard));
+
+	if (end == CALL_END_DONE && run->attempts == 1)
+		retry_earn(&g->budget, &e->retry);
+	c.retry_ok = true;
+	v = once_decide(&c);
+	if (v.next >= ONCE_RETRY &&
+	    !retry_take(&g->budget, &e->retry, run->attempts)) {
+		c.retry_ok = false;
+		v = once_decide(&c);
+	}
+	if (end == CALL_END_NO_REPLY && writes(run))
+		run->maybe_ran = true;
+	switch (v.next) {
+	case ONCE_ANSWER:
+		if (run->tx)
+			tx_run_ended(run, v.outcome, v.why);
+		run_finish(run, v.outcome, v.why, step_of(run),
+			   run->call.address, run->call.error.message);
+		return;
+	case ONCE_CONFIRM:
+		run->stage = RUN_CONFIRM;
+		run_list_add(&g->confirming, run);
+		g->confirms++;
+		confirm_start(&run->confirm, run->call.at, run->r->deadline);
+		run_check_confirm(run, now);
+		group_poke(g);
+		return;
+	case ONCE_RETRY:
+	case ONCE_RESEND_ID:
+		counter_add(CTR_RETRIES, 1);
+		run_park(run, now + delay, false);
+		return;
+	case ONCE_RETRY_VIEW:
+		counter_add(CTR_RETRIES, 1);
+		run_park(run, now + VIEW_RETRY, true);
+		return;
+	case ONCE_RETRY_OTHER:
+		counter_add(CTR_RETRIES, 1);
+		if (run->db->index != DB_NONE)
+			run->want.tried |= 1u << run->db->index;
+		run_park(run, now, false);
+		return;
+	}
+}
+
+/* Fills in a call from the request. */
+static void fill_call(struct run *run, struct group_db *db, usec_t now)
+{
+	const struct request *r = run->r;
+	const struct settings *s = &run->group->shard->kernel->settings;
+	struct db_call *c = &run->call;
+	usec_t most = (usec_t)s->reply_timeout_ms * USEC_PER_MSEC;
+
+	free(c->rows);
+	memset(c, 0, sizeof(*c));
+	c->op = r->op == OP_BEGIN      ? DB_BEGIN
+		: r->op == OP_COMMIT   ? DB_COMMIT
+		: r->op == OP_ROLLBACK ? DB_ROLLBACK
+				       : DB_EXECUTE;
+	c->loop = run->group->shard->loop;
+	memcpy(c->address, db->address, sizeof(c->address));
+	c->term = run->tx ? run->tx->state.term : run->group->view.term;
+	c->kind = r->kind;
+	c->statement = r->statement;
+	c->parameters = r->parameters;
+	if (r->request_id[0]) {
+		snprintf(c->request_id, sizeof(c->request_id), "%s.%s", r->team,
+			 r->request_id);
+		memcpy(c->body_hash, r->body_hash, sizeof(c->body_hash));
+	}
+	if (run->tx)
+		memcpy(c->transaction, run->tx->remote, sizeof(c->transaction));
+	c->timeout = r->deadline - now < most ? r->deadline - now : most;
+	c->fresh = run->attempts > 1 && run->call.result == DB_LOST;
+	c->done = on_call;
+	c->ctx = run;
+}
+
+/* A database has answered, or has not. Takes the lock. */
+static void on_call(struct db_call *c)
+{
+	struct run *run = c->ctx;
+	struct group *g = run->group;
+	struct shard *s = g->shard;
+	usec_t now = clock_now();
+
+	shard_lock(s);
+	if (run->db->index != DB_NONE)
+		g->view.db[run->db->index].running--;
+	if (writes(run))
+		g->writes--;
+	if (run->in_slot && run->limit) {
+		if (c->result == DB_REFUSED && c->refusal == REFUSAL_BUSY)
+			slots_busy(run->limit, now);
+		else if (c->result == DB_OK)
+			slots_taken(run->limit, admit_waiting(run->queue) > 0);
+	}
+	if (c->result == DB_LOST)
+		log_event(EV_DB_SUSPECT, "service=%s database=%s step=%s",
+			  g->service, run->db->name, step_name(c->error.step));
+	run_leave_slot(run);
+	group_heard(run->db, c);
+	on_answer(run, now);
+	group_pump(g);
+	shard_unlock(s);
+}
+
+/* Goes on with a request whose call has ended. */
+static void on_answer(struct run *run, usec_t now)
+{
+	struct group *g = run->group;
+	struct db_call *c = &run->call;
+
+	if (run->r->op == OP_BEGIN && c->result == DB_OK) {
+		tx_run_begun(run, true);
+		return;
+	}
+	if (c->result == DB_OK && !writes(run) && !run->tx) {
+		if (run->db->index == DB_NONE ||
+		    !route_answer_ok(&g->view, run->db->index, &run->want,
+				     &g->shard->engine->route, now)) {
+			if (run->db->index != DB_NONE)
+				run->want.tried |= 1u << run->db->index;
+			run_park(run, now, false);
+			return;
+		}
+	}
+	if (c->result == DB_OK)
+		take_answer(run);
+	run_resolved(run, call_end_of(c), c->refusal);
+}
+
+/* Moves what the database answered into the caller's answer. */
+static void take_answer(struct run *run)
+{
+	struct group *g = run->group;
+	struct answer *a = &run->r->answer;
+	struct db_call *c = &run->call;
+
+	free(a->rows);
+	a->rows = c->rows;
+	c->rows = NULL;
+	a->at = writes(run) ? c->at : c->status.end;
+	a->from_replica = c->status.role == ROLE_REPLICA;
+	a->age_us = 0;
+	if (a->from_replica && run->db->index != DB_NONE)
+		a->age_us = route_age(&g->view, run->db->index,
+				      &g->shard->engine->route, clock_now());
+}
+
+/* What kind of call the decision about retries sees. */
+static enum once_kind once_kind_of(const struct run *run)
+{
+	switch (run->r->op) {
+	case OP_BEGIN:
+		return ONCE_TX_BEGIN;
+	case OP_COMMIT:
+		return ONCE_TX_COMMIT;
+	case OP_ROLLBACK:
+		return ONCE_TX_ROLLBACK;
+	case OP_STATEMENT:
+		break;
+	}
+	if (run->tx)
+		return ONCE_TX_STATEMENT;
+	return run->r->kind == KIND_WRITE ? ONCE_WRITE : ONCE_READ;
+}
+
+/* How a call ended, as the decision about retries sees it. */
+static enum call_end call_end_of(const struct db_call *c)
+{
+	switch (c->result) {
+	case DB_OK:
+		return CALL_END_DONE;
+	case DB_REFUSED:
+		return CALL_END_REFUSED;
+	case DB_NOT_SENT:
+		return CALL_END_NOT_SENT;
+	case DB_LOST:
+		break;
+	}
+	return CALL_END_NO_REPLY;
+}
+
+/* The step that an error of a request's call belongs to. */
+static enum step step_of(const struct run *run)
+{
+	if (run->call.error.step != STEP_NONE)
+		return run->call.error.step;
+	return STEP_CONFIRM;
+}
+
+/* Can the request's call change data for good? */
+static bool writes(const struct run *run)
+{
+	if (run->r->op == OP_COMMIT)
+		return true;
+	return run->r->op == OP_STATEMENT && run->r->kind == KIND_WRITE &&
+	       !run->tx;
+}
