Read peers' words on groups with the shared wire readers

Cause: two files had readers of their own for the same msgpack fields. Change: both use kernel/wire; opinions are given from the probe's first unanswered question; a rolled-back transaction refuses the statement at hand; an unknown mark is cleared only under a settled later term.

--- a/src/kernel/engine.c
+++ b/src/kernel/engine.c
@@ -13,6 +13,7 @@
 #define ROUTE_WAIT_MAX	   (3 * USEC_PER_MSEC)
 #define ROUTE_WAIT_STEP	   (1 * USEC_PER_MSEC)
 #define PRIMARY_GUARD	   (2 * USEC_PER_SEC)
+#define DEPARTING_WORK	   (2 * USEC_PER_SEC)
 #define CLOCK_RATE_PPM	   200
 #define RETRY_SHARE	   100 /* per thousand answered requests */
 #define RETRY_BURST	   50
@@ -214,6 +215,7 @@
 		.wait_max_us = ROUTE_WAIT_MAX,
 		.wait_step_us = ROUTE_WAIT_STEP,
 		.guard_us = PRIMARY_GUARD,
+		.departing_us = DEPARTING_WORK,
 		.clock_rate_ppm = CLOCK_RATE_PPM,
 	};
 	e->confirm = (struct confirm_policy){
@@ -344,8 +346,8 @@
 				"log_term", (json_int_t)d->end.term, "position",
 				(json_int_t)d->end.position, "departing",
 				d->state == DB_DEPARTING, "age_us",
-				(json_int_t)route_age(
-					v, i, &g->shard->engine->route, now)));
+				(json_int_t)route_age(v, i, CLOCK_RATE_PPM,
+						      now)));
 	}
 	return json_pack("{s:I,s:s,s:I,s:s,s:b,s:I,s:I,s:o}", "term",
 			 (json_int_t)v->term, "primary", primary, "version",
--- a/src/kernel/engine_own.h
+++ b/src/kernel/engine_own.h
@@ -193,6 +193,7 @@
 void group_pump(struct group *g);
 void group_set_primary(struct group *g, uint64_t term, uint32_t primary);
 uint32_t group_find_db(const struct group *g, const char *name);
+usec_t group_unanswered(const struct group *g);
 struct promote_env group_env(struct group *g, usec_t now);
 void group_destroy(struct group *g);
 
--- a/src/kernel/group.c
+++ b/src/kernel/group.c
@@ -74,6 +74,14 @@
 	return DB_NONE;
 }
 
+/* Since when the primary has left questions unanswered; 0: it has not. */
+usec_t group_unanswered(const struct group *g)
+{
+	if (g->view.primary == DB_NONE)
+		return 0;
+	return g->db[g->view.primary]->probe.unanswered_at;
+}
+
 /* What surrounds the group's promotion now. */
 struct promote_env group_env(struct group *g, usec_t now)
 {
@@ -89,6 +97,7 @@
 		.view = &g->view,
 		.rank = g->rank,
 		.running = g->writes,
+		.unanswered_at = group_unanswered(g),
 		.other_domains = fleet_pick(k, 1, k->settings.domain, &vm) > 0,
 		.platform_up = platform_is_up(k),
 		.random = shard_random(g->shard),
--- a/src/kernel/group_peer.c
+++ b/src/kernel/group_peer.c
@@ -8,8 +8,10 @@
 #include "kernel/fleet.h"
 #include "kernel/log.h"
 #include "kernel/peer.h"
+#include "kernel/wire.h"
 
 #define OPINIONS_ASKED 3
+#define WORD_FIELDS    4
 #define TELL_MAX       64
 
 /* What VMs tell each other of a group: [service, term, primary, word]. */
@@ -28,7 +30,6 @@
 static void tell_all(struct group *g, enum peer_type type,
 		     const struct group_word *w);
 static int unpack(struct group_word *w, const void *body, size_t len);
-static bool take_text(const msgpack_object *o, char *out, size_t size);
 static void on_opinion(void *ctx, const char *from, uint64_t incarnation,
 		       const void *body, size_t len);
 static void on_opinion_reply(void *ctx, const char *from, uint64_t incarnation,
@@ -108,10 +109,10 @@
 
 	msgpack_sbuffer_init(&buf);
 	msgpack_packer_init(&p, &buf, msgpack_sbuffer_write);
-	msgpack_pack_array(&p, 4);
-	msgpack_pack_str_with_body(&p, w->service, strlen(w->service));
+	msgpack_pack_array(&p, WORD_FIELDS);
+	wire_put_str(&p, w->service);
 	msgpack_pack_uint64(&p, w->term);
-	msgpack_pack_str_with_body(&p, w->primary, strlen(w->primary));
+	wire_put_str(&p, w->primary);
 	msgpack_pack_uint64(&p, w->word);
 	peer_send(k, to, type, buf.data, buf.size);
 	msgpack_sbuffer_destroy(&buf);
@@ -120,40 +121,21 @@
 /* Unpacks one word; -1 if it is not of that form. */
 static int unpack(struct group_word *w, const void *body, size_t len)
 {
-	const msgpack_object *a;
+	struct wire_reader r;
 	msgpack_unpacked u;
-	size_t off = 0;
-	int rc = -1;
 
 	msgpack_unpacked_init(&u);
-	if (msgpack_unpack_next(&u, body, len, &off) ==
-		    MSGPACK_UNPACK_SUCCESS &&
-	    off == len && u.data.type == MSGPACK_OBJECT_ARRAY &&
-	    u.data.via.array.size == 4) {
-		a = u.data.via.array.ptr;
-		if (take_text(&a[0], w->service, sizeof(w->service)) &&
-		    a[1].type == MSGPACK_OBJECT_POSITIVE_INTEGER &&
-		    take_text(&a[2], w->primary, sizeof(w->primary)) &&
-		    a[3].type == MSGPACK_OBJECT_POSITIVE_INTEGER) {
-			w->term = a[1].via.u64;
-			w->word = a[3].via.u64;
-			rc = 0;
-		}
+	if (!wire_unpack(&u, body, len)) {
+		msgpack_unpacked_destroy(&u);
+		return -1;
 	}
+	r = wire_array(&u.data, WORD_FIELDS);
+	wire_str(&r, w->service, sizeof(w->service));
+	w->term = wire_u64(&r);
+	wire_str(&r, w->primary, sizeof(w->primary));
+	w->word = wire_u64(&r);
 	msgpack_unpacked_destroy(&u);
-	return rc;
-}
-
-/* Copies a string that fits and has no NUL inside. */
-static bool take_text(const msgpack_object *o, char *out, size_t size)
-{
-	if (o->type != MSGPACK_OBJECT_STR || o->via.str.size >= size ||
-	    (o->via.str.size && memchr(o->via.str.ptr, 0, o->via.str.size)))
-		return false;
-	if (o->via.str.size)
-		memcpy(out, o->via.str.ptr, o->via.str.size);
-	out[o->via.str.size] = '\0';
-	return true;
+	return r.bad ? -1 : 0;
 }
 
 /* Peer thread. */
@@ -212,8 +194,11 @@
 	shard_lock(s);
 	g = shard_group(s, w->service);
 	if (g && w->type == PEER_OPINION) {
-		w->word = promote_give_opinion(&g->promote, &g->view, w->term,
-					       clock_now());
+		g->used_at = clock_now(); /* so that the group is probed */
+		group_poke(g);
+		w->word =
+			promote_give_opinion(&g->promote, &g->view, w->term,
+					     group_unanswered(g), clock_now());
 		send_word(s->kernel, w->from, PEER_OPINION_REPLY, w);
 	} else if (g && w->type == PEER_OPINION_REPLY) {
 		env = group_env(g, clock_now());
--- a/src/kernel/run.c
+++ b/src/kernel/run.c
@@ -379,8 +379,9 @@
 		token_mark_unknown(&run->token, r->service, run->sent_term);
 		moved = true;
 	}
-	if (o == OUTCOME_DONE && run->call.replayed) {
-		token_settle(&run->token, r->service, run->want.unknown_term);
+	if (o == OUTCOME_DONE && run->want.unknown_term &&
+	    confirm_settled(&run->group->view)) {
+		token_settle(&run->token, r->service, run->group->view.term);
 		moved = true;
 	}
 	if (!moved && r->token_given && run->want.session_known)
--- a/src/kernel/run_call.c
+++ b/src/kernel/run_call.c
@@ -245,7 +245,8 @@
 	a->age_us = 0;
 	if (a->from_replica && run->db->index != DB_NONE)
 		a->age_us = route_age(&g->view, run->db->index,
-				      &g->shard->engine->route, clock_now());
+				      g->shard->engine->route.clock_rate_ppm,
+				      clock_now());
 }
 
 /* What kind of call the decision about retries sees. */
--- a/src/kernel/tx.c
+++ b/src/kernel/tx.c
@@ -12,6 +12,7 @@
 
 static struct tx *find(struct shard *s, const struct tx_id *id);
 static void act(struct tx *tx, struct run *run, struct tx_verdict v);
+static void act_rollback(struct tx *tx, struct run *run, struct tx_verdict v);
 static void next_waiting(struct tx *tx);
 static void send_rollback(struct tx *tx);
 static void on_rollback(struct db_call *c);
@@ -180,16 +181,7 @@
 		tx->waiting_last = &run->tx_next;
 		return;
 	case TX_ROLLBACK:
-		if (run && !tx->rolling_back) {
-			run->tx = tx;
-			tx->active = run;
-			run_call(run, tx->db);
-		} else if (run) {
-			run_finish(run, OUTCOME_DONE, ERR_NONE,
-				   STEP_TX_ROLLBACK, "", "");
-		} else {
-			send_rollback(tx);
-		}
+		act_rollback(tx, run, v);
 		return;
 	case TX_REFUSE:
 		if (run)
@@ -204,6 +196,24 @@
 	}
 }
 
+/*
+ * Rolls back: a caller's own rollback carries the call itself; any other
+ * statement is refused and the transaction rolled back behind it.
+ */
+static void act_rollback(struct tx *tx, struct run *run, struct tx_verdict v)
+{
+	if (run && run->r->op == OP_ROLLBACK && !tx->rolling_back) {
+		run->tx = tx;
+		tx->active = run;
+		run_call(run, tx->db);
+		return;
+	}
+	if (run)
+		run_finish(run, v.outcome, v.why, STEP_TX_STATEMENT, "",
+			   "the transaction is rolled back");
+	send_rollback(tx);
+}
+
 /* Takes up the statements that wait behind one that has ended, in order. */
 static void next_waiting(struct tx *tx)
 {
