--- a/src/kernel/engine_own.h
+++ b/src/kernel/engine_own.h
@@ -138,6 +138,7 @@
 	struct loop_timer timer;
 	usec_t first_tried;
 	bool charged; /* a token of the team was taken */
+	usec_t admitted_at;
 	uint32_t weight;
 	struct session_token token;
 	struct route_want want;
--- a/src/kernel/run.c
+++ b/src/kernel/run.c
@@ -181,7 +181,7 @@
 	if (o == OUTCOME_NOT_RUN && !a->retry_after_ms)
 		a->retry_after_ms = g->held ? HELD_RETRY_MS : FORMER_RETRY_MS;
 	if (o == OUTCOME_NOT_RUN && run->charged && run->attempts == 0)
-		teams_refund(s->kernel, r->team, clock_now());
+		teams_refund(s->kernel, r->team, run->admitted_at);
 	write_token(run, o);
 	count(run, o, code);
 	free(run);
@@ -237,6 +237,7 @@
 			    &r->answer.retry_after_ms)) {
 	case TEAM_ADMITTED:
 		run->charged = true;
+		run->admitted_at = now;
 		run_route(run);
 		return;
 	case TEAM_WAIT:
