Hold writes for a moment while no replica follows, then refuse them

Cause: a new primary has no follower for its first moments; an old one that lost its replicas must not take writes that cannot be confirmed. Change: writes wait up to 1 s for a follower, after that they are refused at once.

--- a/src/kernel/engine_own.h
+++ b/src/kernel/engine_own.h
@@ -112,6 +112,7 @@
 	struct promote promote;
 	struct retry_budget budget;
 	struct loop_timer tick;
+	usec_t unfollowed_at; /* no replica follows since; 0: some does */
 	usec_t used_at;
 	uint32_t rank;
 	usec_t rank_at;
@@ -192,6 +193,8 @@
 void group_view_changed(struct group *g);
 void group_heard(struct group_db *db, const struct db_call *c);
 void group_pump(struct group *g);
+enum route_kind group_may_write(struct group *g, usec_t now,
+				enum error_code *why);
 void group_set_primary(struct group *g, uint64_t term, uint32_t primary);
 uint32_t group_find_db(const struct group *g, const char *name);
 usec_t group_unanswered(const struct group *g);
--- a/src/kernel/group.c
+++ b/src/kernel/group.c
@@ -13,6 +13,7 @@
 #define WATCH_RANKS	4 /* VMs that watch a group nobody uses here */
 #define TICK_MIN	(1 * USEC_PER_MSEC)
 #define TICK_MAX	(50 * USEC_PER_MSEC)
+#define UNFOLLOWED_WAIT USEC_PER_SEC
 #define TICK_UNWATCHED	(5 * USEC_PER_SEC)
 #define QUEUE_TEAM_PART 2 /* one team fills at most this part of a queue */
 
@@ -158,6 +159,26 @@
 	group_poke(g);
 }
 
+/*
+ * May a write start? Not while no replica follows: at once after a change of
+ * primary it waits for one, later it is refused. Sets the code of a refusal.
+ */
+enum route_kind group_may_write(struct group *g, usec_t now,
+				enum error_code *why)
+{
+	const struct engine *e = g->shard->engine;
+
+	*why = ERR_NO_REPLICA;
+	if (confirm_possible(&g->view, &e->confirm, now)) {
+		g->unfollowed_at = 0;
+		return ROUTE_PRIMARY;
+	}
+	if (!g->unfollowed_at)
+		g->unfollowed_at = now;
+	return now - g->unfollowed_at < UNFOLLOWED_WAIT ? ROUTE_WAIT
+							: ROUTE_REFUSE;
+}
+
 /* Starts what the slots allow, and answers what waited too long. */
 void group_pump(struct group *g)
 {
@@ -297,6 +318,9 @@
 		db[i]->slots = c->db[i].slots;
 		db[i]->connections = c->db[i].connections;
 		db[i]->index = i;
+		if (c->db[i].state == DB_DEPARTING &&
+		    view[i].state != DB_DEPARTING)
+			view[i].departing_at = clock_now();
 		view[i].state = c->db[i].state;
 		view[i].slots = c->db[i].slots;
 	}
--- a/src/kernel/run.c
+++ b/src/kernel/run.c
@@ -119,6 +119,10 @@
 	}
 	if (needs_primary(run)) {
 		rt = route_write(&g->view, &run->want, &e->route, now);
+		if (rt.kind == ROUTE_PRIMARY) {
+			rt.kind = group_may_write(g, now, &rt.why);
+			rt.until = now + FORMER_RETRY_MS * USEC_PER_MSEC;
+		}
 		if (rt.kind == ROUTE_WAIT) {
 			run_leave_slot(run);
 			run_park(run, rt.until, true);
