Answer unknown wherever an earlier call may have run

Cause: a request that was sent once and then refused by the router, the queue or its deadline was answered not_run. Change: one function ends such requests; the end of a transaction's statement always reaches the transaction.

--- a/src/kernel/engine_own.h
+++ b/src/kernel/engine_own.h
@@ -210,6 +210,8 @@
 void run_leave_slot(struct run *run);
 void run_finish(struct run *run, enum outcome o, enum error_code code,
 		enum step step, const char *peer, const char *why);
+void run_refuse(struct run *run, enum error_code code, enum step step,
+		const char *why);
 void run_list_init(struct run_list *l);
 void run_list_add(struct run_list *l, struct run *run);
 
--- a/src/kernel/group.c
+++ b/src/kernel/group.c
@@ -504,7 +504,7 @@
 		run->queue = NULL;
 		code = g->held && q == g->primary ? ERR_NO_PRIMARY
 						  : ERR_DEADLINE;
-		run_finish(run, OUTCOME_NOT_RUN, code, STEP_QUEUE, "",
+		run_refuse(run, code, STEP_QUEUE,
 			   "deadline passed in the queue");
 	}
 }
--- a/src/kernel/run.c
+++ b/src/kernel/run.c
@@ -65,6 +65,10 @@
 	usec_t now = clock_now();
 	struct route rt;
 
+	if (run->tx) {
+		run_call(run, run->tx->db);
+		return;
+	}
 	if (run->r->transaction[0]) {
 		tx_run_arrive(run);
 		return;
@@ -92,7 +96,7 @@
 		run_park(run, rt.until, true);
 		break;
 	case ROUTE_REFUSE:
-		run_finish(run, OUTCOME_NOT_RUN, rt.why, STEP_ROUTE, "",
+		run_refuse(run, rt.why, STEP_ROUTE,
 			   "no database can serve this now");
 		break;
 	}
@@ -167,6 +171,17 @@
 	run->queue = NULL;
 }
 
+/* Ends a request without a further call: not run, unless it may have. */
+void run_refuse(struct run *run, enum error_code code, enum step step,
+		const char *why)
+{
+	if (run->maybe_ran)
+		run_finish(run, OUTCOME_UNKNOWN, ERR_UNKNOWN, step,
+			   run->call.address, why);
+	else
+		run_finish(run, OUTCOME_NOT_RUN, code, step, "", why);
+}
+
 /* Answers a request and frees what the engine has of it. */
 void run_finish(struct run *run, enum outcome o, enum error_code code,
 		enum step step, const char *peer, const char *why)
@@ -179,6 +194,8 @@
 	run_leave_slot(run);
 	run_unlink(run);
 	loop_timer_clear(s->loop, &run->timer);
+	if (run->tx)
+		tx_run_ended(run, o, code);
 	a->outcome = o;
 	if (code != ERR_NONE)
 		error_set(&a->error, code, step, peer, "%s", why);
@@ -273,11 +290,8 @@
 	} else if (run->stage == RUN_PARKED) {
 		run_unlink(run);
 		if (clock_now() >= run->r->deadline)
-			run_finish(run,
-				   run->maybe_ran ? OUTCOME_UNKNOWN
-						  : OUTCOME_NOT_RUN,
-				   run->maybe_ran ? ERR_UNKNOWN : ERR_DEADLINE,
-				   STEP_ROUTE, "", "deadline passed");
+			run_refuse(run, ERR_DEADLINE, STEP_ROUTE,
+				   "deadline passed");
 		else
 			run_route(run);
 	}
@@ -353,10 +367,7 @@
 		break;
 	case ADMIT_REFUSED:
 		run->queue = NULL;
-		run_finish(run,
-			   run->maybe_ran ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN,
-			   run->maybe_ran ? ERR_UNKNOWN : e.code, STEP_QUEUE,
-			   "", e.message);
+		run_refuse(run, e.code, STEP_QUEUE, e.message);
 		break;
 	}
 }
--- a/src/kernel/run_call.c
+++ b/src/kernel/run_call.c
@@ -27,10 +27,7 @@
 	usec_t now = clock_now();
 
 	if (now >= run->r->deadline) {
-		run_finish(run,
-			   run->maybe_ran ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN,
-			   run->maybe_ran ? ERR_UNKNOWN : ERR_DEADLINE,
-			   STEP_EXECUTE, db->address,
+		run_refuse(run, ERR_DEADLINE, STEP_EXECUTE,
 			   "deadline passed before the call");
 		return;
 	}
@@ -60,8 +57,6 @@
 		counter_add(CTR_CONFIRMS, 1);
 		counter_add(CTR_CONFIRM_WAIT_US,
 			    (uint64_t)(now - run->call.heard_at));
-		if (run->tx)
-			tx_run_ended(run, OUTCOME_DONE, ERR_NONE);
 		run_finish(run, OUTCOME_DONE, ERR_NONE, STEP_CONFIRM, "", "");
 		return;
 	case CONFIRM_LOST:
@@ -112,8 +107,6 @@
 		run->maybe_ran = true;
 	switch (v.next) {
 	case ONCE_ANSWER:
-		if (run->tx)
-			tx_run_ended(run, v.outcome, v.why);
 		run_finish(run, v.outcome, v.why, step_of(run),
 			   run->call.address, run->call.error.message);
 		return;
