--- a/src/decide/error.c
+++ b/src/decide/error.c
@@ -42,9 +42,11 @@
 	return -1;
 }
 
-/* Resets an error to "none". */
+/* Resets an error to "none". "e" may be NULL. */
 void error_clear(struct error *e)
 {
+	if (!e)
+		return;
 	memset(e, 0, sizeof(*e));
 }
 
--- a/src/kernel/failover_platform.c
+++ b/src/kernel/failover_platform.c
@@ -174,7 +174,7 @@
 {
 	struct platform_call *c = &o->call;
 	struct group_config g;
-	struct error e;
+	struct error e = { 0 };
 
 	o->result = o->put_lost ? CALL_LOST : CALL_REFUSED;
 	if (c->result != PLATFORM_OK || !c->reply ||
