Hold what needs the primary while it fails to answer

Cause: with the primary killed, a write was refused after five attempts in 40 ms, though a new primary was there a second later; a thread that ended through APR's exit tripped the address sanitizer.

--- a/src/kernel/engine.c
+++ b/src/kernel/engine.c
@@ -234,7 +234,7 @@
 		.active_us = probe,
 		.idle_us = probe * PROBE_IDLE_TIMES,
 		.active_for_us = PROBE_ACTIVE_FOR,
-		.reply_us = (usec_t)s->reply_timeout_ms * USEC_PER_MSEC,
+		.reply_us = (usec_t)s->suspect_ms * USEC_PER_MSEC / 2,
 		.backoff_max_us = PROBE_BACKOFF_MAX,
 	};
 	e->promote = (struct promote_policy){
--- a/src/kernel/engine_own.h
+++ b/src/kernel/engine_own.h
@@ -85,6 +85,7 @@
 	struct db_call probing;
 	bool probe_under_way;
 	bool lost; /* told so in the log */
+	usec_t failed_at; /* a call failed then, and nothing was heard since */
 	struct group *group;
 	struct group_db *next; /* in left */
 	struct admit *reads;
--- a/src/kernel/group.c
+++ b/src/kernel/group.c
@@ -116,11 +116,16 @@
 			log_event(EV_DB_BACK, "service=%s database=%s",
 				  g->service, db->name);
 		db->lost = false;
+		if (c->asked_at > db->failed_at)
+			db->failed_at = 0;
+	} else if (!db->failed_at) {
+		db->failed_at = c->heard_at;
+		group_poke(g);
 	}
 	if (db->index == DB_NONE)
 		return;
 	database_view_update(&g->view.db[db->index], c);
-	if (c->has_status)
+	if (c->has_status || db->index == g->view.primary)
 		group_view_changed(g);
 }
 
@@ -531,13 +536,13 @@
 }
 
 /*
- * Holds the primary's queue while there is no primary, a hand-over runs here
- * or a peer has asked for it; releases it slot by slot.
+ * Holds the primary's queue while there is no primary, it fails to answer, a
+ * hand-over runs here or a peer has asked for it; releases it slot by slot.
  */
 static void set_hold(struct group *g, usec_t now)
 {
 	bool hold = g->view.primary == DB_NONE || g->hold_here ||
-		    now < g->hold_until;
+		    now < g->hold_until || g->db[g->view.primary]->failed_at;
 
 	if (hold == g->held)
 		return;
--- a/src/kernel/loop.c
+++ b/src/kernel/loop.c
@@ -162,6 +162,7 @@
 	apr_int32_t n, i;
 	bool stop;
 
+	(void)thread;
 	current = l;
 	for (;;) {
 		run_inbox(l);
@@ -181,7 +182,6 @@
 	loop_http_close(l);
 	run_inbox(l);
 	current = NULL;
-	apr_thread_exit(thread, APR_SUCCESS);
 	return NULL;
 }
 
--- a/src/plugins/peer_zmq.c
+++ b/src/plugins/peer_zmq.c
@@ -308,7 +308,7 @@
 			peer_links_close_idle(p->links, swept_at);
 		}
 	}
-	apr_thread_exit(thread, APR_SUCCESS);
+	(void)thread;
 	return NULL;
 }
 
