--- a/src/kernel/wire.c
+++ b/src/kernel/wire.c
@@ -73,7 +73,7 @@
 	const msgpack_object *o = take(r, MSGPACK_OBJECT_STR);
 
 	memset(out, 0, size);
-	if (!o)
+	if (!o || o->via.str.size == 0)
 		return;
 	if (o->via.str.size >= size ||
 	    memchr(o->via.str.ptr, '\0', o->via.str.size)) {
--- a/src/plugins/admin_view.c
+++ b/src/plugins/admin_view.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "kernel/engine.h"
 #include "kernel/fleet.h"
 #include "kernel/kernel.h"
 #include "kernel/log.h"
@@ -19,6 +20,7 @@
 static void add_teams(json_t *out, struct kernel *k, const char *name);
 static json_t *show_member(const struct fleet_vm *vm);
 static json_t *show_members(struct kernel *k);
+static json_t *show_groups(struct kernel *k);
 static const char *freshness_name(enum freshness_state s);
 static json_t *show_event(const struct timeline_event *ev);
 static const char *missing_text(enum gossip_missing m);
@@ -283,6 +285,16 @@
 	return list;
 }
 
+/* The groups' state as the engine tells it; NULL if there is no engine. */
+static json_t *show_groups(struct kernel *k)
+{
+	char *text = k->engine ? engine_status(k) : NULL;
+	json_t *j = text ? json_loads(text, 0, NULL) : NULL;
+
+	free(text);
+	return j;
+}
+
 /* How recent this VM's knowledge is. */
 static const char *freshness_name(enum freshness_state s)
 {
