--- /dev/null
+++ b/tests/process/serve.sh
@@ -0,0 +1,109 @@
+#!/bin/sh
+# Start, refusal to start, and the graceful stop of a VM as a process.
+set -u
+cd "$(dirname "$0")/../.." || exit 1
+. scripts/topology
+passed=0 failed=0
+
+# ok NAME COMMAND...: one check
+ok() {
+	check=$1
+	shift
+	if "$@"; then
+		echo "ok $check"
+		passed=$((passed + 1))
+	else
+		echo "not ok $check"
+		failed=$((failed + 1))
+	fi
+}
+
+# eventually COMMAND...: true as soon as the command is, within 10 s
+eventually() {
+	left=100
+	until "$@"; do
+		left=$((left - 1))
+		[ $left -gt 0 ] || return 1
+		sleep 0.1
+	done
+}
+
+# exits CODE COMMAND...: true if the command ends with the code
+exits() {
+	want=$1
+	shift
+	timeout 20 "$@" >"$T/out" 2>"$T/err"
+	got=$?
+	[ $got -eq "$want" ] || {
+		echo "# exit $got, wanted $want"
+		return 1
+	}
+}
+
+said() { grep -q -- "$1" "$T/err"; }
+status() { curl -s -m 5 -o "$T/body" -D "$T/head" -w '%{http_code}' "$@"; }
+is() { [ "$1" = "$2" ] || { echo "# got $1, wanted $2"; return 1; }; }
+
+topology_begin
+ok "no command: 64" exits 64 "$G"
+ok "unknown command: 64" exits 64 "$G" brew
+ok "serve without a file: 64" exits 64 "$G" serve
+ok "check without a file: 64" exits 64 "$G" check
+ok "timeline without a VM: 64" exits 64 "$G" timeline
+ok "check of a missing file: 78" exits 78 "$G" check -f "$T/none.json"
+ok "the missing file is named" said none.json
+
+echo '{"vm":"a b","shards":0,"colour":1,"probe_ms":"x"}' >"$T/bad.json"
+for command in check serve; do
+	ok "$command of bad settings: 78" exits 78 "$G" $command -f "$T/bad.json"
+	ok "$command names the value and bound of shards" \
+	    said 'bad.json: shards: 0: must be a whole number from 1 to 64'
+	ok "$command names the unknown key" said 'bad.json: colour: 1:'
+	ok "$command names the bad name" said 'bad.json: vm: "a b":'
+	ok "$command names a missing key" said 'bad.json: platform: missing'
+	ok "$command counts them" said 'bad.json: 11 settings refused'
+done
+
+start_platform && start_group quotes 5 35 || exit 1
+SETTINGS='"drain_notice_ms": 1500, "drain_max_ms": 20000,'
+start_vm 1 || exit 1
+ok "check of good settings: 0" exits 0 "$G" check -f "$T/v1.json"
+ok "ports are resolved" sh -c "! grep -q ':0 ' '$T/v1.out'"
+ok "healthy" is "$(status "http://$CALLER_v1/healthz")" 200
+ok "ready" is "$(status "http://$CALLER_v1/readyz")" 200
+ok "metrics with help and unit" sh -c "curl -s -m 5 http://$CALLER_v1/metrics |
+    grep -q '^# UNIT gypsumcleat_peer_sent_bytes_total bytes'"
+
+sed "s/127.0.0.1:0/$CALLER_v1/; s/\"v1\"/\"v9\"/" "$T/v1.json" >"$T/v9.json"
+ok "an address in use: 1" exits 1 "$G" serve -f "$T/v9.json"
+ok "the address and the step are named" said "listen $CALLER_v1"
+
+ok "time line has the start" sh -c "'$G' timeline $ADMIN_v1 | grep -q ' v1 #1 1001 vm_start '"
+ok "time line names a VM not reached, and fails" exits 1 "$G" timeline \
+    "$ADMIN_v1" 127.0.0.1:1
+ok "it is named" said 'not reached: 127.0.0.1:1'
+ok "the others are printed" grep -q vm_start "$T/out"
+
+# The stop: not ready but serving, a second signal, then exit 0.
+kill -TERM "$PID_v1"
+ok "not ready after SIGTERM" eventually sh -c \
+    "[ \"\$(curl -s -m 5 -o /dev/null -w '%{http_code}' http://$CALLER_v1/readyz)\" = 503 ]"
+ok "still healthy" is "$(status "http://$CALLER_v1/healthz")" 200
+ok "answers tell to connect elsewhere" grep -qi '^connection: close' "$T/head"
+kill -TERM "$PID_v1"
+wait "$PID_v1"
+ok "exit 0 after the drain, with a second SIGTERM" is $? 0
+ok "the log has each phase" sh -c "
+    grep -q '1003 vm_drain .*phase=notice' '$T/v1.log' &&
+    grep -q '1003 vm_drain .*phase=refuse' '$T/v1.log' &&
+    grep -q '1004 vm_stop' '$T/v1.log'"
+ok "the drain was not forced" sh -c "! grep -q forced '$T/v1.log'"
+ok "no key in the log" sh -c "! grep -q '$OPERATOR_KEY' '$T/v1.log'"
+
+start_vm 2 || exit 1
+kill -INT "$PID_v2"
+wait "$PID_v2"
+ok "SIGINT drains too" is $? 0
+
+echo "$passed passed, $failed failed"
+[ $failed -eq 0 ]
