Put the load back, test the stand-ins over HTTP, send each body once

Faults and fail-over of the stand-ins were only tried by hand. libcurl sends a request again by itself when a kept connection breaks, so that a dropped reply never reached the load as one. A request over a silent connection still ran when the silence ended. Conclusion: an attempt without an answer is now counted as one.

--- a/src/standin/database.h
+++ b/src/standin/database.h
@@ -1,12 +1,20 @@
 #ifndef STANDIN_DATABASE_H
 #define STANDIN_DATABASE_H
 
-#include "standin/faults.h"
-#include "standin/web.h"
+#include "decide/error.h"
 
 /* One database of a group, served over HTTP as docs/PROTOCOLS.md tells. */
 struct database;
 
+/* Sizes as set at the start; 0 means no limit or no delay. */
+struct fault_settings {
+	int64_t latency_us;  /* of a statement */
+	int64_t connect_us;  /* of a connection's first request */
+	int64_t slots;	     /* statements at a time; 0: no limit */
+	int64_t connections; /* open at a time; 0: no limit */
+	int64_t lag_ms;	     /* of replication */
+};
+
 struct database_options {
 	const char *name;
 	const char *domain;
--- a/src/standin/database_calls.c
+++ b/src/standin/database_calls.c
@@ -30,17 +30,10 @@
 static void call_reply(struct web_request *r, const struct call *c,
 		       const struct db_answer *a, const char *tx,
 		       json_t *status);
-static void order(struct web_request *r);
-static enum db_refusal run_order(struct database *d, struct web_request *r,
-				 uint64_t term, const char *primary);
 static void rollback(struct web_request *r, const char *transaction);
 static void status_call(struct web_request *r);
 static void request_call(struct web_request *r, const char *id);
-static void log_call(struct web_request *r);
-static void log_first(struct web_request *r);
-static void refuse(struct web_request *r, enum db_refusal why, json_t *status);
 static json_t *status_now(struct database *d);
-static void kick_log(struct database *d);
 
 /* The first look at a request: faults, then the cost of a new connection. */
 void database_handle(struct web_request *r)
@@ -115,10 +108,7 @@
 		return false;
 	}
 	if (is_silent(r)) {
-		if (web_client_gone(r))
-			web_drop(r);
-		else
-			web_later(r, web_now() + SILENT_CHECK_US, true, again);
+		park_silent(r);
 		return false;
 	}
 	if (atomic_load(&d->faults.paused)) {
@@ -142,17 +132,19 @@
 	if (!is_silent(r))
 		return;
 	r->ready = false;
-	web_later(r, web_now() + SILENT_CHECK_US, true, park_silent);
+	park_silent(r);
 }
 
+/*
+ * Whatever came over a silent connection was lost on its way: it is neither
+ * executed nor answered, also when the silence ends.
+ */
 static void park_silent(struct web_request *r)
 {
-	if (web_client_gone(r))
+	if (web_client_gone(r) || !is_silent(r))
 		web_drop(r);
-	else if (is_silent(r))
-		web_later(r, web_now() + SILENT_CHECK_US, true, park_silent);
 	else
-		r->ready = true;
+		web_later(r, web_now() + SILENT_CHECK_US, true, park_silent);
 }
 
 static void dispatch(struct web_request *r)
@@ -165,7 +157,7 @@
 	if (get && strcmp(r->url, "/v1/status") == 0)
 		status_call(r);
 	else if (get && strcmp(r->url, "/v1/log") == 0)
-		log_first(r);
+		database_log(r);
 	else if (get && strncmp(r->url, requests, sizeof(requests) - 1) == 0)
 		request_call(r, r->url + sizeof(requests) - 1);
 	else if (post && strcmp(r->url, "/v1/execute") == 0)
@@ -173,7 +165,7 @@
 	else if (strncmp(r->url, tx, sizeof(tx) - 1) == 0)
 		route_transaction(r, r->url + sizeof(tx) - 1);
 	else if (post)
-		order(r);
+		database_order(r);
 	else
 		web_reply_text(r, 404, NULL);
 	if (r->ready)
@@ -200,7 +192,7 @@
 
 	c->body = json_loadb(r->body ? r->body : "", r->len, 0, NULL);
 	if (!json_is_object(c->body)) {
-		refuse(r, DB_BAD_STATEMENT, status_now(r->ctx));
+		database_refuse(r, DB_BAD_STATEMENT, status_now(r->ctx));
 		return;
 	}
 	c->db.term =
@@ -215,7 +207,8 @@
 	}
 	if (strncmp(r->url, prefix, sizeof(prefix) - 1) != 0) {
 		if (!parse_statement(r, c))
-			refuse(r, DB_BAD_STATEMENT, status_now(r->ctx));
+			database_refuse(r, DB_BAD_STATEMENT,
+					status_now(r->ctx));
 		return;
 	}
 	id = r->url + sizeof(prefix) - 1;
@@ -279,7 +272,7 @@
 		return;
 	if (atomic_fetch_add(&d->running, 1) >= slots && slots > 0) {
 		atomic_fetch_sub(&d->running, 1);
-		refuse(r, DB_BUSY, status_now(d));
+		database_refuse(r, DB_BUSY, status_now(d));
 		return;
 	}
 	c->has_slot = true;
@@ -309,7 +302,7 @@
 	database_status(d, status);
 	pthread_mutex_unlock(&d->lock);
 	if (a.at.position && !a.replayed)
-		kick_log(d);
+		database_kick_log(d);
 	call_reply(r, c, &a, tx, status);
 	if (a.refusal == DB_OK && faults_take(&d->faults.drop_replies))
 		web_drop(r);
@@ -334,7 +327,7 @@
 		       json_t *status)
 {
 	if (a->refusal != DB_OK) {
-		refuse(r, a->refusal, status);
+		database_refuse(r, a->refusal, status);
 		return;
 	}
 	if (c->begin) {
@@ -353,59 +346,6 @@
 	web_reply(r, 200, status);
 }
 
-/* fence, promote and follow */
-static void order(struct web_request *r)
-{
-	struct database *d = r->ctx;
-	json_t *j = json_loadb(r->body ? r->body : "", r->len, 0, NULL);
-	json_int_t term = json_integer_value(json_object_get(j, "term"));
-	const char *primary = json_string_value(json_object_get(j, "primary"));
-	json_t *status = json_object();
-	enum db_refusal why = DB_BAD_STATEMENT;
-
-	pthread_mutex_lock(&d->lock);
-	if (term > 0)
-		why = run_order(d, r, (uint64_t)term, primary);
-	database_status(d, status);
-	pthread_mutex_unlock(&d->lock);
-	json_decref(j);
-	if (r->ready) {
-		json_decref(status);
-		return;
-	}
-	kick_log(d);
-	if (why == DB_OK)
-		web_reply(r, 200, status);
-	else
-		refuse(r, why, status);
-}
-
-/* Lock held; answers 404 by itself to what is no order. */
-static enum db_refusal run_order(struct database *d, struct web_request *r,
-				 uint64_t term, const char *primary)
-{
-	enum db_refusal why;
-
-	if (strcmp(r->url, "/v1/fence") == 0)
-		return dbstore_fence(d->store, term);
-	if (strcmp(r->url, "/v1/promote") == 0)
-		return dbstore_promote(d->store, term, web_wall_us());
-	if (strcmp(r->url, "/v1/follow") != 0) {
-		web_reply_text(r, 404, NULL);
-		return DB_BAD_STATEMENT;
-	}
-	if (!primary || strlen(primary) >= sizeof(d->primary))
-		return DB_BAD_STATEMENT;
-	why = dbstore_follow(d->store, term);
-	if (why != DB_OK)
-		return why;
-	d->follow_term = term;
-	d->follow_seq++;
-	snprintf(d->primary, sizeof(d->primary), "%s", primary);
-	pthread_cond_signal(&d->follow_changed);
-	return DB_OK;
-}
-
 static void rollback(struct web_request *r, const char *transaction)
 {
 	struct database *d = r->ctx;
@@ -447,70 +387,6 @@
 	web_reply(r, 200, j);
 }
 
-/* A follower asks: its connection is not one of the limited ones. */
-static void log_first(struct web_request *r)
-{
-	struct database *d = r->ctx;
-	uint64_t wait = web_number(r, "wait_ms", 0);
-
-	web_uncount(r);
-	if (wait > LOG_WAIT_MS)
-		wait = LOG_WAIT_MS;
-	r->due = web_now() + (usec_t)wait * USEC_PER_MSEC;
-	atomic_fetch_add(&d->log_waiters, 1);
-	log_call(r);
-}
-
-/* Answers once there is an entry, or at the end of the wait. */
-static void log_call(struct web_request *r)
-{
-	struct database *d = r->ctx;
-	struct log_pos after = { .term = web_number(r, "last_term", 0),
-				 .position = web_number(r, "after", 0) };
-	usec_t due = r->due;
-	json_t *out = NULL;
-	enum db_refusal why;
-	uint64_t cut;
-
-	if (atomic_load(&d->faults.cut_replication)) {
-		atomic_fetch_sub(&d->log_waiters, 1);
-		web_drop(r);
-		return;
-	}
-	pthread_mutex_lock(&d->lock);
-	why = dbstore_log_read(d->store, web_number(r, "term", 0), after,
-			       LOG_BATCH, web_wall_us(), &out, &cut);
-	pthread_mutex_unlock(&d->lock);
-	if (why == DB_OK && !json_object_get(out, "reset") &&
-	    json_array_size(json_object_get(out, "entries")) == 0 &&
-	    web_now() < due) {
-		json_decref(out);
-		web_later(r, due, true, log_call);
-		return;
-	}
-	atomic_fetch_sub(&d->log_waiters, 1);
-	if (why == DB_OK) {
-		web_reply(r, 200, out);
-		return;
-	}
-	out = json_pack("{s:s,s:s}", "outcome", "not_run", "reason",
-			db_refusal_name(why));
-	if (why == DB_NOT_ON_LOG)
-		json_object_set_new(out, "cut", json_integer((json_int_t)cut));
-	web_reply(r, 409, out);
-}
-
-/* Takes "status" over. */
-static void refuse(struct web_request *r, enum db_refusal why, json_t *status)
-{
-	int code = why == DB_BAD_STATEMENT ? 400 : why == DB_BUSY ? 503 : 409;
-
-	json_object_set_new(status, "outcome", json_string("not_run"));
-	json_object_set_new(status, "reason",
-			    json_string(db_refusal_name(why)));
-	web_reply(r, code, status);
-}
-
 static json_t *status_now(struct database *d)
 {
 	json_t *j = json_object();
@@ -520,10 +396,3 @@
 	pthread_mutex_unlock(&d->lock);
 	return j;
 }
-
-/* Wakes the followers' calls that wait, if there are any. */
-static void kick_log(struct database *d)
-{
-	if (atomic_load(&d->log_waiters) > 0)
-		web_kick(d->web);
-}
--- a/src/standin/database_internal.h
+++ b/src/standin/database_internal.h
@@ -5,7 +5,9 @@
 
 #include "standin/database.h"
 #include "standin/dbstore.h"
+#include "standin/faults.h"
 #include "standin/omap.h"
+#include "standin/web.h"
 
 #define LOG_BATCH	    512 /* entries in one answer to a follower */
 #define LOG_WAIT_MS	    20	/* longest hold of such an answer */
@@ -36,6 +38,12 @@
 void database_handle(struct web_request *r);
 bool database_accept(void *ctx, unsigned int open);
 void database_status(struct database *d, json_t *into); /* lock held */
+/* database_group.c */
+void database_order(struct web_request *r);
+void database_log(struct web_request *r);
+void database_refuse(struct web_request *r, enum db_refusal why,
+		     json_t *status); /* takes it */
+void database_kick_log(struct database *d);
 /* database_follow.c */
 void *database_follow_run(void *arg);
 
--- a/src/standin/faults.c
+++ b/src/standin/faults.c
@@ -61,7 +61,9 @@
 			return -1;
 	}
 	json_object_foreach((json_t *)j, name, v)
+	{
 		set_field(f, name, v, next_seq);
+	}
 	return 0;
 }
 
--- a/src/standin/faults.h
+++ b/src/standin/faults.h
@@ -4,16 +4,7 @@
 #include <jansson.h>
 #include <stdatomic.h>
 
-#include "decide/error.h"
-
-/* Sizes and faults as set at the start. */
-struct fault_settings {
-	int64_t latency_us;  /* of a statement */
-	int64_t connect_us;  /* of a connection's first request */
-	int64_t slots;	     /* statements at a time; 0: no limit */
-	int64_t connections; /* open at a time; 0: no limit */
-	int64_t lag_ms;	     /* of replication */
-};
+#include "standin/database.h"
 
 /* The same while running; set over the control address, read anywhere. */
 struct faults {
--- a/src/standin/omap.c
+++ b/src/standin/omap.c
@@ -77,10 +77,11 @@
 	}
 	n = node_create(key, key_levels(key));
 	n->value = value;
-	for (i = 0; i < n->levels; i++) {
+	i = 0;
+	do {
 		n->next[i] = before[i]->next[i];
 		before[i]->next[i] = n;
-	}
+	} while (++i < n->levels);
 	m->n++;
 }
 
--- a/src/standin/platform.c
+++ b/src/standin/platform.c
@@ -8,6 +8,7 @@
 #include "standin/faults.h"
 #include "standin/omap.h"
 #include "standin/platform_store.h"
+#include "standin/web.h"
 
 #define PLATFORM_THREADS     4
 #define PLATFORM_CONNECTIONS 16384
--- a/src/standin/platform.h
+++ b/src/standin/platform.h
@@ -1,7 +1,7 @@
 #ifndef STANDIN_PLATFORM_H
 #define STANDIN_PLATFORM_H
 
-#include "standin/web.h"
+#include "decide/error.h"
 
 /* The platform's object API and VM list, as docs/PROTOCOLS.md tells. */
 struct platform;
--- a/src/standin/web.c
+++ b/src/standin/web.c
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <pthread.h>
+#include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
--- a/src/standin/web.h
+++ b/src/standin/web.h
@@ -3,7 +3,6 @@
 
 #include <jansson.h>
 #include <microhttpd.h>
-#include <stdatomic.h>
 
 #include "decide/error.h"
 
--- a/src/standin/web_timer.c
+++ b/src/standin/web_timer.c
@@ -1,6 +1,7 @@
 #include "standin/web_timer.h"
 
 #include <pthread.h>
+#include <stdatomic.h>
 #include <stdlib.h>
 #include <time.h>
 
--- /dev/null
+++ b/tests/load/verify_test.cc
@@ -0,0 +1,228 @@
+#include <gtest/gtest.h>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "load/verify.h"
+}
+
+namespace
+{
+constexpr usec_t kMs = USEC_PER_MSEC;
+
+// One step of a client's history of a single key.
+struct step {
+	char what; // b begin, n not run, u unknown, d done, r read, f final
+	int64_t amount;
+	int64_t value;
+	enum violation want = VIOLATION_NONE;
+	usec_t at = 0; // ms
+	usec_t max_age = 1000;
+	usec_t age = 0;
+};
+
+void run(const char *name, bool counter, const std::vector<step> &steps)
+{
+	struct verify *v = verify_create();
+	uint32_t k = verify_add(v, "c/red/1", "red", counter);
+	int64_t floor = 0;
+	int i = 0;
+	for (const auto &s : steps) {
+		struct verify_row row = { "c/red/1", s.value, true };
+		size_t n = s.value >= 0 ? 1 : 0;
+		enum violation got = VIOLATION_NONE;
+		switch (s.what) {
+		case 'b':
+			verify_begin(v, k, s.amount);
+			break;
+		case 'n':
+			verify_not_run(v, k, s.amount);
+			break;
+		case 'u':
+			verify_unknown(v, k, s.amount);
+			break;
+		case 'd':
+			got = verify_done(v, k, s.amount, &row, n, s.at * kMs,
+					  &floor);
+			break;
+		case 'r':
+			got = verify_read(v, k, &row, n, s.at * kMs,
+					  s.max_age * kMs, s.age * kMs, &floor);
+			break;
+		default:
+			got = verify_final(v, k, &row, n);
+		}
+		EXPECT_EQ(got, s.want) << name << " step " << i;
+		i++;
+	}
+	verify_destroy(v);
+}
+
+TEST(Verify, Counters)
+{
+	const struct {
+		const char *name;
+		std::vector<step> steps;
+	} cases[] = {
+		{ "all done", { { 'b', 2, 0 }, { 'd', 2, 2 }, { 'f', 0, 2 } } },
+		{ "never written", { { 'f', 0, -1 } } },
+		{ "lost",
+		  { { 'b', 1, 0 },
+		    { 'd', 1, 1 },
+		    { 'f', 0, -1, VIOLATION_LOST } } },
+		{ "doubled",
+		  { { 'b', 1, 0 },
+		    { 'd', 1, 1 },
+		    { 'f', 0, 2, VIOLATION_DOUBLED } } },
+		{ "doubled in its own answer",
+		  { { 'b', 1, 0 }, { 'd', 1, 2, VIOLATION_DOUBLED } } },
+		{ "unknown did not run",
+		  { { 'b', 1, 0 }, { 'u', 1, 0 }, { 'f', 0, -1 } } },
+		{ "unknown ran",
+		  { { 'b', 1, 0 }, { 'u', 1, 0 }, { 'f', 0, 1 } } },
+		{ "unknown ran twice",
+		  { { 'b', 1, 0 },
+		    { 'u', 1, 0 },
+		    { 'f', 0, 2, VIOLATION_DOUBLED } } },
+		{ "not run but ran",
+		  { { 'b', 1, 0 },
+		    { 'n', 1, 0 },
+		    { 'f', 0, 1, VIOLATION_DOUBLED } } },
+		{ "another's in flight is seen",
+		  { { 'b', 1, 0 },
+		    { 'b', 4, 0 },
+		    { 'r', 0, 5 },
+		    { 'd', 4, 5, VIOLATION_LOST } } },
+		{ "own write unseen",
+		  { { 'b', 1, 0 },
+		    { 'd', 1, 1 },
+		    { 'r', 0, -1, VIOLATION_STALE } } },
+		{ "own write answered below the floor",
+		  { { 'b', 1, 0 },
+		    { 'd', 1, 1 },
+		    { 'b', 1, 0 },
+		    { 'd', 1, 1, VIOLATION_LOST } } },
+		{ "answer without a row",
+		  { { 'b', 1, 0 }, { 'd', 1, -1, VIOLATION_MIXED } } },
+	};
+	for (const auto &c : cases)
+		run(c.name, true, c.steps);
+}
+
+TEST(Verify, OwnedKeys)
+{
+	const struct {
+		const char *name;
+		std::vector<step> steps;
+	} cases[] = {
+		{ "last write",
+		  { { 'b', 1, 0 },
+		    { 'd', 1, 1 },
+		    { 'b', 1, 0 },
+		    { 'd', 1, 2 },
+		    { 'f', 0, 2 } } },
+		{ "unknown one or the other",
+		  { { 'b', 1, 0 },
+		    { 'd', 1, 1 },
+		    { 'b', 1, 0 },
+		    { 'u', 1, 0 },
+		    { 'f', 0, 2 } } },
+		{ "not run but there",
+		  { { 'b', 1, 0 },
+		    { 'd', 1, 1 },
+		    { 'b', 1, 0 },
+		    { 'n', 1, 0 },
+		    { 'r', 0, 2, VIOLATION_DOUBLED } } },
+		{ "reverted",
+		  { { 'b', 1, 0 },
+		    { 'd', 1, 1 },
+		    { 'b', 1, 0 },
+		    { 'd', 1, 2 },
+		    { 'f', 0, 1, VIOLATION_LOST } } },
+	};
+	for (const auto &c : cases)
+		run(c.name, false, c.steps);
+}
+
+TEST(Verify, StatedAge)
+{
+	// Acknowledged: 1 at 0 ms, 2 at 500 ms, 3 at 1000 ms.
+	const struct {
+		const char *name;
+		usec_t sent, max_age, age;
+		int64_t value;
+		enum violation want;
+	} cases[] = {
+		{ "newest", 1500, 0, 0, 3, VIOLATION_NONE },
+		{ "older than stated", 1500, 400, 0, 2, VIOLATION_STALE },
+		{ "as old as stated", 1500, 600, 0, 2, VIOLATION_NONE },
+		{ "very old", 1600, 600, 0, 1, VIOLATION_STALE },
+		{ "old and allowed", 1600, 1200, 0, 1, VIOLATION_NONE },
+		{ "claims to be too old", 1600, 500, 501, 3, VIOLATION_STALE },
+		{ "claims its age", 1600, 500, 500, 3, VIOLATION_NONE },
+		{ "from nowhere", 1600, 500, 0, 9, VIOLATION_DOUBLED },
+	};
+	for (const auto &c : cases) {
+		struct verify *v = verify_create();
+		uint32_t k = verify_add(v, "c/red/1", "red", true);
+		int64_t writer = 0, reader = 0;
+		for (int i = 1; i <= 3; i++) {
+			struct verify_row row = { "c/red/1", i, true };
+			verify_begin(v, k, 1);
+			verify_done(v, k, 1, &row, 1, (i - 1) * 500 * kMs,
+				    &writer);
+		}
+		struct verify_row row = { "c/red/1", c.value, true };
+		EXPECT_EQ(verify_read(v, k, &row, 1, c.sent * kMs,
+				      c.max_age * kMs, c.age * kMs, &reader),
+			  c.want)
+			<< c.name;
+		verify_destroy(v);
+	}
+}
+
+TEST(Verify, AnswersOfOthers)
+{
+	const struct {
+		const char *name;
+		std::vector<struct verify_row> rows;
+		enum violation read, list;
+	} cases[] = {
+		{ "own",
+		  { { "c/red/1", 0, true } },
+		  VIOLATION_NONE,
+		  VIOLATION_NONE },
+		{ "another key",
+		  { { "d/red/1", 0, true } },
+		  VIOLATION_MIXED,
+		  VIOLATION_MIXED },
+		{ "another team",
+		  { { "c/blue/1", 0, true } },
+		  VIOLATION_TEAM,
+		  VIOLATION_TEAM },
+		{ "not an integer",
+		  { { "c/red/1", 0, false } },
+		  VIOLATION_MIXED,
+		  VIOLATION_NONE },
+		{ "two rows",
+		  { { "c/red/1", 0, true }, { "c/red/2", 0, true } },
+		  VIOLATION_MIXED,
+		  VIOLATION_NONE },
+		{ "none", {}, VIOLATION_NONE, VIOLATION_NONE },
+	};
+	for (const auto &c : cases) {
+		struct verify *v = verify_create();
+		uint32_t k = verify_add(v, "c/red/1", "red", true);
+		int64_t floor = 0;
+		EXPECT_EQ(verify_read(v, k, c.rows.data(), c.rows.size(), 0, 0,
+				      0, &floor),
+			  c.read)
+			<< c.name;
+		EXPECT_EQ(verify_list("c/red/", "red", c.rows.data(),
+				      c.rows.size()),
+			  c.list)
+			<< c.name;
+		verify_destroy(v);
+	}
+}
+} // namespace
--- /dev/null
+++ b/tests/standin/http_client.h
@@ -0,0 +1,110 @@
+#ifndef TESTS_STANDIN_HTTP_CLIENT_H
+#define TESTS_STANDIN_HTTP_CLIENT_H
+
+#include <curl/curl.h>
+#include <jansson.h>
+#include <string>
+
+// One connection to one server, kept open from call to call.
+class HttpClient
+{
+      public:
+	explicit HttpClient(std::string address) : at(std::move(address))
+	{
+		easy = curl_easy_init();
+	}
+	~HttpClient()
+	{
+		curl_easy_cleanup(easy);
+		json_decref(body);
+	}
+	HttpClient(const HttpClient &) = delete;
+	HttpClient &operator=(const HttpClient &) = delete;
+
+	// Makes a call; the status, or 0 if there was no answer.
+	long call(const char *method, const std::string &path,
+		  const std::string &data = "", const char *header = nullptr,
+		  long timeout_ms = 10000)
+	{
+		text.clear();
+		etag.clear();
+		curl_slist *list =
+			header ? curl_slist_append(nullptr, header) : nullptr;
+		std::string url = "http://" + at + path;
+		curl_easy_reset(easy);
+		curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
+		curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+		curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, timeout_ms);
+		// Without a way to rewind, so that curl sends it but once.
+		rest = data;
+		if (!data.empty()) {
+			curl_easy_setopt(easy, CURLOPT_POST, 1L);
+			curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE,
+					 (long)data.size());
+			curl_easy_setopt(easy, CURLOPT_READFUNCTION, give);
+			curl_easy_setopt(easy, CURLOPT_READDATA, &rest);
+		}
+		curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, method);
+		curl_easy_setopt(easy, CURLOPT_HTTPHEADER, list);
+		curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, take);
+		curl_easy_setopt(easy, CURLOPT_WRITEDATA, &text);
+		curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, head);
+		curl_easy_setopt(easy, CURLOPT_HEADERDATA, this);
+		CURLcode rc = curl_easy_perform(easy);
+		long status = 0;
+		if (rc == CURLE_OK)
+			curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE,
+					  &status);
+		curl_slist_free_all(list);
+		json_decref(body);
+		body = json_loadb(text.data(), text.size(), 0, nullptr);
+		return status;
+	}
+	std::string field(const char *name)
+	{
+		const char *s = json_string_value(json_object_get(body, name));
+		return s ? s : "";
+	}
+	long long number(const char *name)
+	{
+		return json_integer_value(json_object_get(body, name));
+	}
+	// The value of the first row; -1 if there is none.
+	long long value()
+	{
+		json_t *row = json_array_get(json_object_get(body, "rows"), 0);
+		json_t *v = json_object_get(row, "value");
+		return v ? json_integer_value(v) : -1;
+	}
+
+	std::string at;
+	std::string text;
+	std::string etag;
+	json_t *body = nullptr;
+
+      private:
+	static size_t take(char *p, size_t size, size_t n, void *ctx)
+	{
+		static_cast<std::string *>(ctx)->append(p, size * n);
+		return size * n;
+	}
+	static size_t give(char *p, size_t size, size_t n, void *ctx)
+	{
+		auto *left = static_cast<std::string *>(ctx);
+		size_t len = left->copy(p, size * n);
+		left->erase(0, len);
+		return len;
+	}
+	static size_t head(char *p, size_t size, size_t n, void *ctx)
+	{
+		std::string line(p, size * n);
+		if (line.rfind("ETag: ", 0) == 0)
+			static_cast<HttpClient *>(ctx)->etag =
+				line.substr(6, line.find('\r') - 6);
+		return size * n;
+	}
+	CURL *easy;
+	std::string rest;
+};
+
+#endif
