--- a/src/plugins/admin_view.c
+++ b/src/plugins/admin_view.c
@@ -123,8 +123,8 @@
 	usec_t now = clock_now();
 	int64_t age = fleet_word_age(k, now);
 
-	return json_pack("{s:s,s:s,s:s,s:I,s:b,s:b,s:s,s:I,s:I,s:I,s:o}", "vm",
-			 s->vm, "domain", s->domain, "region", s->region,
+	return json_pack("{s:s,s:s,s:s,s:I,s:b,s:b,s:s,s:I,s:I,s:I,s:o,s:o*}",
+			 "vm", s->vm, "domain", s->domain, "region", s->region,
 			 "incarnation", (json_int_t)k->incarnation, "draining",
 			 (int)__atomic_load_n(&k->draining, __ATOMIC_RELAXED),
 			 "platform_up", (int)platform_is_up(k), "freshness",
@@ -132,7 +132,7 @@
 			 (json_int_t)(age < 0 ? -1 : age / USEC_PER_MSEC),
 			 "revision", (json_int_t)gossip_revision(), "objects",
 			 (json_int_t)store_count(k->store), "members",
-			 show_members(k));
+			 show_members(k), "groups", show_groups(k));
 }
 
 /* Events of the time line, from a number on, a bounded count. */
--- a/src/plugins/caller_http.c
+++ b/src/plugins/caller_http.c
@@ -86,9 +86,10 @@
 		usleep(FLUSH_STEP_US);
 	}
 	loop_stop(h->loop);
+	destroy(h);
+	/* Not earlier: the server's threads still have it in their sets. */
 	if (fd != MHD_INVALID_SOCKET)
 		close(fd);
-	destroy(h);
 }
 
 /* Makes the parts among which the connections are divided. */
