Close callers without quiescing the server

Cause: a unit test ended with libmicrohttpd's "Failed to remove listen FD from epoll set": MHD_quiesce_daemon() and a thread of the pool both took the listening socket out of that thread's epoll set. Change: closing is told by a flag that refuses what arrives; the server is stopped once no request is left. Conclusion: admin_http.c calls MHD_quiesce_daemon() too; with one thread the same race is there.

--- a/src/plugins/caller_http.c
+++ b/src/plugins/caller_http.c
@@ -70,26 +70,25 @@
 }
 
 /*
- * Stops listening, answers what still runs with "unknown", and closes all
- * connections once the answers have left or FLUSH_MS has passed.
+ * Refuses what arrives, answers what still runs with "unknown", and closes all
+ * connections once the answers have left or FLUSH_MS has passed. The server's
+ * own way to stop listening first, MHD_quiesce_daemon(), is not used: it races
+ * with the server's threads over their epoll sets and then ends the process.
  */
 void caller_http_close(struct caller_http *h)
 {
 	int waited_us;
-	int fd = MHD_quiesce_daemon(h->daemon);
 
-	each_connection(h, abandon_exchange, NULL);
+	__atomic_store_n(&h->closing, true, __ATOMIC_SEQ_CST);
 	for (waited_us = 0; waited_us < FLUSH_MS * USEC_PER_MSEC;
 	     waited_us += FLUSH_STEP_US) {
+		each_connection(h, abandon_exchange, NULL);
 		if (exchanges(h) == 0)
 			break;
 		usleep(FLUSH_STEP_US);
 	}
 	loop_stop(h->loop);
 	destroy(h);
-	/* Not earlier: the server's threads still have it in their sets. */
-	if (fd != MHD_INVALID_SOCKET)
-		close(fd);
 }
 
 /* Makes the parts among which the connections are divided. */
--- a/src/plugins/caller_http.h
+++ b/src/plugins/caller_http.h
@@ -93,6 +93,7 @@
 	struct loop *loop; /* closes connections of slow callers */
 	struct loop_timer sweep;
 	uint32_t next_stripe; /* __atomic */
+	bool closing;	      /* __atomic: takes nothing any more */
 	struct caller_stripe stripes[CALLER_STRIPES];
 };
 
--- a/src/plugins/caller_http_request.c
+++ b/src/plugins/caller_http_request.c
@@ -237,8 +237,9 @@
 		x->refused = true;
 		return -1;
 	}
-	if (!r->transaction[0] &&
-	    __atomic_load_n(&k->refusing, __ATOMIC_RELAXED))
+	if (__atomic_load_n(&x->http->closing, __ATOMIC_SEQ_CST) ||
+	    (!r->transaction[0] &&
+	     __atomic_load_n(&k->refusing, __ATOMIC_RELAXED)))
 		return refuse(x, ERR_DRAINING, STEP_DRAIN, DRAIN_MESSAGE);
 	return 0;
 }
