--- a/src/plugins/config_sync.c
+++ b/src/plugins/config_sync.c
@@ -211,7 +211,7 @@
 	watches = members_watches(k->fleet->members,
 				  k->settings.watchers_per_domain);
 	fleet_unlock(k->fleet);
-	return watches || age < 0 || age > fresh / 2;
+	return watches || age < 0 || age > fresh * 3 / 4;
 }
 
 /* Applies a list or what a watch brought, and goes on at once. */
--- a/src/plugins/gossip.c
+++ b/src/plugins/gossip.c
@@ -139,7 +139,7 @@
 	spread_ask_fill(g->spread, id, &ask.spread);
 	ask.spread.cursor = t->cursor;
 	apr_thread_mutex_unlock(g->lock);
-	gossip_fill_news(g, &ask.news);
+	gossip_fill_news(g, t->tries > 0 || t->incarnation == 0, &ask.news);
 	msgpack_sbuffer_init(&buf);
 	gossip_ask_encode(&buf, &ask);
 	peer_send(g->kernel, t->to, PEER_GOSSIP, buf.data, buf.size);
@@ -169,8 +169,11 @@
 	return found;
 }
 
-/* Fills in this VM's own state and the news that were told least. */
-void gossip_fill_news(struct gossip *g, struct gossip_news *out)
+/*
+ * Fills in the news that were told least, and this VM's own state first if the
+ * peer may not know it yet: an answer needs its address.
+ */
+void gossip_fill_news(struct gossip *g, bool introduce, struct gossip_news *out)
 {
 	struct fleet *f = g->kernel->fleet;
 	const struct member *self;
@@ -179,10 +182,12 @@
 	/* Listeners that bind a free port know it only once they run. */
 	members_address_self(f->members, g->kernel->settings.peer_listen,
 			     g->kernel->settings.caller_listen);
-	self = members_at(f->members, members_self(f->members));
-	out->item[0].member = *self;
-	out->n = 1 + (uint32_t)members_pick_news(f->members, &out->item[1],
-						 GOSSIP_NEWS_MAX - 1);
+	if (introduce) {
+		self = members_at(f->members, members_self(f->members));
+		out->item[out->n++].member = *self;
+	}
+	out->n += (uint32_t)members_pick_news(f->members, &out->item[out->n],
+					      GOSSIP_NEWS_MAX - out->n);
 	fleet_unlock(f);
 }
 
--- a/src/plugins/gossip_codec.h
+++ b/src/plugins/gossip_codec.h
@@ -12,7 +12,7 @@
 /* Bodies in one answer; one larger object may go alone. */
 #define GOSSIP_BODIES_BYTES 65536
 
-/* News of VMs; the sender's own state comes first. */
+/* News of VMs. */
 struct gossip_news {
 	uint32_t n;
 	struct member_news item[GOSSIP_NEWS_MAX];
--- a/src/plugins/gossip_exchange.c
+++ b/src/plugins/gossip_exchange.c
@@ -81,7 +81,7 @@
 	a->id = ask->spread.id;
 	fill_freshness(g, a);
 	fill_objects(g, ask, a);
-	gossip_fill_news(g, &a->news);
+	gossip_fill_news(g, false, &a->news);
 	msgpack_sbuffer_init(&buf);
 	gossip_answer_encode(&buf, a);
 	peer_send(g->kernel, to, PEER_GOSSIP_REPLY, buf.data, buf.size);
--- a/src/plugins/gossip_own.h
+++ b/src/plugins/gossip_own.h
@@ -73,8 +73,9 @@
 /* Ends the question with this id; false if it is not known or of another. */
 bool gossip_pending_take(struct gossip *g, uint64_t id, const char *from,
 			 struct pending_ask *out);
-/* Fills in news for a peer, this VM's own first; takes the fleet's lock. */
-void gossip_fill_news(struct gossip *g, struct gossip_news *out);
+/* Fills in news for a peer; takes the fleet's lock. */
+void gossip_fill_news(struct gossip *g, bool introduce,
+		      struct gossip_news *out);
 void gossip_apply_news(struct gossip *g, const struct gossip_news *news);
 /* Handlers, on the peer thread. */
 void gossip_on_ask(void *ctx, const char *from, uint64_t incarnation,
