--- a/tests/process/serve.sh
+++ b/tests/process/serve.sh
@@ -100,9 +100,46 @@
 ok "the drain was not forced" sh -c "! grep -q forced '$T/v1.log'"
 ok "no key in the log" sh -c "! grep -q '$OPERATOR_KEY' '$T/v1.log'"
 
+# A statement that runs when the drain begins is not interrupted.
+SETTINGS='"drain_notice_ms": 300, "drain_max_ms": 20000,
+    "reply_timeout_ms": 8000, "suspect_ms": 9000,'
 start_vm 2 || exit 1
-kill -INT "$PID_v2"
+"$G" admin -a "$ADMIN_v2" defaults put --rate=1000 --burst=1000 \
+    --staleness-ms=1000 >"$T/admin" 2>&1
+"$G" admin -a "$ADMIN_v2" team put t1 quotes >>"$T/admin" 2>&1
+KEY=$("$G" admin -a "$ADMIN_v2" --json key issue t1 2>>"$T/admin" |
+    sed -n 's/.*"secret": *"\([^"]*\)".*/\1/p')
+post() { # BODY FILE
+	curl -s -m 15 -o "$2" -D "$2.head" -w '%{http_code}' \
+	    -H "Authorization: Bearer $KEY" -d "$1" \
+	    "http://$CALLER_v2/v1/services/quotes/statements"
+}
+get='{"statement":"get ?","parameters":["k"],"deadline_ms":15000}'
+served() { [ "$(post "$get" "$T/get")" = 200 ]; }
+ok "a statement is served" eventually served
+curl -s -m 5 -o "$T/set" -d '{"latency_us":3000000}' \
+    "http://$CONTROL_quotes_1/control"
+post "$get" "$T/long" >"$T/long.code" &
+long=$!
+running() { curl -s -m 5 "http://$DB_quotes_1/v1/status" |
+    grep -q '"running": *[1-9]'; }
+ok "a long statement runs" eventually running
+kill -TERM "$PID_v2"
+ok "new work is refused after the notice" eventually \
+    grep -q 'vm_drain .*phase=refuse' "$T/v2.log"
+ok "with 503" is "$(post "$get" "$T/new")" 503
+ok "as draining, not run" grep -q \
+    '"outcome":"not_run","error":{"code":"draining","step":"drain"' "$T/new"
+ok "with a time to come back" grep -qi '^retry-after: 1' "$T/new.head"
+wait "$long"
+ok "the long statement is answered" is "$(cat "$T/long.code")" 200
 wait "$PID_v2"
+ok "and the VM exits 0" is $? 0
+ok "not forced" sh -c "! grep -q forced '$T/v2.log'"
+
+start_vm 3 || exit 1
+kill -INT "$PID_v3"
+wait "$PID_v3"
 ok "SIGINT drains too" is $? 0
 
 echo "$passed passed, $failed failed"
