Ask no peer for share before the first word of the fleet

Cause: a VM that had just started asked before it was on the platform's list; the answer came before its shares could be good, was dropped, and the whole share of the team was gone with it: 60 of 60 requests refused in 6 s, until a recount. Seen by printing both ends of each transfer. Ruled out: lapses of the giver, lost messages, the doubling of questions. Change: no question while lapsed, with a test.

--- a/src/decide/escrow.h
+++ b/src/decide/escrow.h
@@ -121,7 +121,8 @@
 
 /*
  * Fills in a question to a peer. False if one to that peer is open already:
- * it is asked again, with the same id, by escrow_ask_again().
+ * it is asked again, with the same id, by escrow_ask_again(). False also for a
+ * VM that has had no word of the fleet.
  */
 bool escrow_ask(struct escrow *b, uint64_t peer, usec_t now,
 		struct escrow_msg *out);
--- a/src/decide/escrow_give.c
+++ b/src/decide/escrow_give.c
@@ -26,7 +26,8 @@
 
 /*
  * Fills in a question to a peer, with what this VM has itself. False if one
- * to that peer is open.
+ * to that peer is open, or if this VM has no word of the fleet: it could not
+ * keep what the answer brings, and the share would be lost.
  */
 bool escrow_ask(struct escrow *b, uint64_t peer, usec_t now,
 		struct escrow_msg *out)
@@ -34,7 +35,8 @@
 	struct escrow_ask *a = &b->asks[0];
 	uint32_t i;
 
-	escrow_lapsed(b, now);
+	if (escrow_lapsed(b, now))
+		return false;
 	for (i = 0; i < ESCROW_ASKS; i++) {
 		struct escrow_ask *t = &b->asks[i];
 
--- a/tests/decide/escrow_test.cc
+++ b/tests/decide/escrow_test.cc
@@ -57,6 +57,24 @@
 	EXPECT_EQ(drain(&p.a, 2100 * kMs), 1);
 }
 
+TEST(Escrow, NoQuestionBeforeTheFirstWordOfTheFleet)
+{
+	Pair p({ 100, 10 });
+	struct escrow_vm vm;
+	struct escrow c;
+	struct escrow_msg ask, g;
+	const struct escrow_limit l = { 100, 10 };
+	escrow_vm_init(&vm, 30);
+	escrow_init(&c, &vm, &l, 0);
+	EXPECT_FALSE(escrow_ask(&c, 1, 0, &ask)) << "it could keep no share";
+	escrow_vm_extend(&vm, 0, 1000 * kMs);
+	ASSERT_TRUE(escrow_ask(&c, 1, 0, &ask));
+	escrow_on_ask(&p.a, 3, 30, &ask, 0, &g);
+	EXPECT_EQ(escrow_on_grant(&c, 1, &g, 0), ESCROW_GOT);
+	EXPECT_EQ(c.share + p.a.share, ESCROW_ONE);
+	EXPECT_FALSE(escrow_ask(&c, 1, 1001 * kMs, &ask)) << "lapsed";
+}
+
 TEST(Escrow, ARefundAddsNothingToTheBurst)
 {
 	Pair p({ 100, 10 });
