Be ready only once the VM is listed, fresh and has the secret

Cause: a VM that had just started refused requests that others would have served, while it answered ready. Change: readiness asks for the platform's list, fresh word and the tokens' secret. Conclusion: suspicion at the start remains to be looked at.

--- a/src/plugins/caller_http.h
+++ b/src/plugins/caller_http.h
@@ -42,6 +42,8 @@
 	int (*recheck_key)(void *ctx, const char *team, const char *key_id,
 			   struct error *e);
 	void (*submit)(void *ctx, struct request *r);
+	/* Can requests be served now? NULL: always. */
+	bool (*ready)(void *ctx);
 };
 
 /* One connection of a caller; its stripe's lock guards list and exchange. */
--- a/src/plugins/caller_http_answer.c
+++ b/src/plugins/caller_http_answer.c
@@ -20,6 +20,7 @@
 #define ROWS_KEY	       ",\"rows\":"
 
 static enum MHD_Result answer_open(struct exchange *x);
+static bool is_ready(const struct caller_http *h);
 static enum MHD_Result answer_error(struct exchange *x, enum outcome outcome,
 				    const struct error *e);
 static enum MHD_Result answer_request(struct exchange *x);
@@ -124,6 +125,7 @@
 /* Answers the routes that need no key. */
 static enum MHD_Result answer_open(struct exchange *x)
 {
+	bool ready;
 	bool draining =
 		__atomic_load_n(&x->http->kernel->draining, __ATOMIC_RELAXED);
 	char *text;
@@ -136,14 +138,23 @@
 		counters_print(text, METRICS_MAX_BYTES);
 		return queue(x, HTTP_OK, TEXT_TYPE, text, NULL, 0);
 	case ROUTE_READY:
-		text = strdup(draining ? "draining\n" : "ready\n");
-		return queue(x, draining ? HTTP_UNAVAILABLE : HTTP_OK,
-			     TEXT_TYPE, text, NULL, 0);
+		ready = !draining && is_ready(x->http);
+		text = strdup(ready	 ? "ready\n"
+			      : draining ? "draining\n"
+					 : "starting\n");
+		return queue(x, ready ? HTTP_OK : HTTP_UNAVAILABLE, TEXT_TYPE,
+			     text, NULL, 0);
 	default:
 		return queue(x, HTTP_OK, TEXT_TYPE, strdup("ok\n"), NULL, 0);
 	}
 }
 
+/* Can requests be served, as far as the VM's own state goes? */
+static bool is_ready(const struct caller_http *h)
+{
+	return !h->ops.ready || h->ops.ready(h->ops.ctx);
+}
+
 /* Answers what the engine never saw, or what it has not finished. */
 static enum MHD_Result answer_error(struct exchange *x, enum outcome outcome,
 				    const struct error *e)
--- a/src/plugins/caller_serve.c
+++ b/src/plugins/caller_serve.c
@@ -1,4 +1,6 @@
 #include "kernel/engine.h"
+#include "kernel/fleet.h"
+#include "kernel/loop.h"
 #include "kernel/plugin.h"
 #include "plugins/caller_http.h"
 
@@ -10,6 +12,7 @@
 static int recheck_key(void *ctx, const char *team, const char *key_id,
 		       struct error *e);
 static void submit(void *ctx, struct request *r);
+static bool ready(void *ctx);
 
 static struct plugin plugin = {
 	.name = "caller_http",
@@ -30,6 +33,7 @@
 		.check_key = check_key,
 		.recheck_key = recheck_key,
 		.submit = submit,
+		.ready = ready,
 	};
 
 	callers = caller_http_open(k, &ops, e);
@@ -67,3 +71,18 @@
 {
 	engine_submit(ctx, r);
 }
+
+/*
+ * A VM that is not on the platform's list yet, or has no word of the keys or
+ * no secret for tokens, would refuse what others serve.
+ */
+static bool ready(void *ctx)
+{
+	struct kernel *k = ctx;
+	uint8_t current[32], previous[32];
+	bool has_previous;
+
+	return fleet_self_listed(k) &&
+	       fleet_freshness(k, clock_now()) != FRESH_LAPSED &&
+	       teams_session_secret(k, current, previous, &has_previous);
+}
