Count a VM's report before it gives; confirm a recount's epoch

Cause: the model of shares found three ways over the whole: a VM that moved to an epoch, gave there and was gone before it reported; a recount that ended after a later epoch was claimed and given in; a first epoch's reply that came to a VM after it had been taken for gone. Change: a VM gives nothing until the recounter says that it has its report; a recount reads the platform's epoch once all is counted; a creator that lapsed since its claim takes nothing.

--- a/src/decide/escrow.c
+++ b/src/decide/escrow.c
@@ -4,9 +4,9 @@
 
 #include "decide/escrow_own.h"
 
-#define WINDOW_US (500 * USEC_PER_MSEC)
+#define WINDOW_US (500 * (usec_t)USEC_PER_MSEC)
 /* A demand that just began is taken over no less than this. */
-#define START_US (20 * USEC_PER_MSEC)
+#define START_US (20 * (usec_t)USEC_PER_MSEC)
 /* So many mean gaps without a request say that the demand has fallen. */
 #define PAUSE_GAPS 4
 /* A bucket below one part in so many of its burst asks for more. */
@@ -204,6 +204,7 @@
 		give_up(b);
 	b->epoch = epoch;
 	b->reported = b->share;
+	b->counted = false;
 	void_given(b);
 }
 
@@ -217,6 +218,19 @@
 	out->demand = 0;
 }
 
+/* The recounter of this epoch has the report. */
+void escrow_counted(struct escrow *b, uint64_t epoch)
+{
+	if (epoch == b->epoch)
+		b->counted = true;
+}
+
+/* Is the report of this epoch still to reach the recounter? */
+bool escrow_uncounted(const struct escrow *b)
+{
+	return b->reported > 0 && !b->counted;
+}
+
 /*
  * Takes the whole, for the VM whose conditional create at the platform made
  * the limit's first epoch: nobody can hold or have used anything of it.
@@ -228,6 +242,7 @@
 	b->epoch = epoch;
 	b->share = b->whole;
 	b->reported = b->whole;
+	b->counted = true;
 	b->at = now;
 	b->cut_at = now;
 	b->tokens = escrow_cap(b, b->share);
--- a/src/decide/escrow.h
+++ b/src/decide/escrow.h
@@ -62,6 +62,7 @@
 	uint64_t epoch;	 /* 0: none known */
 	uint32_t share;
 	uint32_t reported; /* share held on moving to this epoch */
+	bool counted;	   /* the recounter has that report */
 	uint64_t tokens;   /* in parts: whole * 1,000,000 to a token */
 	usec_t at;	   /* tokens are counted up to here */
 	usec_t cut_at;	   /* tokens were last cut to the cap, or given */
@@ -80,6 +81,7 @@
 	ESCROW_OFFER,	/* take over what I have: ask me */
 	ESCROW_MOVE,	/* a new epoch was claimed: move to it and report */
 	ESCROW_REPORT,	/* share: held on moving to the epoch */
+	ESCROW_COUNTED, /* the recounter has the report: the VM may give */
 	ESCROW_TYPE_COUNT
 };
 
@@ -146,6 +148,12 @@
 /* Moves to a later epoch; what it held counts on, and is reported. */
 void escrow_move(struct escrow *b, uint64_t epoch, usec_t now);
 void escrow_report(const struct escrow *b, struct escrow_msg *out);
+/*
+ * The recounter has the report of this epoch. Until then nothing is given: the
+ * VM could be gone before it reports, and what it gave be counted as missing.
+ */
+void escrow_counted(struct escrow *b, uint64_t epoch);
+bool escrow_uncounted(const struct escrow *b);
 /* The whole, for who created the limit's first epoch; tokens are full. */
 void escrow_create(struct escrow *b, uint64_t epoch, usec_t now);
 /* What a recount found missing, for who claimed the epoch; without tokens. */
--- a/src/decide/escrow_give.c
+++ b/src/decide/escrow_give.c
@@ -3,9 +3,9 @@
 #include "decide/escrow_own.h"
 
 /* Answers to questions older than this no longer count. */
-#define ASK_LIFE_US (10 * USEC_PER_SEC)
+#define ASK_LIFE_US (10 * (usec_t)USEC_PER_SEC)
 /* A question is asked again after this, then after twice as long. */
-#define ASK_AGAIN_US (4 * USEC_PER_MSEC)
+#define ASK_AGAIN_US (4 * (usec_t)USEC_PER_MSEC)
 /* A smaller part of this VM's share than one in so many isn't moved. */
 #define MOVE_PARTS 16
 
@@ -109,6 +109,7 @@
 			.at = now,
 		};
 		if (!escrow_lapsed(b, now) && b->epoch != 0 &&
+		    !escrow_uncounted(b) &&
 		    (msg->epoch == 0 || msg->epoch == b->epoch))
 			choose(b, msg, now, g);
 	}
--- a/src/kernel/teams.c
+++ b/src/kernel/teams.c
@@ -13,7 +13,7 @@
 #include "kernel/teams_own.h"
 
 /* A judgement of freshness serves all requests for so long. */
-#define FRESH_CACHE_US (10 * USEC_PER_MSEC)
+#define FRESH_CACHE_US (10 * (usec_t)USEC_PER_MSEC)
 
 static int make(struct teams *t);
 static void free_shard(struct team_shard *s);
--- a/src/kernel/teams_claim.c
+++ b/src/kernel/teams_claim.c
@@ -14,14 +14,14 @@
 #include "kernel/teams_own.h"
 
 /* A VM that is not first for a team waits before it creates the epoch. */
-#define CREATE_WAIT_US (200 * USEC_PER_MSEC)
+#define CREATE_WAIT_US (200 * (usec_t)USEC_PER_MSEC)
 /* Refusals that go on for so long call for a recount, later by rank. */
 #define RECOUNT_AFTER_US (3 * (usec_t)USEC_PER_SEC)
-#define RECOUNT_RANK_US	 USEC_PER_SEC
+#define RECOUNT_RANK_US	 ((usec_t)USEC_PER_SEC)
 /* Pauses between claims: when one failed, and when one came through. */
-#define CLAIM_AGAIN_US	USEC_PER_SEC
+#define CLAIM_AGAIN_US	((usec_t)USEC_PER_SEC)
 #define CLAIM_PAUSE_US	(60 * (usec_t)USEC_PER_SEC)
-#define LIST_EVERY_US	USEC_PER_SEC
+#define LIST_EVERY_US	((usec_t)USEC_PER_SEC)
 #define RECOUNT_MOST_US (300 * (usec_t)USEC_PER_SEC)
 #define NONCE_BYTES	16
 
@@ -34,10 +34,11 @@
 	struct platform_call call;
 	struct teams *teams;
 	char team[NAME_MAX_BYTES];
-	char nonce[2 * NONCE_BYTES + 1];
+	char nonce[2 * CLAIM_NONCE_BYTES + 1];
 	uint64_t epoch; /* being claimed; 0: not known yet */
 	usec_t asked_at;
-	bool recount; /* else only a first epoch is created */
+	uint64_t life; /* of the VM, when the claim began */
+	bool recount;  /* else only a first epoch is created */
 	bool written;
 };
 
@@ -67,7 +68,10 @@
 static void on_list(struct platform_call *call);
 static void read_list(struct recount *r, const char *reply, usec_t asked_at);
 static void move_peers(struct teams *t, struct team *team, usec_t now);
-static void finish(struct teams *t, struct team *team, usec_t now);
+static bool may_finish(struct teams *t, struct team *team, usec_t now);
+static void on_confirm(struct platform_call *call);
+static bool has_nonce(const struct platform_call *call, const char *nonce);
+static void finish(struct team *team, usec_t now);
 static void end_recount(struct team_bucket *b, usec_t now);
 
 /* Starts a claim or goes on with a recount; the shard's lock is held. */
@@ -76,7 +80,8 @@
 	struct team_bucket *b = team->bucket;
 	enum claim_due due;
 
-	if (b->claim == CLAIM_CALLING || box->n_calls == CALLS_MAX(box))
+	if (b->claim == CLAIM_CALLING || b->claim == CLAIM_CONFIRMING ||
+	    box->n_calls == CALLS_MAX(box))
 		return;
 	if (b->claim == CLAIM_COUNTING) {
 		if (b->escrow.epoch != b->recount.epoch ||
@@ -150,6 +155,7 @@
 	if (!c)
 		return;
 	c->recount = recount;
+	c->life = b->escrow.vm->life;
 	b->claim = CLAIM_CALLING;
 	b->claim_at = now + CLAIM_AGAIN_US;
 	prepare_read(c);
@@ -158,7 +164,7 @@
 
 static struct claim *claim_create(struct teams *t, const struct team *team)
 {
-	uint8_t nonce[NONCE_BYTES];
+	uint8_t nonce[CLAIM_NONCE_BYTES];
 	struct claim *c = calloc(1, sizeof(*c));
 
 	if (!c)
@@ -288,9 +294,14 @@
 
 		b->claim = CLAIM_NONE;
 		if (c->epoch == 1) {
-			escrow_create(&b->escrow, 1, now);
+			/* A VM that was taken for gone since, by a recount
+			 * that found all of it missing, has nothing. */
+			if (c->life == b->escrow.vm->life)
+				escrow_create(&b->escrow, 1, now);
 		} else {
 			escrow_move(&b->escrow, c->epoch, now);
+			escrow_counted(&b->escrow, c->epoch);
+			snprintf(b->nonce, sizeof(b->nonce), "%s", c->nonce);
 			recount_begin(&b->recount, c->epoch, now);
 			b->life = b->escrow.vm->life;
 			b->claim = CLAIM_COUNTING;
@@ -337,6 +348,7 @@
 	struct claim *c = call->ctx;
 	struct team_shard *s = teams_shard(c->teams, c->team);
 	usec_t now = c->teams->clock();
+	bool confirm = false;
 	struct team *team;
 
 	apr_thread_mutex_lock(s->lock);
@@ -345,12 +357,58 @@
 	    team->bucket && team->bucket->claim == CLAIM_COUNTING) {
 		read_list(&team->bucket->recount, call->reply, c->asked_at);
 		move_peers(c->teams, team, now);
-		finish(c->teams, team, now);
+		confirm = may_finish(c->teams, team, now);
+		if (confirm)
+			team->bucket->claim = CLAIM_CONFIRMING;
+	}
+	apr_thread_mutex_unlock(s->lock);
+	if (!confirm) {
+		claim_destroy(c);
+		return;
+	}
+	prepare_read(c);
+	c->call.done = on_confirm;
+	platform_submit(c->teams->kernel, &c->call);
+}
+
+/*
+ * The platform's epoch, after all was counted: only if it is still this
+ * recount's can nobody have gone on in a later one, given there, and be gone.
+ */
+static void on_confirm(struct platform_call *call)
+{
+	struct claim *c = call->ctx;
+	struct team_shard *s = teams_shard(c->teams, c->team);
+	usec_t now = c->teams->clock();
+	struct team_bucket *b;
+	struct team *team;
+
+	apr_thread_mutex_lock(s->lock);
+	team = teams_find(s, c->team);
+	b = team ? team->bucket : NULL;
+	if (b && b->claim == CLAIM_CONFIRMING) {
+		if (call->result == PLATFORM_OK && has_nonce(call, b->nonce))
+			finish(team, now);
+		else if (call->result == PLATFORM_OK)
+			end_recount(b, now);
+		else
+			b->claim = CLAIM_COUNTING;
 	}
 	apr_thread_mutex_unlock(s->lock);
 	claim_destroy(c);
 }
 
+/* Does the object that was read carry this nonce? */
+static bool has_nonce(const struct platform_call *call, const char *nonce)
+{
+	json_t *o = call->reply ? json_loads(call->reply, 0, NULL) : NULL;
+	const char *have = json_string_value(json_object_get(o, "nonce"));
+	bool same = have && strcmp(have, nonce) == 0;
+
+	json_decref(o);
+	return same;
+}
+
 /* Reads a whole list; one that can't be read counts as none. */
 static void read_list(struct recount *r, const char *reply, usec_t asked_at)
 {
@@ -403,28 +461,37 @@
 	}
 }
 
-/* Takes what is missing, once all is counted. */
-static void finish(struct teams *t, struct team *team, usec_t now)
+/* Is all counted, so that what is missing is known? */
+static bool may_finish(struct teams *t, struct team *team, usec_t now)
 {
+	usec_t within =
+		(usec_t)t->kernel->settings.keys_fresh_ms * USEC_PER_MSEC;
 	struct team_bucket *b = team->bucket;
-	uint32_t missing;
 
 	if (b->recount.epoch == 0) {
 		end_recount(b, now);
-		return;
+		return false;
 	}
-	if (b->escrow.vm->life != b->life ||
-	    !recount_done(&b->recount, now, teams_gone_after(t->kernel),
-			  b->escrow.whole, &missing) ||
-	    !fleet_majority(t->kernel, now,
-			    (usec_t)t->kernel->settings.keys_fresh_ms *
-				    USEC_PER_MSEC))
-		return;
-	if (escrow_add_missing(&b->escrow, b->recount.epoch, missing, now))
+	return b->escrow.vm->life == b->life &&
+	       recount_done(&b->recount, now, teams_gone_after(t->kernel),
+			    b->escrow.whole, &b->missing) &&
+	       fleet_majority(t->kernel, now, within);
+}
+
+/* Takes what is missing; nothing if this VM lapsed or moved on since. */
+static void finish(struct team *team, usec_t now)
+{
+	struct team_bucket *b = team->bucket;
+	uint64_t epoch = b->recount.epoch;
+
+	if (b->escrow.vm->life == b->life &&
+	    escrow_add_missing(&b->escrow, epoch, b->missing, now)) {
+		b->finished = epoch;
 		log_event(EV_ESCROW_RECOUNT,
 			  "team=%s epoch=%" PRIu64 " missing_ppm=%" PRIu64,
-			  team->name, b->recount.epoch,
-			  (uint64_t)missing * 1000000 / b->escrow.whole);
+			  team->name, epoch,
+			  (uint64_t)b->missing * 1000000 / b->escrow.whole);
+	}
 	end_recount(b, now);
 }
 
--- a/src/kernel/teams_escrow.c
+++ b/src/kernel/teams_escrow.c
@@ -12,14 +12,14 @@
 /* When to come back if nothing is known of the team yet. */
 #define RETRY_UNKNOWN_MS 1000
 /* A request that waits for a transfer looks again after this. */
-#define LOOK_AGAIN_US (2 * USEC_PER_MSEC)
+#define LOOK_AGAIN_US (2 * (usec_t)USEC_PER_MSEC)
 /* Least and most time between rounds of questions to peers. */
-#define ROUND_LEAST_US (4 * USEC_PER_MSEC)
-#define ROUND_MOST_US  (64 * USEC_PER_MSEC)
+#define ROUND_LEAST_US (4 * (usec_t)USEC_PER_MSEC)
+#define ROUND_MOST_US  (64 * (usec_t)USEC_PER_MSEC)
 /* How many keys_fresh_ms off the list prove that a VM is gone. */
 #define GONE_FOR 4
 /* Refusals that are further apart don't count as going on. */
-#define REFUSALS_APART_US USEC_PER_SEC
+#define REFUSALS_APART_US ((usec_t)USEC_PER_SEC)
 
 static enum team_admission refuse(struct team_bucket *b, usec_t now,
 				  int64_t *retry_after_ms);
@@ -28,7 +28,7 @@
 static void on_grant(struct team *team, uint64_t peer,
 		     const struct escrow_msg *msg, usec_t now,
 		     struct teams_outbox *box);
-static void on_report(struct team_bucket *b, const char *from,
+static bool on_report(struct team_bucket *b, const char *from,
 		      uint64_t incarnation, const struct escrow_msg *msg,
 		      usec_t now);
 
@@ -139,9 +139,19 @@
 		escrow_move(&b->escrow, msg->epoch, now);
 		escrow_report(&b->escrow, &out);
 		teams_post(&box, from, team->name, &out);
+		snprintf(b->recounter, sizeof(b->recounter), "%s", from);
+		if (escrow_uncounted(&b->escrow))
+			teams_busy(s, b);
 		break;
 	case ESCROW_REPORT:
-		on_report(b, from, incarnation, msg, now);
+		if (on_report(b, from, incarnation, msg, now)) {
+			out.type = ESCROW_COUNTED;
+			out.epoch = msg->epoch;
+			teams_post(&box, from, team->name, &out);
+		}
+		break;
+	case ESCROW_COUNTED:
+		escrow_counted(&b->escrow, msg->epoch);
 		break;
 	case ESCROW_TYPE_COUNT:
 		break;
@@ -355,15 +365,22 @@
 	}
 }
 
-/* A report to this VM's recount; a later epoch there ends the recount. */
-static void on_report(struct team_bucket *b, const char *from,
+/*
+ * A report to this VM's recount, also one that came before and whose answer
+ * was lost; a later epoch there ends the recount. True if it is counted.
+ */
+static bool on_report(struct team_bucket *b, const char *from,
 		      uint64_t incarnation, const struct escrow_msg *msg,
 		      usec_t now)
 {
 	escrow_move(&b->escrow, msg->epoch, now);
-	if (b->claim != CLAIM_COUNTING)
-		return;
+	if (msg->epoch == b->finished)
+		return true;
+	if (b->claim != CLAIM_COUNTING || msg->epoch != b->recount.epoch)
+		return false;
 	if (recount_report(&b->recount, from, incarnation, msg->epoch,
-			   msg->share) != 0)
-		recount_end(&b->recount);
+			   msg->share) == 0)
+		return true;
+	recount_end(&b->recount);
+	return false;
 }
--- a/src/kernel/teams_own.h
+++ b/src/kernel/teams_own.h
@@ -12,8 +12,9 @@
 #include "kernel/platform.h"
 #include "kernel/teams.h"
 
-#define TEAM_SHARDS 64
-#define KEY_SHARDS  16
+#define TEAM_SHARDS	  64
+#define KEY_SHARDS	  16
+#define CLAIM_NONCE_BYTES 16
 
 struct team_key {
 	char id[NAME_MAX_BYTES];
@@ -29,6 +30,7 @@
 	CLAIM_NONE,
 	CLAIM_CALLING, /* a call to the platform is under way */
 	CLAIM_COUNTING,
+	CLAIM_CONFIRMING, /* the platform is asked for the epoch again */
 };
 
 /* A team's part of its limit on this VM; made when it is first used. */
@@ -51,8 +53,12 @@
 	usec_t claim_at; /* earliest next claim */
 	usec_t list_at;	 /* next list of a recount */
 	uint64_t life;	 /* of the VM when it claimed */
-	uint32_t claims; /* that came through */
 	struct recount recount;
+	char nonce[2 * CLAIM_NONCE_BYTES + 1]; /* of this VM's recount */
+	uint32_t missing;  /* may be added once the epoch is confirmed */
+	uint64_t finished; /* epoch of this VM's last whole recount */
+	char recounter[NAME_MAX_BYTES]; /* who asked for a report last */
+	usec_t report_at;
 };
 
 struct team {
--- a/src/kernel/teams_tick.c
+++ b/src/kernel/teams_tick.c
@@ -8,9 +8,11 @@
 /* Shares stay good for so many keys_fresh_ms after fresh word; see below. */
 #define GOOD_FOR 1
 /* How often word of the fleet is taken note of. */
-#define EXTEND_US (50 * USEC_PER_MSEC)
+#define EXTEND_US (50 * (usec_t)USEC_PER_MSEC)
 /* Pause between offers of a share to peers while leaving. */
-#define OFFER_US (50 * USEC_PER_MSEC)
+#define OFFER_US (50 * (usec_t)USEC_PER_MSEC)
+/* Pause between reports that are not answered. */
+#define REPORT_US (200 * (usec_t)USEC_PER_MSEC)
 /* Buckets opened at once to create first epochs. */
 #define OPEN_AT_ONCE 16
 
@@ -19,6 +21,8 @@
 static void tick_shard(struct teams *t, struct team_shard *s, usec_t now);
 static bool tick_team(struct team *team, usec_t now, struct teams_outbox *box);
 static void ask_again(struct team *team, usec_t now, struct teams_outbox *box);
+static void report_again(struct team *team, usec_t now,
+			 struct teams_outbox *box);
 static void offer(struct teams *t, struct team *team, usec_t now,
 		  struct teams_outbox *box);
 
@@ -128,6 +132,7 @@
 	uint32_t i;
 
 	ask_again(team, now, box);
+	report_again(team, now, box);
 	teams_claim_tick(team, now, box);
 	for (i = 0; i < ESCROW_ASKS; i++)
 		open += b->escrow.asks[i].id != 0;
@@ -136,7 +141,8 @@
 		teams_ask_round(team, false, now, box);
 		return true;
 	}
-	return open > 0 || b->claim != CLAIM_NONE || b->escrow.epoch == 0;
+	return open > 0 || b->claim != CLAIM_NONE || b->escrow.epoch == 0 ||
+	       (escrow_uncounted(&b->escrow) && b->recounter[0]);
 }
 
 /* Asks once more what is due. */
@@ -156,6 +162,21 @@
 	}
 }
 
+/* Reports to the recounter once more, until it has said that it counted. */
+static void report_again(struct team *team, usec_t now,
+			 struct teams_outbox *box)
+{
+	struct team_bucket *b = team->bucket;
+	struct escrow_msg out = { 0 };
+
+	if (!escrow_uncounted(&b->escrow) || !b->recounter[0] ||
+	    now < b->report_at)
+		return;
+	b->report_at = now + REPORT_US;
+	escrow_report(&b->escrow, &out);
+	teams_post(box, b->recounter, team->name, &out);
+}
+
 /* Offers what this VM holds to the next peer, which then asks for it. */
 static void offer(struct teams *t, struct team *team, usec_t now,
 		  struct teams_outbox *box)
--- a/tests/decide/escrow_sim.h
+++ b/tests/decide/escrow_sim.h
@@ -74,6 +74,9 @@
 	int next_peer = 0;
 	struct recount recount = {};
 	uint64_t recount_life = 0;
+	uint64_t finished = 0; // epoch of its last whole recount
+	int recounter = -1;
+	usec_t report_at = 0;
 	usec_t move_at = 0;
 	std::deque<usec_t> waiting;
 };
@@ -213,6 +216,8 @@
 	{
 		recount_end(&v.recount);
 		v.waiting.clear();
+		v.recounter = -1;
+		v.finished = 0;
 		v.incarnation = (uint64_t)now + 1000000;
 		escrow_vm_init(&v.life, v.incarnation);
 		escrow_init(&v.bucket, &v.life, &limit, now);
@@ -319,6 +324,7 @@
 			escrow_move(&v.bucket, m.msg.epoch, now);
 			escrow_report(&v.bucket, &out);
 			send(m.to, m.from, out);
+			v.recounter = m.from;
 			break;
 		case ESCROW_REPORT:
 			recount_report(&v.recount,
@@ -335,6 +341,12 @@
 		SimVm &v = vms[i];
 		struct escrow_msg out = {};
 		uint64_t peer;
+		if (escrow_uncounted(&v.bucket) && v.recounter >= 0 &&
+		    now >= v.report_at) {
+			v.report_at = now + 20 * kMs;
+			escrow_report(&v.bucket, &out);
+			send(i, v.recounter, out);
+		}
 		while (escrow_ask_again(&v.bucket, now, &peer, &out)) {
 			for (int j = 0; j < (int)vms.size(); j++) {
 				if (hash(j) == peer)
@@ -388,10 +400,13 @@
 		}
 		struct escrow_msg own = {};
 		escrow_report(&v.bucket, &own);
+		escrow_counted(&v.bucket, v.recount.epoch);
 		recount_report(&v.recount, ("vm" + std::to_string(i)).c_str(),
 			       v.incarnation, own.epoch, own.share);
 		if (recount_done(&v.recount, now, kGoneAfter, ESCROW_ONE,
-				 &missing)) {
+				 &missing) &&
+		    platform_epoch == v.recount.epoch) {
+			v.finished = v.recount.epoch;
 			escrow_add_missing(&v.bucket, v.recount.epoch, missing,
 					   now);
 			recount_end(&v.recount);
