--- a/src/kernel/loop.c
+++ b/src/kernel/loop.c
@@ -61,6 +61,12 @@
 	return l;
 }
 
+/* Chooses cheap waiting over exact timers; before the start. */
+void loop_set_coarse(struct loop *l)
+{
+	l->coarse = true;
+}
+
 /* Starts the loop's thread. */
 int loop_start(struct loop *l, struct error *e)
 {
@@ -228,6 +234,9 @@
 	left = t->at - clock_now();
 	if (left < 0)
 		return 0;
+	/* The poll set counts whole milliseconds, rounded down. */
+	if (l->coarse)
+		left += USEC_PER_MSEC - 1;
 	return left < POLL_MAX_US ? left : POLL_MAX_US;
 }
 
--- a/src/kernel/loop.h
+++ b/src/kernel/loop.h
@@ -56,6 +56,8 @@
 };
 
 struct loop *loop_create(const char *name, struct error *e);
+/* Timers may fire up to 1 ms late, without busy polling before. */
+void loop_set_coarse(struct loop *l);
 int loop_start(struct loop *l, struct error *e);
 void loop_stop(struct loop *l); /* ends and joins the thread */
 void loop_destroy(struct loop *l);
--- a/src/kernel/loop_own.h
+++ b/src/kernel/loop_own.h
@@ -35,6 +35,7 @@
 	struct loop_task *inbox_last;
 	bool woken; /* a wake-up is under way */
 	bool stopping;
+	bool coarse; /* see loop_set_coarse() */
 	struct timer_heap timers;
 	struct loop_timer curl_timer;
 	CURLM *multi;
--- a/src/plugins/platform_http.c
+++ b/src/plugins/platform_http.c
@@ -57,6 +57,7 @@
 	p->iface.loop = loop_create("platform", e);
 	if (!p->iface.loop)
 		return -1;
+	loop_set_coarse(p->iface.loop);
 	if (loop_start(p->iface.loop, e)) {
 		loop_destroy(p->iface.loop);
 		return -1;
--- a/tests/plugins/caller_http_test.cc
+++ b/tests/plugins/caller_http_test.cc
@@ -182,7 +182,7 @@
 	{
 		struct error e;
 		const struct caller_ops ops = { &fake, check_key, recheck_key,
-						submit };
+						submit, nullptr };
 		http = caller_http_open(&k, &ops, &e);
 		ASSERT_NE(http, nullptr) << e.message;
 	}
