--- a/src/kernel/run.c
+++ b/src/kernel/run.c
@@ -379,8 +379,8 @@
 }
 
 /*
- * Moves the session's token on: by its own writes, and by reads of the newest
- * state; a read that accepts an age does not bind later ones to its place.
+ * Moves the session's token on, by its writes and by its reads: a later read
+ * must not show an older state than an earlier one did.
  */
 static void write_token(struct run *run, enum outcome o)
 {
@@ -388,8 +388,7 @@
 	struct token_keys keys;
 	bool moved = false;
 
-	if (o == OUTCOME_DONE && r->answer.at.position &&
-	    (needs_primary(run) || r->max_age_us < 0))
+	if (o == OUTCOME_DONE && r->answer.at.position)
 		moved = token_raise(&run->token, r->service, r->answer.at);
 	if (o == OUTCOME_UNKNOWN && needs_primary(run)) {
 		token_mark_unknown(&run->token, r->service, run->sent_term);
