Leave a suspended administration request to the call after its resume

Cause: after handing a request to the platform's loop the server's thread looked whether it was answered already; the answer could come in between and be queued on a suspended connection. The thread sanitizer showed it. Change: the request notes that it was suspended, which only the server's thread writes and reads.

--- a/src/plugins/admin_http.c
+++ b/src/plugins/admin_http.c
@@ -123,6 +123,7 @@
 void admin_suspend(struct admin_request *r)
 {
 	__atomic_fetch_add(&admin.under_way, 1, __ATOMIC_ACQ_REL);
+	r->suspended = true;
 	MHD_suspend_connection(r->connection);
 }
 
@@ -177,7 +178,8 @@
 	if (r->answered)
 		return send_reply(r);
 	admin_serve(r);
-	return r->answered ? send_reply(r) : MHD_YES;
+	/* Once suspended, only the call after the resume may look again. */
+	return r->suspended ? MHD_YES : send_reply(r);
 }
 
 /* Checks the key and the address before the body is read. */
