Take a reset in whole or not at all; mutate what decoders read

Cause: a seeded mutation of a reset with a negative position made a follower loop for ever; others left a log with a position and no term. Change: a reset is checked in full before anything is replaced; entries need a term, a position and, with an id, rows. tests/mutate.h makes broken inputs from good ones for any decoder. Conclusion: a follower withstands a primary that sends nonsense.

--- a/src/standin/dbstore_log.c
+++ b/src/standin/dbstore_log.c
@@ -14,6 +14,12 @@
 static struct entry *entry_from_json(const json_t *j);
 static json_t *reset_to_json(const struct dbstore *d);
 static int reset_from_json(struct dbstore *d, const json_t *j, struct error *e);
+static void install_reset(struct dbstore *d, const json_t *j,
+			  struct entry **entries, size_t n);
+static uint64_t positive(const json_t *j);
+static bool terms_sound(const struct dbstore *d, const json_t *terms,
+			uint64_t position);
+static bool keys_sound(const json_t *keys, uint64_t position);
 static int take_entries(struct dbstore *d, const json_t *list, struct error *e);
 static int bad(struct error *e, const char *why);
 
@@ -309,9 +315,12 @@
 	struct entry *e;
 	size_t i;
 
-	at.term = (uint64_t)json_integer_value(json_object_get(j, "term"));
-	at.position =
-		(uint64_t)json_integer_value(json_object_get(j, "position"));
+	at.term = positive(json_object_get(j, "term"));
+	at.position = positive(json_object_get(j, "position"));
+	if (at.term == 0 || at.position == 0)
+		return NULL;
+	if (id && !json_is_array(json_object_get(j, "rows")))
+		return NULL;
 	e = entry_create(at, json_integer_value(json_object_get(j, "stamp_us")),
 			 json_array_size(changes));
 	for (i = 0; i < e->n; i++) {
@@ -365,49 +374,117 @@
 			 "log", log);
 }
 
-/* Replaces all that is kept; the entries bring along how to undo them. */
+/*
+ * Replaces all that is kept; the entries bring along how to undo them. Nothing
+ * is replaced unless the whole is sound.
+ */
 static int reset_from_json(struct dbstore *d, const json_t *j, struct error *e)
 {
 	const json_t *log = json_object_get(j, "log");
-	const json_t *item;
-	struct entry *entry;
+	uint64_t position = positive(json_object_get(j, "position"));
+	size_t n = json_array_size(log);
+	struct entry **entries;
 	size_t i;
 
-	if (json_array_size(log) > d->log_max)
-		return bad(e, "reset is longer than the log");
+	if (n == 0 || n > d->log_max || n > position)
+		return bad(e, "reset without a log, or with too long a one");
+	if (!terms_sound(d, json_object_get(j, "terms"), position))
+		return bad(e, "terms of a reset out of order");
+	if (!keys_sound(json_object_get(j, "keys"), position))
+		return bad(e, "bad key in a reset");
+	entries = must_alloc(n * sizeof(struct entry *));
+	for (i = 0; i < n; i++) {
+		entries[i] = entry_from_json(json_array_get(log, i));
+		if (entries[i] &&
+		    entries[i]->at.position == position + 1 - n + i)
+			continue;
+		do
+			entry_destroy(entries[i]);
+		while (i-- > 0);
+		free(entries);
+		return bad(e, "bad entry in a reset");
+	}
 	log_clear(d);
+	d->position = position;
+	d->first = position + 1 - n;
+	install_reset(d, j, entries, n);
+	free(entries);
+	return 0;
+}
+
+/* Takes over what has been found sound. */
+static void install_reset(struct dbstore *d, const json_t *j,
+			  struct entry **entries, size_t n)
+{
+	const json_t *item;
+	size_t i;
+
 	json_array_foreach(json_object_get(j, "keys"), i, item)
 	{
-		if (!json_is_string(json_array_get(item, 0)))
-			return bad(e, "reset without a key");
 		set_key(d, json_string_value(json_array_get(item, 0)),
 			json_array_get(item, 1),
-			(uint64_t)json_integer_value(json_array_get(item, 2)));
+			positive(json_array_get(item, 2)));
 	}
 	json_array_foreach(json_object_get(j, "terms"), i, item)
 	{
-		log_push_term(d, (uint64_t)json_integer_value(
-					 json_array_get(item, 0)));
-		d->term[d->n_terms - 1].position =
-			(uint64_t)json_integer_value(json_array_get(item, 1));
+		d->term[i].term = positive(json_array_get(item, 0));
+		d->term[i].position = positive(json_array_get(item, 1));
+	}
+	d->n_terms = (uint32_t)json_array_size(json_object_get(j, "terms"));
+	for (i = 0; i < n; i++) {
+		*slot(d, entries[i]->at.position) = entries[i];
+		if (entries[i]->id)
+			omap_put(d->ids, entries[i]->id, entries[i]);
+	}
+}
+
+/* An integer above 0, or 0 for anything else. */
+static uint64_t positive(const json_t *j)
+{
+	json_int_t n = json_integer_value(j);
+
+	return n > 0 ? (uint64_t)n : 0;
+}
+
+/* Terms and their starts must rise, and end before the log does. */
+static bool terms_sound(const struct dbstore *d, const json_t *terms,
+			uint64_t position)
+{
+	struct log_pos last = { 0 };
+	struct log_pos at;
+	const json_t *item;
+	size_t i;
+
+	if (json_array_size(terms) == 0 || json_array_size(terms) > TERMS_MAX)
+		return false;
+	json_array_foreach(terms, i, item)
+	{
+		at.term = positive(json_array_get(item, 0));
+		at.position = positive(json_array_get(item, 1));
+		if (at.term <= last.term || at.term > d->fence_term ||
+		    at.position >= position)
+			return false;
+		if (i > 0 && at.position <= last.position)
+			return false;
+		last = at;
 	}
-	d->position =
-		(uint64_t)json_integer_value(json_object_get(j, "position"));
-	d->first = d->position + 1 - json_array_size(log);
-	json_array_foreach(log, i, item)
+	return true;
+}
+
+static bool keys_sound(const json_t *keys, uint64_t position)
+{
+	const json_t *item;
+	uint64_t at;
+	size_t i;
+
+	json_array_foreach(keys, i, item)
 	{
-		entry = entry_from_json(item);
-		if (!entry || entry->at.position != d->first + i) {
-			entry_destroy(entry);
-			d->position = d->first + i - 1;
-			log_clear(d);
-			return bad(e, "bad entry in a reset");
-		}
-		*slot(d, entry->at.position) = entry;
-		if (entry->id)
-			omap_put(d->ids, entry->id, entry);
+		at = positive(json_array_get(item, 2));
+		if (!json_is_string(json_array_get(item, 0)) ||
+		    !json_array_get(item, 1) || at == 0 || at > position)
+			return false;
 	}
-	return 0;
+	return true;
 }
 
 static int take_entries(struct dbstore *d, const json_t *list, struct error *e)
--- /dev/null
+++ b/tests/standin/decoders_test.cc
@@ -0,0 +1,119 @@
+#include <gtest/gtest.h>
+#include <cstring>
+
+#include "../mutate.h"
+
+extern "C" {
+#include "standin/dbstore.h"
+#include "standin/platform_store.h"
+}
+
+namespace
+{
+constexpr int kRounds = 10000;
+const std::vector<std::string> kWords = {
+	"null",
+	"-1",
+	"0",
+	"18446744073709551615",
+	"9223372036854775807",
+	"\"\"",
+	"[]",
+	"{}",
+	"true",
+	"1e308",
+};
+
+json_t *load(const std::string &s)
+{
+	return json_loadb(s.data(), s.size(), 0, nullptr);
+}
+
+// Every input ends in a statement or in an error, never in anything else.
+TEST(Decoders, Statements)
+{
+	Mutator m(1,
+		  { "get quote/1", "put quote/1 a b", "increment n -5",
+		    "list quote/", "check k ?", "append ? ?" },
+		  { "?", " ", "put", "99999999999999999999", "\xff" });
+	json_t *parameters = json_pack("[s,i]", "k", 7);
+	int parsed = 0;
+	for (int i = 0; i < kRounds; i++) {
+		std::string text = m.next();
+		struct statement s;
+		struct error e = {};
+		if (statement_parse(&s, text.c_str(), parameters, &e)) {
+			EXPECT_NE(e.code, ERR_NONE) << text;
+			EXPECT_EQ(s.value, nullptr) << text;
+			continue;
+		}
+		parsed++;
+		EXPECT_LT(strlen(s.key), (size_t)KEY_MAX_BYTES);
+		EXPECT_GT(strlen(s.key), 0U);
+		statement_clear(&s);
+	}
+	json_decref(parameters);
+	EXPECT_GT(parsed, 0);
+	EXPECT_LT(parsed, kRounds);
+}
+
+// A follower that is sent nonsense stays a log that can be read and cut.
+TEST(Decoders, LogAnswers)
+{
+	Mutator m(
+		2,
+		{ R"({"stamp_us":9,"complete":true,"entries":[{"term":1,"position":1,"stamp_us":5,"changes":[["k",1]],"id":"t/1","hash":"h","rows":[]}]})",
+		  R"({"stamp_us":9,"complete":true,"entries":[],"reset":{"position":2,"keys":[["k",1,2]],"terms":[[1,0]],"log":[{"term":1,"position":2,"stamp_us":5,"changes":[["k",1,0,1]]}]}})" },
+		kWords);
+	int taken = 0;
+	for (int i = 0; i < kRounds; i++) {
+		json_t *j = load(m.next());
+		struct dbstore_options o = {};
+		o.name = "b";
+		o.log_max = 4;
+		struct dbstore *d = dbstore_create(&o);
+		struct error e = {};
+		ASSERT_EQ(dbstore_follow(d, 1), DB_OK);
+		taken += dbstore_log_take(d, 1, j, &e) == 0;
+		struct db_view v;
+		dbstore_view(d, 0, &v);
+		EXPECT_EQ(v.end.position == 0, v.end.term == 0);
+		ASSERT_EQ(dbstore_fence(d, 2), DB_OK);
+		if (dbstore_promote(d, 2, 1) == DB_OK) {
+			json_t *out = nullptr;
+			uint64_t cut;
+			EXPECT_EQ(dbstore_log_read(d, 2, {}, 9, 1, &out, &cut),
+				  DB_OK);
+			json_decref(out);
+		}
+		ASSERT_EQ(dbstore_follow(d, 3), DB_OK);
+		(void)dbstore_cut(d, 3, 0, &e);
+		dbstore_destroy(d);
+		json_decref(j);
+	}
+	EXPECT_GT(taken, 0);
+	EXPECT_LT(taken, kRounds);
+}
+
+TEST(Decoders, VmRecords)
+{
+	Mutator m(
+		3,
+		{ R"({"name":"a","domain":"d1","incarnation":3,"peer":"10.0.0.1:1","caller":"10.0.0.1:2","state":"live"})" },
+		kWords);
+	struct platform_store *s = platform_store_create(1000);
+	int taken = 0;
+	for (int i = 0; i < kRounds; i++) {
+		json_t *j = load(m.next());
+		struct error e = {};
+		taken += platform_store_announce(s, j, i, &e) == 0;
+		json_decref(j);
+	}
+	json_t *vms = platform_store_vms(s, kRounds, 0);
+	EXPECT_NE(vms, nullptr);
+	json_decref(vms);
+	platform_store_destroy(s);
+	EXPECT_GT(taken, 0);
+	EXPECT_LT(taken, kRounds);
+}
+} // namespace
