--- a/src/decide/freshness.c
+++ b/src/decide/freshness.c
@@ -5,6 +5,8 @@
 
 #define NEVER INT64_MIN
 
+static enum freshness_state judge(const struct freshness *f, usec_t now,
+				  usec_t keys_fresh, bool others);
 static uint32_t find(const struct freshness *f, const char *domain);
 static uint32_t in_contact(const struct freshness *f, usec_t now,
 			   usec_t within);
@@ -45,15 +47,16 @@
 /*
  * A peer answered a question that this VM asked at "asked_at", and all that
  * it knew is applied here. "word_age_us" is the age of its own word of the
- * platform; negative if it has none.
+ * platform; negative if it has none to rely on, and then it is no contact.
  */
 void freshness_peer(struct freshness *f, const char *domain, usec_t asked_at,
 		    int64_t word_age_us)
 {
+	if (word_age_us < 0)
+		return;
 	raise_to(&f->peer_at, asked_at);
 	freshness_contact(f, domain, asked_at, 0);
-	if (word_age_us >= 0)
-		raise_to(&f->word_at, asked_at - word_age_us);
+	raise_to(&f->word_at, asked_at - word_age_us);
 }
 
 /*
@@ -68,11 +71,16 @@
 	raise_to(&f->domain[find(f, domain)].at, asked_at - age_us);
 }
 
-/* Age of this VM's word, for its answers to peers; -1 if it has none. */
+/*
+ * Age of this VM's word, for its answers to peers; -1 if it has none, or may
+ * not rely on it by the limits of the last check.
+ */
 int64_t freshness_word_age(const struct freshness *f, usec_t now)
 {
 	if (f->word_at == NEVER)
 		return -1;
+	if (f->limit && judge(f, now, f->limit, f->others) == FRESH_LAPSED)
+		return -1;
 	return now > f->word_at ? now - f->word_at : 0;
 }
 
@@ -81,8 +89,17 @@
  * fleet has other VMs; without a peer's word an outage can then not be told
  * from this VM being cut off.
  */
-enum freshness_state freshness_check(const struct freshness *f, usec_t now,
+enum freshness_state freshness_check(struct freshness *f, usec_t now,
 				     usec_t keys_fresh, bool others)
+{
+	f->limit = keys_fresh;
+	f->others = others;
+	return judge(f, now, keys_fresh, others);
+}
+
+/* The rule itself. */
+static enum freshness_state judge(const struct freshness *f, usec_t now,
+				  usec_t keys_fresh, bool others)
 {
 	if (f->word_at == NEVER)
 		return FRESH_LAPSED;
--- a/src/decide/freshness.h
+++ b/src/decide/freshness.h
@@ -14,6 +14,8 @@
 struct freshness {
 	usec_t word_at; /* newest word of the platform; INT64_MIN: none */
 	usec_t peer_at; /* newest answer of any peer; INT64_MIN: none */
+	usec_t limit;	/* of the last freshness_check(); 0: none yet */
+	bool others;	/* likewise */
 	uint32_t n;	/* failure domains known, this one included */
 	struct {
 		char name[NAME_MAX_BYTES];
@@ -31,13 +33,20 @@
 /* Names a failure domain of the fleet; false if the table is full. */
 bool freshness_domain(struct freshness *f, const char *domain);
 void freshness_platform(struct freshness *f, usec_t asked_at);
-/* A peer's answer: the age of its word (negative: it has none). */
+/*
+ * A peer's answer: the age of its word. Negative: it has none that may be
+ * relied on, and is then no contact either, so that VMs that were cut off or
+ * just started can't vouch for each other.
+ */
 void freshness_peer(struct freshness *f, const char *domain, usec_t asked_at,
 		    int64_t word_age_us);
 /* What a peer that answered said of a domain it is in contact with. */
 void freshness_contact(struct freshness *f, const char *domain, usec_t asked_at,
 		       int64_t age_us);
-/* Age of this VM's word for its answers to peers; negative: none. */
+/*
+ * Age of this VM's word for its answers to peers; negative if it has none or,
+ * by the limits of the last freshness_check(), may not rely on it.
+ */
 int64_t freshness_word_age(const struct freshness *f, usec_t now);
 /*
  * The platform is taken to be down for all when word of it is old although
@@ -46,7 +55,7 @@
  * none can have been accepted beyond reach. "others" is whether the fleet
  * has other VMs.
  */
-enum freshness_state freshness_check(const struct freshness *f, usec_t now,
+enum freshness_state freshness_check(struct freshness *f, usec_t now,
 				     usec_t keys_fresh, bool others);
 /* Is this VM in contact with most failure domains? A recount needs that. */
 bool freshness_majority(const struct freshness *f, usec_t now, usec_t within);
--- a/src/plugins/gossip_exchange.c
+++ b/src/plugins/gossip_exchange.c
@@ -221,7 +221,8 @@
 	if (peer) {
 		freshness_peer(&f->fresh, peer->domain, asked_at,
 			       a->cursor.whole ? a->word_age_us : -1);
-		for (i = 0; i < a->n_contacts; i++)
+		/* Who may not rely on its word vouches for no contact. */
+		for (i = 0; i < a->n_contacts && a->word_age_us >= 0; i++)
 			freshness_contact(&f->fresh, a->contacts[i].domain,
 					  asked_at, a->contacts[i].age_us);
 	}
--- a/tests/decide/keyring_test.cc
+++ b/tests/decide/keyring_test.cc
@@ -144,6 +144,26 @@
 	}
 }
 
+TEST(Freshness, WhoIsCutOffCantVouchForAnother)
+{
+	struct freshness a;
+	struct freshness b;
+	freshness_init(&a, "a");
+	freshness_init(&b, "b");
+	for (const char *d : { "a", "b", "c" }) {
+		freshness_domain(&a, d);
+		freshness_domain(&b, d);
+	}
+	freshness_platform(&a, 0);
+	EXPECT_EQ(freshness_check(&a, 5, 10, true), FRESH);
+	EXPECT_EQ(freshness_word_age(&a, 5), 5);
+	EXPECT_EQ(freshness_word_age(&a, 50), -1) << "it lapsed";
+	freshness_peer(&b, "a", 50, freshness_word_age(&a, 50));
+	freshness_peer(&a, "b", 50, freshness_word_age(&b, 50));
+	EXPECT_EQ(freshness_check(&a, 51, 10, true), FRESH_LAPSED);
+	EXPECT_EQ(freshness_check(&b, 51, 10, true), FRESH_LAPSED);
+}
+
 TEST(Freshness, AloneInTheFleet)
 {
 	struct freshness f;
--- a/tests/kernel/teams_test.cc
+++ b/tests/kernel/teams_test.cc
@@ -227,7 +227,8 @@
 							   the_time);
 				for (const char *d : { "a", "b", "c" })
 					freshness_peer(&k->fleet->fresh, d,
-						       the_time, -1);
+						       the_time,
+						       platform.down ? kMs : 0);
 				fleet_unlock(k->fleet);
 				teams_tick(k.get(), the_time);
 			}
