--- a/spec/escrow.pml
+++ b/spec/escrow.pml
@@ -18,8 +18,11 @@
 /* spin: -DN=3 -DASKS=1 -DEPOCHS=2 -DRESTARTS=0 -DUNLISTS=1 */
 /* spin: -DN=2 -DASKS=1 -DEPOCHS=3 -DRESTARTS=1 -DUNLISTS=1 */
 /* spin: -DN=2 -DASKS=2 -DEPOCHS=2 -DRESTARTS=1 -DUNLISTS=1 */
+/* spin: -DN=2 -DASKS=2 -DEPOCHS=3 -DRESTARTS=0 -DUNLISTS=1 -DGRANTS=1 */
 #define WHOLE	2
+#ifndef GRANTS
 #define GRANTS	2
+#endif
 #define EP(v, e) ((v) * (EPOCHS + 1) + (e))
 
 #ifdef GIVE_UNCOUNTED
--- a/src/decide/config_group.c
+++ b/src/decide/config_group.c
@@ -51,8 +51,8 @@
 		if (parse_database(json_array_get(list, i), &out->db[i], e))
 			return -1;
 		for (j = 0; j < i; j++) {
-			if (!strcmp(out->db[i].name, out->db[j].name) ||
-			    !strcmp(out->db[i].address, out->db[j].address))
+			if (strcmp(out->db[i].name, out->db[j].name) == 0 ||
+			    strcmp(out->db[i].address, out->db[j].address) == 0)
 				return json_check_fail(
 					e, out->db[i].name,
 					"same name or address as %s",
@@ -80,7 +80,8 @@
 		return -1;
 	if (!config_name_ok(out->name))
 		return json_check_fail(e, "databases", "name: not a name");
-	if (!state || (strcmp(state, "live") && strcmp(state, "departing")))
+	if (!state ||
+	    (strcmp(state, "live") != 0 && strcmp(state, "departing") != 0))
 		return json_check_fail(e, at, "state: not live or departing");
 	out->state = strcmp(state, "live") == 0 ? DB_LIVE : DB_DEPARTING;
 	if (json_check_uint(v, "slots", 1, SLOTS_MAX, at, &out->slots,
--- a/src/decide/config_teams.c
+++ b/src/decide/config_teams.c
@@ -161,7 +161,8 @@
 	if (!json_check_hex32(json_object_get(v, "hash"), hash))
 		return json_check_fail(e, team,
 				       "keys: %s: hash: not 64 hex digits", id);
-	if (!state || (strcmp(state, "live") && strcmp(state, "withdrawn")))
+	if (!state ||
+	    (strcmp(state, "live") != 0 && strcmp(state, "withdrawn") != 0))
 		return json_check_fail(
 			e, team, "keys: %s: state: not live or withdrawn", id);
 	*withdrawn = strcmp(state, "withdrawn") == 0;
--- a/src/kernel/teams_apply.c
+++ b/src/kernel/teams_apply.c
@@ -270,7 +270,7 @@
 	if (i == s->room) {
 		uint32_t room = s->room ? s->room * 2 : 8;
 
-		p = realloc(s->teams, room * sizeof(*s->teams));
+		p = realloc(s->teams, room * sizeof(void *));
 		if (!p)
 			return false;
 		s->teams = p;
--- a/src/plugins/teams.c
+++ b/src/plugins/teams.c
@@ -113,7 +113,7 @@
 
 	teams_tick(k, now);
 	loop_timer_set(k->platform->loop, &timer,
-		       now + TEAMS_TICK_MS * USEC_PER_MSEC);
+		       now + TEAMS_TICK_MS * (usec_t)USEC_PER_MSEC);
 }
 
 static void end(void *ctx)
