Pass over VMs that give no answer, as a balancer does

Cause: the load went on offering a third of its requests to a stopped VM and counted them as not run; confirmations repeated there made a gap of 4 s. Change: a target without an answer is passed over for 1 s.

--- a/src/load/driver.h
+++ b/src/load/driver.h
@@ -50,6 +50,7 @@
 	double next_arrival;  /* microseconds since the start */
 	uint64_t ids;
 	uint32_t next_target;
+	usec_t down_until[LOAD_TARGETS_MAX]; /* passed over until then */
 };
 
 void *driver_run(void *arg);	   /* arrivals, then all answers */
--- a/src/load/driver_tasks.c
+++ b/src/load/driver_tasks.c
@@ -6,7 +6,10 @@
 
 #define RETRY_LEAST_US ((usec_t)50 * USEC_PER_MSEC)
 #define RETRY_MOST_US  ((usec_t)1 * USEC_PER_SEC)
+/* A target without an answer is passed over for so long. */
+#define TARGET_DOWN_US ((usec_t)1 * USEC_PER_SEC)
 
+static uint32_t next_target(struct driver *d);
 static void finish_stage(struct driver *d, struct task *t,
 			 const struct attempt *a);
 static void count_attempt(struct driver *d, struct task *t,
@@ -27,10 +30,9 @@
 void driver_start(struct driver *d, struct task *t)
 {
 	struct load_shared *s = d->shared;
-	const char *target;
 
-	target = s->o->target[d->next_target++ % s->o->n_targets];
-	task_prepare(t, s->o, target, s->term);
+	t->target = next_target(d);
+	task_prepare(t, s->o, s->o->target[t->target], s->term);
 	t->sent = load_now();
 	pthread_mutex_lock(&s->lock);
 	t->in_rate =
@@ -49,6 +51,8 @@
 	struct attempt a;
 
 	task_result(t, rc, &a);
+	d->down_until[t->target] =
+		a.status == 0 ? load_now() + TARGET_DOWN_US : 0;
 	if (t->token[0])
 		memcpy(t->session->token, t->token, sizeof(t->token));
 	if (t->op.kind == LOAD_FINAL) {
@@ -60,6 +64,24 @@
 	attempt_clear(&a);
 }
 
+/*
+ * The next target in turn, passing over those that lately gave no answer, as a
+ * balancer does; if none answers, the next all the same.
+ */
+static uint32_t next_target(struct driver *d)
+{
+	uint32_t n = d->shared->o->n_targets;
+	usec_t now = load_now();
+	uint32_t i, at;
+
+	for (i = 0; i < n; i++) {
+		at = d->next_target++ % n;
+		if (d->down_until[at] <= now)
+			return at;
+	}
+	return d->next_target++ % n;
+}
+
 /* Returns a cleared task with a handle. */
 struct task *driver_task(struct driver *d)
 {
--- a/src/load/task.h
+++ b/src/load/task.h
@@ -32,6 +32,7 @@
 	bool maybe_ran; /* an attempt's outcome is unknown */
 	bool counted;	/* as refused within the rate */
 	uint32_t tries;
+	uint32_t target;
 	usec_t arrived;
 	usec_t sent;
 	usec_t retry_at;
