Judge refusals by what a team was admitted

Cause: the load took a refusal for wrongful whenever its own count of the team's rate had a token for that attempt; for a team above its rate that is chance, as another of its requests had been let in instead: 1055 of 17480 in a surge, while the team got all that it was entitled to. Change: a refusal gives back what its attempt was charged, and lies within the rate if what was admitted leaves room.

--- a/src/load/driver_tasks.c
+++ b/src/load/driver_tasks.c
@@ -35,10 +35,11 @@
 	task_prepare(t, s->o, s->o->target[t->target], s->term);
 	t->sent = load_now();
 	pthread_mutex_lock(&s->lock);
-	t->in_rate =
-		measures_take(&s->measures, s->o, t->session->team, t->sent);
+	measures_charge(&s->measures, s->o, t->session->team, t->sent);
 	if (t->tries == 1 && t->op.kind != LOAD_FINAL)
-		measures_offer(&s->measures, t->session->team, t->in_rate);
+		measures_offer(&s->measures, t->session->team,
+			       measures_take(&s->measures, s->o,
+					     t->session->team, t->sent));
 	pthread_mutex_unlock(&s->lock);
 	if (curl_multi_add_handle(d->multi, t->easy) != CURLM_OK)
 		abort();
@@ -144,7 +145,8 @@
 		m->attempts_no_answer++;
 	else if (a->outcome == OUTCOME_UNKNOWN)
 		m->attempts_unknown++;
-	if ((a->status == 429 || a->status == 503) && t->in_rate &&
+	if ((a->status == 429 || a->status == 503) &&
+	    measures_refuse(m, d->shared->o, t->session->team, load_now()) &&
 	    !t->counted) {
 		t->counted = true;
 		measures_refused_in_rate(m, t->session->team);
--- a/src/load/measures.c
+++ b/src/load/measures.c
@@ -2,6 +2,8 @@
 
 #define SUB_BITS 4 /* 16 buckets to each power of two */
 
+static void refill(struct rate_bucket *b, const struct load_options *o,
+		   usec_t now);
 static size_t bucket_of(usec_t t);
 static usec_t bucket_top(size_t i);
 
@@ -34,28 +36,40 @@
 	return top < h->max ? top : h->max;
 }
 
-/* The rate counts attempts, not requests: each repetition takes from it. */
 bool measures_take(struct measures *m, const struct load_options *o,
 		   uint32_t team, usec_t now)
 {
-	struct team_measures *t = &m->team[team];
+	struct rate_bucket *b = &m->team[team].arrivals;
 
 	if (o->team_rate <= 0)
 		return true;
-	if (t->tokens_at == 0)
-		t->tokens = o->team_burst;
-	else
-		t->tokens += o->team_rate * (double)(now - t->tokens_at) /
-			     USEC_PER_SEC;
-	if (t->tokens > o->team_burst)
-		t->tokens = o->team_burst;
-	t->tokens_at = now;
-	if (t->tokens < 1)
+	refill(b, o, now);
+	if (b->tokens < 1)
 		return false;
-	t->tokens -= 1;
+	b->tokens -= 1;
 	return true;
 }
 
+/* The rate counts attempts, not requests: each repetition takes from it. */
+void measures_charge(struct measures *m, const struct load_options *o,
+		     uint32_t team, usec_t now)
+{
+	refill(&m->team[team].admitted, o, now);
+	m->team[team].admitted.tokens -= 1;
+}
+
+bool measures_refuse(struct measures *m, const struct load_options *o,
+		     uint32_t team, usec_t now)
+{
+	struct rate_bucket *b = &m->team[team].admitted;
+
+	if (o->team_rate <= 0)
+		return true;
+	refill(b, o, now);
+	b->tokens += 1;
+	return b->tokens >= 1;
+}
+
 void measures_offer(struct measures *m, uint32_t team, bool in_rate)
 {
 	m->team[team].offered++;
@@ -109,6 +123,19 @@
 	return share < 1 ? share : 1;
 }
 
+static void refill(struct rate_bucket *b, const struct load_options *o,
+		   usec_t now)
+{
+	if (b->at == 0)
+		b->tokens = o->team_burst;
+	else if (now > b->at)
+		b->tokens +=
+			o->team_rate * (double)(now - b->at) / USEC_PER_SEC;
+	if (b->tokens > o->team_burst)
+		b->tokens = o->team_burst;
+	b->at = now;
+}
+
 static size_t bucket_of(usec_t t)
 {
 	uint64_t u = (uint64_t)t;
--- a/src/load/measures.h
+++ b/src/load/measures.h
@@ -22,13 +22,18 @@
 	END_KINDS,
 };
 
+struct rate_bucket {
+	double tokens;
+	usec_t at; /* 0: still full */
+};
+
 struct team_measures {
 	uint64_t offered;
 	uint64_t offered_in_rate; /* by a token bucket of its rate */
 	uint64_t end[END_KINDS];
 	uint64_t refused_in_rate;
-	double tokens;
-	usec_t tokens_at;
+	struct rate_bucket arrivals;
+	struct rate_bucket admitted;
 };
 
 struct service_measures {
@@ -55,11 +60,19 @@
 
 void histogram_add(struct histogram *h, usec_t t);
 usec_t histogram_at(const struct histogram *h, double part);
-/* Takes an attempt from the team's rate; true if it lies within that. */
+/* Takes an arrival from the team's rate; true if it lies within that. */
 bool measures_take(struct measures *m, const struct load_options *o,
 		   uint32_t team, usec_t now);
 /* Counts an arrival; "in_rate" is what measures_take() told of it. */
 void measures_offer(struct measures *m, uint32_t team, bool in_rate);
+/*
+ * Charges an attempt to what its team has been admitted; a refusal gives that
+ * back, and lay within the rate if what is admitted leaves room for it.
+ */
+void measures_charge(struct measures *m, const struct load_options *o,
+		     uint32_t team, usec_t now);
+bool measures_refuse(struct measures *m, const struct load_options *o,
+		     uint32_t team, usec_t now);
 /* Counts a request that was refused within its team's rate, once each. */
 void measures_refused_in_rate(struct measures *m, uint32_t team);
 void measures_end(struct measures *m, uint32_t team, enum load_kind kind,
--- a/src/load/task.h
+++ b/src/load/task.h
@@ -28,7 +28,6 @@
 	enum task_stage stage;
 	char id[TASK_ID_BYTES];
 	char transaction[TASK_TRANSACTION_BYTES];
-	bool in_rate;	/* this attempt */
 	bool maybe_ran; /* an attempt's outcome is unknown */
 	bool counted;	/* as refused within the rate */
 	uint32_t tries;
--- a/tests/load/measures_test.cc
+++ b/tests/load/measures_test.cc
@@ -29,7 +29,7 @@
 	EXPECT_EQ(histogram_at(&h, 1), 1000 * kMs);
 }
 
-TEST(Measures, RateCountsAttempts)
+TEST(Measures, ArrivalsWithinTheRate)
 {
 	// Rate 10 a second, burst 2.
 	const struct {
@@ -53,6 +53,37 @@
 	EXPECT_TRUE(measures_take(m.get(), o.get(), 0, 9000 * kMs));
 }
 
+TEST(Measures, RefusalsWithinTheRate)
+{
+	// Rate 10 a second, burst 2: "c" charges, "r" is refused.
+	const struct {
+		const char *name;
+		const char *steps;
+		bool last; // was the last refusal within the rate?
+	} cases[] = {
+		{ "nothing admitted", "cr", true },
+		{ "all refused", "crcrcr", true },
+		{ "burst admitted", "cccr", false },
+		{ "a place left", "ccr", true },
+		{ "refused ones take none", "crcrcccr", false },
+	};
+	for (const auto &c : cases) {
+		auto m = std::make_unique<struct measures>();
+		auto o = std::make_unique<struct load_options>();
+		bool within = false;
+		o->team_rate = 10;
+		o->team_burst = 2;
+		for (const char *s = c.steps; *s; s++) {
+			if (*s == 'c')
+				measures_charge(m.get(), o.get(), 0, kMs);
+			else
+				within = measures_refuse(m.get(), o.get(), 0,
+							 kMs);
+		}
+		EXPECT_EQ(within, c.last) << c.name;
+	}
+}
+
 TEST(Measures, SharesAndGaps)
 {
 	auto m = std::make_unique<struct measures>();
