--- a/tests/decide/escrow_sim.h
+++ b/tests/decide/escrow_sim.h
@@ -115,11 +115,20 @@
 	int messages = 0;
 	bool sum_held = true;
 
+	int struck = 0; // faults that came about
+
 	bool chance(double p)
 	{
 		return p > 0 && std::uniform_real_distribution<>(0, 1)(rng) < p;
 	}
 
+	bool strikes(double p)
+	{
+		bool hit = chance(p);
+		struck += hit;
+		return hit;
+	}
+
 	void create(int i)
 	{
 		tick_life(vms[i]);
@@ -234,15 +243,15 @@
 	{
 		if (!runs(i))
 			return;
-		if (chance(faults.pause)) {
+		if (strikes(faults.pause)) {
 			paused_from[i] = now;
 			vms[i].paused_until =
 				now + (usec_t)(rng() % 2000) * kMs;
 		}
-		if (chance(faults.drop_listed))
+		if (strikes(faults.drop_listed))
 			vms[i].unlisted_until =
 				now + (usec_t)(rng() % 1500) * kMs;
-		if (chance(faults.restart))
+		if (strikes(faults.restart))
 			start(vms[i]);
 	}
 
@@ -270,11 +279,11 @@
 	void send(int from, int to, const struct escrow_msg &m)
 	{
 		messages++;
-		if (chance(faults.lose))
+		if (strikes(faults.lose))
 			return;
-		for (int n = chance(faults.twice) ? 2 : 1; n > 0; n--) {
+		for (int n = strikes(faults.twice) ? 2 : 1; n > 0; n--) {
 			usec_t delay = kMs + (usec_t)(rng() % 2000);
-			if (chance(faults.late))
+			if (strikes(faults.late))
 				delay += (usec_t)(rng() % 3000) * kMs;
 			bus.push_back({ now + delay, from,
 					vms[from].incarnation, to, m });
