Give the log's wire form a file of its own

Change: dbstore_wire.c reads and writes entries and resets; the next target is chosen without that branch. Conclusion: none.

--- a/src/load/driver_tasks.c
+++ b/src/load/driver_tasks.c
@@ -73,14 +73,12 @@
 {
 	uint32_t n = d->shared->o->n_targets;
 	usec_t now = load_now();
-	uint32_t i, at;
+	uint32_t at = d->next_target++ % n;
+	uint32_t left = n;
 
-	for (i = 0; i < n; i++) {
+	while (d->down_until[at] > now && --left > 0)
 		at = d->next_target++ % n;
-		if (d->down_until[at] <= now)
-			return at;
-	}
-	return d->next_target++ % n;
+	return at;
 }
 
 /* Returns a cleared task with a handle. */
--- a/src/standin/dbstore_internal.h
+++ b/src/standin/dbstore_internal.h
@@ -76,6 +76,16 @@
 uint64_t log_last_term(const struct dbstore *d);
 void log_clear(struct dbstore *d);
 
+struct entry **log_slot(const struct dbstore *d, uint64_t position);
+void log_set_key(struct dbstore *d, const char *key, json_t *value,
+		 uint64_t position);
+
+/* dbstore_wire.c */
+json_t *entry_to_json(const struct entry *e, bool undo);
+struct entry *entry_from_json(const json_t *j);
+json_t *reset_to_json(const struct dbstore *d);
+int reset_from_json(struct dbstore *d, const json_t *j, struct error *e);
+
 /* dbstore_tx.c */
 void transactions_drop(struct dbstore *d);
 void transaction_free(void *p);
--- a/src/standin/dbstore_log.c
+++ b/src/standin/dbstore_log.c
@@ -3,23 +3,10 @@
 #include <stdlib.h>
 #include <string.h>
 
-static struct entry **slot(const struct dbstore *d, uint64_t position);
 static void evict_oldest(struct dbstore *d);
 static void undo_newest(struct dbstore *d);
-static void set_key(struct dbstore *d, const char *key, json_t *value,
-		    uint64_t position);
 static bool holds(const struct dbstore *d, struct log_pos p);
 static uint64_t cut_point(const struct dbstore *d, struct log_pos after);
-static json_t *entry_to_json(const struct entry *e, bool undo);
-static struct entry *entry_from_json(const json_t *j);
-static json_t *reset_to_json(const struct dbstore *d);
-static int reset_from_json(struct dbstore *d, const json_t *j, struct error *e);
-static void install_reset(struct dbstore *d, const json_t *j,
-			  struct entry **entries, size_t n);
-static uint64_t positive(const json_t *j);
-static bool terms_sound(const struct dbstore *d, const json_t *terms,
-			uint64_t position);
-static bool keys_sound(const json_t *keys, uint64_t position);
 static int take_entries(struct dbstore *d, const json_t *list, struct error *e);
 static int bad(struct error *e, const char *why);
 
@@ -66,14 +53,14 @@
 	if (d->position + 1 - d->first >= d->log_max)
 		evict_oldest(d);
 	d->position = e->at.position;
-	*slot(d, d->position) = e;
+	*log_slot(d, d->position) = e;
 	for (i = 0; i < e->n; i++) {
 		c = omap_get(d->keys, e->change[i].key);
 		json_decref(e->change[i].old);
 		e->change[i].old = c ? json_incref(c->value) : NULL;
 		e->change[i].old_position = c ? c->position : 0;
-		set_key(d, e->change[i].key, e->change[i].value,
-			e->at.position);
+		log_set_key(d, e->change[i].key, e->change[i].value,
+			    e->at.position);
 	}
 	if (e->id)
 		omap_put(d->ids, e->id, e);
@@ -104,7 +91,7 @@
 void log_clear(struct dbstore *d)
 {
 	for (; d->first <= d->position; d->first++)
-		entry_destroy(*slot(d, d->first));
+		entry_destroy(*log_slot(d, d->first));
 	omap_destroy(d->keys);
 	omap_destroy(d->ids);
 	d->keys = omap_create(cell_free);
@@ -139,7 +126,8 @@
 		return DB_OK;
 	}
 	for (; p <= d->position && json_array_size(list) < max; p++)
-		json_array_append_new(list, entry_to_json(*slot(d, p), false));
+		json_array_append_new(list,
+				      entry_to_json(*log_slot(d, p), false));
 	*out = json_pack("{s:I,s:b,s:o}", "stamp_us", (json_int_t)stamp_us,
 			 "complete", p > d->position, "entries", list);
 	return DB_OK;
@@ -184,46 +172,46 @@
 	return 0;
 }
 
-static struct entry **slot(const struct dbstore *d, uint64_t position)
+struct entry **log_slot(const struct dbstore *d, uint64_t position)
 {
 	return &d->log[position % d->log_max];
 }
 
 static void evict_oldest(struct dbstore *d)
 {
-	struct entry *e = *slot(d, d->first);
+	struct entry *e = *log_slot(d, d->first);
 
 	if (e->id && omap_get(d->ids, e->id) == e)
 		omap_remove(d->ids, e->id);
 	entry_destroy(e);
-	*slot(d, d->first) = NULL;
+	*log_slot(d, d->first) = NULL;
 	d->first++;
 }
 
 /* Puts back what the newest entry changed and takes it off the log. */
 static void undo_newest(struct dbstore *d)
 {
-	struct entry *e = *slot(d, d->position);
+	struct entry *e = *log_slot(d, d->position);
 	size_t i;
 
 	for (i = e->n; i-- > 0;) {
 		if (e->change[i].old)
-			set_key(d, e->change[i].key, e->change[i].old,
-				e->change[i].old_position);
+			log_set_key(d, e->change[i].key, e->change[i].old,
+				    e->change[i].old_position);
 		else
 			omap_remove(d->keys, e->change[i].key);
 	}
 	if (e->id && omap_get(d->ids, e->id) == e)
 		omap_remove(d->ids, e->id);
 	entry_destroy(e);
-	*slot(d, d->position) = NULL;
+	*log_slot(d, d->position) = NULL;
 	d->position--;
 	while (d->n_terms && d->term[d->n_terms - 1].position >= d->position)
 		d->n_terms--;
 }
 
-static void set_key(struct dbstore *d, const char *key, json_t *value,
-		    uint64_t position)
+void log_set_key(struct dbstore *d, const char *key, json_t *value,
+		 uint64_t position)
 {
 	struct cell *c = omap_get(d->keys, key);
 
@@ -271,222 +259,6 @@
 	return end < after.position ? end : after.position - 1;
 }
 
-static json_t *entry_to_json(const struct entry *e, bool undo)
-{
-	json_t *changes = json_array();
-	json_t *change;
-	json_t *j;
-	size_t i;
-
-	for (i = 0; i < e->n; i++) {
-		change = json_pack("[s,O]", e->change[i].key,
-				   e->change[i].value);
-		if (undo) {
-			json_array_append_new(
-				change, e->change[i].old
-						? json_incref(e->change[i].old)
-						: json_null());
-			json_array_append_new(
-				change,
-				json_integer(
-					(json_int_t)e->change[i].old_position));
-		}
-		json_array_append_new(changes, change);
-	}
-	j = json_pack("{s:I,s:I,s:I,s:o}", "term", (json_int_t)e->at.term,
-		      "position", (json_int_t)e->at.position, "stamp_us",
-		      (json_int_t)e->stamp_us, "changes", changes);
-	if (e->id) {
-		json_object_set_new(j, "id", json_string(e->id));
-		json_object_set_new(j, "hash", json_string(e->hash));
-		json_object_set(j, "rows", e->rows);
-	}
-	return j;
-}
-
-/* Returns NULL if the entry lacks something. */
-static struct entry *entry_from_json(const json_t *j)
-{
-	const json_t *changes = json_object_get(j, "changes");
-	const char *id = json_string_value(json_object_get(j, "id"));
-	const char *hash = json_string_value(json_object_get(j, "hash"));
-	struct log_pos at;
-	const json_t *c;
-	struct entry *e;
-	size_t i;
-
-	at.term = positive(json_object_get(j, "term"));
-	at.position = positive(json_object_get(j, "position"));
-	if (at.term == 0 || at.position == 0)
-		return NULL;
-	if (id && !json_is_array(json_object_get(j, "rows")))
-		return NULL;
-	e = entry_create(at, json_integer_value(json_object_get(j, "stamp_us")),
-			 json_array_size(changes));
-	for (i = 0; i < e->n; i++) {
-		c = json_array_get(changes, i);
-		if (!json_is_string(json_array_get(c, 0)) ||
-		    json_array_size(c) < 2) {
-			entry_destroy(e);
-			return NULL;
-		}
-		e->change[i].key =
-			must_strdup(json_string_value(json_array_get(c, 0)));
-		e->change[i].value = json_incref(json_array_get(c, 1));
-		e->change[i].old_position =
-			(uint64_t)json_integer_value(json_array_get(c, 3));
-		if (json_array_get(c, 2) && !json_is_null(json_array_get(c, 2)))
-			e->change[i].old = json_incref(json_array_get(c, 2));
-	}
-	if (id) {
-		e->id = must_strdup(id);
-		e->hash = must_strdup(hash ? hash : "");
-		e->rows = json_incref(json_object_get(j, "rows"));
-	}
-	return e;
-}
-
-/* All that is kept, for a follower that is too far behind for entries. */
-static json_t *reset_to_json(const struct dbstore *d)
-{
-	json_t *keys = json_array();
-	json_t *terms = json_array();
-	json_t *log = json_array();
-	struct omap_node *n;
-	struct cell *c;
-	uint64_t p;
-	uint32_t i;
-
-	for (n = omap_from(d->keys, ""); n; n = omap_next(n)) {
-		c = omap_value(n);
-		json_array_append_new(keys, json_pack("[s,O,I]", omap_key(n),
-						      c->value,
-						      (json_int_t)c->position));
-	}
-	for (i = 0; i < d->n_terms; i++)
-		json_array_append_new(
-			terms, json_pack("[I,I]", (json_int_t)d->term[i].term,
-					 (json_int_t)d->term[i].position));
-	for (p = d->first; p <= d->position; p++)
-		json_array_append_new(log, entry_to_json(*slot(d, p), true));
-	return json_pack("{s:I,s:o,s:o,s:o}", "position",
-			 (json_int_t)d->position, "keys", keys, "terms", terms,
-			 "log", log);
-}
-
-/*
- * Replaces all that is kept; the entries bring along how to undo them. Nothing
- * is replaced unless the whole is sound.
- */
-static int reset_from_json(struct dbstore *d, const json_t *j, struct error *e)
-{
-	const json_t *log = json_object_get(j, "log");
-	uint64_t position = positive(json_object_get(j, "position"));
-	size_t n = json_array_size(log);
-	struct entry **entries;
-	size_t i;
-
-	if (n == 0 || n > d->log_max || n > position)
-		return bad(e, "reset without a log, or with too long a one");
-	if (!terms_sound(d, json_object_get(j, "terms"), position))
-		return bad(e, "terms of a reset out of order");
-	if (!keys_sound(json_object_get(j, "keys"), position))
-		return bad(e, "bad key in a reset");
-	entries = must_alloc(n * sizeof(struct entry *));
-	for (i = 0; i < n; i++) {
-		entries[i] = entry_from_json(json_array_get(log, i));
-		if (entries[i] &&
-		    entries[i]->at.position == position + 1 - n + i)
-			continue;
-		do
-			entry_destroy(entries[i]);
-		while (i-- > 0);
-		free(entries);
-		return bad(e, "bad entry in a reset");
-	}
-	log_clear(d);
-	d->position = position;
-	d->first = position + 1 - n;
-	install_reset(d, j, entries, n);
-	free(entries);
-	return 0;
-}
-
-/* Takes over what has been found sound. */
-static void install_reset(struct dbstore *d, const json_t *j,
-			  struct entry **entries, size_t n)
-{
-	const json_t *item;
-	size_t i;
-
-	json_array_foreach(json_object_get(j, "keys"), i, item)
-	{
-		set_key(d, json_string_value(json_array_get(item, 0)),
-			json_array_get(item, 1),
-			positive(json_array_get(item, 2)));
-	}
-	json_array_foreach(json_object_get(j, "terms"), i, item)
-	{
-		d->term[i].term = positive(json_array_get(item, 0));
-		d->term[i].position = positive(json_array_get(item, 1));
-	}
-	d->n_terms = (uint32_t)json_array_size(json_object_get(j, "terms"));
-	for (i = 0; i < n; i++) {
-		*slot(d, entries[i]->at.position) = entries[i];
-		if (entries[i]->id)
-			omap_put(d->ids, entries[i]->id, entries[i]);
-	}
-}
-
-/* An integer above 0, or 0 for anything else. */
-static uint64_t positive(const json_t *j)
-{
-	json_int_t n = json_integer_value(j);
-
-	return n > 0 ? (uint64_t)n : 0;
-}
-
-/* Terms and their starts must rise, and end before the log does. */
-static bool terms_sound(const struct dbstore *d, const json_t *terms,
-			uint64_t position)
-{
-	struct log_pos last = { 0 };
-	struct log_pos at;
-	const json_t *item;
-	size_t i;
-
-	if (json_array_size(terms) == 0 || json_array_size(terms) > TERMS_MAX)
-		return false;
-	json_array_foreach(terms, i, item)
-	{
-		at.term = positive(json_array_get(item, 0));
-		at.position = positive(json_array_get(item, 1));
-		if (at.term <= last.term || at.term > d->fence_term ||
-		    at.position >= position)
-			return false;
-		if (i > 0 && at.position <= last.position)
-			return false;
-		last = at;
-	}
-	return true;
-}
-
-static bool keys_sound(const json_t *keys, uint64_t position)
-{
-	const json_t *item;
-	uint64_t at;
-	size_t i;
-
-	json_array_foreach(keys, i, item)
-	{
-		at = positive(json_array_get(item, 2));
-		if (!json_is_string(json_array_get(item, 0)) ||
-		    !json_array_get(item, 1) || at == 0 || at > position)
-			return false;
-	}
-	return true;
-}
-
 static int take_entries(struct dbstore *d, const json_t *list, struct error *e)
 {
 	const json_t *item;
