Let the model of shares move a VM by a question without a grant

Cause: the mutant without the confirmation of the epoch went unnoticed at the one size that can be searched whole. Change: a question moves its receiver also when no grant is left to give.

--- a/spec/escrow.pml
+++ b/spec/escrow.pml
@@ -140,14 +140,14 @@
 {
 	select (i : 0 .. ASKS - 1);
 	if
-	:: i < asks && !lapsed[ask[i].to] && grants < GRANTS ->
+	:: i < asks && !lapsed[ask[i].to] ->
 		j = ask[i].to;
 		target = ask[i].ep;
 		move(j, target);
 		if
 		:: last[j * N + ask[i].from] <= i && ep[j] != 0 &&
 		   (ask[i].ep == 0 || ask[i].ep == ep[j]) && MAY_GIVE(j) &&
-		   share[j] > 0 ->
+		   share[j] > 0 && grants < GRANTS ->
 			if
 			:: amount = 1
 			:: amount = share[j]
