Let the slots of a queue follow what the database takes

Cause: the limit of statements grew and shrank, but the queue was told of it only when an object or the primary changed; with 9 VMs before 5 slots each VM stayed at one. A read whose reply was lost and that was refused later was answered not_run though it may have run. Two lost probes were enough to suspect a primary. Change: the queue's slots change with the limit; maybe_ran for reads too; four probes to a suspicion.

--- a/src/kernel/engine.c
+++ b/src/kernel/engine.c
@@ -20,6 +20,7 @@
 #define RETRY_BASE	   (2 * USEC_PER_MSEC)
 #define RETRY_CAP	   (50 * USEC_PER_MSEC)
 #define RETRY_ATTEMPTS	   5
+#define PROBES_PER_SUSPECT 4 /* lost ones, until a primary is suspected */
 #define PROBE_BUSY	   (1 * USEC_PER_MSEC)
 #define PROBE_ACTIVE_FOR   (5 * USEC_PER_SEC)
 #define PROBE_IDLE_TIMES   10
@@ -234,7 +235,8 @@
 		.active_us = probe,
 		.idle_us = probe * PROBE_IDLE_TIMES,
 		.active_for_us = PROBE_ACTIVE_FOR,
-		.reply_us = (usec_t)s->suspect_ms * USEC_PER_MSEC / 2,
+		.reply_us = (usec_t)s->suspect_ms * USEC_PER_MSEC /
+			    PROBES_PER_SUSPECT,
 		.backoff_max_us = PROBE_BACKOFF_MAX,
 	};
 	e->promote = (struct promote_policy){
--- a/src/kernel/engine_own.h
+++ b/src/kernel/engine_own.h
@@ -19,7 +19,8 @@
 #include "kernel/engine.h"
 #include "kernel/kernel.h"
 
-#define RANDOM_WORDS 64
+#define RANDOM_WORDS	64
+#define QUEUE_TEAM_PART 2 /* one team fills at most this part of a queue */
 
 #define FORWARDS_SEEN 256
 
@@ -84,7 +85,7 @@
 	struct probe probe;
 	struct db_call probing;
 	bool probe_under_way;
-	bool lost; /* told so in the log */
+	bool lost;	  /* told so in the log */
 	usec_t failed_at; /* a call failed then, and nothing was heard since */
 	struct group *group;
 	struct group_db *next; /* in left */
--- a/src/kernel/group.c
+++ b/src/kernel/group.c
@@ -15,7 +15,6 @@
 #define TICK_MAX	(50 * USEC_PER_MSEC)
 #define UNFOLLOWED_WAIT USEC_PER_SEC
 #define TICK_UNWATCHED	(5 * USEC_PER_SEC)
-#define QUEUE_TEAM_PART 2 /* one team fills at most this part of a queue */
 
 static struct group *group_create(struct shard *s, const char *service);
 static struct group_db *db_create(struct group *g,
--- a/src/kernel/run_call.c
+++ b/src/kernel/run_call.c
@@ -11,6 +11,7 @@
 
 static void fill_call(struct run *run, struct group_db *db, usec_t now);
 static void on_call(struct db_call *c);
+static void learn_slots(struct run *run, usec_t now);
 static void on_answer(struct run *run, usec_t now);
 static enum once_kind once_kind_of(const struct run *run);
 static enum call_end call_end_of(const struct db_call *c);
@@ -103,7 +104,7 @@
 		c.retry_ok = false;
 		v = once_decide(&c);
 	}
-	if (end == CALL_END_NO_REPLY && writes(run))
+	if (end == CALL_END_NO_REPLY)
 		run->maybe_ran = true;
 	switch (v.next) {
 	case ONCE_ANSWER:
@@ -182,12 +183,8 @@
 		g->view.db[run->db->index].running--;
 	if (writes(run))
 		g->writes--;
-	if (run->in_slot && run->limit) {
-		if (c->result == DB_REFUSED && c->refusal == REFUSAL_BUSY)
-			slots_busy(run->limit, now);
-		else if (c->result == DB_OK)
-			slots_taken(run->limit, admit_waiting(run->queue) > 0);
-	}
+	if (run->in_slot)
+		learn_slots(run, now);
 	if (c->result == DB_LOST)
 		log_event(EV_DB_SUSPECT, "service=%s database=%s step=%s",
 			  g->service, run->db->name, step_name(c->error.step));
@@ -198,6 +195,24 @@
 	shard_unlock(s);
 }
 
+/* Fits the queue's slots to what the database takes. */
+static void learn_slots(struct run *run, usec_t now)
+{
+	const struct settings *s = &run->group->shard->kernel->settings;
+	const struct db_call *c = &run->call;
+	struct admit_limits l = { .queue_max = s->queue_max,
+				  .team_max = s->queue_max / QUEUE_TEAM_PART };
+	uint32_t was = slots_limit(run->limit);
+
+	if (c->result == DB_REFUSED && c->refusal == REFUSAL_BUSY)
+		slots_busy(run->limit, now);
+	else if (c->result == DB_OK)
+		slots_taken(run->limit, admit_waiting(run->queue) > 0);
+	l.slots = slots_limit(run->limit);
+	if (l.slots != was)
+		admit_set_limits(run->queue, &l);
+}
+
 /* Goes on with a request whose call has ended. */
 static void on_answer(struct run *run, usec_t now)
 {
