--- a/src/plugins/admin_http.h
+++ b/src/plugins/admin_http.h
@@ -20,7 +20,7 @@
 	struct admin_change change;
 	struct platform_call read;
 	char secret[ADMIN_SECRET_TEXT]; /* of a new key */
-	bool suspended; /* the server's thread alone */
+	bool suspended;			/* the server's thread alone */
 	bool answered;
 	int status;
 	uint64_t version; /* sent as ETag, if not 0 */
