Count VMs that a lagging list leaves out

Cause: once in 24 runs of tests/process/admin.sh a change was accepted as "known by this VM, the only one" although two others lived: a list of VMs read at their start came late, left them out, and so they did not count. Change: a VM off the list counts for acceptance until it has been off it and silent for 30 s, and is alive if it was heard since it was missed there. Conclusion: run in a loop to see whether it comes back.

--- a/src/decide/members.c
+++ b/src/decide/members.c
@@ -263,7 +263,10 @@
 	return m->vms[SELF].m.listed;
 }
 
-/* Is a VM known, on the list as far as known, not suspect, not departing? */
+/*
+ * Is a VM known, not suspect, not departing, and on the list as far as known
+ * or heard since it was missed there? The list lags.
+ */
 bool members_alive(const struct members *m, vm_handle h)
 {
 	const struct member *v = members_at(m, h);
@@ -272,7 +275,8 @@
 		return false;
 	if (h == SELF)
 		return true;
-	return !v->suspect && (v->listed || v->unlisted_at == 0);
+	return !v->suspect && (v->listed || v->unlisted_at == 0 ||
+			       v->heard_at > v->unlisted_at);
 }
 
 /*
--- a/src/decide/spread.h
+++ b/src/decide/spread.h
@@ -92,7 +92,7 @@
 	bool accepted;
 };
 void spread_acceptance_init(struct spread_acceptance *a,
-			    const struct members *m);
+			    const struct members *m, usec_t now);
 /* A peer said that it has the version or a later one; true once accepted. */
 bool spread_acceptance_heard(struct spread_acceptance *a,
 			     const char *peer_domain);
--- a/src/decide/spread_peers.c
+++ b/src/decide/spread_peers.c
@@ -6,6 +6,10 @@
 /* One round in so many also asks a VM that is taken to be down. */
 #define ASK_SUSPECT_EVERY 8
 
+/* A VM off the list and silent for this long is not waited for. */
+#define ACCEPT_FORGET_US (30 * (usec_t)USEC_PER_SEC)
+
+static bool may_exist(const struct member *v, usec_t now);
 static vm_handle pick(const struct members *m, uint64_t random,
 		      bool other_domain, bool any_state, const vm_handle *out,
 		      size_t n);
@@ -39,9 +43,20 @@
 	return n;
 }
 
+/*
+ * The list lags: whoever is not on it counts until it has been off it, and
+ * silent, for long.
+ */
+static bool may_exist(const struct member *v, usec_t now)
+{
+	return v->listed || v->unlisted_at == 0 ||
+	       v->heard_at > v->unlisted_at ||
+	       now - v->unlisted_at < ACCEPT_FORGET_US;
+}
+
 /* What a write needs to be accepted, as the fleet stands now. */
 void spread_acceptance_init(struct spread_acceptance *a,
-			    const struct members *m)
+			    const struct members *m, usec_t now)
 {
 	const struct member *self = members_at(m, members_self(m));
 	vm_handle h;
@@ -51,7 +66,7 @@
 	for (h = 1; h < members_count(m); h++) {
 		const struct member *v = members_at(m, h);
 
-		if (!v || (!v->listed && v->unlisted_at != 0))
+		if (!v || !may_exist(v, now))
 			continue;
 		a->need_peer = true;
 		if (strcmp(v->domain, a->own_domain) != 0)
--- a/src/plugins/gossip_confirm.c
+++ b/src/plugins/gossip_confirm.c
@@ -106,7 +106,8 @@
 	struct gossip *g = j->gossip;
 
 	fleet_lock(g->kernel->fleet);
-	spread_acceptance_init(&j->acceptance, g->kernel->fleet->members);
+	spread_acceptance_init(&j->acceptance, g->kernel->fleet->members,
+			       clock_now());
 	fleet_unlock(g->kernel->fleet);
 	if (j->acceptance.accepted) {
 		finish(j);
--- a/tests/decide/spread_test.cc
+++ b/tests/decide/spread_test.cc
@@ -145,21 +145,21 @@
 	snprintf(self.domain, sizeof(self.domain), "a");
 	struct members *m = members_create(&self);
 	struct spread_acceptance a;
-	spread_acceptance_init(&a, m);
+	spread_acceptance_init(&a, m, 1000);
 	EXPECT_TRUE(a.accepted) << "alone in the fleet";
 	members_list_begin(m);
 	members_list_add(m, &self);
 	struct member v = self;
 	snprintf(v.name, sizeof(v.name), "v1");
 	members_list_add(m, &v);
-	spread_acceptance_init(&a, m);
+	spread_acceptance_init(&a, m, 1000);
 	EXPECT_FALSE(a.accepted);
 	EXPECT_TRUE(spread_acceptance_heard(&a, "a")) << "one domain only";
 	snprintf(v.name, sizeof(v.name), "v2");
 	snprintf(v.domain, sizeof(v.domain), "b");
 	members_list_add(m, &v);
 	members_list_end(m, 1);
-	spread_acceptance_init(&a, m);
+	spread_acceptance_init(&a, m, 1000);
 	EXPECT_FALSE(spread_acceptance_heard(&a, "a"));
 	EXPECT_TRUE(spread_acceptance_heard(&a, "b"));
 
@@ -170,4 +170,45 @@
 	EXPECT_NE(out[0], out[1]);
 	members_destroy(m);
 }
+// A list that lags leaves out VMs that live: they are not taken to be gone.
+TEST(Spread, AcceptanceCountsVmsThatALaggingListLeavesOut)
+{
+	const usec_t second = USEC_PER_SEC;
+	struct member self = {}, v = {};
+	snprintf(self.name, sizeof(self.name), "v0");
+	snprintf(self.domain, sizeof(self.domain), "a");
+	snprintf(v.name, sizeof(v.name), "v1");
+	snprintf(v.domain, sizeof(v.domain), "b");
+	v.incarnation = 5;
+	struct members *m = members_create(&self);
+	struct spread_acceptance a;
+	members_list_begin(m);
+	members_list_add(m, &v);
+	members_list_end(m, second);
+	members_list_begin(m);
+	members_list_end(m, 2 * second);
+	vm_handle h = members_find(m, "v1");
+	EXPECT_FALSE(members_alive(m, h));
+	spread_acceptance_init(&a, m, 3 * second);
+	EXPECT_FALSE(a.accepted);
+	EXPECT_TRUE(a.need_domain);
+	// Heard since: alive, whatever the list says.
+	EXPECT_TRUE(members_heard(m, "v1", 5, 4 * second));
+	EXPECT_TRUE(members_alive(m, h));
+	spread_acceptance_init(&a, m, 100 * second);
+	EXPECT_FALSE(a.accepted);
+	members_destroy(m);
+	// Off the list and silent for long: not waited for.
+	m = members_create(&self);
+	members_list_begin(m);
+	members_list_add(m, &v);
+	members_list_end(m, second);
+	members_list_begin(m);
+	members_list_end(m, 2 * second);
+	spread_acceptance_init(&a, m, 31 * second);
+	EXPECT_FALSE(a.accepted);
+	spread_acceptance_init(&a, m, 32 * second);
+	EXPECT_TRUE(a.accepted);
+	members_destroy(m);
+}
 } // namespace
