Ask for the list of VMs more often in a VM's first seconds

Cause: right after a start the list lagged behind the VMs for up to 2 s, in which a VM held no share and asked no peer. Change: every 250 ms for the first 5 s, then as before.

--- a/src/plugins/config_sync.c
+++ b/src/plugins/config_sync.c
@@ -18,6 +18,9 @@
 #define RETRY_MAX_US	  (2 * (usec_t)USEC_PER_SEC)
 #define LOOK_INTERVAL_US  (200 * (usec_t)USEC_PER_MSEC)
 #define VMS_MIN_US	  (2 * (usec_t)USEC_PER_SEC)
+/* A VM that has just started asks more often: the list lags behind it. */
+#define VMS_START_US	  (5 * (usec_t)USEC_PER_SEC)
+#define VMS_SOON_US	  (250 * (usec_t)USEC_PER_MSEC)
 #define VMS_PER_VM_US	  (100 * (usec_t)USEC_PER_MSEC)
 #define OUTAGE_PER_VM_US  (10 * (usec_t)USEC_PER_MSEC)
 #define ANNOUNCE_US	  ((usec_t)USEC_PER_SEC)
@@ -43,6 +46,7 @@
 	uint64_t revision; /* of the answer being applied */
 	uint32_t taken;	   /* objects in it */
 	bool listed;
+	usec_t started_at;
 };
 
 static struct config_sync sync_state;
@@ -93,6 +97,7 @@
 	s->loop = k->platform->loop;
 	prepare(s, &s->objects, look, on_objects);
 	prepare(s, &s->vms, ask_vms, on_vms);
+	s->started_at = clock_now();
 	prepare(s, &s->announce, announce, on_announced);
 	prepare(s, &s->secret, make_secret, on_secret);
 	store_subscribe(k->store, "", check, NULL, NULL);
@@ -297,7 +302,11 @@
 	fleet_unlock(f);
 	if (e.code != ERR_NONE)
 		log_error(EV_CONFIG_REFUSED, &e);
-	again_at(s, r, wait > VMS_MIN_US ? wait : VMS_MIN_US);
+	if (clock_now() - s->started_at < VMS_START_US)
+		wait = VMS_SOON_US;
+	else if (wait < VMS_MIN_US)
+		wait = VMS_MIN_US;
+	again_at(s, r, wait);
 }
 
 /* Adds one VM of the list; the fleet's lock is held. */
