--- a/tests/process/lib.sh
+++ b/tests/process/lib.sh
@@ -14,6 +14,8 @@
 SCRIPT=$(basename "$0" .sh)
 SERVICE=quotes
 V=v1 KEY= ID= TOKEN= CODE=
+# Callers at the same time keep answers apart by a suffix.
+W=
 
 ok() {
 	check=$1
@@ -49,15 +51,15 @@
 at() { eval "echo \$CALLER_$1"; }
 admin_at() { eval "echo \$ADMIN_$1"; }
 
-# call METHOD PATH [BODY]: by VM $V with $KEY, $ID, $TOKEN; sets CODE, $T/body
+# call METHOD PATH [BODY]: by VM $V with $KEY, $ID, $TOKEN; sets CODE, $T/body$W
 call() {
 	method=$1 path=$2 body=${3:-}
-	CODE=$(curl -s -m 15 -o "$T/body" -D "$T/head" -w '%{http_code}' \
+	CODE=$(curl -s -m 15 -o "$T/body$W" -D "$T/head$W" -w '%{http_code}' \
 	    -X "$method" -H "Authorization: Bearer $KEY" \
 	    ${ID:+-H "Idempotency-Key: $ID"} \
 	    ${TOKEN:+-H "Gypsumcleat-Session: $TOKEN"} \
 	    ${body:+-d "$body"} "http://$(at "$V")/v1/services/$SERVICE$path")
-	[ "$CODE" != 000 ] || : >"$T/body"
+	[ "$CODE" != 000 ] || : >"$T/body$W"
 }
 
 # write STATEMENT [more fields]; read likewise
@@ -66,18 +68,22 @@
 
 # answered STATUS [TEXT]: the last answer has the status and holds the text
 answered() {
-	[ "$CODE" = "$1" ] && { [ $# -lt 2 ] || grep -qF -- "$2" "$T/body"; } || {
-		echo "# $CODE $(cat "$T/body")"
+	[ "$CODE" = "$1" ] && { [ $# -lt 2 ] || grep -qF -- "$2" "$T/body$W"; } || {
+		echo "# $CODE $(cat "$T/body$W")"
 		return 1
 	}
 }
 
-# value KEY: what a VM reads, without a token
+# value KEY: what a VM reads, without a token; nothing if the key is not there
 value() {
 	token=$TOKEN id=$ID TOKEN= ID=
 	read_back "get $1"
 	TOKEN=$token ID=$id
-	sed -n 's/.*"value": *"\{0,1\}\([^"},]*\).*/\1/p' "$T/body"
+	[ "$CODE" = 200 ] || {
+		echo "status $CODE"
+		return 1
+	}
+	sed -n 's/.*"value": *"\{0,1\}\([^"},]*\).*/\1/p' "$T/body$W"
 }
 
 # holds KEY VALUE [VM]: the value read at a VM
