--- a/scripts/capacity_teams.c
+++ b/scripts/capacity_teams.c
@@ -1,3 +1,4 @@
+#include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
 
@@ -37,15 +38,22 @@
 	return fflush(stdout) ? 1 : 0;
 }
 
-/* One team; its keys' hashes are of nobody's secret. */
+/* One team; each key's hash is that of its number. */
 static void print_team(unsigned long team, unsigned long keys, int comma)
 {
-	unsigned long k;
+	unsigned char hash[32];
+	char hex[65];
+	unsigned long k, n;
 
 	printf("%s\"team%lu\":{\"services\":[\"quotes\"],\"keys\":{",
 	       comma ? "," : "", team);
-	for (k = 0; k < keys; k++)
-		printf("%s\"k%lu\":{\"hash\":\"%064lx\",\"state\":\"live\"}",
-		       k ? "," : "", k, team * keys + k + 1);
+	for (k = 0; k < keys; k++) {
+		n = team * keys + k;
+		crypto_generichash(hash, sizeof(hash), (unsigned char *)&n,
+				   sizeof(n), NULL, 0);
+		sodium_bin2hex(hex, sizeof(hex), hash, sizeof(hash));
+		printf("%s\"k%lu\":{\"hash\":\"%s\",\"state\":\"live\"}",
+		       k ? "," : "", k, hex);
+	}
 	printf("}}");
 }
