--- a/src/decide/types.h
+++ b/src/decide/types.h
@@ -8,8 +8,8 @@
 /* Monotonic time in microseconds, always passed in by the caller. */
 typedef int64_t usec_t;
 
-#define USEC_PER_MSEC 1000
-#define USEC_PER_SEC  1000000
+#define USEC_PER_MSEC ((usec_t)1000)
+#define USEC_PER_SEC  ((usec_t)1000000)
 
 #define NAME_MAX_BYTES 64 /* names of teams, services, VMs, databases */
 #define ADDR_MAX_BYTES 64 /* "ip:port" */
--- a/src/kernel/group.c
+++ b/src/kernel/group.c
@@ -335,7 +335,8 @@
 		g->db[i]->next = g->left;
 		g->left = g->db[i];
 	}
-	memcpy(g->db, db, c->n * sizeof(db[0]));
+	for (i = 0; i < c->n; i++)
+		g->db[i] = db[i];
 	memcpy(g->view.db, view, sizeof(view));
 	g->view.n = c->n;
 	if (same)
--- a/src/kernel/timer_heap.c
+++ b/src/kernel/timer_heap.c
@@ -16,7 +16,7 @@
 
 	if (h->n == h->room) {
 		room = h->room ? h->room * 2 : HEAP_ROOM_MIN;
-		p = realloc(h->at, room * sizeof(*p));
+		p = realloc(h->at, room * sizeof(struct loop_timer *));
 		if (!p)
 			return -1;
 		h->at = p;
--- a/src/kernel/tx.c
+++ b/src/kernel/tx.c
@@ -168,6 +168,8 @@
 /* Carries out a verdict, on a request or on the transaction itself. */
 static void act(struct tx *tx, struct run *run, struct tx_verdict v)
 {
+	if (!run && (v.next == TX_SEND || v.next == TX_QUEUE))
+		return; /* these speak of a statement only */
 	switch (v.next) {
 	case TX_SEND:
 		run->tx = tx;
--- a/src/plugins/config_sync.c
+++ b/src/plugins/config_sync.c
@@ -14,10 +14,10 @@
 #include "plugins/gossip.h"
 #include "plugins/platform_objects.h"
 
-#define RETRY_MIN_US	  (100 * (usec_t)USEC_PER_MSEC)
-#define RETRY_MAX_US	  (2 * (usec_t)USEC_PER_SEC)
-#define LOOK_INTERVAL_US  (200 * (usec_t)USEC_PER_MSEC)
-#define VMS_MIN_US	  (2 * (usec_t)USEC_PER_SEC)
+#define RETRY_MIN_US	 (100 * (usec_t)USEC_PER_MSEC)
+#define RETRY_MAX_US	 (2 * (usec_t)USEC_PER_SEC)
+#define LOOK_INTERVAL_US (200 * (usec_t)USEC_PER_MSEC)
+#define VMS_MIN_US	 (2 * (usec_t)USEC_PER_SEC)
 /* A VM that has just started asks more often: the list lags behind it. */
 #define VMS_START_US	  (5 * (usec_t)USEC_PER_SEC)
 #define VMS_SOON_US	  (250 * (usec_t)USEC_PER_MSEC)
