Watch a group as soon as a request comes for it

A VM beyond the first four of a group's ranks does not watch the group while nobody uses it there, and looks again every 5 s; a request noted its use, but did not set the timer. So a first write waited 1 s for a replica that follows and was refused, and all further ones up to 5 s at once. Change: the first request after a time without use has the timer fire soon. Result: tests/process/idle.sh with eight VMs: 1 or more first writes refused without the change (no_replica_follows), 8 passed, 0 failed with it. Conclusion: the fault is mended; the refusals are to be measured again.

--- a/src/kernel/engine_own.h
+++ b/src/kernel/engine_own.h
@@ -192,6 +192,7 @@
 		 const char *body);
 void group_tick(void *ctx); /* takes the lock itself */
 void group_poke(struct group *g);
+void group_use(struct group *g);
 void group_view_changed(struct group *g);
 void group_heard(struct group_db *db, const struct db_call *c);
 void group_pump(struct group *g);
--- a/src/kernel/group.c
+++ b/src/kernel/group.c
@@ -204,6 +204,20 @@
 	loop_timer_set(g->shard->loop, &g->tick, at);
 }
 
+/*
+ * Notes that a request has come. A group that was not used here lately may
+ * not have been watched: what is known of its replicas is renewed at once.
+ */
+void group_use(struct group *g)
+{
+	usec_t now = clock_now();
+	bool idle = now - g->used_at >= g->shard->engine->probe.active_for_us;
+
+	g->used_at = now;
+	if (idle)
+		group_poke(g);
+}
+
 /* The group's timer: probes, promotion, deadlines. Takes the lock. */
 void group_tick(void *ctx)
 {
--- a/src/kernel/run.c
+++ b/src/kernel/run.c
@@ -46,7 +46,7 @@
 		r->done(r);
 		return;
 	}
-	run->group->used_at = clock_now();
+	group_use(run->group);
 	if (read_token(run)) {
 		want_of(run);
 		run_admit(run);
