Let a request wait for a slot up to its deadline

Cause: nine VMs before five slots: a database that is full answers busy, and a request was refused after five such answers, within 40 ms of a deadline of 2 s. A question for share that got no answer was repeated after ever longer waits, up to 10 s. Change: a busy answer sends the request back with growing waits, outside the retry budget; questions repeat after 256 ms at most. Conclusion: kept, since a busy answer is no reason to refuse; to be measured again under contention.

--- a/src/decide/escrow_give.c
+++ b/src/decide/escrow_give.c
@@ -4,8 +4,9 @@
 
 /* Answers to questions older than this no longer count. */
 #define ASK_LIFE_US (10 * (usec_t)USEC_PER_SEC)
-/* A question is asked again after this, then after twice as long. */
-#define ASK_AGAIN_US (4 * (usec_t)USEC_PER_MSEC)
+/* A question is asked again after this, then after twice as long, at most. */
+#define ASK_AGAIN_US	  (4 * (usec_t)USEC_PER_MSEC)
+#define ASK_AGAIN_MOST_US (256 * (usec_t)USEC_PER_MSEC)
 /* A smaller part of this VM's share than one in so many isn't moved. */
 #define MOVE_PARTS 16
 
@@ -172,7 +173,10 @@
 static void put_question(struct escrow *b, struct escrow_ask *a, usec_t now,
 			 struct escrow_msg *out)
 {
-	a->next_at = now + (now - a->at) + ASK_AGAIN_US;
+	usec_t wait = now - a->at + ASK_AGAIN_US;
+
+	a->next_at =
+		now + (wait < ASK_AGAIN_MOST_US ? wait : ASK_AGAIN_MOST_US);
 	fill(b, out);
 	out->type = ESCROW_ASK;
 	out->id = a->id;
--- a/src/kernel/engine_own.h
+++ b/src/kernel/engine_own.h
@@ -152,6 +152,7 @@
 	usec_t slot_at;
 	struct group_db *db;
 	uint32_t attempts;
+	uint32_t busy; /* refusals for want of a slot */
 	bool maybe_ran;
 	bool wants_view; /* parked until the view changes */
 	uint64_t sent_term;
--- a/src/kernel/run_call.c
+++ b/src/kernel/run_call.c
@@ -7,8 +7,11 @@
 #include "kernel/counters.h"
 #include "kernel/log.h"
 
-#define VIEW_RETRY (20 * USEC_PER_MSEC)
+#define VIEW_RETRY     (20 * USEC_PER_MSEC)
+#define BUSY_WAIT      (1 * USEC_PER_MSEC)
+#define BUSY_DOUBLINGS 4
 
+static void wait_for_slot(struct run *run, usec_t now);
 static void fill_call(struct run *run, struct group_db *db, usec_t now);
 static void on_call(struct db_call *c);
 static void learn_slots(struct run *run, usec_t now);
@@ -95,6 +98,10 @@
 	usec_t delay =
 		retry_delay(&e->retry, run->attempts, shard_random(g->shard));
 
+	if (end == CALL_END_REFUSED && refusal == REFUSAL_BUSY && !run->tx) {
+		wait_for_slot(run, now);
+		return;
+	}
 	if (end == CALL_END_DONE && run->attempts == 1)
 		retry_earn(&g->budget, &e->retry);
 	c.retry_ok = true;
@@ -137,6 +144,23 @@
 	}
 }
 
+/*
+ * All slots of the database are taken, by other VMs too. Nothing has run, so
+ * that the request may wait for its deadline; the limit of this VM has been
+ * cut, and the waits grow, so that the refusals stay few.
+ */
+static void wait_for_slot(struct run *run, usec_t now)
+{
+	uint32_t n = run->busy < BUSY_DOUBLINGS ? run->busy : BUSY_DOUBLINGS;
+	usec_t wait = BUSY_WAIT << n;
+
+	run->busy++;
+	run->attempts--;
+	counter_add(CTR_RETRIES, 1);
+	wait += (usec_t)(shard_random(run->group->shard) % (uint64_t)wait);
+	run_park(run, now + wait, false);
+}
+
 /* Fills in a call from the request. */
 static void fill_call(struct run *run, struct group_db *db, usec_t now)
 {
