Answer a read at the primary once what it saw is confirmed

Ruled out: confirm.c, whose confirmed writes were all there. Change: a read at the primary waits until a majority holds the log up to what it saw; a promotion gives the slots of calls to the old primary back; whether VMs in other domains live is looked up once a second, not twice a tick. Conclusion: keep; a phantom read is a wrong answer.

--- a/src/kernel/engine_own.h
+++ b/src/kernel/engine_own.h
@@ -109,6 +109,8 @@
 	usec_t hold_until; /* on a peer's word; 0: none */
 	struct run_list parked;
 	struct run_list confirming;
+	struct run_list calling;  /* at a database, not in transactions */
+	struct log_pos confirmed; /* a majority holds all up to here */
 	uint32_t confirms;
 	uint32_t writes; /* calls under way that write at the primary */
 	struct promote promote;
@@ -118,6 +120,7 @@
 	usec_t used_at;
 	uint32_t rank;
 	usec_t rank_at;
+	bool other_domains; /* live VMs there; as old as the rank */
 	struct tx *transactions;
 };
 
@@ -222,6 +225,7 @@
 /* run_call.c */
 void run_call(struct run *run, struct group_db *db);
 void run_check_confirm(struct run *run, usec_t now);
+void run_primary_gone(struct group *g, const struct group_db *was);
 void run_resolved(struct run *run, enum call_end end, enum refusal refusal);
 
 /* tx.c */
--- a/src/kernel/group.c
+++ b/src/kernel/group.c
@@ -90,6 +90,8 @@
 
 	if (g->rank_at == 0 || now - g->rank_at > RANK_AGE) {
 		g->rank = fleet_rank(k, g->service);
+		g->other_domains =
+			fleet_pick(k, 1, k->settings.domain, &vm) > 0;
 		g->rank_at = now;
 	}
 	return (struct promote_env){
@@ -98,7 +100,7 @@
 		.rank = g->rank,
 		.running = g->writes,
 		.unanswered_at = group_unanswered(g),
-		.other_domains = fleet_pick(k, 1, k->settings.domain, &vm) > 0,
+		.other_domains = g->other_domains,
 		.platform_up = platform_is_up(k),
 		.random = shard_random(g->shard),
 	};
@@ -152,6 +154,8 @@
 	if (term < g->view.term ||
 	    (term == g->view.term && primary == g->view.primary))
 		return;
+	if (g->view.primary != DB_NONE && primary != g->view.primary)
+		run_primary_gone(g, g->db[g->view.primary]);
 	g->view.term = term;
 	g->view.primary = primary;
 	log_event(EV_PROMOTE_VIEW, "service=%s term=%llu primary=%s",
@@ -266,6 +270,7 @@
 	slots_init(&g->primary_limit, 1, 1);
 	run_list_init(&g->parked);
 	run_list_init(&g->confirming);
+	run_list_init(&g->calling);
 	promote_init(&g->promote, &s->engine->promote, clock_now());
 	retry_init(&g->budget, &s->engine->retry);
 	g->tick.fn = group_tick;
--- a/src/kernel/run_call.c
+++ b/src/kernel/run_call.c
@@ -18,6 +18,10 @@
 static void on_answer(struct run *run, usec_t now);
 static enum once_kind once_kind_of(const struct run *run);
 static enum call_end call_end_of(const struct db_call *c);
+static bool reads_unconfirmed(const struct run *run);
+static struct log_pos last_entry(const struct db_status *s);
+static void wait_confirmed(struct run *run, struct log_pos at, usec_t now);
+static void note_confirmed(struct group *g, struct log_pos at);
 static void take_answer(struct run *run);
 static enum step step_of(const struct run *run);
 static bool writes(const struct run *run);
@@ -44,9 +48,25 @@
 		run->group->view.db[db->index].running++;
 	if (writes(run))
 		run->group->writes++;
+	if (run->in_slot)
+		run_list_add(&run->group->calling, run);
 	database_submit(&run->call);
 }
 
+/*
+ * Another primary has taken over: calls that the old one may never answer give
+ * their slots to the requests that wait for the new one. Shard's lock.
+ */
+void run_primary_gone(struct group *g, const struct group_db *was)
+{
+	struct run *run;
+
+	for (run = g->calling.first; run; run = run->next) {
+		if (run->db == was && run->queue == g->primary)
+			run_leave_slot(run);
+	}
+}
+
 /* A confirmation may have come nearer. Shard's lock. */
 void run_check_confirm(struct run *run, usec_t now)
 {
@@ -58,20 +78,31 @@
 	case CONFIRM_DONE:
 		run_unlink(run);
 		g->confirms--;
-		counter_add(CTR_CONFIRMS, 1);
-		counter_add(CTR_CONFIRM_WAIT_US,
-			    (uint64_t)(now - run->call.heard_at));
+		note_confirmed(g, run->confirm.at);
+		if (writes(run)) {
+			counter_add(CTR_CONFIRMS, 1);
+			counter_add(CTR_CONFIRM_WAIT_US,
+				    (uint64_t)(now - run->call.heard_at));
+		}
 		run_finish(run, OUTCOME_DONE, ERR_NONE, STEP_CONFIRM, "", "");
 		return;
 	case CONFIRM_LOST:
 		run_unlink(run);
 		g->confirms--;
-		run_resolved(run, CALL_END_LOST, REFUSAL_NONE);
+		if (writes(run))
+			run_resolved(run, CALL_END_LOST, REFUSAL_NONE);
+		else
+			run_park(run, now, false);
 		return;
 	case CONFIRM_UNKNOWN:
 		run_unlink(run);
 		g->confirms--;
-		run_resolved(run, CALL_END_UNSURE, REFUSAL_NONE);
+		if (writes(run))
+			run_resolved(run, CALL_END_UNSURE, REFUSAL_NONE);
+		else
+			run_finish(run, OUTCOME_NOT_RUN, ERR_NO_REPLICA,
+				   STEP_CONFIRM, run->call.address,
+				   "what was read is not confirmed");
 		return;
 	}
 }
@@ -119,12 +150,7 @@
 			   run->call.address, run->call.error.message);
 		return;
 	case ONCE_CONFIRM:
-		run->stage = RUN_CONFIRM;
-		run_list_add(&g->confirming, run);
-		g->confirms++;
-		confirm_start(&run->confirm, run->call.at, run->r->deadline);
-		run_check_confirm(run, now);
-		group_poke(g);
+		wait_confirmed(run, run->call.at, now);
 		return;
 	case ONCE_RETRY:
 	case ONCE_RESEND_ID:
@@ -203,6 +229,7 @@
 	usec_t now = clock_now();
 
 	shard_lock(s);
+	run_unlink(run);
 	if (run->db->index != DB_NONE)
 		g->view.db[run->db->index].running--;
 	if (writes(run))
@@ -259,9 +286,61 @@
 	}
 	if (c->result == DB_OK)
 		take_answer(run);
+	if (c->result == DB_OK && reads_unconfirmed(run)) {
+		wait_confirmed(run, last_entry(&c->status), now);
+		return;
+	}
 	run_resolved(run, call_end_of(c), c->refusal);
 }
 
+/*
+ * Has a read at the primary seen what no other database is known to hold? A
+ * promotion could take it back, after the session has built on it.
+ */
+static bool reads_unconfirmed(const struct run *run)
+{
+	const struct group *g = run->group;
+	struct log_pos last = last_entry(&run->call.status);
+
+	if (run->tx || run->r->op != OP_STATEMENT || writes(run) ||
+	    run->call.status.role != ROLE_PRIMARY || last.position == 0)
+		return false;
+	return g->confirmed.term != last.term ||
+	       g->confirmed.position < last.position;
+}
+
+/* The last entry of a log; a term that has just begun has none of its own. */
+static struct log_pos last_entry(const struct db_status *s)
+{
+	const struct lineage *l = &s->lineage;
+	struct log_pos at = s->end;
+	uint32_t i;
+
+	for (i = l->n; i > 0 && l->start[i - 1].position >= at.position; i--)
+		at.term = i > 1 ? l->start[i - 2].term : at.term;
+	return at;
+}
+
+/* Waits until a majority holds the log up to a place. */
+static void wait_confirmed(struct run *run, struct log_pos at, usec_t now)
+{
+	struct group *g = run->group;
+
+	run->stage = RUN_CONFIRM;
+	run_list_add(&g->confirming, run);
+	g->confirms++;
+	confirm_start(&run->confirm, at, run->r->deadline);
+	run_check_confirm(run, now);
+	group_poke(g);
+}
+
+/* A majority holds the log up to a place; places of later terms go first. */
+static void note_confirmed(struct group *g, struct log_pos at)
+{
+	if (log_pos_cmp(at, g->confirmed) > 0)
+		g->confirmed = at;
+}
+
 /* Moves what the database answered into the caller's answer. */
 static void take_answer(struct run *run)
 {
