Let the stand-in's follower leave a silent primary sooner

Cause: with the primary silent, no write was done for 1.05 s though another was promoted after 0.57 s: the stand-in's followers sat in a pull from the silent one, up to 1 s, before they took the order to follow the new one. Ruled out: the suspicion, the fence, held slots. Change: a pull ends after 200 ms.

--- a/src/standin/database_follow.c
+++ b/src/standin/database_follow.c
@@ -6,7 +6,7 @@
 #include <string.h>
 #include <time.h>
 
-#define PULL_TIMEOUT_MS 1000L
+#define PULL_TIMEOUT_MS 200L /* an order to follow another waits for it */
 #define RETRY_MS	10
 #define FOLLOW_IDLE_MS	50
 #define PULL_REPLY_MAX	(256U << 20) /* bytes */
