Check the value after a cut at the primary itself

Cause: failover.sh read through a VM that the refused write had left the value alone; since reads at the primary wait for confirmation, and the probe before it had left an unconfirmed entry there, that read is refused, as it must be. Change: the check asks the primary itself, which is as strict, and a further check holds that the VM does not show what is not confirmed.

--- a/tests/process/failover.sh
+++ b/tests/process/failover.sh
@@ -117,7 +117,19 @@
 write "put c 6" ',"deadline_ms":1000'
 ok "cut: not run" answered 503 '"outcome":"not_run"'
 ok "cut: it tells when to come back" grep -qi '^retry-after: [0-9]' "$T/head"
-ok "cut: the value is unchanged" holds c 5
+# What the probe left at the primary is not confirmed, so that the newest state
+# is shown to nobody; the primary itself tells that "put c 6" has not run.
+at_primary() {
+	eval "d=\$DB_${SERVICE}_$PRIMARY"
+	curl -s -m 1 "http://$d/v1/execute" -d "{\"term\":$(log_term \
+	    "$PRIMARY"),\"kind\":\"read\",\"statement\":\"get $1\"}"
+}
+unchanged() { # key value
+	at_primary "$1" | grep -q "\"key\":\"$1\",\"value\":$2}"
+}
+ok "cut: the value is unchanged" unchanged c 5
+read_back "get c"
+ok "cut: what is not confirmed is not read" answered 503 '"outcome":"not_run"'
 for n in $ALL; do
 	control "quotes_$n" '{"cut_replication":false}'
 done
