Let a queue's memory grow with what waits in it

Cause: every queue of every group was laid out for queue_max requests and as many teams; 0.5 MB a group, 2.9 GB at the coming size where 32 MB are allowed. Change: places are made by doubling, from 8, when the first request waits.

--- a/src/decide/admit.c
+++ b/src/decide/admit.c
@@ -24,10 +24,6 @@
 	a->turn = HANDLE_NONE;
 	a->limits = *l;
 	a->window = l->slots;
-	if (!admit_queue_reserve(a, l->queue_max)) {
-		admit_destroy(a);
-		return NULL;
-	}
 	return a;
 }
 
@@ -51,8 +47,6 @@
 	a->limits = *l;
 	if (!ramping || a->window > l->slots)
 		a->window = l->slots;
-	if (!admit_queue_reserve(a, l->queue_max))
-		a->limits.queue_max = a->room;
 }
 
 /* Offers a request; see the header. */
--- a/src/decide/admit_own.h
+++ b/src/decide/admit_own.h
@@ -44,7 +44,6 @@
 	struct hash_index index;
 };
 
-bool admit_queue_reserve(struct admit *a, uint32_t room);
 uint32_t admit_queue_team(const struct admit *a, const char *team);
 admit_handle admit_queue_add(struct admit *a, const char *team, uint32_t weight,
 			     void *item, usec_t deadline);
--- a/src/decide/admit_queue.c
+++ b/src/decide/admit_queue.c
@@ -4,6 +4,9 @@
 
 #include "decide/admit_own.h"
 
+#define ROOM_LEAST 8 /* waiting requests */
+
+static bool grow(struct admit *a);
 static uint32_t team_open(struct admit *a, const char *team, uint32_t weight);
 static void team_close(struct admit *a, uint32_t t);
 static void heap_up(struct admit *a, uint32_t i);
@@ -13,14 +16,20 @@
 static void heap_swap(struct admit *a, uint32_t i, uint32_t j);
 static bool earlier(const struct admit *a, uint32_t i, uint32_t j);
 
-/* Makes room for so many waiting requests; false without memory. */
-bool admit_queue_reserve(struct admit *a, uint32_t room)
+/*
+ * Makes room for more waiting requests, up to the queue's bound: most queues
+ * of a large fleet never hold one. False at the bound or without memory.
+ */
+static bool grow(struct admit *a)
 {
+	uint32_t room = a->room ? 2 * a->room : ROOM_LEAST;
 	uint32_t i;
 	void *p;
 
+	if (room > a->limits.queue_max)
+		room = a->limits.queue_max;
 	if (room <= a->room)
-		return true;
+		return false;
 	p = realloc(a->items, room * sizeof(*a->items));
 	if (!p)
 		return false;
@@ -64,12 +73,13 @@
 admit_handle admit_queue_add(struct admit *a, const char *team, uint32_t weight,
 			     void *item, usec_t deadline)
 {
-	admit_handle h = a->free_item;
 	struct admit_team *q;
+	admit_handle h;
 	uint32_t t;
 
-	if (h == HANDLE_NONE)
+	if (a->free_item == HANDLE_NONE && !grow(a))
 		return HANDLE_NONE;
+	h = a->free_item;
 	t = admit_queue_team(a, team);
 	if (t == HANDLE_NONE)
 		t = team_open(a, team, weight);
