--- a/src/decide/admit_queue.c
+++ b/src/decide/admit_queue.c
@@ -16,44 +16,6 @@
 static void heap_swap(struct admit *a, uint32_t i, uint32_t j);
 static bool earlier(const struct admit *a, uint32_t i, uint32_t j);
 
-/*
- * Makes room for more waiting requests, up to the queue's bound: most queues
- * of a large fleet never hold one. False at the bound or without memory.
- */
-static bool grow(struct admit *a)
-{
-	uint32_t room = a->room ? 2 * a->room : ROOM_LEAST;
-	uint32_t i;
-	void *p;
-
-	if (room > a->limits.queue_max)
-		room = a->limits.queue_max;
-	if (room <= a->room)
-		return false;
-	p = realloc(a->items, room * sizeof(*a->items));
-	if (!p)
-		return false;
-	a->items = p;
-	p = realloc(a->teams, room * sizeof(*a->teams));
-	if (!p)
-		return false;
-	a->teams = p;
-	p = realloc(a->heap, room * sizeof(*a->heap));
-	if (!p)
-		return false;
-	a->heap = p;
-	for (i = room; i > a->room; i--) {
-		a->items[i - 1].team = HANDLE_NONE;
-		a->items[i - 1].next = a->free_item;
-		a->free_item = i - 1;
-		a->teams[i - 1].waiting = 0;
-		a->teams[i - 1].next = a->free_team;
-		a->free_team = i - 1;
-	}
-	a->room = room;
-	return true;
-}
-
 /* The place of a team that has something waiting, or HANDLE_NONE. */
 uint32_t admit_queue_team(const struct admit *a, const char *team)
 {
@@ -156,6 +118,44 @@
 	return q->first;
 }
 
+/*
+ * Makes room for more waiting requests, up to the queue's bound: most queues
+ * of a large fleet never hold one. False at the bound or without memory.
+ */
+static bool grow(struct admit *a)
+{
+	uint32_t room = a->room ? 2 * a->room : ROOM_LEAST;
+	uint32_t i;
+	void *p;
+
+	if (room > a->limits.queue_max)
+		room = a->limits.queue_max;
+	if (room <= a->room)
+		return false;
+	p = realloc(a->items, room * sizeof(*a->items));
+	if (!p)
+		return false;
+	a->items = p;
+	p = realloc(a->teams, room * sizeof(*a->teams));
+	if (!p)
+		return false;
+	a->teams = p;
+	p = realloc(a->heap, room * sizeof(*a->heap));
+	if (!p)
+		return false;
+	a->heap = p;
+	for (i = room; i > a->room; i--) {
+		a->items[i - 1].team = HANDLE_NONE;
+		a->items[i - 1].next = a->free_item;
+		a->free_item = i - 1;
+		a->teams[i - 1].waiting = 0;
+		a->teams[i - 1].next = a->free_team;
+		a->free_team = i - 1;
+	}
+	a->room = room;
+	return true;
+}
+
 /* Puts a team at the end of the ring. */
 static uint32_t team_open(struct admit *a, const char *team, uint32_t weight)
 {
