--- a/Makefile
+++ b/Makefile
@@ -1,23 +1,24 @@
 # One binary, its tests and its checks; see CONTRIBUTING.md for the targets.
 B	?= build
 CC	?= gcc
-PKGS	= apr-1 libzmq msgpack libmicrohttpd libcurl jansson libsodium libxxhash
+PKGS	= apr-1 libzmq msgpack libmicrohttpd libcurl jansson libsodium libxxhash \
+	  libevent_core libevent_extra
 PKG_CF	:= $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
 PKG_LD	:= $(shell pkg-config --libs $(PKGS) 2>/dev/null)
 OPT	?= -O2 -g
 SAN	?=
 CFLAGS	= -std=gnu11 -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
 	  -Wmissing-prototypes -fno-strict-aliasing $(OPT) $(SAN) \
-	  -D_GNU_SOURCE -Isrc $(PKG_CF) -MMD -MP
+	  -D_GNU_SOURCE -Isrc -I. $(PKG_CF) -MMD -MP
 CXXFLAGS = -std=c++20 -Wall -Wextra -Werror $(OPT) $(SAN) -D_GNU_SOURCE \
-	  -Isrc $(PKG_CF) -MMD -MP
+	  -Isrc -I. $(PKG_CF) -MMD -MP
 LDLIBS	= $(PKG_LD) -largtable2 -llog4c -lpthread -lm
-SRCS	:= $(wildcard src/*.c src/*/*.c)
+SRCS	:= $(wildcard src/*.c src/*/*.c platform/*.c)
 OBJS	:= $(SRCS:%.c=$(B)/%.o)
 LIBOBJS	:= $(filter-out $(B)/src/main.o,$(OBJS))
 TSRCS	:= $(wildcard tests/*.cc tests/*/*.cc)
 TOBJS	:= $(TSRCS:%.cc=$(B)/%.o)
-HDRS	:= $(wildcard src/*/*.h)
+HDRS	:= $(wildcard src/*/*.h platform/*.h)
 
 .PHONY: all binary check demo lint format matrix spec measure capacity clean \
 	packages san tsan
--- a/src/cmd/serve.c
+++ b/src/cmd/serve.c
@@ -166,10 +166,14 @@
 /* Tells where the VM listens, for scripts; ports are the bound ones. */
 static void print_ready(const struct settings *s)
 {
-	log_event(EV_VM_READY, "callers=%s admin=%s peers=%s", s->caller_listen,
-		  s->admin_listen, s->peer_listen);
+	const char *other =
+		s->form == FORM_HTTP ? s->admin_listen : s->ready_listen;
+	const char *what = s->form == FORM_HTTP ? "admin" : "probes";
+
+	log_event(EV_VM_READY, "callers=%s %s=%s peers=%s", s->caller_listen,
+		  what, other, s->peer_listen);
 	printf("ready %s callers\n", s->caller_listen);
-	printf("ready %s admin\n", s->admin_listen);
+	printf("ready %s %s\n", other, what);
 	printf("ready %s peers\n", s->peer_listen);
 	fflush(stdout);
 }
--- /dev/null
+++ b/src/decide/lead.c
@@ -0,0 +1,107 @@
+#include "decide/lead.h"
+
+#include <string.h>
+
+/* Starts with no knowledge. */
+void lead_init(struct lead *l)
+{
+	memset(l, 0, sizeof(*l));
+	l->proved_at = INT64_MIN;
+}
+
+/* Begins a later term, whose primary has been proved by nothing yet. */
+void lead_begin(struct lead *l, uint64_t term)
+{
+	l->term = term;
+	l->proved_at = INT64_MIN;
+}
+
+/*
+ * Notes how far the primary's log had come. The newest sample is replaced
+ * while it is too close to the one before it; the position only rises, so the
+ * replacement promises no less.
+ */
+void lead_sample(struct lead *l, usec_t asked_at, struct log_pos at)
+{
+	struct lead_sample *last;
+	struct lead_sample *before;
+
+	if (l->n > 0) {
+		last = &l->samples[(l->next + LEAD_SAMPLES - 1) % LEAD_SAMPLES];
+		if (asked_at <= last->asked_at)
+			return;
+		if (l->n > 1) {
+			before = &l->samples[(l->next + LEAD_SAMPLES - 2) %
+					     LEAD_SAMPLES];
+			if (asked_at - before->asked_at < LEAD_SAMPLE_US) {
+				*last = (struct lead_sample){ .asked_at =
+								      asked_at,
+							      .at = at };
+				return;
+			}
+		}
+	}
+	l->samples[l->next] =
+		(struct lead_sample){ .asked_at = asked_at, .at = at };
+	l->next = (l->next + 1) % LEAD_SAMPLES;
+	if (l->n < LEAD_SAMPLES)
+		l->n++;
+}
+
+/*
+ * A replica that has more than the primary had when it answered took a commit
+ * made after that answer was asked for, and was not paused then.
+ */
+void lead_followed(struct lead *l, struct log_pos at)
+{
+	uint32_t i;
+
+	if (at.term != l->term)
+		return;
+	for (i = 0; i < l->n; i++) {
+		const struct lead_sample *s = &l->samples[i];
+
+		if (s->at.term == l->term && s->at.position < at.position &&
+		    s->asked_at > l->proved_at)
+			l->proved_at = s->asked_at;
+	}
+}
+
+/* Notes the answer of a replica that said so itself. */
+void lead_unpaused(struct lead *l, usec_t asked_at, uint64_t term)
+{
+	if (term == l->term && asked_at > l->proved_at)
+		l->proved_at = asked_at;
+}
+
+/* Notes a peer's proof; the same rule holds for it. */
+void lead_peer(struct lead *l, usec_t proved_at, uint64_t term)
+{
+	lead_unpaused(l, proved_at, term);
+}
+
+/* Tells whether the newest proof is younger than the guard. */
+bool lead_holds(const struct lead *l, usec_t now, usec_t guard)
+{
+	return l->term > 0 && l->proved_at != INT64_MIN &&
+	       now - l->proved_at < guard;
+}
+
+/* Finds the oldest sample that was asked for at or after "before". */
+bool lead_position(const struct lead *l, usec_t before, struct log_pos *out)
+{
+	const struct lead_sample *found = NULL;
+	uint32_t i;
+
+	for (i = 0; i < l->n; i++) {
+		const struct lead_sample *s = &l->samples[i];
+
+		if (s->asked_at >= before &&
+		    (!found || s->asked_at < found->asked_at))
+			found = s;
+	}
+	if (!found)
+		return false;
+	*out = found->at;
+	return true;
+}
--- /dev/null
+++ b/src/decide/lead.h
@@ -0,0 +1,52 @@
+#ifndef DECIDE_LEAD_H
+#define DECIDE_LEAD_H
+
+#include "decide/types.h"
+
+/*
+ * What one VM knows of a group's primary: how recently it was surely the only
+ * one, and how far its log had come at which time. All times are of the
+ * suspend-aware clock, in microseconds.
+ *
+ * A promotion first pauses the replicas and then waits out the guard. So a
+ * replica that took a commit, or said that it was not paused, shows that no
+ * promotion can take effect before the guard has passed since then.
+ */
+
+#define LEAD_SAMPLES 64
+/* Samples closer together than this replace each other. */
+#define LEAD_SAMPLE_US (50 * USEC_PER_MSEC)
+
+struct lead_sample {
+	usec_t asked_at; /* the primary's log had come to "at" after this */
+	struct log_pos at;
+};
+
+struct lead {
+	uint64_t term;	  /* of the primary; 0: none known */
+	usec_t proved_at; /* newest time of a proof; INT64_MIN: none */
+	uint32_t n;	  /* samples, a ring */
+	uint32_t next;
+	struct lead_sample samples[LEAD_SAMPLES];
+};
+
+void lead_init(struct lead *l);
+/* Another primary leads from now on; older samples stay good for reads. */
+void lead_begin(struct lead *l, uint64_t term);
+/* The primary answered a question of "asked_at" with its log's end. */
+void lead_sample(struct lead *l, usec_t asked_at, struct log_pos at);
+/* A replica holds the log up to "at". */
+void lead_followed(struct lead *l, struct log_pos at);
+/* A replica of this term, asked at "asked_at", was not paused. */
+void lead_unpaused(struct lead *l, usec_t asked_at, uint64_t term);
+/* A peer's proof for the same term. */
+void lead_peer(struct lead *l, usec_t proved_at, uint64_t term);
+/* May the primary be used now? */
+bool lead_holds(const struct lead *l, usec_t now, usec_t guard);
+/*
+ * The least position that holds all that was acknowledged before "before";
+ * false if none is known.
+ */
+bool lead_position(const struct lead *l, usec_t before, struct log_pos *out);
+
+#endif
--- a/src/kernel/counters.h
+++ b/src/kernel/counters.h
@@ -36,7 +36,11 @@
 	  "configuration objects applied")                                    \
 	X(ESCROW_ASKS, "escrow_asks_total", "transfers asked of peers")       \
 	X(ESCROW_GIVES, "escrow_gives_total", "transfers given to peers")     \
-	X(FORWARDS, "forwards_total", "requests forwarded to peers")
+	X(FORWARDS, "forwards_total", "requests forwarded to peers")          \
+	X(DB_CONNECTS, "database_connects_total",                             \
+	  "connections opened to databases")                                  \
+	X(LOG_DROPPED, "log_lines_dropped_total",                             \
+	  "log lines left out to keep the volume bounded")
 
 enum counter {
 #define X(id, name, help) CTR_##id,
--- a/src/kernel/engine.c
+++ b/src/kernel/engine.c
@@ -60,6 +60,7 @@
 static struct plugin plugin = {
 	.name = "engine",
 	.rank = RANK_ENGINE,
+	.form = FORM_HTTP,
 	.start = start,
 	.drained = drained,
 	.stop = stop,
--- a/src/kernel/kernel.c
+++ b/src/kernel/kernel.c
@@ -21,6 +21,7 @@
 	log_event(EV_VM_START, "domain=%s region=%s incarnation=%llu",
 		  k->settings.domain, k->settings.region,
 		  (unsigned long long)k->incarnation);
+	plugin_select(k->settings.form);
 	return plugin_start_all(k, e);
 }
 
--- a/src/kernel/log.c
+++ b/src/kernel/log.c
@@ -14,17 +14,17 @@
 #define EVENT_NAME_BYTES 32
 
 struct event_info {
-	enum event event;
+	enum event_id event;
 	enum log_level level;
 	char name[EVENT_NAME_BYTES]; /* lower case */
 	const char *text;
 };
 
 static struct event_info events[] = {
-#define X(number, id, lvl, about)        \
-	{ .event = (enum event)(number), \
-	  .level = LOG_##lvl,            \
-	  .name = #id,                   \
+#define X(number, id, lvl, about)           \
+	{ .event = (enum event_id)(number), \
+	  .level = LOG_##lvl,               \
+	  .name = #id,                      \
 	  .text = (about) },
 	EVENT_TABLE(X)
 #undef X
@@ -49,7 +49,7 @@
 static const char *format_line(const log4c_layout_t *l,
 			       const log4c_logging_event_t *ev);
 static int write_line(log4c_appender_t *a, const log4c_logging_event_t *ev);
-static const struct event_info *find(enum event ev);
+static const struct event_info *find(enum event_id ev);
 static void write_event(const struct event_info *info, char *text);
 static void clean(char *text);
 
@@ -115,7 +115,7 @@
  * Writes an event with its fields to the log and to the time line. Events of
  * level debug are made only if the log's level is debug.
  */
-void log_event(enum event ev, const char *fmt, ...)
+void log_event(enum event_id ev, const char *fmt, ...)
 {
 	const struct event_info *info = find(ev);
 	char text[LINE_BYTES];
@@ -130,7 +130,7 @@
 }
 
 /* Writes an error as an event, with its code, step, peer and message. */
-void log_error(enum event ev, const struct error *err)
+void log_error(enum event_id ev, const struct error *err)
 {
 	log_event(ev, "code=%s step=%s peer=%s message=\"%s\"",
 		  error_code_name(err->code), step_name(err->step),
@@ -138,7 +138,7 @@
 }
 
 /* Returns what an event means, or "unknown event". */
-const char *event_text(enum event ev)
+const char *event_text(enum event_id ev)
 {
 	const struct event_info *info = find(ev);
 
@@ -146,7 +146,7 @@
 }
 
 /* Returns an event's name in lower case, or "unknown". */
-const char *event_name(enum event ev)
+const char *event_name(enum event_id ev)
 {
 	const struct event_info *info = find(ev);
 
@@ -169,7 +169,7 @@
 }
 
 /* Finds an event in the table; NULL if there is none of that number. */
-static const struct event_info *find(enum event ev)
+static const struct event_info *find(enum event_id ev)
 {
 	size_t i;
 
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -23,9 +23,19 @@
 	X(1005, VM_FAIL, ERROR, "VM cannot start")                         \
 	X(2001, CALLER_REFUSED, DEBUG, "request refused")                  \
 	X(2002, CALLER_UNKNOWN, WARN, "outcome of a request unknown")      \
+	X(2003, STATEMENT_DONE, INFO, "statement answered")                \
+	X(2004, STATEMENT_REFUSED, INFO, "statement refused or failed")    \
+	X(2005, STATEMENT_AGAIN, INFO, "statement tried elsewhere")        \
+	X(2006, TRANSACTION_IDLE, INFO, "idle transaction ended")          \
+	X(2007, TRANSACTION_LOST, WARN, "transaction lost its connection") \
 	X(3001, DB_LOST, WARN, "database does not answer")                 \
 	X(3002, DB_BACK, INFO, "database answers again")                   \
 	X(3003, DB_SUSPECT, WARN, "connection closed after overdue reply") \
+	X(3004, DB_JOINED, INFO, "database registered")                    \
+	X(3005, DB_LEFT, INFO, "database left the registry")               \
+	X(3006, DB_DEPARTS, INFO, "database departs, or no longer does")   \
+	X(3007, BACKEND_OPENED, INFO, "connection to a database opened")   \
+	X(3008, BACKEND_CLOSED, INFO, "connection to a database closed")   \
 	X(4001, PROMOTE_SUSPECT, WARN, "primary suspected")                \
 	X(4002, PROMOTE_CLAIM, INFO, "term claimed")                       \
 	X(4003, PROMOTE_FENCE, INFO, "group fenced by majority")           \
@@ -34,6 +44,7 @@
 	X(4006, PROMOTE_GIVE_UP, WARN, "promotion given up")               \
 	X(4007, PROMOTE_VIEW, INFO, "new primary known")                   \
 	X(4008, HANDOVER_START, INFO, "planned hand-over begins")          \
+	X(4009, SUCCESSION, INFO, "change of primary moves on")            \
 	X(5001, ESCROW_RECOUNT, INFO, "recount of a team limit")           \
 	X(5002, TEAM_REFUSED, DEBUG, "request over the team's rate")       \
 	X(6001, CONFIG_APPLIED, INFO, "configuration object applied")      \
@@ -41,11 +52,12 @@
 	X(6003, PLATFORM_DOWN, WARN, "platform does not answer")           \
 	X(6004, PLATFORM_BACK, INFO, "platform answers again")             \
 	X(6005, AUDIT, INFO, "administrative change")                      \
+	X(6006, SETTINGS_RELOADED, INFO, "settings file read again")       \
 	X(7001, PEER_BAD_MESSAGE, WARN, "message of a peer refused")       \
 	X(7002, PEER_JOINED, INFO, "VM joined")                            \
 	X(7003, PEER_GONE, WARN, "VM gone")
 
-enum event {
+enum event_id {
 #define X(number, id, level, text) EV_##id = (number),
 	EVENT_TABLE(X)
 #undef X
@@ -58,10 +70,10 @@
  * fields; never a key, a secret or a statement parameter. Events of level
  * debug are dropped, also from the time line, unless the log's level is debug.
  */
-void log_event(enum event ev, const char *fmt, ...)
+void log_event(enum event_id ev, const char *fmt, ...)
 	__attribute__((format(printf, 2, 3)));
-void log_error(enum event ev, const struct error *err);
-const char *event_text(enum event ev);
-const char *event_name(enum event ev);
+void log_error(enum event_id ev, const struct error *err);
+const char *event_text(enum event_id ev);
+const char *event_name(enum event_id ev);
 
 #endif
--- a/src/kernel/loop.h
+++ b/src/kernel/loop.h
@@ -19,6 +19,7 @@
 #define HTTP_URL_BYTES	256
 #define HTTP_ETAG_BYTES 40
 #define HTTP_AUTH_BYTES 160
+#define HTTP_EXTRA	2
 
 /*
  * One HTTP call, owned by whoever starts it, from loop_http() until done() is
@@ -33,6 +34,7 @@
 	char if_match[HTTP_ETAG_BYTES];	     /* sent as If-Match: "..." */
 	bool if_none_match;		     /* sent as If-None-Match: * */
 	char authorization[HTTP_AUTH_BYTES]; /* bearer token, may be empty */
+	char extra[HTTP_EXTRA][HTTP_AUTH_BYTES]; /* further header lines */
 	usec_t timeout;			     /* from start to end */
 	size_t reply_max;		     /* bytes; larger replies fail */
 	bool fresh;			     /* on a new connection */
--- a/src/kernel/loop_http.c
+++ b/src/kernel/loop_http.c
@@ -231,6 +231,7 @@
 {
 	char line[HTTP_AUTH_BYTES + 32];
 	long ms = (long)(c->timeout / USEC_PER_MSEC);
+	size_t i;
 
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(easy, CURLOPT_PROXY, "");
@@ -261,6 +262,10 @@
 		if (add_header(c, line))
 			return -1;
 	}
+	for (i = 0; i < HTTP_EXTRA; i++) {
+		if (c->extra[i][0] && add_header(c, c->extra[i]))
+			return -1;
+	}
 	if (c->body && set_body(c, easy))
 		return -1;
 	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, c->method);
--- a/src/kernel/platform.h
+++ b/src/kernel/platform.h
@@ -25,8 +25,10 @@
 	PLATFORM_WATCH,
 	PLATFORM_VMS,
 	PLATFORM_ANNOUNCE,
+	PLATFORM_PROMOTE, /* a database, under a fencing token */
 };
 
+
 enum platform_result {
 	PLATFORM_OK,
 	PLATFORM_CONFLICT, /* the version was not the expected one */
@@ -39,6 +41,8 @@
 struct platform_call {
 	enum platform_op op;
 	char name[OBJECT_NAME_BYTES]; /* object, or prefix */
+	char from[OBJECT_NAME_BYTES]; /* LIST: go on after this name;
+					 PROMOTE: the database */
 	char *body;		      /* PUT, ANNOUNCE; owned by the maker */
 	uint64_t version; /* in: expected (0: must not exist); out: current */
 	uint64_t after;	  /* WATCH: revision */
--- a/src/kernel/plugin.c
+++ b/src/kernel/plugin.c
@@ -4,10 +4,13 @@
 
 /* Registered plug-ins, in the order of rank; filled in before main(). */
 static struct plugin *first;
-/* How many of them have been started, counted from the first. */
+/* How many of them have been passed by the start, counted from the first. */
 static int started;
+/* Plug-ins of other forms are left out. */
+static enum vm_form form = FORM_HTTP;
 
 static void stop_started(struct kernel *k);
+static bool applies(const struct plugin *p);
 
 /*
  * Puts a plug-in in its place by rank; equal ranks keep the order of
@@ -23,6 +26,12 @@
 	*at = p;
 }
 
+/* Sets the VM's form, before the start. */
+void plugin_select(enum vm_form f)
+{
+	form = f;
+}
+
 /* Returns the plug-in of the lowest rank. */
 struct plugin *plugin_first(void)
 {
@@ -39,7 +48,7 @@
 
 	started = 0;
 	for (p = first; p; p = p->next) {
-		if (p->start && p->start(k, e) == -1) {
+		if (applies(p) && p->start && p->start(k, e) == -1) {
 			stop_started(k);
 			return -1;
 		}
@@ -58,7 +67,7 @@
 	for (n = started; n > 0; n--) {
 		for (p = first, i = 1; i < n; i++)
 			p = p->next;
-		if (p->drain)
+		if (applies(p) && p->drain)
 			p->drain(k);
 	}
 }
@@ -70,7 +79,7 @@
 	int n = 0;
 
 	for (p = first; p && n < started; p = p->next, n++) {
-		if (p->drained && !p->drained(k))
+		if (applies(p) && p->drained && !p->drained(k))
 			return false;
 	}
 	return true;
@@ -91,7 +100,13 @@
 	for (; started > 0; started--) {
 		for (p = first, i = 1; i < started; i++)
 			p = p->next;
-		if (p->stop)
+		if (applies(p) && p->stop)
 			p->stop(k);
 	}
 }
+
+/* Is the plug-in for VMs of this form? */
+static bool applies(const struct plugin *p)
+{
+	return p->form == FORM_ANY || p->form == form;
+}
--- a/src/kernel/plugin.h
+++ b/src/kernel/plugin.h
@@ -1,7 +1,7 @@
 #ifndef KERNEL_PLUGIN_H
 #define KERNEL_PLUGIN_H
 
-#include "decide/error.h"
+#include "kernel/settings.h"
 
 struct kernel;
 
@@ -15,6 +15,7 @@
 struct plugin {
 	const char *name;
 	int rank;
+	enum vm_form form; /* a VM of another form leaves it out */
 	int (*start)(struct kernel *k, struct error *e);
 	void (*drain)(struct kernel *k); /* begins; must not block */
 	bool (*drained)(struct kernel *k);
@@ -37,6 +38,7 @@
 };
 
 void plugin_register(struct plugin *p);
+void plugin_select(enum vm_form form);
 struct plugin *plugin_first(void);
 int plugin_start_all(struct kernel *k, struct error *e);
 void plugin_drain_all(struct kernel *k);
--- a/src/kernel/settings.c
+++ b/src/kernel/settings.c
@@ -20,6 +20,7 @@
 	SETTING_HASH,
 	SETTING_PEERS, /* a list of ip:port */
 	SETTING_LEVEL,
+	SETTING_FORM,
 	SETTING_NUMBER,
 };
 
@@ -29,6 +30,7 @@
 	enum setting_type type;
 	size_t offset; /* in struct settings */
 	bool optional;
+	enum vm_form only; /* needed by VMs of this form only */
 	uint32_t min;
 	uint32_t max;
 	uint32_t preset;
@@ -45,15 +47,29 @@
 		.min = (lo), .max = (hi), .preset = (def)                 \
 	}
 
+#define TEXT_OF(k, t, f)                               \
+	{                                              \
+		.key = #k, .type = (t), .only = (f),   \
+		.offset = offsetof(struct settings, k) \
+	}
+
+/* The form comes first: what else is needed depends on it. */
 static const struct setting table[] = {
+	{ .key = "form",
+	  .type = SETTING_FORM,
+	  .offset = offsetof(struct settings, form),
+	  .optional = true,
+	  .preset = FORM_HTTP },
 	TEXT(vm, SETTING_NAME),
 	TEXT(domain, SETTING_NAME),
 	TEXT(region, SETTING_NAME),
 	TEXT(caller_listen, SETTING_LISTEN),
-	TEXT(admin_listen, SETTING_LISTEN),
+	TEXT_OF(admin_listen, SETTING_LISTEN, FORM_HTTP),
+	TEXT_OF(ready_listen, SETTING_LISTEN, FORM_SESSIONS),
 	TEXT(peer_listen, SETTING_LISTEN),
 	TEXT(platform, SETTING_ADDRESS),
-	TEXT(operator_key_hash, SETTING_HASH),
+	TEXT_OF(promotion, SETTING_ADDRESS, FORM_SESSIONS),
+	TEXT_OF(operator_key_hash, SETTING_HASH, FORM_HTTP),
 	{ .key = "peer_secret",
 	  .type = SETTING_HASH,
 	  .offset = offsetof(struct settings, peer_secret),
@@ -121,6 +137,8 @@
 		      const json_t *v);
 static void read_level(const struct check *c, const struct setting *t,
 		       const json_t *v);
+static void read_form(const struct check *c, const struct setting *t,
+		      const json_t *v);
 static void read_peers(const struct check *c, const struct setting *t,
 		       const json_t *v);
 static void refuse_unknown(const struct check *c, json_t *root);
@@ -254,6 +272,7 @@
 {
 	size_t i;
 
+	s->form = FORM_HTTP;
 	s->log_level = LOG_INFO;
 	for (i = 0; i < SETTINGS; i++) {
 		if (table[i].type == SETTING_NUMBER)
@@ -267,7 +286,8 @@
 			 const json_t *v)
 {
 	if (!v) {
-		if (!t->optional)
+		if (!t->optional &&
+		    (t->only == FORM_ANY || t->only == c->settings->form))
 			fail(c, t->key, NULL, "missing: must be given");
 		return;
 	}
@@ -278,6 +298,9 @@
 	case SETTING_LEVEL:
 		read_level(c, t, v);
 		break;
+	case SETTING_FORM:
+		read_form(c, t, v);
+		break;
 	case SETTING_PEERS:
 		read_peers(c, t, v);
 		break;
@@ -397,6 +420,26 @@
 	}
 }
 
+/* Stores the VM's form. */
+static void read_form(const struct check *c, const struct setting *t,
+		      const json_t *v)
+{
+	static const char *const names[] = {
+		[FORM_HTTP] = "http",
+		[FORM_SESSIONS] = "sessions",
+	};
+	const char *text = json_string_value(v);
+	uint32_t i;
+
+	for (i = FORM_HTTP; text && i <= FORM_SESSIONS; i++) {
+		if (strcmp(text, names[i]) == 0) {
+			c->settings->form = (enum vm_form)i;
+			return;
+		}
+	}
+	fail(c, t->key, v, "must be \"http\" or \"sessions\"");
+}
+
 /* Checks the bounds that tie two settings together. */
 static void check_pairs(const struct check *c)
 {
--- a/src/kernel/settings.h
+++ b/src/kernel/settings.h
@@ -6,12 +6,19 @@
 
 #define SEED_PEERS_MAX 16
 
+enum vm_form {
+	FORM_ANY,
+	FORM_HTTP,     /* statements as HTTP requests, own platform objects */
+	FORM_SESSIONS, /* sessions on connections, the platform's registry */
+};
+
 /*
  * A VM's settings, from one JSON file; man/gypsumcleat.json.5 tells all. A
  * plug-in that listens writes the bound address, with its port, back into its
  * *_listen field before its start() returns.
  */
 struct settings {
+	enum vm_form form;		    /* "form": "http" or "sessions" */
 	char vm[NAME_MAX_BYTES];	    /* "vm": this VM's name */
 	char domain[NAME_MAX_BYTES];	    /* "domain": failure domain */
 	char region[NAME_MAX_BYTES];	    /* "region" */
@@ -19,6 +26,8 @@
 	char admin_listen[ADDR_MAX_BYTES];  /* "admin_listen" */
 	char peer_listen[ADDR_MAX_BYTES];   /* "peer_listen" */
 	char platform[ADDR_MAX_BYTES];	    /* "platform": ip:port */
+	char ready_listen[ADDR_MAX_BYTES];  /* "ready_listen": probes */
+	char promotion[ADDR_MAX_BYTES];	    /* "promotion": ip:port */
 	char operator_key_hash[65]; /* "operator_key_hash": hex of BLAKE2b-256
 				     */
 	char peer_secret[65]; /* "peer_secret": 32 bytes in hex, or empty */
--- a/src/kernel/timeline.c
+++ b/src/kernel/timeline.c
@@ -58,7 +58,7 @@
 }
 
 /* Stamps an event and adds it, over the oldest if the ring is full. */
-void timeline_add(enum event ev, const char *text)
+void timeline_add(enum event_id ev, const char *text)
 {
 	struct timeline_event *t;
 
--- a/src/kernel/timeline.h
+++ b/src/kernel/timeline.h
@@ -14,13 +14,13 @@
 struct timeline_event {
 	uint64_t number; /* per VM, without gaps */
 	struct hlc at;
-	enum event event;
+	enum event_id event;
 	char text[TIMELINE_TEXT_BYTES];
 };
 
 int timeline_open(uint32_t events, struct error *e);
 void timeline_close(void);
-void timeline_add(enum event ev, const char *text);
+void timeline_add(enum event_id ev, const char *text);
 /* Merges a peer's stamp, so that what follows is ordered after it. */
 void timeline_observe(struct hlc seen);
 struct hlc timeline_stamp(void);
--- a/src/plugins/admin_http.c
+++ b/src/plugins/admin_http.c
@@ -44,6 +44,7 @@
 static struct plugin plugin = {
 	.name = "admin_http",
 	.rank = RANK_ADMIN,
+	.form = FORM_HTTP,
 	.start = start,
 	.stop = stop,
 };
--- a/src/plugins/caller_serve.c
+++ b/src/plugins/caller_serve.c
@@ -17,6 +17,7 @@
 static struct plugin plugin = {
 	.name = "caller_http",
 	.rank = RANK_CALLER,
+	.form = FORM_HTTP,
 	.start = start,
 	.drained = drained,
 	.stop = stop,
--- a/src/plugins/config_sync.c
+++ b/src/plugins/config_sync.c
@@ -81,6 +81,7 @@
 static struct plugin plugin = {
 	.name = "config_sync",
 	.rank = RANK_CONFIG,
+	.form = FORM_HTTP,
 	.start = start,
 	.drain = drain,
 };
--- a/src/plugins/database_http.c
+++ b/src/plugins/database_http.c
@@ -25,6 +25,7 @@
 static struct plugin plugin = {
 	.name = "database_http",
 	.rank = RANK_DATABASE,
+	.form = FORM_HTTP,
 	.start = start,
 };
 PLUGIN_REGISTER(plugin)
--- a/src/plugins/gossip.c
+++ b/src/plugins/gossip.c
@@ -34,6 +34,7 @@
 static struct plugin plugin = {
 	.name = "gossip",
 	.rank = RANK_GOSSIP,
+	.form = FORM_HTTP,
 	.start = start,
 	.stop = stop,
 };
--- a/src/plugins/peer_zmq.c
+++ b/src/plugins/peer_zmq.c
@@ -74,6 +74,7 @@
 static struct plugin plugin = {
 	.name = "peer_zmq",
 	.rank = RANK_PEER,
+	.form = FORM_HTTP,
 	.start = start,
 	.stop = stop,
 };
--- a/src/plugins/platform_http.c
+++ b/src/plugins/platform_http.c
@@ -38,6 +38,7 @@
 static struct plugin plugin = {
 	.name = "platform_http",
 	.rank = RANK_PLATFORM,
+	.form = FORM_HTTP,
 	.start = start,
 	.stop = stop,
 };
--- a/src/plugins/platform_wire.c
+++ b/src/plugins/platform_wire.c
@@ -45,6 +45,8 @@
 	case PLATFORM_ANNOUNCE:
 		h->method = "POST";
 		break;
+	case PLATFORM_PROMOTE:
+		return -1; /* this platform's databases are asked directly */
 	case PLATFORM_PUT:
 		h->method = "PUT";
 		h->if_none_match = c->version == 0;
@@ -103,6 +105,8 @@
 			     "&wait_ms=%" PRIu32,
 			     address, c->name, c->after, c->wait_ms);
 		break;
+	case PLATFORM_PROMOTE:
+		break;
 	case PLATFORM_VMS:
 	case PLATFORM_ANNOUNCE:
 		n = snprintf(h->url, size, "http://%s/v1/vms", address);
--- a/src/plugins/teams.c
+++ b/src/plugins/teams.c
@@ -24,6 +24,7 @@
 static struct plugin plugin = {
 	.name = "teams",
 	.rank = RANK_TEAMS,
+	.form = FORM_HTTP,
 	.start = start,
 	.drain = drain,
 	.drained = drained,
--- a/src/plugins/vm_state.c
+++ b/src/plugins/vm_state.c
@@ -10,6 +10,7 @@
 static struct plugin plugin = {
 	.name = "vm_state",
 	.rank = RANK_STATE,
+	.form = FORM_HTTP,
 	.start = start,
 	.stop = stop,
 };
--- /dev/null
+++ b/src/proxy/catalog.c
@@ -0,0 +1,96 @@
+#include "proxy/catalog.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static int by_host(const void *a, const void *b);
+static int by_key(const void *a, const void *b);
+
+/* Makes an empty catalogue with room for so many entries; NULL if memory is
+ * short. */
+struct catalog *catalog_create(uint32_t routes, uint32_t services,
+			       uint32_t teams, uint32_t keys)
+{
+	struct catalog *c = calloc(1, sizeof(*c));
+
+	if (!c)
+		return NULL;
+	c->routes = calloc(routes + 1, sizeof(*c->routes));
+	c->services = calloc(services + 1, sizeof(*c->services));
+	c->teams = calloc(teams + 1, sizeof(*c->teams));
+	c->keys = calloc(keys + 1, sizeof(*c->keys));
+	if (c->routes && c->services && c->teams && c->keys)
+		return c;
+	catalog_destroy(c);
+	return NULL;
+}
+
+/* Frees a catalogue; NULL is allowed. */
+void catalog_destroy(struct catalog *c)
+{
+	uint32_t i;
+
+	if (!c)
+		return;
+	for (i = 0; i < c->n_routes; i++)
+		free(c->routes[i].host);
+	for (i = 0; i < c->n_keys; i++)
+		free(c->keys[i].key);
+	free(c->routes);
+	free(c->services);
+	free(c->teams);
+	free(c->keys);
+	free(c);
+}
+
+/* Sorts what is looked up by bisection. */
+void catalog_sort(struct catalog *c)
+{
+	qsort(c->routes, c->n_routes, sizeof(*c->routes), by_host);
+	qsort(c->keys, c->n_keys, sizeof(*c->keys), by_key);
+}
+
+/* Finds the route of a host; NULL if there is none. */
+const struct catalog_route *catalog_route(const struct catalog *c,
+					  const char *host)
+{
+	const struct catalog_route want = { .host = (char *)host };
+
+	return bsearch(&want, c->routes, c->n_routes, sizeof(want), by_host);
+}
+
+/* Finds a service by name; NULL if there is none. */
+const struct catalog_service *catalog_service(const struct catalog *c,
+					      const char *name)
+{
+	uint32_t i;
+
+	for (i = 0; i < c->n_services; i++) {
+		if (strcmp(c->services[i].name, name) == 0)
+			return &c->services[i];
+	}
+	return NULL;
+}
+
+/* Finds the team of a key; NULL if no team holds it. */
+const struct catalog_team *catalog_team(const struct catalog *c,
+					const char *key)
+{
+	const struct catalog_key want = { .key = (char *)key };
+	const struct catalog_key *found;
+
+	found = bsearch(&want, c->keys, c->n_keys, sizeof(want), by_key);
+	return found ? &c->teams[found->team] : NULL;
+}
+
+static int by_host(const void *a, const void *b)
+{
+	return strcmp(((const struct catalog_route *)a)->host,
+		      ((const struct catalog_route *)b)->host);
+}
+
+static int by_key(const void *a, const void *b)
+{
+	return strcmp(((const struct catalog_key *)a)->key,
+		      ((const struct catalog_key *)b)->key);
+}
--- /dev/null
+++ b/src/proxy/cluster.c
@@ -0,0 +1,392 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "kernel/log.h"
+#include "proxy/proxy_own.h"
+
+/* A primary in use is proved again when this part of the guard has passed. */
+#define PROOF_AGE_PARTS 2
+/* The primary counts as used for so long after a statement for it. */
+#define WANTED_FOR_US (2 * USEC_PER_SEC)
+/* Least pause between two questions to one database. */
+#define ASK_PAUSE_US (100 * USEC_PER_MSEC)
+/* Expected work of a database that has answered nothing yet. */
+#define LATENCY_FIRST_US (20 * USEC_PER_MSEC)
+
+static struct pgroup *make_group(struct proxy *p, const char *service);
+static void apply_one(struct pgroup *g, const struct registry_db *r);
+static void remove_db(struct pdb *db, const char *why);
+static void on_status(void *ctx, struct pdb *db, bool ok,
+		      const struct db_report *report, usec_t asked_at);
+static void tick_db(struct pdb *db, usec_t now);
+static void prove(struct pgroup *g, usec_t now);
+static uint32_t index_of(const struct pdb *db);
+
+/* Finds a service's group; NULL if the configuration has none. */
+struct pgroup *cluster_group(struct proxy *p, const char *service)
+{
+	uint32_t i;
+
+	for (i = 0; i < p->n_groups; i++) {
+		if (strcmp(p->groups[i]->service, service) == 0)
+			return p->groups[i];
+	}
+	return NULL;
+}
+
+/* Brings a new catalogue into force: groups, limits of teams. */
+void cluster_apply_catalog(struct proxy *p, usec_t now)
+{
+	const struct catalog *c = p->catalog;
+	struct pgroup *g;
+	uint32_t i;
+
+	for (i = 0; i < c->n_services; i++) {
+		g = cluster_group(p, c->services[i].name);
+		if (!g)
+			g = make_group(p, c->services[i].name);
+		if (g)
+			g->connections = c->services[i].connections;
+	}
+	for (i = 0; i < c->n_teams; i++) {
+		if (!quota_limit(p->quota, c->teams[i].name,
+				 c->teams[i].rate_per_s, c->teams[i].burst,
+				 now))
+			log_event(EV_CONFIG_REFUSED,
+				  "team=%s reason=\"no room for its limit\"",
+				  c->teams[i].name);
+	}
+}
+
+/* Takes in the list of databases. */
+void cluster_apply_databases(struct proxy *p, const struct registry_db *db,
+			     uint32_t n, bool whole)
+{
+	bool seen;
+	uint32_t i;
+	uint32_t j;
+	uint32_t k;
+
+	for (i = 0; i < n; i++) {
+		struct pgroup *g = cluster_group(p, db[i].service);
+
+		if (g)
+			apply_one(g, &db[i]);
+	}
+	for (i = 0; whole && i < p->n_groups; i++) {
+		for (j = 0; j < GROUP_DBS_MAX; j++) {
+			struct pdb *d = &p->groups[i]->db[j];
+
+			seen = !d->present;
+			for (k = 0; k < n && !seen; k++)
+				seen = strcmp(db[k].id, d->id) == 0 &&
+				       strcmp(db[k].service,
+					      d->group->service) == 0;
+			if (!seen)
+				remove_db(d, "left the registry");
+		}
+	}
+	for (i = 0; i < p->n_groups; i++)
+		dispatch_pump(p->groups[i]);
+}
+
+/* Does what time brings: overdue replies, proofs, promotions, the queue. */
+void cluster_tick(struct proxy *p, usec_t now)
+{
+	uint32_t i;
+	uint32_t j;
+
+	for (i = 0; i < p->n_groups; i++) {
+		struct pgroup *g = p->groups[i];
+
+		for (j = 0; j < GROUP_DBS_MAX; j++)
+			tick_db(&g->db[j], now);
+		prove(g, now);
+		failover_tick(g, now);
+		if (g->n_waiting > 0)
+			dispatch_pump(g);
+	}
+}
+
+/* A database answered something asked at "asked_at"; its log is at "at". */
+void cluster_heard(struct pdb *db, usec_t asked_at, const struct log_pos *at)
+{
+	struct pgroup *g = db->group;
+
+	if (!at)
+		return;
+	db->at = *at;
+	if (index_of(db) != g->primary) {
+		lead_followed(&g->lead, *at);
+		return;
+	}
+	if (lead_holds(&g->lead, asked_at, g->proxy->policy.guard))
+		lead_sample(&g->lead, asked_at, *at);
+}
+
+/* A database leads the group from now on, in this term. */
+void cluster_lead(struct pgroup *g, uint32_t db, uint64_t term,
+		  usec_t proved_at, const char *source)
+{
+	usec_t now = proxy_now();
+
+	if (g->primary == db && g->lead.term == term)
+		return;
+	log_event(EV_PROMOTE_VIEW,
+		  "service=%s database=%s term=%llu former_term=%llu source=%s",
+		  g->service, g->db[db].id, (unsigned long long)term,
+		  (unsigned long long)g->lead.term, source);
+	if (g->lead.term != term)
+		lead_begin(&g->lead, term);
+	if (proved_at)
+		lead_unpaused(&g->lead, proved_at, term);
+	g->primary = db;
+	g->db[db].says_primary = true;
+	succession_superseded(&g->succession, now);
+	prove(g, now);
+	dispatch_pump(g);
+}
+
+/* Finds out anew who leads. */
+void cluster_doubt(struct pgroup *g, usec_t now)
+{
+	uint32_t i;
+
+	if (g->primary != DB_NONE) {
+		log_event(EV_PROMOTE_SUSPECT,
+			  "service=%s database=%s cause=read_only", g->service,
+			  g->db[g->primary].id);
+		g->db[g->primary].says_primary = false;
+	}
+	g->primary = DB_NONE;
+	for (i = 0; i < GROUP_DBS_MAX; i++)
+		cluster_probe(&g->db[i], now);
+	registry_hurry(g->proxy->registry, now);
+}
+
+/* May statements that need the primary go to it now? */
+bool cluster_primary_usable(struct pgroup *g, usec_t now)
+{
+	if (g->primary == DB_NONE)
+		return false;
+	if (lead_holds(&g->lead, now, g->proxy->policy.guard))
+		return true;
+	prove(g, now);
+	return false;
+}
+
+/* Asks on an idle connection, or opens one for it. */
+bool cluster_ask(struct pdb *db, enum control_verb verb, uint64_t term,
+		 control_fn fn, void *ctx)
+{
+	const struct catalog *c = db->group->proxy->catalog;
+	struct backend *b = pool_any(db);
+
+	if (!b) {
+		if (!c || c->n_teams == 0 || proxy_now() < db->retry_at)
+			return false;
+		b = backend_open(db, c->teams[0].name);
+	}
+	if (!b)
+		return false;
+	backend_control(b, verb, term, fn, ctx);
+	return true;
+}
+
+/* Asks for the status, but not too often. */
+void cluster_probe(struct pdb *db, usec_t now)
+{
+	if (!db->present || db->probing || now - db->probed_at < ASK_PAUSE_US)
+		return;
+	db->probed_at = now;
+	db->probing = cluster_ask(db, CONTROL_STATUS, 0, on_status, NULL);
+}
+
+/* The index of a database by id; DB_NONE if it is not there. */
+uint32_t cluster_find(const struct pgroup *g, const char *id)
+{
+	uint32_t i;
+
+	for (i = 0; i < GROUP_DBS_MAX; i++) {
+		if (g->db[i].present && strcmp(g->db[i].id, id) == 0)
+			return i;
+	}
+	return DB_NONE;
+}
+
+static struct pgroup *make_group(struct proxy *p, const char *service)
+{
+	struct pgroup **more;
+	struct pgroup *g = calloc(1, sizeof(*g));
+	uint32_t i;
+
+	more = realloc(p->groups, (p->n_groups + 1) * sizeof(*more));
+	if (more)
+		p->groups = more;
+	if (!g || !more) {
+		free(g);
+		return NULL;
+	}
+	g->proxy = p;
+	snprintf(g->service, sizeof(g->service), "%s", service);
+	g->primary = DB_NONE;
+	lead_init(&g->lead);
+	TAILQ_INIT(&g->waiting);
+	for (i = 0; i < GROUP_DBS_MAX; i++) {
+		g->db[i].group = g;
+		TAILQ_INIT(&g->db[i].conns);
+	}
+	failover_init(g);
+	p->groups[p->n_groups++] = g;
+	return g;
+}
+
+/* Takes in one database: a new one, or what has changed. */
+static void apply_one(struct pgroup *g, const struct registry_db *r)
+{
+	uint32_t i = cluster_find(g, r->id);
+	struct pdb *d;
+
+	if (i != DB_NONE &&
+	    (strcmp(g->db[i].address, r->address) != 0 ||
+	     (r->born && g->db[i].born && r->born != g->db[i].born))) {
+		remove_db(&g->db[i], "started again");
+		i = DB_NONE;
+	}
+	if (i == DB_NONE) {
+		for (i = 0; i < GROUP_DBS_MAX; i++) {
+			if (!g->db[i].present && TAILQ_EMPTY(&g->db[i].conns))
+				break;
+		}
+		if (i == GROUP_DBS_MAX) {
+			log_event(EV_CONFIG_REFUSED,
+				  "service=%s database=%s reason=\"group is "
+				  "full\"",
+				  g->service, r->id);
+			return;
+		}
+		d = &g->db[i];
+		memset(d, 0, sizeof(*d));
+		d->group = g;
+		TAILQ_INIT(&d->conns);
+		d->present = true;
+		snprintf(d->id, sizeof(d->id), "%s", r->id);
+		snprintf(d->address, sizeof(d->address), "%s", r->address);
+		snprintf(d->domain, sizeof(d->domain), "%s", r->domain);
+		d->limit = UINT32_MAX;
+		d->latency = LATENCY_FIRST_US;
+		log_event(EV_DB_JOINED,
+			  "service=%s database=%s address=%s domain=%s "
+			  "primary=%d",
+			  g->service, d->id, d->address, d->domain, r->primary);
+	}
+	d = &g->db[i];
+	if (d->departing != r->departing)
+		log_event(EV_DB_DEPARTS, "service=%s database=%s departing=%d",
+			  g->service, d->id, r->departing);
+	d->born = r->born;
+	d->slots = r->slots;
+	d->departing = r->departing;
+	d->says_primary = r->primary;
+}
+
+/* A database has left, or is another one under the same id. */
+static void remove_db(struct pdb *db, const char *why)
+{
+	struct pgroup *g = db->group;
+	struct backend *next;
+	struct backend *b;
+
+	log_event(EV_DB_LEFT, "service=%s database=%s reason=\"%s\"",
+		  g->service, db->id, why);
+	db->present = false;
+	if (index_of(db) == g->primary)
+		g->primary = DB_NONE;
+	for (b = TAILQ_FIRST(&db->conns); b; b = next) {
+		next = TAILQ_NEXT(b, link);
+		if (b->state == BACKEND_IDLE)
+			backend_close(b, why);
+	}
+}
+
+/* Takes in what a database says of itself. */
+static void on_status(void *ctx, struct pdb *db, bool ok,
+		      const struct db_report *report, usec_t asked_at)
+{
+	struct pgroup *g = db->group;
+	uint32_t i = index_of(db);
+
+	(void)ctx;
+	db->probing = false;
+	if (!ok || !db->present)
+		return;
+	if (report->primary) {
+		if (report->term > g->lead.term ||
+		    (report->term == g->lead.term && g->primary == DB_NONE))
+			cluster_lead(g, i, report->term, 0, "status");
+		return;
+	}
+	db->says_primary = false;
+	if (i == g->primary && report->term >= g->lead.term) {
+		cluster_doubt(g, proxy_now());
+		return;
+	}
+	if (report->held_term <= g->lead.term) {
+		lead_unpaused(&g->lead, asked_at, report->term);
+		g->paused_since = 0;
+	} else if (g->paused_since == 0) {
+		g->paused_since = proxy_now();
+	}
+	if (report->term > g->lead.term && g->lead.term > 0)
+		registry_hurry(g->proxy->registry, proxy_now());
+	dispatch_pump(g);
+}
+
+/* Closes what is overdue or of no more use at one database. */
+static void tick_db(struct pdb *db, usec_t now)
+{
+	struct backend *next;
+	struct backend *b;
+
+	for (b = TAILQ_FIRST(&db->conns); b; b = next) {
+		next = TAILQ_NEXT(b, link);
+		if (b->state == BACKEND_IDLE && (db->departing || !db->present))
+			backend_close(b, "database leaves");
+		else
+			backend_tick(b, now);
+	}
+	if (db->present && db->says_primary &&
+	    index_of(db) != db->group->primary)
+		cluster_probe(db, now);
+}
+
+/* Asks replicas, in turn, while the primary is in use and its proof ages. */
+static void prove(struct pgroup *g, usec_t now)
+{
+	usec_t due = g->proxy->policy.guard / PROOF_AGE_PARTS;
+	uint32_t i;
+
+	if (g->primary == DB_NONE)
+		return;
+	if (g->lead.proved_at != INT64_MIN &&
+	    (now - g->lead.proved_at < due ||
+	     now - g->wanted_at > WANTED_FOR_US))
+		return;
+	for (i = 0; i < GROUP_DBS_MAX; i++) {
+		uint32_t at = (g->next_probe + i) % GROUP_DBS_MAX;
+		struct pdb *d = &g->db[at];
+
+		if (at == g->primary || !d->present || d->probing ||
+		    now < d->retry_at || now - d->probed_at < ASK_PAUSE_US)
+			continue;
+		g->next_probe = at + 1;
+		cluster_probe(d, now);
+		return;
+	}
+}
+
+static uint32_t index_of(const struct pdb *db)
+{
+	return (uint32_t)(db - db->group->db);
+}
--- /dev/null
+++ b/src/proxy/failover.c
@@ -0,0 +1,258 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "kernel/counters.h"
+#include "kernel/log.h"
+#include "kernel/platform.h"
+#include "proxy/proxy_own.h"
+
+/* What was asked and not answered for so long is missed: six times the
+ * longest work of a statement on a primary. */
+#define SILENT_US (600 * USEC_PER_MSEC)
+/* Connections refused so often in a row: nothing listens there. */
+#define REFUSED_TRIES 2
+/* A group without a primary in the registry is left alone for so long. */
+#define NOBODY_US (500 * USEC_PER_MSEC)
+/* Replicas paused so long by somebody who has not promoted. */
+#define ABANDONED_US (2500 * USEC_PER_MSEC)
+/* What was asked and answered within this counts as heard. */
+#define ANSWERS_US (1500 * USEC_PER_MSEC)
+
+/* One question of the fence under way. */
+struct fence_call {
+	struct pgroup *group;
+	uint64_t term;
+	bool step_down;
+};
+
+static const struct succession_policy policy = {
+	.margin = 100 * USEC_PER_MSEC,
+	.stagger = 250 * USEC_PER_MSEC,
+	.phase_max = 2500 * USEC_PER_MSEC,
+	.again = 60 * USEC_PER_MSEC,
+	.back_off = 700 * USEC_PER_MSEC,
+	.catch_up = 400 * USEC_PER_MSEC,
+};
+
+static void fill_env(struct pgroup *g, usec_t now, struct succession_env *env);
+static void act(struct pgroup *g, const struct succession_action *a);
+static void ask_fence(struct pgroup *g, uint32_t db, enum control_verb verb,
+		      uint64_t term);
+static void on_fenced(void *ctx, struct pdb *db, bool ok,
+		      const struct db_report *report, usec_t asked_at);
+static void on_claimed(void *ctx, bool ok, uint64_t token);
+static void on_verified(void *ctx, bool ok, uint64_t token);
+static void on_promoted(void *ctx, enum promote_answer a);
+
+/* Prepares a group's succession. */
+void failover_init(struct pgroup *g)
+{
+	struct succession_policy own = policy;
+
+	own.guard = g->proxy->policy.guard;
+	succession_init(&g->succession, &own);
+}
+
+/* Moves the group's succession on. */
+void failover_tick(struct pgroup *g, usec_t now)
+{
+	struct succession *s = &g->succession;
+	enum succession_phase was = s->phase;
+	struct succession_actions out;
+	struct succession_env env;
+	uint32_t i;
+
+	fill_env(g, now, &env);
+	succession_tick(s, &env, &out);
+	if (s->phase != was)
+		log_event(EV_SUCCESSION,
+			  "service=%s phase=%s cause=%s token=%llu term=%llu "
+			  "hear=%u miss=%u rank=%u",
+			  g->service, succession_phase_name(s->phase),
+			  succession_cause_name(s->cause),
+			  (unsigned long long)s->token,
+			  (unsigned long long)s->term, env.hear, env.miss,
+			  env.rank);
+	for (i = 0; i < out.n; i++)
+		act(g, &out.a[i]);
+}
+
+/* Why the group needs another primary, as this VM sees it; or none. */
+enum succession_cause failover_cause(struct pgroup *g, usec_t now)
+{
+	const struct pdb *p;
+
+	if (g->primary == DB_NONE) {
+		if (g->leaderless_at == 0)
+			g->leaderless_at = now;
+		return now - g->leaderless_at > NOBODY_US &&
+				       registry_listed_at(g->proxy->registry) >
+					       0
+			       ? SUCCESSION_NOBODY
+			       : SUCCESSION_NONE;
+	}
+	g->leaderless_at = 0;
+	p = &g->db[g->primary];
+	if (p->departing || !p->present)
+		return SUCCESSION_DEPARTING;
+	if (p->refused_at && p->failures >= REFUSED_TRIES)
+		return SUCCESSION_REFUSED;
+	if (p->silent_since && now - p->silent_since > SILENT_US)
+		return SUCCESSION_SILENT;
+	if (g->lead.proved_at != INT64_MIN && g->paused_since &&
+	    now - g->paused_since > ABANDONED_US)
+		return SUCCESSION_ABANDONED;
+	return SUCCESSION_NONE;
+}
+
+/* Gathers what this VM and its peers know of the group. */
+static void fill_env(struct pgroup *g, usec_t now, struct succession_env *env)
+{
+	struct beacon_opinion o = beacon_opinion(g->proxy->beacon, g->service);
+	uint32_t i;
+
+	memset(env, 0, sizeof(*env));
+	env->now = now;
+	env->n = GROUP_DBS_MAX;
+	env->primary = g->primary;
+	env->term = g->lead.term;
+	env->cause = failover_cause(g, now);
+	env->hear = o.hear;
+	env->miss = o.miss;
+	env->peer_at_work = o.at_work;
+	env->rank = beacon_rank(g->proxy->beacon, g->service);
+	env->platform_up = platform_is_up(g->proxy->kernel);
+	for (i = 0; i < GROUP_DBS_MAX; i++) {
+		const struct pdb *d = &g->db[i];
+
+		env->db[i] = (struct succession_db){
+			.present = d->present,
+			.departing = d->departing,
+			.answers = d->present && d->heard_at &&
+				   (d->silent_since == 0 ||
+				    now - d->silent_since < ANSWERS_US),
+			.said = d->report_at > g->succession.phase_at,
+			.primary = d->report.primary,
+			.term = d->report.term,
+			.held_term = d->report.held_term,
+			.received = d->report.received,
+		};
+	}
+}
+
+/* Carries out one action. */
+static void act(struct pgroup *g, const struct succession_action *a)
+{
+	struct proxy *p = g->proxy;
+
+	switch (a->act) {
+	case SUCCEED_CLAIM:
+		registry_claim(p->registry, g->service, on_claimed, g);
+		break;
+	case SUCCEED_VERIFY:
+		g->verified_at = proxy_now();
+		registry_verify(p->registry, g->service, on_verified, g);
+		break;
+	case SUCCEED_PAUSE:
+		ask_fence(g, a->db, CONTROL_PAUSE, a->term);
+		break;
+	case SUCCEED_STEP_DOWN:
+		ask_fence(g, a->db, CONTROL_STEP_DOWN, a->term);
+		break;
+	case SUCCEED_ASK:
+		g->db[a->db].probed_at = 0;
+		cluster_probe(&g->db[a->db], proxy_now());
+		break;
+	case SUCCEED_PROMOTE:
+		log_event(EV_PROMOTE_CLAIM,
+			  "service=%s database=%s token=%llu at=%llu.%llu",
+			  g->service, g->db[a->db].id,
+			  (unsigned long long)g->succession.token,
+			  (unsigned long long)g->db[a->db].report.received.term,
+			  (unsigned long long)g->db[a->db]
+				  .report.received.position);
+		registry_promote(p->registry, g->service, g->db[a->db].id,
+				 g->succession.token, on_promoted, g);
+		break;
+	case SUCCEED_RESUME:
+		ask_fence(g, a->db, CONTROL_RESUME, 0);
+		break;
+	case SUCCEED_LEAD:
+		log_event(EV_PROMOTE_DONE, "service=%s database=%s term=%llu",
+			  g->service, g->db[a->db].id,
+			  (unsigned long long)a->term);
+		counter_add(CTR_PROMOTIONS, 1);
+		cluster_lead(g, a->db, a->term, g->verified_at, "promoted");
+		break;
+	}
+}
+
+/* Asks one database to take part in the fence. */
+static void ask_fence(struct pgroup *g, uint32_t db, enum control_verb verb,
+		      uint64_t term)
+{
+	struct fence_call *c = calloc(1, sizeof(*c));
+
+	if (!c)
+		return;
+	c->group = g;
+	c->term = term;
+	c->step_down = verb == CONTROL_STEP_DOWN;
+	if (!cluster_ask(&g->db[db], verb, term, on_fenced, c))
+		free(c);
+}
+
+/* One database has taken part, or has not answered. */
+static void on_fenced(void *ctx, struct pdb *db, bool ok,
+		      const struct db_report *report, usec_t asked_at)
+{
+	struct fence_call *c = ctx;
+	struct pgroup *g = c->group;
+
+	(void)asked_at;
+	if (ok && c->term && (!c->step_down || !report->primary)) {
+		log_event(EV_PROMOTE_FENCE,
+			  "service=%s database=%s term=%llu step_down=%d "
+			  "received=%llu.%llu held=%llu",
+			  g->service, db->id, (unsigned long long)c->term,
+			  c->step_down,
+			  (unsigned long long)report->received.term,
+			  (unsigned long long)report->received.position,
+			  (unsigned long long)report->held_term);
+		succession_fenced(&g->succession, proxy_now(),
+				  (uint32_t)(db - g->db), c->term, c->step_down,
+				  report->received);
+	}
+	free(c);
+}
+
+static void on_claimed(void *ctx, bool ok, uint64_t token)
+{
+	struct pgroup *g = ctx;
+
+	succession_claimed(&g->succession, proxy_now(), ok, token);
+	failover_tick(g, proxy_now());
+}
+
+/* The claim is verified if its token is still the newest. */
+static void on_verified(void *ctx, bool ok, uint64_t token)
+{
+	struct pgroup *g = ctx;
+
+	succession_verified(&g->succession, proxy_now(),
+			    ok && token == g->succession.token);
+	failover_tick(g, proxy_now());
+}
+
+static void on_promoted(void *ctx, enum promote_answer a)
+{
+	static const enum succession_answer answers[] = {
+		[PROMOTE_ANSWER_OK] = SUCCESSION_DONE,
+		[PROMOTE_ANSWER_REFUSED] = SUCCESSION_DENIED,
+		[PROMOTE_ANSWER_NONE] = SUCCESSION_LOST,
+	};
+	struct pgroup *g = ctx;
+
+	succession_promoted(&g->succession, proxy_now(), answers[a]);
+	failover_tick(g, proxy_now());
+}
--- /dev/null
+++ b/src/proxy/names.h
@@ -0,0 +1,35 @@
+#ifndef PROXY_NAMES_H
+#define PROXY_NAMES_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#define NAMES_MAX 256 /* entries of one table */
+
+struct name {
+	char *name;
+	char *value;
+	bool flag;
+};
+
+/* A small table of names and values; all zeroes is an empty one. */
+struct names {
+	uint32_t n;
+	uint32_t room;
+	struct name *at;
+};
+
+/* Sets a name; false if the table is full or memory is short. */
+bool names_set(struct names *t, const char *name, size_t name_len,
+	       const char *value, size_t value_len, bool flag);
+void names_remove(struct names *t, const char *name, size_t len);
+const struct name *names_find(const struct names *t, const char *name,
+			      size_t len);
+void names_clear(struct names *t);
+/* Has "a" a name that "b" lacks? */
+bool names_exceed(const struct names *a, const struct names *b);
+/* How many names of "want" are missing in "have" or have another value. */
+uint32_t names_differ(const struct names *have, const struct names *want);
+
+#endif
--- /dev/null
+++ b/src/proxy/pool.c
@@ -0,0 +1,139 @@
+#include <string.h>
+
+#include "proxy/proxy_own.h"
+
+/* A limit that was lowered by a refusal rises by one after this. */
+#define LIMIT_STEP_US (2 * USEC_PER_SEC)
+/* Connections of a team that wait for one being opened. */
+#define OPENING_MAX 2
+
+static uint32_t fair_part(const struct pdb *db);
+static struct backend *least_used(struct pdb *db, const struct session *s);
+static uint32_t opening(const struct pdb *db);
+
+/*
+ * An idle connection of the session's team; the one that needs least to take
+ * on the session's values. NULL if there is none.
+ */
+struct backend *pool_idle(struct pdb *db, const struct session *s)
+{
+	struct backend *best = NULL;
+	uint32_t least = UINT32_MAX;
+	struct backend *b;
+	uint32_t cost;
+
+	TAILQ_FOREACH(b, &db->conns, link)
+	{
+		if (b->state != BACKEND_IDLE || strcmp(b->team, s->team) != 0)
+			continue;
+		cost = names_differ(&b->values, &s->values);
+		if (b->reset_due || names_exceed(&b->values, &s->values))
+			cost += s->values.n + 1;
+		if (cost < least) {
+			least = cost;
+			best = b;
+		}
+	}
+	return best;
+}
+
+/* How a connection for the session can be had at this database. */
+enum place_way pool_way(struct pdb *db, const struct session *s)
+{
+	usec_t now = proxy_now();
+	uint32_t part = fair_part(db);
+
+	if (pool_idle(db, s))
+		return PLACE_IDLE;
+	if (db->limit > part)
+		db->limit = part;
+	while (db->limit < part && now - db->limit_at >= LIMIT_STEP_US) {
+		db->limit++;
+		db->limit_at += LIMIT_STEP_US;
+	}
+	if (opening(db) >= OPENING_MAX)
+		return PLACE_NONE;
+	if (db->n_conns < db->limit)
+		return PLACE_OPEN;
+	return least_used(db, s) ? PLACE_EVICT : PLACE_NONE;
+}
+
+/* Takes or begins a connection in that way; NULL if it can't be had. */
+struct backend *pool_take(struct pdb *db, const struct session *s,
+			  enum place_way way)
+{
+	struct backend *victim;
+
+	if (way == PLACE_IDLE)
+		return pool_idle(db, s);
+	if (way == PLACE_NONE)
+		return NULL;
+	if (way == PLACE_EVICT) {
+		victim = least_used(db, s);
+		if (!victim)
+			return NULL;
+		backend_close(victim, "another team needs one");
+	}
+	return backend_open(db, s->team);
+}
+
+/* The database has no room: this VM holds fewer for a while. */
+void pool_refused(struct pdb *db)
+{
+	usec_t now = proxy_now();
+
+	db->limit = db->n_conns > 2 ? db->n_conns - 1 : 1;
+	db->limit_at = now;
+	db->retry_at = now + db->group->proxy->policy.refused_pause;
+}
+
+/* Any idle connection, for questions of the VM's own. */
+struct backend *pool_any(struct pdb *db)
+{
+	struct backend *b;
+
+	TAILQ_FOREACH(b, &db->conns, link)
+	{
+		if (b->state == BACKEND_IDLE)
+			return b;
+	}
+	return NULL;
+}
+
+/* An even part of what the database takes, at least one. */
+static uint32_t fair_part(const struct pdb *db)
+{
+	uint32_t part =
+		db->group->connections / proxy_fleet_size(db->group->proxy);
+
+	return part ? part : 1;
+}
+
+/* The idle connection of another team that was not used for longest. */
+static struct backend *least_used(struct pdb *db, const struct session *s)
+{
+	struct backend *oldest = NULL;
+	struct backend *b;
+
+	TAILQ_FOREACH(b, &db->conns, link)
+	{
+		if (b->state == BACKEND_IDLE && strcmp(b->team, s->team) != 0 &&
+		    (!oldest || b->used_at < oldest->used_at))
+			oldest = b;
+	}
+	return oldest;
+}
+
+/* Connections that are being opened. */
+static uint32_t opening(const struct pdb *db)
+{
+	const struct backend *b;
+	uint32_t n = 0;
+
+	TAILQ_FOREACH(b, &db->conns, link)
+	{
+		n += b->state == BACKEND_CONNECTING ||
+		     b->state == BACKEND_STARTING;
+	}
+	return n;
+}
--- /dev/null
+++ b/src/proxy/protocol.h
@@ -0,0 +1,159 @@
+#ifndef PROXY_PROTOCOL_H
+#define PROXY_PROTOCOL_H
+
+#include <event2/buffer.h>
+
+#include "decide/types.h"
+
+/*
+ * The line protocol between callers, VMs and databases as typed messages. The
+ * bytes are the business of the codec that registers itself here.
+ */
+
+#define MESSAGE_MAX_BYTES (1024UL * 1024) /* the protocol's bound on a line */
+#define STATEMENT_ID_MAX  128		  /* bytes of a statement's id */
+#define SESSION_KEY_MAX	  256		  /* bytes of a caller's key */
+
+/* Bytes inside a message; valid as long as the message's line. */
+struct text {
+	const char *at;
+	size_t len;
+};
+
+enum verb {
+	VERB_BEGIN,
+	VERB_BEGIN_READ,
+	VERB_COMMIT,
+	VERB_ROLLBACK,
+	VERB_READ,
+	VERB_WRITE,
+	VERB_SET,
+	VERB_PREPARE,
+	VERB_EXECUTE,
+	VERB_CLOSE,
+	VERB_BAD, /* no statement of the protocol */
+};
+
+/* A statement; fields that its verb does not have are empty. */
+struct statement {
+	enum verb verb;
+	struct text text;  /* as the caller sent it */
+	struct text name;  /* SET, PREPARE, EXECUTE, CLOSE */
+	struct text value; /* SET: the value; PREPARE: the shape */
+	struct text rest;  /* EXECUTE: all after the name */
+	bool writes;	   /* PREPARE: of a writing shape */
+};
+
+enum caller_type {
+	CALLER_START,
+	CALLER_QUERY,
+	CALLER_TERMINATE,
+	CALLER_BAD,
+};
+
+struct caller_msg {
+	enum caller_type type;
+	struct text database; /* START: the name a route is looked up by */
+	struct text key;      /* START: empty if none was sent */
+	struct text id;	      /* QUERY */
+	struct statement statement;
+};
+
+/* Why a statement had no success, in the protocol's own terms. */
+enum refusal_code {
+	REFUSE_NONE,
+	REFUSE_BUSY,
+	REFUSE_LAGGING,
+	REFUSE_READ_ONLY,
+	REFUSE_WRONG_DATABASE,
+	REFUSE_TOO_MANY,
+	REFUSE_FAILED,
+	REFUSE_NO_STATEMENT,
+	REFUSE_TIMEOUT,
+	REFUSE_NO_AUTH,
+	REFUSE_NO_DATABASE,
+	REFUSE_TOO_BIG,
+	REFUSE_MALFORMED,
+	REFUSE_ABORTED,
+	REFUSE_IN_DOUBT,
+	REFUSE_COUNT
+};
+
+enum reply_type {
+	REPLY_READY,
+	REPLY_ROW,
+	REPLY_COMPLETE,
+	REPLY_ERROR,
+	REPLY_BAD,
+};
+
+/* The states of a session or connection: idle, in a transaction, failed. */
+#define STATE_IDLE   'I'
+#define STATE_OPEN   'T'
+#define STATE_FAILED 'E'
+
+struct reply_msg {
+	enum reply_type type;
+	char state;		/* READY */
+	bool has_position;	/* READY */
+	struct log_pos at;	/* READY */
+	enum refusal_code code; /* ERROR */
+	struct text body;	/* ROW, COMPLETE: all after the word */
+};
+
+/* What a database says of itself when asked for its status. */
+struct db_report {
+	bool primary;
+	uint64_t term;
+	struct log_pos received;
+	uint64_t held_term; /* newest term it was paused for; 0: none */
+};
+
+enum control_verb {
+	CONTROL_STATUS,
+	CONTROL_PAUSE,
+	CONTROL_RESUME,
+	CONTROL_STEP_DOWN,
+	CONTROL_RESET,
+	CONTROL_ROLLBACK,
+};
+
+/*
+ * The codec. Lines are without their end; parsers never fail but with a type
+ * _BAD. Writers append whole messages. "after" may be NULL.
+ */
+struct protocol {
+	void (*parse_caller)(const char *line, size_t len,
+			     struct caller_msg *out);
+	void (*parse_reply)(const char *line, size_t len,
+			    struct reply_msg *out);
+	bool (*parse_report)(struct text row, struct db_report *out);
+	/* To callers: */
+	void (*put_ready)(struct evbuffer *b, char state,
+			  const struct log_pos *at);
+	void (*put_complete)(struct evbuffer *b);
+	void (*put_error)(struct evbuffer *b, enum refusal_code code,
+			  const char *why);
+	/* To databases: */
+	void (*put_start)(struct evbuffer *b, const char *service,
+			  const char *team, const char *instance);
+	void (*put_begin)(struct evbuffer *b, bool reads,
+			  const struct log_pos *after);
+	void (*put_set)(struct evbuffer *b, const char *name,
+			const char *value);
+	void (*put_prepare)(struct evbuffer *b, const char *name, bool writes,
+			    const char *shape);
+	/* The caller's statement under its own id; "name" replaces that of a
+	 * prepared statement. */
+	void (*put_statement)(struct evbuffer *b, const char *id,
+			      const struct statement *st, const char *name,
+			      const struct log_pos *after);
+	void (*put_control)(struct evbuffer *b, enum control_verb verb,
+			    uint64_t term);
+	const char *(*code_name)(enum refusal_code code);
+};
+
+void protocol_register(const struct protocol *p);
+const struct protocol *protocol_get(void);
+
+#endif
--- /dev/null
+++ b/src/proxy/proxy.c
@@ -0,0 +1,383 @@
+#include <apr_thread_mutex.h>
+#include <apr_thread_proc.h>
+#include <event2/http.h>
+#include <event2/listener.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/eventfd.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "kernel/address.h"
+#include "kernel/counters.h"
+#include "kernel/log.h"
+#include "kernel/loop.h"
+#include "kernel/platform.h"
+#include "kernel/plugin.h"
+#include "proxy/proxy_own.h"
+
+/* How often time is looked at: retries and overdue replies are that late. */
+#define TICK_US	     (25 * USEC_PER_MSEC)
+#define METRICS_MAX  65536
+#define LISTEN_QUEUE 512
+
+/* Work of other threads for the proxy's. */
+struct proxy_job {
+	void (*fn)(void *ctx);
+	void *ctx;
+	struct proxy_job *next;
+};
+
+struct proxy_inbox {
+	apr_thread_mutex_t *lock;
+	struct proxy_job *first;
+	struct proxy_job **last;
+	int fd;
+	struct event *readable;
+	apr_thread_t *thread;
+	apr_pool_t *pool;
+};
+
+static struct proxy proxy;
+static struct proxy_inbox inbox;
+
+static int start(struct kernel *k, struct error *e);
+static void drain(struct kernel *k);
+static bool drained(struct kernel *k);
+static void stop(struct kernel *k);
+static int open_inbox(struct proxy *p, struct error *e);
+static int open_listeners(struct proxy *p, struct error *e);
+static void *APR_THREAD_FUNC run(apr_thread_t *t, void *ctx);
+static void on_inbox(evutil_socket_t fd, short what, void *ctx);
+static void on_accept(struct evconnlistener *l, evutil_socket_t fd,
+		      struct sockaddr *from, int len, void *ctx);
+static void on_ready_probe(struct evhttp_request *req, void *ctx);
+static void on_metrics(struct evhttp_request *req, void *ctx);
+static void on_tick(evutil_socket_t fd, short what, void *ctx);
+static void drain_sessions(struct proxy *p, usec_t now);
+static void begin(void *ctx);
+static void end(void *ctx);
+
+static struct plugin plugin = {
+	.name = "proxy",
+	.rank = RANK_CALLER,
+	.form = FORM_SESSIONS,
+	.start = start,
+	.drain = drain,
+	.drained = drained,
+	.stop = stop,
+};
+PLUGIN_REGISTER(plugin);
+
+static const struct proxy_policy policy = {
+	/* Proofs of a primary come with its writes and reads, some in 100 ms;
+	 * a promotion waits this long once. */
+	.guard = 600 * USEC_PER_MSEC,
+	/* A new connection takes 12 ms of a slot, which may be waited for. */
+	.connect_timeout = USEC_PER_SEC,
+	/* A database that is full stays so for about a statement's work. */
+	.refused_pause = 50 * USEC_PER_MSEC,
+	.silence = 600 * USEC_PER_MSEC,
+	/* A departing database gets no more work after 7 s. */
+	.registry_every = 2 * USEC_PER_SEC,
+	.registry_soon = 200 * USEC_PER_MSEC,
+	.beacon_every = 150 * USEC_PER_MSEC,
+	.costs = {
+		/* Handshake in a slot, and three ways over the network. */
+		.open = 16 * USEC_PER_MSEC,
+		.evict = 24 * USEC_PER_MSEC,
+		.remote = 6 * USEC_PER_MSEC,
+		.behind = 20 * USEC_PER_MSEC,
+		.primary = 10 * USEC_PER_MSEC,
+	},
+};
+
+/* The time that counts while a VM is suspended, too; microseconds. */
+usec_t proxy_now(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_BOOTTIME, &ts);
+	return ts.tv_sec * USEC_PER_SEC + ts.tv_nsec / 1000;
+}
+
+/* A random number, from a block drawn at once. */
+uint64_t proxy_random(struct proxy *p)
+{
+	if (p->random_left == 0) {
+		randombytes_buf(p->random, sizeof(p->random));
+		p->random_left = sizeof(p->random) / sizeof(p->random[0]);
+	}
+	return p->random[--p->random_left];
+}
+
+/* Can this VM serve callers that come now? */
+bool proxy_is_ready(const struct proxy *p)
+{
+	return !p->draining && p->catalog && p->databases_known;
+}
+
+/* VMs that share the databases' connections, this one included. */
+uint32_t proxy_fleet_size(const struct proxy *p)
+{
+	return beacon_peers(p->beacon) + 1;
+}
+
+/* Hands work to the proxy's thread. Without memory it is lost, and told. */
+void proxy_post(struct proxy *p, void (*fn)(void *ctx), void *ctx)
+{
+	struct proxy_inbox *in = p->inbox;
+	struct proxy_job *j = calloc(1, sizeof(*j));
+	const uint64_t one = 1;
+
+	if (!j) {
+		log_event(EV_VM_FAIL, "reason=\"no memory for an answer\"");
+		return;
+	}
+	j->fn = fn;
+	j->ctx = ctx;
+	apr_thread_mutex_lock(in->lock);
+	*in->last = j;
+	in->last = &j->next;
+	apr_thread_mutex_unlock(in->lock);
+	if (write(in->fd, &one, sizeof(one)) == -1)
+		log_event(EV_VM_FAIL, "reason=\"wake-up failed: %m\"");
+}
+
+/* Opens all that listens and starts the event loop's thread. */
+static int start(struct kernel *k, struct error *e)
+{
+	struct proxy *p = &proxy;
+
+	memset(p, 0, sizeof(*p));
+	p->kernel = k;
+	p->policy = policy;
+	p->protocol = protocol_get();
+	TAILQ_INIT(&p->sessions);
+	TAILQ_INIT(&p->gone);
+	TAILQ_INIT(&p->closed);
+	if (!p->protocol || !registry_codec())
+		return error_set(e, ERR_INTERNAL, STEP_NONE, NULL,
+				 "built without a protocol for sessions");
+	p->base = event_base_new();
+	p->quota = quota_create();
+	p->registry = registry_create(p);
+	if (!p->base || !p->quota || !p->registry)
+		return error_set(e, ERR_SYSTEM, STEP_NONE, NULL,
+				 "no memory for the proxy");
+	p->beacon = beacon_create(p, e);
+	if (!p->beacon || open_inbox(p, e) || open_listeners(p, e))
+		return -1;
+	p->tick = event_new(p->base, -1, EV_PERSIST, on_tick, p);
+	if (!p->tick ||
+	    event_add(p->tick, &(struct timeval){ .tv_usec = TICK_US }) ||
+	    apr_thread_create(&inbox.thread, NULL, run, p, inbox.pool) !=
+		    APR_SUCCESS)
+		return error_set(e, ERR_SYSTEM, STEP_NONE, NULL,
+				 "no thread for the proxy");
+	proxy_post(p, begin, p);
+	return 0;
+}
+
+/* Nothing is held that others would have to take over. */
+static void drain(struct kernel *k)
+{
+	(void)k;
+}
+
+/* Are all sessions gone? */
+static bool drained(struct kernel *k)
+{
+	(void)k;
+	return __atomic_load_n(&proxy.n_sessions, __ATOMIC_RELAXED) == 0;
+}
+
+/* Ends the event loop and frees what it used. */
+static void stop(struct kernel *k)
+{
+	apr_status_t ignored;
+
+	(void)k;
+	proxy_post(&proxy, end, &proxy);
+	apr_thread_join(&ignored, inbox.thread);
+}
+
+/* Opens the way for other threads. */
+static int open_inbox(struct proxy *p, struct error *e)
+{
+	memset(&inbox, 0, sizeof(inbox));
+	inbox.last = &inbox.first;
+	inbox.fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+	p->inbox = &inbox;
+	if (inbox.fd == -1 ||
+	    apr_pool_create(&inbox.pool, NULL) != APR_SUCCESS ||
+	    apr_thread_mutex_create(&inbox.lock, APR_THREAD_MUTEX_DEFAULT,
+				    inbox.pool) != APR_SUCCESS)
+		return error_set(e, ERR_SYSTEM, STEP_NONE, NULL,
+				 "no inbox for the proxy");
+	inbox.readable =
+		event_new(p->base, inbox.fd, EV_READ | EV_PERSIST, on_inbox, p);
+	if (!inbox.readable || event_add(inbox.readable, NULL))
+		return error_set(e, ERR_SYSTEM, STEP_NONE, NULL,
+				 "no event for the proxy's inbox");
+	return 0;
+}
+
+/* Listens for callers, and for those who ask whether the VM is ready. */
+static int open_listeners(struct proxy *p, struct error *e)
+{
+	struct settings *s = &p->kernel->settings;
+	struct sockaddr_storage at;
+	socklen_t len;
+	char *colon;
+
+	if (!address_parse(s->caller_listen, &at, &len))
+		return error_set(e, ERR_SETTINGS, STEP_LISTEN, s->caller_listen,
+				 "not an address");
+	p->listener = evconnlistener_new_bind(
+		p->base, on_accept, p,
+		LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE |
+			LEV_OPT_CLOSE_ON_EXEC,
+		LISTEN_QUEUE, (struct sockaddr *)&at, (int)len);
+	if (!p->listener)
+		return error_set(e, ERR_SYSTEM, STEP_LISTEN, s->caller_listen,
+				 "%m");
+	if (getsockname(evconnlistener_get_fd(p->listener),
+			(struct sockaddr *)&at, &len) == 0)
+		address_format((struct sockaddr *)&at, s->caller_listen);
+	p->ready = evhttp_new(p->base);
+	if (!p->ready || !address_parse(s->ready_listen, &at, &len))
+		return error_set(e, ERR_SETTINGS, STEP_LISTEN, s->ready_listen,
+				 "not an address");
+	colon = strrchr(s->ready_listen, ':');
+	*colon = '\0';
+	if (evhttp_bind_socket(p->ready, s->ready_listen,
+			       (uint16_t)strtoul(colon + 1, NULL, 10)))
+		return error_set(e, ERR_SYSTEM, STEP_LISTEN, s->ready_listen,
+				 "%m");
+	*colon = ':';
+	evhttp_set_cb(p->ready, "/metrics", on_metrics, p);
+	evhttp_set_gencb(p->ready, on_ready_probe, p);
+	return 0;
+}
+
+static void *APR_THREAD_FUNC run(apr_thread_t *t, void *ctx)
+{
+	struct proxy *p = ctx;
+
+	(void)t;
+	event_base_dispatch(p->base);
+	return NULL;
+}
+
+/* Does the work of other threads, in order. */
+static void on_inbox(evutil_socket_t fd, short what, void *ctx)
+{
+	struct proxy_job *next;
+	struct proxy_job *j;
+	uint64_t ignored;
+
+	(void)what;
+	(void)ctx;
+	if (read(fd, &ignored, sizeof(ignored)) == -1)
+		return;
+	apr_thread_mutex_lock(inbox.lock);
+	j = inbox.first;
+	inbox.first = NULL;
+	inbox.last = &inbox.first;
+	apr_thread_mutex_unlock(inbox.lock);
+	for (; j; j = next) {
+		next = j->next;
+		j->fn(j->ctx);
+		free(j);
+	}
+}
+
+static void on_accept(struct evconnlistener *l, evutil_socket_t fd,
+		      struct sockaddr *from, int len, void *ctx)
+{
+	(void)l;
+	(void)from;
+	(void)len;
+	session_accept(ctx, fd);
+}
+
+/* Whoever balances callers over VMs asks this, on a path of its own. */
+static void on_ready_probe(struct evhttp_request *req, void *ctx)
+{
+	if (proxy_is_ready(ctx))
+		evhttp_send_reply(req, HTTP_OK, "OK", NULL);
+	else
+		evhttp_send_reply(req, HTTP_SERVUNAVAIL, "not ready", NULL);
+}
+
+/* The VM's counters. */
+static void on_metrics(struct evhttp_request *req, void *ctx)
+{
+	static char text[METRICS_MAX];
+	struct evbuffer *out = evhttp_request_get_output_buffer(req);
+
+	(void)ctx;
+	evbuffer_add(out, text, counters_print(text, sizeof(text)));
+	evhttp_send_reply(req, HTTP_OK, "OK", NULL);
+}
+
+/* What time brings. */
+static void on_tick(evutil_socket_t fd, short what, void *ctx)
+{
+	struct proxy *p = ctx;
+	usec_t now = proxy_now();
+
+	(void)fd;
+	(void)what;
+	registry_tick(p->registry, now);
+	beacon_tick(p->beacon, now);
+	cluster_tick(p, now);
+	if (__atomic_load_n(&p->kernel->draining, __ATOMIC_ACQUIRE))
+		drain_sessions(p, now);
+	session_reap(p);
+	backend_reap(p);
+}
+
+/*
+ * A VM that stops is out of the balancer's rotation first; then it lets go of
+ * idle sessions, some in each tick, so that they come back elsewhere in turn.
+ */
+static void drain_sessions(struct proxy *p, usec_t now)
+{
+	const struct settings *s = &p->kernel->settings;
+	usec_t notice = (usec_t)s->drain_notice_ms * USEC_PER_MSEC;
+	uint32_t most = 1 + p->n_sessions / 16;
+	struct session *next;
+	struct session *x;
+
+	if (!p->draining) {
+		p->draining = true;
+		p->drain_at = now;
+	}
+	if (now - p->drain_at < notice)
+		return;
+	for (x = TAILQ_FIRST(&p->sessions); x && most > 0; x = next) {
+		next = TAILQ_NEXT(x, all);
+		if (x->task.stage != TASK_NONE || x->tx)
+			continue;
+		session_drain(x);
+		most--;
+	}
+}
+
+static void begin(void *ctx)
+{
+	struct proxy *p = ctx;
+
+	registry_begin(p->registry);
+}
+
+static void end(void *ctx)
+{
+	struct proxy *p = ctx;
+
+	event_base_loopbreak(p->base);
+}
--- /dev/null
+++ b/src/proxy/proxy_own.h
@@ -0,0 +1,348 @@
+#ifndef PROXY_PROXY_OWN_H
+#define PROXY_PROXY_OWN_H
+
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <sys/queue.h>
+
+#include "decide/lead.h"
+#include "decide/place.h"
+#include "decide/quota.h"
+#include "decide/succession.h"
+#include "kernel/kernel.h"
+#include "proxy/catalog.h"
+#include "proxy/names.h"
+#include "proxy/protocol.h"
+#include "proxy/registry.h"
+
+/*
+ * The state of one VM's sessions, connections and groups. All of it belongs
+ * to the thread of the proxy's event loop; nothing here needs a lock.
+ */
+
+#define GROUP_DBS_MAX	   8   /* databases of a group, leaving ones included */
+#define INSTANCE_MAX_BYTES 64  /* a database's own id */
+#define EXPECT_MAX	   160 /* replies outstanding on a connection */
+#define PREPARED_MAX	   128 /* names prepared on a connection */
+
+struct proxy;
+struct session;
+struct backend;
+struct pgroup;
+
+TAILQ_HEAD(session_list, session);
+TAILQ_HEAD(backend_list, backend);
+
+/* One database of a group. */
+struct pdb {
+	bool present; /* in the registry, or its connections still close */
+	char id[INSTANCE_MAX_BYTES];
+	char address[ADDR_MAX_BYTES];
+	char domain[NAME_MAX_BYTES];
+	uint64_t born; /* start of this incarnation, as it says */
+	uint32_t slots;
+	bool departing;
+	bool says_primary;
+	struct pgroup *group;
+	struct backend_list conns;
+	uint32_t n_conns;
+	uint32_t running;    /* statements of this VM there */
+	uint32_t limit;	     /* connections this VM may hold */
+	usec_t limit_at;     /* last change of it */
+	struct log_pos at;   /* newest position it showed */
+	usec_t heard_at;     /* last byte of it; 0: never */
+	usec_t silent_since; /* oldest question without an answer; 0: none */
+	usec_t refused_at;   /* a connection was refused or reset; 0: none */
+	usec_t retry_at;     /* not before; after failures */
+	uint32_t failures;   /* in a row */
+	usec_t latency;	     /* moving average of answers */
+	usec_t probed_at;    /* last question for its status */
+	bool probing;
+	struct db_report report; /* its last status */
+	usec_t report_at;	 /* when that was asked for; 0: never */
+};
+
+/* One service: its databases, its primary, and who waits for it. */
+struct pgroup {
+	struct proxy *proxy;
+	char service[NAME_MAX_BYTES];
+	uint32_t connections; /* a database takes, of all VMs */
+	struct pdb db[GROUP_DBS_MAX];
+	uint32_t primary; /* index or DB_NONE */
+	struct lead lead;
+	bool held;	     /* a planned change of the primary is under way */
+	uint32_t next_probe; /* the database to ask next */
+	usec_t used_at;	     /* last statement for it */
+	usec_t wanted_at; /* last statement that needs the primary; 0: none */
+	struct session_list waiting;
+	uint32_t n_waiting;
+	bool pumping; /* the queue is being gone through */
+	struct succession succession;
+	usec_t verified_at;   /* the claim was asked for then */
+	usec_t paused_since;  /* a replica is paused for a later term; 0: no */
+	usec_t leaderless_at; /* no primary is known since; 0: one is */
+};
+
+/* What a finished statement came to. */
+enum task_end {
+	END_ANSWER,  /* a whole reply of the database */
+	END_REFUSED, /* surely not run; the code says why */
+	END_FAILED,  /* run without success */
+	END_LOST,    /* may have run */
+};
+
+enum task_stage {
+	TASK_NONE,
+	TASK_WAITING,	/* for a connection, a replica or a primary */
+	TASK_OPENING,	/* its connection is being opened */
+	TASK_PREPARING, /* the connection takes on the session's state */
+	TASK_RUNNING,	/* at the database */
+};
+
+/* One statement on its way. */
+struct task {
+	enum task_stage stage;
+	char *line; /* as received; owns the texts of msg */
+	struct caller_msg msg;
+	char id[STATEMENT_ID_MAX];
+	bool writes;	 /* may change data */
+	bool commits;	 /* ends the transaction at the database */
+	bool first;	 /* of its operation: it was charged */
+	bool at_primary; /* must run there */
+	bool has_after;
+	struct log_pos after;
+	uint32_t tried; /* mask of databases that refused it */
+	uint32_t db;	/* where it is or was last */
+	uint32_t attempts;
+	usec_t began_at;
+	usec_t deadline;
+	usec_t sent_at;
+	usec_t retry_at;
+	enum refusal_code last; /* why it was not run yet */
+};
+
+/* One caller's session, which is its connection. */
+struct session {
+	TAILQ_ENTRY(session) all;
+	TAILQ_ENTRY(session) wait; /* in its group's queue */
+	struct proxy *proxy;
+	struct bufferevent *bev;
+	struct event *timer;
+	bool started;
+	bool closing; /* after the output is sent */
+	bool closed;  /* waits to be freed */
+	char *host;
+	char *key;
+	char team[NAME_MAX_BYTES];	   /* empty on a route open to all */
+	struct names values;		   /* SET */
+	struct names prepared;		   /* PREPARE: name to shape */
+	struct log_pos committed;	   /* newest commit of its own */
+	char committed_in[NAME_MAX_BYTES]; /* the service of that */
+	char state;
+	/* A transaction: */
+	bool tx;	 /* the caller is in one */
+	bool tx_reads;	 /* it began as reading only */
+	bool tx_begun;	 /* the database has it too */
+	bool tx_wrote;	 /* a write was sent in it */
+	bool tx_ran;	 /* a statement of it was answered */
+	bool reading;	 /* lines are being taken */
+	usec_t tx_until; /* idle until then */
+	struct backend *held;
+	/* The route in force for the operation: */
+	struct pgroup *group;
+	enum route_freshness freshness;
+	uint32_t timeout_ms;
+	uint32_t priority;
+	uint32_t staleness_ms;
+	uint32_t tx_idle_ms;
+	struct task task;
+};
+
+enum backend_state {
+	BACKEND_CONNECTING,
+	BACKEND_STARTING,
+	BACKEND_IDLE,
+	BACKEND_BUSY, /* serves its holder, or has replies outstanding */
+};
+
+/* What the next reply on a connection answers. */
+enum expect {
+	EXPECT_START,
+	EXPECT_STATE, /* RESET, SET, PREPARE, ROLLBACK of the system's own */
+	EXPECT_BEGIN,
+	EXPECT_STATEMENT,
+	EXPECT_CONTROL, /* STATUS, PAUSE, ...: see control */
+};
+
+struct expected {
+	enum expect kind;
+	usec_t asked_at;
+};
+
+typedef void (*control_fn)(void *ctx, struct pdb *db, bool ok,
+			   const struct db_report *report, usec_t asked_at);
+
+/* One connection to a database, for one team. */
+struct backend {
+	TAILQ_ENTRY(backend) link;
+	struct proxy *proxy;
+	struct pdb *db;
+	char team[NAME_MAX_BYTES];
+	struct bufferevent *bev;
+	struct event *timer;
+	enum backend_state state;
+	struct session *holder;
+	struct names values;
+	struct names prepared;
+	bool reset_due; /* its values may not be what they seem */
+	bool in_tx;	/* the database has a transaction open on it */
+	bool doomed;	/* closed instead of pooled */
+	bool closed;	/* waits for backend_reap() */
+	char remote_state;
+	usec_t used_at;
+	usec_t opened_at;
+	/* Replies outstanding, oldest first: */
+	uint32_t n_expect;
+	struct expected expect[EXPECT_MAX];
+	/* The reply being read: */
+	struct evbuffer *reply;
+	bool complete;
+	bool failed;
+	enum refusal_code code;
+	struct db_report report; /* of a control's reply */
+	bool has_report;
+	control_fn control;
+	void *control_ctx;
+	enum control_verb control_verb;
+	uint64_t control_term;
+};
+
+/* Bounds and waits; proxy_policy in proxy.c says where each comes from. */
+struct proxy_policy {
+	usec_t guard;
+	usec_t connect_timeout;
+	usec_t refused_pause;
+	usec_t silence;
+	usec_t registry_every;
+	usec_t registry_soon;
+	usec_t beacon_every;
+	struct place_costs costs;
+};
+
+struct proxy {
+	struct kernel *kernel;
+	struct event_base *base;
+	const struct protocol *protocol;
+	struct proxy_policy policy;
+	struct catalog *catalog;
+	struct pgroup **groups;
+	uint32_t n_groups;
+	struct session_list sessions;
+	uint32_t n_sessions;
+	struct session_list gone;   /* closed, to be freed */
+	struct backend_list closed; /* likewise */
+	struct registry *registry;
+	struct beacon *beacon;
+	struct quota *quota;
+	struct evconnlistener *listener;
+	struct evhttp *ready;
+	struct event *tick;
+	bool draining;
+	usec_t drain_at;
+	bool databases_known;
+	uint64_t claims; /* of duties, by this VM */
+	struct proxy_inbox *inbox;
+	uint64_t random[16];
+	uint32_t random_left;
+};
+
+/* proxy.c */
+uint64_t proxy_random(struct proxy *p);
+usec_t proxy_now(void);
+bool proxy_is_ready(const struct proxy *p);
+/* Runs fn(ctx) on the proxy's thread, soon; any thread. */
+void proxy_post(struct proxy *p, void (*fn)(void *ctx), void *ctx);
+uint32_t proxy_fleet_size(const struct proxy *p);
+
+/* session.c */
+void session_accept(struct proxy *p, int fd);
+void session_close(struct session *s);
+void session_reap(struct proxy *p);
+/* Ends the task: the reply so far read lies in "reply" if there is one. */
+void session_ended(struct session *s, enum task_end end, enum refusal_code code,
+		   struct evbuffer *reply, const struct reply_msg *ready);
+/* The session's connection to the database is gone while no task ran. */
+void session_lost_backend(struct session *s);
+void session_drain(struct session *s);
+void session_refuse(struct session *s, enum refusal_code code, const char *why);
+
+/* dispatch.c */
+void dispatch_start(struct session *s);
+void dispatch_pump(struct pgroup *g);
+void dispatch_cancel(struct session *s);
+void dispatch_again(struct session *s, enum refusal_code code);
+void dispatch_ready(struct session *s, struct backend *b);
+
+/* backend.c */
+struct backend *backend_open(struct pdb *db, const char *team);
+void backend_close(struct backend *b, const char *why);
+void backend_run(struct backend *b, struct session *s);
+/* The holder has no more use for it. */
+void backend_release(struct backend *b);
+void backend_control(struct backend *b, enum control_verb verb, uint64_t term,
+		     control_fn fn, void *ctx);
+void backend_tick(struct backend *b, usec_t now);
+void backend_reap(struct proxy *p);
+
+/* pool.c */
+struct backend *pool_idle(struct pdb *db, const struct session *s);
+enum place_way pool_way(struct pdb *db, const struct session *s);
+struct backend *pool_take(struct pdb *db, const struct session *s,
+			  enum place_way way);
+void pool_refused(struct pdb *db);
+/* A connection for the system's own questions; NULL if none may be had. */
+struct backend *pool_any(struct pdb *db);
+
+/* cluster.c */
+struct pgroup *cluster_group(struct proxy *p, const char *service);
+void cluster_apply_catalog(struct proxy *p, usec_t now);
+/* "whole": databases that are not in the list have left. */
+void cluster_apply_databases(struct proxy *p, const struct registry_db *db,
+			     uint32_t n, bool whole);
+void cluster_tick(struct proxy *p, usec_t now);
+void cluster_heard(struct pdb *db, usec_t asked_at, const struct log_pos *at);
+void cluster_lead(struct pgroup *g, uint32_t db, uint64_t term,
+		  usec_t proved_at, const char *source);
+/* The primary turned a write away: who leads is found out anew. */
+void cluster_doubt(struct pgroup *g, usec_t now);
+bool cluster_primary_usable(struct pgroup *g, usec_t now);
+/* Asks a database, on a connection of its own if none is idle. */
+bool cluster_ask(struct pdb *db, enum control_verb verb, uint64_t term,
+		 control_fn fn, void *ctx);
+/* Asks a database for its status and takes in the answer. */
+void cluster_probe(struct pdb *db, usec_t now);
+uint32_t cluster_find(const struct pgroup *g, const char *id);
+
+/* failover.c */
+void failover_init(struct pgroup *g);
+void failover_tick(struct pgroup *g, usec_t now);
+enum succession_cause failover_cause(struct pgroup *g, usec_t now);
+
+/* beacon.c */
+struct beacon *beacon_create(struct proxy *p, struct error *e);
+void beacon_destroy(struct beacon *b);
+void beacon_tick(struct beacon *b, usec_t now);
+void beacon_peer(struct beacon *b, const struct registry_vm *vm);
+uint32_t beacon_peers(const struct beacon *b);
+/* Rank of this VM for a service among those heard lately; 0 first. */
+uint32_t beacon_rank(const struct beacon *b, const char *service);
+/* What peers say of a service's primary. */
+struct beacon_opinion {
+	uint32_t hear;
+	uint32_t miss;
+	bool at_work;
+};
+struct beacon_opinion beacon_opinion(const struct beacon *b,
+				     const char *service);
+
+#endif
--- /dev/null
+++ b/src/proxy/registry.c
@@ -0,0 +1,488 @@
+#include "proxy/registry.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "kernel/log.h"
+#include "kernel/platform.h"
+#include "proxy/proxy_own.h"
+
+/* A watch is held this long by the platform. */
+#define WATCH_MS 25000
+/* Pauses after a call that failed. */
+#define RETRY_US (250 * USEC_PER_MSEC)
+/* The VMs are listed again after this. */
+#define VMS_EVERY_US (20 * USEC_PER_SEC)
+/* Databases that lapsed while the platform was away are back by then. */
+#define BACK_WITHIN_US (2500 * USEC_PER_MSEC)
+/* Databases taken from one whole list. */
+#define LIST_MAX 4096
+
+static const struct registry_codec *codec;
+
+/* One kind of call, made again and again. */
+struct poll {
+	struct registry *registry;
+	struct platform_call call;
+	const char *name;
+	void (*take)(struct registry *r, struct poll *p);
+	usec_t due; /* next call; 0: none */
+	usec_t asked_at;
+	bool busy;
+	char *reply; /* copied on the platform's thread */
+};
+
+struct registry {
+	struct proxy *proxy;
+	struct poll catalog;
+	struct poll databases;
+	struct poll vms;
+	struct poll self; /* registers this VM */
+	bool listed;	  /* the catalogue was read; it is watched now */
+	uint64_t revision;
+	usec_t hurry_until;
+	usec_t listed_at;
+	usec_t away_until; /* absent databases may still come back */
+	bool failing;
+	struct registry_db *list;
+	uint32_t n_list;
+	struct registry_page page;
+};
+
+/* One call about a duty, or a promotion. */
+struct duty_call {
+	struct registry *registry;
+	struct platform_call call;
+	char service[NAME_MAX_BYTES];
+	registry_claim_fn fn;
+	registry_promote_fn promote_fn;
+	void *ctx;
+	bool writes;
+	char *reply;
+};
+
+static void poll_begin(struct registry *r, struct poll *p, const char *name,
+		       void (*take)(struct registry *, struct poll *));
+static void poll_call(struct poll *p, enum platform_op op, usec_t now);
+static void on_done(struct platform_call *c);
+static void on_proxy(void *ctx);
+static void take_catalog(struct registry *r, struct poll *p);
+static void take_databases(struct registry *r, struct poll *p);
+static void add_database(void *ctx, const struct registry_db *db);
+static void take_vms(struct registry *r, struct poll *p);
+static void add_vm(void *ctx, const struct registry_vm *vm);
+static void take_self(struct registry *r, struct poll *p);
+static void call_databases(struct registry *r, const char *from, usec_t now);
+static struct duty_call *duty_create(struct registry *r, const char *service,
+				     enum platform_op op, void *ctx);
+static void on_duty(struct platform_call *c);
+static void duty_done(void *ctx);
+
+/* Sets the codec; called once, before main(). */
+void registry_codec_register(const struct registry_codec *c)
+{
+	codec = c;
+}
+
+/* Returns the codec, or NULL if the program was built without one. */
+const struct registry_codec *registry_codec(void)
+{
+	return codec;
+}
+
+/* Makes the registry's client; NULL if memory is short. */
+struct registry *registry_create(struct proxy *p)
+{
+	struct registry *r = calloc(1, sizeof(*r));
+
+	if (!r)
+		return NULL;
+	r->list = calloc(LIST_MAX, sizeof(*r->list));
+	if (!r->list) {
+		free(r);
+		return NULL;
+	}
+	r->proxy = p;
+	poll_begin(r, &r->catalog, REGISTRY_CATALOG, take_catalog);
+	poll_begin(r, &r->databases, REGISTRY_DATABASES, take_databases);
+	poll_begin(r, &r->vms, REGISTRY_VMS, take_vms);
+	poll_begin(r, &r->self, REGISTRY_VMS, take_self);
+	return r;
+}
+
+/* Frees it; the platform's thread has ended. */
+void registry_destroy(struct registry *r)
+{
+	if (!r)
+		return;
+	free(r->self.call.body);
+	free(r->list);
+	free(r);
+}
+
+/* Makes the first calls. */
+void registry_begin(struct registry *r)
+{
+	usec_t now = proxy_now();
+
+	r->catalog.due = now;
+	r->databases.due = now;
+	r->vms.due = now;
+	r->self.due = now;
+	registry_tick(r, now);
+}
+
+/* Makes the calls that are due. */
+void registry_tick(struct registry *r, usec_t now)
+{
+	struct kernel *k = r->proxy->kernel;
+	struct registry_vm self = { .incarnation = k->incarnation };
+
+	if (!r->catalog.busy && now >= r->catalog.due) {
+		r->catalog.call.after = r->revision;
+		r->catalog.call.wait_ms = WATCH_MS;
+		poll_call(&r->catalog,
+			  r->listed ? PLATFORM_WATCH : PLATFORM_LIST, now);
+	}
+	if (!r->databases.busy && now >= r->databases.due)
+		call_databases(r, "", now);
+	if (!r->vms.busy && now >= r->vms.due)
+		poll_call(&r->vms, PLATFORM_LIST, now);
+	if (!r->self.busy && r->self.due && now >= r->self.due) {
+		snprintf(self.name, sizeof(self.name), "%s", k->settings.vm);
+		snprintf(self.domain, sizeof(self.domain), "%s",
+			 k->settings.domain);
+		snprintf(self.peer, sizeof(self.peer), "%s",
+			 k->settings.peer_listen);
+		snprintf(r->self.call.name, sizeof(r->self.call.name), "%s/%s",
+			 REGISTRY_VMS, self.name);
+		free(r->self.call.body);
+		r->self.call.body = codec->vm_body(&self);
+		poll_call(&r->self, PLATFORM_PUT, now);
+	}
+}
+
+/* Lists the databases often for a while. */
+void registry_hurry(struct registry *r, usec_t now)
+{
+	usec_t soon = r->databases.asked_at + r->proxy->policy.registry_soon;
+
+	r->hurry_until = now + USEC_PER_SEC;
+	if (r->databases.due > soon)
+		r->databases.due = soon;
+}
+
+/* When the newest whole list was asked for. */
+usec_t registry_listed_at(const struct registry *r)
+{
+	return r->listed_at;
+}
+
+/* Reads who has the duty; the write follows when that is known. */
+void registry_claim(struct registry *r, const char *service,
+		    registry_claim_fn fn, void *ctx)
+{
+	struct duty_call *d = duty_create(r, service, PLATFORM_GET, ctx);
+
+	if (!d) {
+		fn(ctx, false, 0);
+		return;
+	}
+	d->fn = fn;
+	d->writes = true;
+	platform_submit(r->proxy->kernel, &d->call);
+}
+
+/* Reads who has the duty. */
+void registry_verify(struct registry *r, const char *service,
+		     registry_claim_fn fn, void *ctx)
+{
+	struct duty_call *d = duty_create(r, service, PLATFORM_GET, ctx);
+
+	if (!d) {
+		fn(ctx, false, 0);
+		return;
+	}
+	d->fn = fn;
+	platform_submit(r->proxy->kernel, &d->call);
+}
+
+/* Asks for a promotion under a token. */
+void registry_promote(struct registry *r, const char *service, const char *id,
+		      uint64_t token, registry_promote_fn fn, void *ctx)
+{
+	struct duty_call *d = duty_create(r, service, PLATFORM_PROMOTE, ctx);
+
+	if (!d) {
+		fn(ctx, PROMOTE_ANSWER_NONE);
+		return;
+	}
+	d->promote_fn = fn;
+	d->call.version = token;
+	snprintf(d->call.name, sizeof(d->call.name), "%s", service);
+	snprintf(d->call.from, sizeof(d->call.from), "%s", id);
+	platform_submit(r->proxy->kernel, &d->call);
+}
+
+static void poll_begin(struct registry *r, struct poll *p, const char *name,
+		       void (*take)(struct registry *, struct poll *))
+{
+	p->registry = r;
+	p->name = name;
+	p->take = take;
+	p->call.done = on_done;
+	p->call.ctx = p;
+}
+
+/* Makes one call; the answer comes to the proxy's thread. */
+static void poll_call(struct poll *p, enum platform_op op, usec_t now)
+{
+	p->busy = true;
+	p->asked_at = now;
+	p->call.op = op;
+	if (op != PLATFORM_PUT)
+		snprintf(p->call.name, sizeof(p->call.name), "%s", p->name);
+	platform_submit(p->registry->proxy->kernel, &p->call);
+}
+
+/* Copies the answer; on the platform's thread. */
+static void on_done(struct platform_call *c)
+{
+	struct poll *p = c->ctx;
+
+	p->reply = c->reply ? strdup(c->reply) : NULL;
+	proxy_post(p->registry->proxy, on_proxy, p);
+}
+
+/* Takes the answer in; on the proxy's thread. */
+static void on_proxy(void *ctx)
+{
+	struct poll *p = ctx;
+	struct registry *r = p->registry;
+
+	p->busy = false;
+	p->due = proxy_now() + RETRY_US;
+	p->take(r, p);
+	free(p->reply);
+	p->reply = NULL;
+	registry_tick(r, proxy_now());
+}
+
+/* A newer configuration comes into force; an older one never does. */
+static void take_catalog(struct registry *r, struct poll *p)
+{
+	struct proxy *x = r->proxy;
+	struct catalog *c;
+	struct error e;
+	uint64_t revision = 0;
+
+	if (p->call.result == PLATFORM_ABSENT) {
+		/* The history since is gone: all is read anew. */
+		r->listed = false;
+		p->due = proxy_now();
+		return;
+	}
+	if (p->call.result != PLATFORM_OK || !p->reply)
+		return;
+	error_clear(&e);
+	c = codec->catalog(p->reply, &revision, &e);
+	if (e.code != ERR_NONE) {
+		log_error(EV_CONFIG_REFUSED, &e);
+		r->listed = false;
+		return;
+	}
+	p->due = proxy_now();
+	r->listed = true;
+	if (revision > r->revision)
+		r->revision = revision;
+	if (!c)
+		return;
+	if (x->catalog && c->revision <= x->catalog->revision) {
+		catalog_destroy(c);
+		return;
+	}
+	log_event(EV_CONFIG_APPLIED,
+		  "version=%llu revision=%llu routes=%u teams=%u keys=%u",
+		  (unsigned long long)c->version,
+		  (unsigned long long)c->revision, c->n_routes, c->n_teams,
+		  c->n_keys);
+	catalog_destroy(x->catalog);
+	x->catalog = c;
+	cluster_apply_catalog(x, proxy_now());
+	/* Databases of new services may have been passed over. */
+	r->databases.due = proxy_now();
+}
+
+/* Asks for one page of the list of databases. */
+static void call_databases(struct registry *r, const char *from, usec_t now)
+{
+	if (from[0] == '\0')
+		r->n_list = 0;
+	snprintf(r->databases.call.from, sizeof(r->databases.call.from), "%s",
+		 from);
+	poll_call(&r->databases, PLATFORM_LIST, now);
+}
+
+/*
+ * Takes in one page, and with the last one the whole list. While the platform
+ * has been back for less than the databases need to return to it, those that
+ * are missing are kept.
+ */
+static void take_databases(struct registry *r, struct poll *p)
+{
+	struct proxy *x = r->proxy;
+	usec_t now = proxy_now();
+	struct error e;
+
+	if (p->call.result != PLATFORM_OK || !p->reply) {
+		r->failing = true;
+		return;
+	}
+	error_clear(&e);
+	memset(&r->page, 0, sizeof(r->page));
+	if (codec->databases(p->reply, add_database, r, &r->page, &e)) {
+		log_error(EV_CONFIG_REFUSED, &e);
+		return;
+	}
+	if (r->page.skipped)
+		log_event(EV_CONFIG_REFUSED,
+			  "list=databases entries_skipped=%u", r->page.skipped);
+	if (r->page.more && r->page.last[0] && r->n_list < LIST_MAX) {
+		call_databases(r, r->page.last, now);
+		return;
+	}
+	if (r->failing) {
+		r->failing = false;
+		r->away_until = now + BACK_WITHIN_US;
+	}
+	r->listed_at = p->asked_at;
+	p->due = now + (now < r->hurry_until ? x->policy.registry_soon
+					     : x->policy.registry_every);
+	x->databases_known = r->n_list > 0;
+	cluster_apply_databases(x, r->list, r->n_list, now >= r->away_until);
+}
+
+static void add_database(void *ctx, const struct registry_db *db)
+{
+	struct registry *r = ctx;
+
+	if (r->n_list < LIST_MAX)
+		r->list[r->n_list++] = *db;
+}
+
+/* Learns of the other VMs. */
+static void take_vms(struct registry *r, struct poll *p)
+{
+	struct registry_page page = { 0 };
+	struct error e;
+
+	if (p->call.result != PLATFORM_OK || !p->reply)
+		return;
+	error_clear(&e);
+	if (codec->vms(p->reply, add_vm, r, &page, &e)) {
+		log_error(EV_CONFIG_REFUSED, &e);
+		return;
+	}
+	if (page.more && page.last[0]) {
+		snprintf(p->call.from, sizeof(p->call.from), "%s", page.last);
+		p->due = proxy_now();
+		return;
+	}
+	p->call.from[0] = '\0';
+	p->due = proxy_now() + VMS_EVERY_US;
+}
+
+static void add_vm(void *ctx, const struct registry_vm *vm)
+{
+	struct registry *r = ctx;
+
+	beacon_peer(r->proxy->beacon, vm);
+}
+
+/*
+ * This VM is registered, and nothing there expires by itself. An entry of an
+ * earlier incarnation is replaced.
+ */
+static void take_self(struct registry *r, struct poll *p)
+{
+	(void)r;
+	if (p->call.result == PLATFORM_OK)
+		p->due = 0;
+	else if (p->call.result == PLATFORM_CONFLICT)
+		p->due = proxy_now();
+	else if (p->call.result == PLATFORM_ABSENT)
+		p->call.version = 0;
+}
+
+static struct duty_call *duty_create(struct registry *r, const char *service,
+				     enum platform_op op, void *ctx)
+{
+	struct duty_call *d = calloc(1, sizeof(*d));
+
+	if (!d)
+		return NULL;
+	d->registry = r;
+	d->ctx = ctx;
+	d->call.op = op;
+	d->call.done = on_duty;
+	d->call.ctx = d;
+	snprintf(d->service, sizeof(d->service), "%s", service);
+	snprintf(d->call.name, sizeof(d->call.name), "%s/%s", REGISTRY_DUTY,
+		 service);
+	return d;
+}
+
+/* Copies the answer; on the platform's thread. */
+static void on_duty(struct platform_call *c)
+{
+	struct duty_call *d = c->ctx;
+
+	d->reply = c->reply ? strdup(c->reply) : NULL;
+	proxy_post(d->registry->proxy, duty_done, d);
+}
+
+/*
+ * Goes on from a read to the write that replaces it, or tells the outcome. A
+ * write whose answer was lost counts as not made: the next claim reads anew.
+ */
+static void duty_done(void *ctx)
+{
+	struct duty_call *d = ctx;
+	struct proxy *p = d->registry->proxy;
+	struct registry_duty duty = { 0 };
+	enum platform_result result = d->call.result;
+	bool read = d->call.op == PLATFORM_GET;
+
+	if (d->promote_fn) {
+		d->promote_fn(d->ctx, result == PLATFORM_OK ? PROMOTE_ANSWER_OK
+				      : result == PLATFORM_CONFLICT
+					      ? PROMOTE_ANSWER_REFUSED
+					      : PROMOTE_ANSWER_NONE);
+	} else if (read && d->writes &&
+		   (result == PLATFORM_OK || result == PLATFORM_ABSENT)) {
+		if (result == PLATFORM_OK && d->reply)
+			codec->duty(d->reply, &duty);
+		snprintf(duty.holder, sizeof(duty.holder), "%s",
+			 p->kernel->settings.vm);
+		duty.incarnation = p->kernel->incarnation;
+		duty.claim = ++p->claims;
+		d->call.op = PLATFORM_PUT;
+		d->call.version = duty.revision;
+		d->call.body = codec->duty_body(&duty);
+		free(d->reply);
+		d->reply = NULL;
+		platform_submit(p->kernel, &d->call);
+		return;
+	} else {
+		if (result == PLATFORM_OK && d->reply)
+			result = codec->duty(d->reply, &duty) == 0
+					 ? PLATFORM_OK
+					 : PLATFORM_DOWN;
+		d->fn(d->ctx, result == PLATFORM_OK && duty.revision > 0,
+		      duty.revision);
+	}
+	free(d->call.body);
+	free(d->reply);
+	free(d);
+}
--- /dev/null
+++ b/src/proxy/session.c
@@ -0,0 +1,746 @@
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "kernel/counters.h"
+#include "kernel/log.h"
+#include "proxy/proxy_own.h"
+
+/* Prepared names and values of one session. */
+#define SESSION_NAMES_MAX 128
+/* A caller's first message has to come within this. */
+#define START_WAIT_US (10 * USEC_PER_SEC)
+/* Output that a caller does not read; beyond it nothing more is read. */
+#define OUTPUT_MAX_BYTES (4 * MESSAGE_MAX_BYTES)
+
+static void on_read(struct bufferevent *bev, void *ctx);
+static void on_written(struct bufferevent *bev, void *ctx);
+static void on_event(struct bufferevent *bev, short what, void *ctx);
+static void on_timer(evutil_socket_t fd, short what, void *ctx);
+static void read_lines(struct session *s);
+static void take_line(struct session *s, char *line, size_t len);
+static void start(struct session *s, const struct caller_msg *m);
+static void query(struct session *s);
+static void local(struct session *s, const struct statement *st);
+static void begin(struct session *s);
+static void end_failed(struct session *s);
+static void end_unstarted(struct session *s);
+static void run(struct session *s);
+static bool open_operation(struct session *s);
+static bool check_route(struct session *s, enum refusal_code *code);
+static void answer(struct session *s, struct evbuffer *reply,
+		   const struct reply_msg *ready);
+static void end_operation(struct session *s);
+static void end_task(struct session *s);
+static void reply_state(struct session *s, const struct log_pos *at);
+static void set_timer(struct session *s, usec_t at);
+static void fail_and_close(struct session *s, enum refusal_code code,
+			   const char *why);
+static void close_after_output(struct session *s);
+static bool promised(enum refusal_code code);
+
+/* Takes a caller's new connection. */
+void session_accept(struct proxy *p, int fd)
+{
+	struct session *s = calloc(1, sizeof(*s));
+	const int on = 1;
+
+	if (s)
+		s->bev = bufferevent_socket_new(p->base, fd,
+						BEV_OPT_CLOSE_ON_FREE);
+	if (s && s->bev)
+		s->timer = evtimer_new(p->base, on_timer, s);
+	if (!s || !s->bev || !s->timer) {
+		if (s && s->bev)
+			bufferevent_free(s->bev);
+		else
+			evutil_closesocket(fd);
+		free(s);
+		return;
+	}
+	(void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	s->proxy = p;
+	s->state = STATE_IDLE;
+	s->task.db = DB_NONE;
+	TAILQ_INSERT_TAIL(&p->sessions, s, all);
+	p->n_sessions++;
+	bufferevent_setcb(s->bev, on_read, on_written, on_event, s);
+	bufferevent_setwatermark(s->bev, EV_READ, 0,
+				 MESSAGE_MAX_BYTES + STATEMENT_ID_MAX);
+	bufferevent_enable(s->bev, EV_READ | EV_WRITE);
+	set_timer(s, proxy_now() + START_WAIT_US);
+}
+
+/* Ends a session whose caller is gone or to be let go. */
+void session_close(struct session *s)
+{
+	if (s->closed)
+		return;
+	s->closed = true;
+	if (s->task.stage != TASK_NONE || s->held)
+		dispatch_cancel(s);
+	event_del(s->timer);
+	bufferevent_disable(s->bev, EV_READ | EV_WRITE);
+	bufferevent_setcb(s->bev, NULL, NULL, NULL, NULL);
+	TAILQ_REMOVE(&s->proxy->sessions, s, all);
+	s->proxy->n_sessions--;
+	TAILQ_INSERT_TAIL(&s->proxy->gone, s, all);
+}
+
+/* Frees the sessions closed since the last call. */
+void session_reap(struct proxy *p)
+{
+	struct session *s;
+
+	while ((s = TAILQ_FIRST(&p->gone))) {
+		TAILQ_REMOVE(&p->gone, s, all);
+		bufferevent_free(s->bev);
+		event_free(s->timer);
+		names_clear(&s->values);
+		names_clear(&s->prepared);
+		free(s->task.line);
+		free(s->host);
+		free(s->key);
+		free(s);
+	}
+}
+
+/*
+ * A statement has come to its end. A refusal that lets it be tried elsewhere
+ * does so while there is time; all else is answered at once.
+ */
+void session_ended(struct session *s, enum task_end end, enum refusal_code code,
+		   struct evbuffer *reply, const struct reply_msg *ready)
+{
+	struct task *t = &s->task;
+	struct pgroup *g = s->group;
+	usec_t now = proxy_now();
+
+	if (end == END_ANSWER) {
+		if (t->writes || (t->commits && s->tx_wrote)) {
+			if (!cluster_primary_usable(g, now)) {
+				/* Another primary may lead already; whether
+				 * this commit is in its log is not known. */
+				log_event(EV_CALLER_UNKNOWN,
+					  "id=%s service=%s reason=\"primary "
+					  "not proved at its answer\" "
+					  "proof_age_us=%lld",
+					  t->id, g->service,
+					  (long long)(now - g->lead.proved_at));
+				evbuffer_drain(reply,
+					       evbuffer_get_length(reply));
+				session_refuse(s, REFUSE_IN_DOUBT,
+					       "the primary may be superseded");
+				return;
+			}
+			if (ready->has_position && (!s->tx || t->commits)) {
+				s->committed = ready->at;
+				snprintf(s->committed_in,
+					 sizeof(s->committed_in), "%s",
+					 g->service);
+			}
+		}
+		answer(s, reply, ready);
+		return;
+	}
+	if (end == END_LOST) {
+		if (t->commits && s->tx_wrote)
+			code = REFUSE_IN_DOUBT;
+		else if (s->tx)
+			code = REFUSE_ABORTED;
+		else if (t->writes)
+			code = REFUSE_IN_DOUBT;
+		else {
+			dispatch_again(s, REFUSE_NONE);
+			return;
+		}
+		session_refuse(s, code, "connection to the database lost");
+		return;
+	}
+	if (end == END_FAILED) {
+		if (!s->tx && !t->writes && t->attempts == 0) {
+			backend_release(s->held);
+			dispatch_again(s, code);
+			return;
+		}
+		session_refuse(s, code, "failed at the database");
+		return;
+	}
+	/* Not run. */
+	if (s->tx && !s->tx_begun && !s->tx_ran && s->held)
+		backend_release(s->held);
+	if (s->tx && s->tx_begun && !s->tx_ran) {
+		backend_release(s->held);
+		dispatch_again(s, code);
+		return;
+	}
+	if (s->tx && s->tx_begun) {
+		session_refuse(s, REFUSE_ABORTED,
+			       "transaction ended by the database");
+		return;
+	}
+	if (!s->tx) {
+		if (s->held)
+			backend_release(s->held);
+		dispatch_again(s, code);
+		return;
+	}
+	session_refuse(s, promised(code) ? code : REFUSE_ABORTED,
+		       "transaction not begun");
+}
+
+/* The database connection of an idle transaction is gone. */
+void session_lost_backend(struct session *s)
+{
+	if (!s->tx || !s->tx_begun)
+		return;
+	s->state = STATE_FAILED;
+	s->tx_begun = false;
+	log_event(EV_TRANSACTION_LOST, "service=%s team=%s", s->group->service,
+		  s->team);
+}
+
+/* Answers the statement under way with an error. */
+void session_refuse(struct session *s, enum refusal_code code, const char *why)
+{
+	struct evbuffer *out = bufferevent_get_output(s->bev);
+
+	log_event(code == REFUSE_IN_DOUBT ? EV_CALLER_UNKNOWN
+					  : EV_STATEMENT_REFUSED,
+		  "id=%s service=%s code=%s attempts=%u waited_us=%lld "
+		  "reason=\"%s\"",
+		  s->task.id, s->group ? s->group->service : "-",
+		  s->proxy->protocol->code_name(code), s->task.attempts,
+		  (long long)(proxy_now() - s->task.began_at), why);
+	counter_add(code == REFUSE_IN_DOUBT ? CTR_UNKNOWN : CTR_NOT_RUN, 1);
+	s->proxy->protocol->put_error(out, code, why);
+	if (s->tx && !s->task.commits) {
+		if (s->held) {
+			s->held->doomed |= s->task.stage == TASK_RUNNING &&
+					   s->held->n_expect > 0;
+			backend_release(s->held);
+		}
+		s->tx_begun = false;
+		s->state = STATE_FAILED;
+	} else {
+		end_operation(s);
+	}
+	end_task(s);
+	reply_state(s, NULL);
+	read_lines(s);
+}
+
+/* Lets go of a session that has nothing under way, when the VM stops. */
+void session_drain(struct session *s)
+{
+	if (s->task.stage == TASK_NONE && !s->tx &&
+	    evbuffer_get_length(bufferevent_get_input(s->bev)) == 0)
+		close_after_output(s);
+}
+
+static void on_read(struct bufferevent *bev, void *ctx)
+{
+	(void)bev;
+	read_lines(ctx);
+}
+
+static void on_written(struct bufferevent *bev, void *ctx)
+{
+	struct session *s = ctx;
+
+	(void)bev;
+	if (s->closing)
+		session_close(s);
+	else
+		read_lines(s);
+}
+
+static void on_event(struct bufferevent *bev, short what, void *ctx)
+{
+	(void)bev;
+	(void)what;
+	session_close(ctx);
+}
+
+/* A deadline of the statement, an idle transaction, or a caller that never
+ * says what it wants. */
+static void on_timer(evutil_socket_t fd, short what, void *ctx)
+{
+	struct session *s = ctx;
+	struct task *t = &s->task;
+	usec_t now = proxy_now();
+
+	(void)fd;
+	(void)what;
+	if (!s->started) {
+		session_close(s);
+		return;
+	}
+	if (t->stage == TASK_NONE) {
+		if (s->tx && s->tx_begun && now >= s->tx_until && s->held) {
+			log_event(EV_TRANSACTION_IDLE, "service=%s team=%s",
+				  s->group->service, s->team);
+			backend_release(s->held);
+			s->tx_begun = false;
+			s->state = STATE_FAILED;
+		}
+		return;
+	}
+	if (now < t->deadline) {
+		set_timer(s, t->deadline);
+		return;
+	}
+	if (t->stage == TASK_RUNNING) {
+		enum refusal_code code = REFUSE_TIMEOUT;
+
+		if ((t->commits && s->tx_wrote) || (t->writes && !s->tx))
+			code = REFUSE_IN_DOUBT;
+		else if (s->tx)
+			code = REFUSE_ABORTED;
+		if (s->held) {
+			s->held->doomed = true;
+			backend_release(s->held);
+		}
+		session_refuse(s, code, "no answer of the database in time");
+		return;
+	}
+	dispatch_cancel(s);
+	t->stage = TASK_WAITING;
+	session_refuse(s, s->tx ? REFUSE_ABORTED : REFUSE_BUSY,
+		       "no database could take it in time, not run");
+}
+
+/* Reads lines while no statement is under way. */
+static void read_lines(struct session *s)
+{
+	struct evbuffer *in = bufferevent_get_input(s->bev);
+	char *line;
+	size_t len;
+
+	if (s->reading)
+		return;
+	s->reading = true;
+	while (!s->closed && !s->closing && s->task.stage == TASK_NONE) {
+		if (evbuffer_get_length(bufferevent_get_output(s->bev)) >
+		    OUTPUT_MAX_BYTES)
+			break;
+		line = evbuffer_readln(in, &len, EVBUFFER_EOL_CRLF);
+		if (!line) {
+			if (evbuffer_get_length(in) > MESSAGE_MAX_BYTES)
+				fail_and_close(s, REFUSE_TOO_BIG,
+					       "message longer than 1 MiB");
+			break;
+		}
+		take_line(s, line, len);
+	}
+	s->reading = false;
+}
+
+/* Takes one message of the caller. */
+static void take_line(struct session *s, char *line, size_t len)
+{
+	struct task *t = &s->task;
+
+	free(t->line);
+	t->line = line;
+	s->proxy->protocol->parse_caller(line, len, &t->msg);
+	switch (t->msg.type) {
+	case CALLER_START:
+		if (s->started)
+			fail_and_close(s, REFUSE_MALFORMED, "started already");
+		else
+			start(s, &t->msg);
+		break;
+	case CALLER_QUERY:
+		if (!s->started) {
+			fail_and_close(s, REFUSE_MALFORMED, "not started");
+			break;
+		}
+		query(s);
+		break;
+	case CALLER_TERMINATE:
+		session_close(s);
+		break;
+	default:
+		fail_and_close(s, REFUSE_MALFORMED, "message not understood");
+		break;
+	}
+}
+
+/* Begins a session for a database name, under a key. */
+static void start(struct session *s, const struct caller_msg *m)
+{
+	enum refusal_code code = REFUSE_NONE;
+
+	s->host = strndup(m->database.at, m->database.len);
+	s->key = strndup(m->key.at, m->key.len);
+	if (!s->host || !s->key || m->key.len > SESSION_KEY_MAX) {
+		fail_and_close(s, REFUSE_NO_AUTH, "key too long");
+		return;
+	}
+	if (!s->proxy->catalog) {
+		fail_and_close(s, REFUSE_BUSY, "no configuration yet");
+		return;
+	}
+	if (!check_route(s, &code)) {
+		fail_and_close(s, code, "no such database or key");
+		return;
+	}
+	s->started = true;
+	event_del(s->timer);
+	reply_state(s, NULL);
+}
+
+/* Takes a statement. */
+static void query(struct session *s)
+{
+	struct task *t = &s->task;
+	const struct statement *st = &t->msg.statement;
+	struct evbuffer *out = bufferevent_get_output(s->bev);
+
+	counter_add(CTR_REQUESTS, 1);
+	memcpy(t->id, t->msg.id.at, t->msg.id.len);
+	t->id[t->msg.id.len] = '\0';
+	t->began_at = proxy_now();
+	t->attempts = 0;
+	t->tried = 0;
+	t->retry_at = 0;
+	t->db = DB_NONE;
+	t->last = REFUSE_BUSY;
+	t->commits = false;
+	t->writes = false;
+	if (s->state == STATE_FAILED) {
+		end_failed(s);
+		return;
+	}
+	switch (st->verb) {
+	case VERB_SET:
+	case VERB_PREPARE:
+	case VERB_CLOSE:
+		local(s, st);
+		return;
+	case VERB_BEGIN:
+	case VERB_BEGIN_READ:
+		begin(s);
+		return;
+	case VERB_COMMIT:
+	case VERB_ROLLBACK:
+		if (s->tx && (st->verb == VERB_COMMIT)) {
+			t->commits = true;
+			run(s);
+			return;
+		}
+		end_unstarted(s);
+		return;
+	case VERB_EXECUTE: {
+		const struct name *p =
+			names_find(&s->prepared, st->name.at, st->name.len);
+
+		if (!p) {
+			s->proxy->protocol->put_error(out, REFUSE_NO_STATEMENT,
+						      "no such name");
+			reply_state(s, NULL);
+			return;
+		}
+		t->writes = p->flag;
+		run(s);
+		return;
+	}
+	case VERB_WRITE:
+		t->writes = true;
+		run(s);
+		return;
+	case VERB_READ:
+		run(s);
+		return;
+	case VERB_BAD:
+		break;
+	}
+	s->proxy->protocol->put_error(out, REFUSE_MALFORMED,
+				      "statement not understood");
+	reply_state(s, NULL);
+}
+
+/* Values and prepared names are kept here until a connection needs them. */
+static void local(struct session *s, const struct statement *st)
+{
+	struct evbuffer *out = bufferevent_get_output(s->bev);
+	struct names *table = st->verb == VERB_SET ? &s->values : &s->prepared;
+	bool ok = true;
+
+	if (st->verb == VERB_CLOSE)
+		names_remove(table, st->name.at, st->name.len);
+	else
+		ok = (table->n < SESSION_NAMES_MAX ||
+		      names_find(table, st->name.at, st->name.len)) &&
+		     names_set(table, st->name.at, st->name.len, st->value.at,
+			       st->value.len, st->writes);
+	if (ok)
+		s->proxy->protocol->put_complete(out);
+	else
+		s->proxy->protocol->put_error(out, REFUSE_TOO_BIG,
+					      "too many names in the session");
+	reply_state(s, NULL);
+}
+
+/* A transaction begins here; at the database only with its first statement. */
+static void begin(struct session *s)
+{
+	if (s->tx) {
+		s->proxy->protocol->put_error(bufferevent_get_output(s->bev),
+					      REFUSE_MALFORMED,
+					      "in a transaction already");
+		reply_state(s, NULL);
+		return;
+	}
+	if (!open_operation(s))
+		return;
+	s->tx = true;
+	s->tx_reads = s->task.msg.statement.verb == VERB_BEGIN_READ;
+	s->tx_begun = false;
+	s->tx_wrote = false;
+	s->tx_ran = false;
+	s->state = STATE_OPEN;
+	s->proxy->protocol->put_complete(bufferevent_get_output(s->bev));
+	reply_state(s, NULL);
+}
+
+/* In a failed transaction only its end is taken, and it rolls back. */
+static void end_failed(struct session *s)
+{
+	struct evbuffer *out = bufferevent_get_output(s->bev);
+	enum verb verb = s->task.msg.statement.verb;
+
+	if (verb == VERB_ROLLBACK) {
+		end_operation(s);
+		s->proxy->protocol->put_complete(out);
+	} else if (verb == VERB_COMMIT) {
+		end_operation(s);
+		s->proxy->protocol->put_error(out, REFUSE_ABORTED,
+					      "transaction rolled back");
+	} else {
+		s->proxy->protocol->put_error(out, REFUSE_MALFORMED,
+					      "transaction has failed");
+	}
+	reply_state(s, NULL);
+}
+
+/* A rollback, or an end without a transaction. */
+static void end_unstarted(struct session *s)
+{
+	struct evbuffer *out = bufferevent_get_output(s->bev);
+
+	if (s->task.msg.statement.verb == VERB_COMMIT) {
+		s->proxy->protocol->put_error(out, REFUSE_MALFORMED,
+					      "no transaction");
+	} else {
+		if (s->held)
+			backend_release(s->held);
+		end_operation(s);
+		s->proxy->protocol->put_complete(out);
+	}
+	reply_state(s, NULL);
+}
+
+/* Sends a statement on its way to a database. */
+static void run(struct session *s)
+{
+	struct task *t = &s->task;
+
+	if (!s->tx && !open_operation(s))
+		return;
+	t->at_primary = t->writes || s->freshness == READ_PRIMARY ||
+			(s->tx && !s->tx_reads);
+	t->deadline = t->began_at + (usec_t)s->timeout_ms * USEC_PER_MSEC;
+	set_timer(s, t->deadline);
+	dispatch_start(s);
+}
+
+/*
+ * Begins an operation: looks up route and key as they are now, and takes a
+ * token of the team's rate. Answers the refusal itself if it returns false.
+ */
+static bool open_operation(struct session *s)
+{
+	struct evbuffer *out = bufferevent_get_output(s->bev);
+	enum refusal_code code = REFUSE_NONE;
+	usec_t now = s->task.began_at;
+	usec_t retry_after = 0;
+	char why[96];
+
+	if (!check_route(s, &code)) {
+		log_event(EV_STATEMENT_REFUSED,
+			  "id=%s code=%s version=%llu reason=\"route or key "
+			  "not configured\"",
+			  s->task.id, s->proxy->protocol->code_name(code),
+			  (unsigned long long)s->proxy->catalog->version);
+		s->proxy->protocol->put_error(out, code,
+					      "no such database or key");
+		reply_state(s, NULL);
+		return false;
+	}
+	if (s->team[0] &&
+	    !quota_take(s->proxy->quota, s->team, now, &retry_after)) {
+		counter_add(CTR_OVER_RATE, 1);
+		log_event(EV_TEAM_REFUSED, "id=%s team=%s part=%.3f",
+			  s->task.id, s->team,
+			  quota_part(s->proxy->quota, s->team));
+		snprintf(why, sizeof(why),
+			 "over the team's rate, not run, retry after %lld ms",
+			 (long long)(retry_after / USEC_PER_MSEC + 1));
+		s->proxy->protocol->put_error(out, REFUSE_BUSY, why);
+		reply_state(s, NULL);
+		return false;
+	}
+	return true;
+}
+
+/* Copies what the configuration in force says of the session's route. */
+static bool check_route(struct session *s, enum refusal_code *code)
+{
+	const struct catalog *c = s->proxy->catalog;
+	const struct catalog_route *r = catalog_route(c, s->host);
+	const struct catalog_team *team;
+
+	if (!r) {
+		*code = REFUSE_NO_DATABASE;
+		return false;
+	}
+	team = s->key[0] ? catalog_team(c, s->key) : NULL;
+	if (!team && !r->open) {
+		*code = REFUSE_NO_AUTH;
+		return false;
+	}
+	if (!team)
+		team = c->n_teams ? &c->teams[0] : NULL;
+	snprintf(s->team, sizeof(s->team), "%s", team ? team->name : "open");
+	s->group = cluster_group(s->proxy, r->service);
+	if (!s->group) {
+		*code = REFUSE_NO_DATABASE;
+		return false;
+	}
+	s->freshness = r->freshness;
+	s->timeout_ms = r->timeout_ms;
+	s->priority = r->priority;
+	s->staleness_ms = r->staleness_ms;
+	s->tx_idle_ms = c->transaction_idle_ms;
+	return true;
+}
+
+/* Passes on a whole reply. */
+static void answer(struct session *s, struct evbuffer *reply,
+		   const struct reply_msg *ready)
+{
+	struct task *t = &s->task;
+
+	log_event(EV_STATEMENT_DONE,
+		  "id=%s service=%s database=%s took_us=%lld attempts=%u "
+		  "after=%llu.%llu at=%llu.%llu",
+		  t->id, s->group->service, s->group->db[t->db].id,
+		  (long long)(proxy_now() - t->began_at), t->attempts,
+		  (unsigned long long)(t->has_after ? t->after.term : 0),
+		  (unsigned long long)(t->has_after ? t->after.position : 0),
+		  (unsigned long long)ready->at.term,
+		  (unsigned long long)ready->at.position);
+	counter_add(CTR_DONE, 1);
+	if (!t->writes && !t->commits)
+		counter_add(t->db == s->group->primary ? CTR_READS_PRIMARY
+						       : CTR_READS_REPLICA,
+			    1);
+	bufferevent_write_buffer(s->bev, reply);
+	if (!s->tx || t->commits) {
+		end_operation(s);
+	} else {
+		s->tx_ran = true;
+		if (ready->state != STATE_OPEN)
+			s->state = STATE_FAILED;
+	}
+	end_task(s);
+	reply_state(s, ready->has_position ? &ready->at : NULL);
+	read_lines(s);
+}
+
+/* The operation is over: the session holds no connection any more. */
+static void end_operation(struct session *s)
+{
+	if (s->held)
+		backend_release(s->held);
+	s->tx = false;
+	s->tx_begun = false;
+	s->tx_wrote = false;
+	s->tx_ran = false;
+	s->state = STATE_IDLE;
+}
+
+/* No statement is under way; an open transaction may idle for a while. */
+static void end_task(struct session *s)
+{
+	s->task.stage = TASK_NONE;
+	event_del(s->timer);
+	if (!s->tx || s->state != STATE_OPEN)
+		return;
+	s->tx_until = proxy_now() + (usec_t)s->tx_idle_ms * USEC_PER_MSEC;
+	set_timer(s, s->tx_until);
+}
+
+static void reply_state(struct session *s, const struct log_pos *at)
+{
+	s->proxy->protocol->put_ready(bufferevent_get_output(s->bev), s->state,
+				      at);
+	if (s->proxy->draining && s->started)
+		session_drain(s);
+}
+
+/* Sets the session's one timer. */
+static void set_timer(struct session *s, usec_t at)
+{
+	usec_t wait = at - proxy_now();
+	struct timeval tv;
+
+	if (wait < 0)
+		wait = 0;
+	tv.tv_sec = wait / USEC_PER_SEC;
+	tv.tv_usec = wait % USEC_PER_SEC;
+	evtimer_add(s->timer, &tv);
+}
+
+/* Says why and closes. */
+static void fail_and_close(struct session *s, enum refusal_code code,
+			   const char *why)
+{
+	log_event(EV_CALLER_REFUSED, "code=%s reason=\"%s\"",
+		  s->proxy->protocol->code_name(code), why);
+	s->proxy->protocol->put_error(bufferevent_get_output(s->bev), code,
+				      why);
+	close_after_output(s);
+}
+
+/* Closes once all that was written has left. */
+static void close_after_output(struct session *s)
+{
+	if (s->closing || s->closed)
+		return;
+	s->closing = true;
+	if (evbuffer_get_length(bufferevent_get_output(s->bev)) == 0)
+		session_close(s);
+}
+
+/* Does the code promise that nothing is kept? */
+static bool promised(enum refusal_code code)
+{
+	switch (code) {
+	case REFUSE_BUSY:
+	case REFUSE_ABORTED:
+	case REFUSE_LAGGING:
+	case REFUSE_READ_ONLY:
+	case REFUSE_WRONG_DATABASE:
+	case REFUSE_TOO_MANY:
+		return true;
+	default:
+		return false;
+	}
+}
