Renew watches often and let peers tell each other what is new

Change: a watch that brought nothing is renewed from where it began, after 4 to 8 s drawn at random while seven peers are heard, and after 0.5 to 1 s by a VM that is alone. Beacons carry the revision of the configuration and a hash of the list of databases; who learns of a newer one reads at once. BEGIN goes to the database under the caller's own id.

--- a/src/proxy/backend.c
+++ b/src/proxy/backend.c
@@ -480,7 +480,7 @@
 	}
 	bring_prepared(b, s);
 	if (s->tx && !s->tx_begun) {
-		proto->put_begin(out, s->tx_reads,
+		proto->put_begin(out, s->begin_id, s->tx_reads,
 				 s->task.has_after ? &s->task.after : NULL);
 		expect(b, EXPECT_BEGIN);
 	}
--- a/src/proxy/beacon.c
+++ b/src/proxy/beacon.c
@@ -178,6 +178,17 @@
 	return b->n;
 }
 
+/* VMs heard lately, besides this one. */
+uint32_t beacon_live(const struct beacon *b)
+{
+	uint32_t n = 0;
+	uint32_t i;
+
+	for (i = 0; i < b->n; i++)
+		n += !b->peers[i]->silent;
+	return n;
+}
+
 /* Counts the live VMs whose hash for the service is above this one's. */
 uint32_t beacon_rank(const struct beacon *b, const char *service)
 {
@@ -244,17 +255,18 @@
 	msgpack_sbuffer_destroy(&buf);
 }
 
-/* [version, name, domain, incarnation, draining, groups, demands] */
+/* [version, name, domain, incarnation, draining, news, groups, demands] */
 static void pack(struct beacon *b, msgpack_sbuffer *buf, usec_t now)
 {
 	struct proxy *p = b->proxy;
 	const struct settings *s = &p->kernel->settings;
+	struct registry_news news = registry_news(p->registry, now);
 	msgpack_packer packer;
 	uint32_t n = p->n_groups < GROUPS_MAX ? p->n_groups : GROUPS_MAX;
 	uint32_t i;
 
 	msgpack_packer_init(&packer, buf, msgpack_sbuffer_write);
-	msgpack_pack_array(&packer, 7);
+	msgpack_pack_array(&packer, 8);
 	msgpack_pack_uint32(&packer, BEACON_VERSION);
 	wire_put_str(&packer, s->vm);
 	wire_put_str(&packer, s->domain);
@@ -263,6 +275,10 @@
 		msgpack_pack_true(&packer);
 	else
 		msgpack_pack_false(&packer);
+	msgpack_pack_array(&packer, 3);
+	msgpack_pack_uint64(&packer, news.catalog);
+	msgpack_pack_uint64(&packer, news.databases);
+	msgpack_pack_uint64(&packer, news.age_ms);
 	msgpack_pack_array(&packer, n);
 	for (i = 0; i < n; i++)
 		pack_group(&packer, p->groups[i], now);
@@ -337,6 +353,8 @@
 	struct wire_reader r;
 	struct wire_reader groups;
 	struct wire_reader demands;
+	struct wire_reader told;
+	struct registry_news news;
 	char name[NAME_MAX_BYTES];
 	char domain[NAME_MAX_BYTES];
 	char team[NAME_MAX_BYTES];
@@ -350,16 +368,20 @@
 	msgpack_unpacked_init(&u);
 	if (!wire_unpack(&u, data, len))
 		goto bad;
-	r = wire_array(&u.data, 7);
+	r = wire_array(&u.data, 8);
 	if (wire_u64(&r) != BEACON_VERSION)
 		goto bad;
 	wire_str(&r, name, sizeof(name));
 	wire_str(&r, domain, sizeof(domain));
 	incarnation = wire_u64(&r);
 	draining = wire_bool(&r);
+	told = wire_sub(&r, 3);
+	news.catalog = wire_u64(&told);
+	news.databases = wire_u64(&told);
+	news.age_ms = wire_u64(&told);
 	groups = wire_sub(&r, GROUPS_MAX);
 	demands = wire_sub(&r, QUOTA_TEAMS_MAX * 2);
-	if (r.bad || name[0] == '\0' ||
+	if (r.bad || told.bad || name[0] == '\0' ||
 	    strcmp(name, b->proxy->kernel->settings.vm) == 0)
 		goto bad;
 	v = find(b, name, true);
@@ -379,6 +401,7 @@
 				  (double)wire_u64(&demands) / 1000);
 	}
 	msgpack_unpacked_destroy(&u);
+	registry_peer_news(b->proxy->registry, &news, v->heard_at);
 	return;
 bad:
 	msgpack_unpacked_destroy(&u);
--- a/src/proxy/proxy_own.h
+++ b/src/proxy/proxy_own.h
@@ -142,6 +142,7 @@
 	/* A transaction: */
 	bool tx;	 /* the caller is in one */
 	bool tx_reads;	 /* it began as reading only */
+	char begin_id[STATEMENT_ID_MAX]; /* of the caller's BEGIN */
 	bool tx_begun;	 /* the database has it too */
 	bool tx_wrote;	 /* a write was sent in it */
 	bool tx_ran;	 /* a statement of it was answered */
@@ -334,6 +335,8 @@
 void beacon_tick(struct beacon *b, usec_t now);
 void beacon_peer(struct beacon *b, const struct registry_vm *vm);
 uint32_t beacon_peers(const struct beacon *b);
+/* Of them, those heard lately. */
+uint32_t beacon_live(const struct beacon *b);
 /* Rank of this VM for a service among those heard lately; 0 first. */
 uint32_t beacon_rank(const struct beacon *b, const char *service);
 /* What peers say of a service's primary. */
--- a/src/proxy/registry.c
+++ b/src/proxy/registry.c
@@ -3,13 +3,22 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "kernel/log.h"
 #include "kernel/platform.h"
 #include "proxy/proxy_own.h"
 
-/* A watch is held this long by the platform. */
-#define WATCH_MS 25000
+/*
+ * A watch may hear nothing without being told so. It is renewed after this
+ * time for each live VM: the VMs tell each other what is new, so that one of
+ * them looks about once a second, a third of the time in which a configuration
+ * has to be in force. A VM alone looks as often itself.
+ */
+#define WATCH_PER_VM_MS 1000
+#define WATCH_MAX_MS	8000
+/* The list of databases has to be known in 7 s, and is asked for likewise. */
+#define LIST_PAUSE_MAX_US (4 * USEC_PER_SEC)
 /* Pauses after a call that failed. */
 #define RETRY_US (250 * USEC_PER_MSEC)
 /* The VMs are listed again after this. */
@@ -35,18 +44,19 @@
 
 struct registry {
 	struct proxy *proxy;
-	struct poll catalog;
+	struct poll read;  /* the catalogue as it is */
+	struct poll watch; /* and its changes, once it was read */
 	struct poll databases;
 	struct poll vms;
 	struct poll self; /* registers this VM */
-	bool listed;	  /* the catalogue was read; it is watched now */
-	uint64_t revision;
+	uint64_t revision; /* of what was read or heard last */
 	usec_t hurry_until;
 	usec_t listed_at;
 	usec_t away_until; /* absent databases may still come back */
 	bool failing;
 	struct registry_db *list;
 	uint32_t n_list;
+	uint64_t list_hash; /* of the newest whole list */
 	struct registry_page page;
 };
 
@@ -67,7 +77,14 @@
 static void poll_call(struct poll *p, enum platform_op op, usec_t now);
 static void on_done(struct platform_call *c);
 static void on_proxy(void *ctx);
-static void take_catalog(struct registry *r, struct poll *p);
+static void take_read(struct registry *r, struct poll *p);
+static void take_watch(struct registry *r, struct poll *p);
+static bool take_catalog(struct registry *r, const struct poll *p);
+static bool due(const struct poll *p, usec_t now);
+static uint32_t watch_ms(const struct registry *r);
+static usec_t list_pause(const struct registry *r, usec_t now);
+static uint64_t hash_list(const struct registry *r);
+static int by_id(const void *a, const void *b);
 static void take_databases(struct registry *r, struct poll *p);
 static void add_database(void *ctx, const struct registry_db *db);
 static void take_vms(struct registry *r, struct poll *p);
@@ -104,7 +121,8 @@
 		return NULL;
 	}
 	r->proxy = p;
-	poll_begin(r, &r->catalog, REGISTRY_CATALOG, take_catalog);
+	poll_begin(r, &r->read, REGISTRY_CATALOG, take_read);
+	poll_begin(r, &r->watch, REGISTRY_CATALOG, take_watch);
 	poll_begin(r, &r->databases, REGISTRY_DATABASES, take_databases);
 	poll_begin(r, &r->vms, REGISTRY_VMS, take_vms);
 	poll_begin(r, &r->self, REGISTRY_VMS, take_self);
@@ -126,7 +144,7 @@
 {
 	usec_t now = proxy_now();
 
-	r->catalog.due = now;
+	r->read.due = now;
 	r->databases.due = now;
 	r->vms.due = now;
 	r->self.due = now;
@@ -139,17 +157,18 @@
 	struct kernel *k = r->proxy->kernel;
 	struct registry_vm self = { .incarnation = k->incarnation };
 
-	if (!r->catalog.busy && now >= r->catalog.due) {
-		r->catalog.call.after = r->revision;
-		r->catalog.call.wait_ms = WATCH_MS;
-		poll_call(&r->catalog,
-			  r->listed ? PLATFORM_WATCH : PLATFORM_LIST, now);
+	if (due(&r->read, now))
+		poll_call(&r->read, PLATFORM_LIST, now);
+	if (due(&r->watch, now)) {
+		r->watch.call.after = r->revision;
+		r->watch.call.wait_ms = watch_ms(r);
+		poll_call(&r->watch, PLATFORM_WATCH, now);
 	}
-	if (!r->databases.busy && now >= r->databases.due)
+	if (due(&r->databases, now))
 		call_databases(r, "", now);
-	if (!r->vms.busy && now >= r->vms.due)
+	if (due(&r->vms, now))
 		poll_call(&r->vms, PLATFORM_LIST, now);
-	if (!r->self.busy && r->self.due && now >= r->self.due) {
+	if (due(&r->self, now)) {
 		snprintf(self.name, sizeof(self.name), "%s", k->settings.vm);
 		snprintf(self.domain, sizeof(self.domain), "%s",
 			 k->settings.domain);
@@ -173,6 +192,32 @@
 		r->databases.due = soon;
 }
 
+/* What is known here, for peers. */
+struct registry_news registry_news(const struct registry *r, usec_t now)
+{
+	const struct catalog *c = r->proxy->catalog;
+
+	return (struct registry_news){
+		.catalog = c ? c->revision : 0,
+		.databases = r->list_hash,
+		.age_ms = (uint64_t)((now - r->listed_at) / USEC_PER_MSEC),
+	};
+}
+
+/* Asks at once for what a peer knows better. */
+void registry_peer_news(struct registry *r, const struct registry_news *n,
+			usec_t now)
+{
+	struct registry_news own = registry_news(r, now);
+
+	if (n->catalog > own.catalog && r->read.due == 0)
+		r->read.due = now;
+	if (n->databases != own.databases && n->age_ms < own.age_ms &&
+	    r->databases.due > now)
+		r->databases.due = now;
+	registry_tick(r, now);
+}
+
 /* When the newest whole list was asked for. */
 usec_t registry_listed_at(const struct registry *r)
 {
@@ -269,38 +314,87 @@
 	registry_tick(r, proxy_now());
 }
 
-/* A newer configuration comes into force; an older one never does. */
-static void take_catalog(struct registry *r, struct poll *p)
+static bool due(const struct poll *p, usec_t now)
 {
-	struct proxy *x = r->proxy;
-	struct catalog *c;
-	struct error e;
-	uint64_t revision = 0;
+	return !p->busy && p->due && now >= p->due;
+}
+
+/* How long a watch is held, in milliseconds. */
+static uint32_t watch_ms(const struct registry *r)
+{
+	uint32_t ms = WATCH_PER_VM_MS * (beacon_live(r->proxy->beacon) + 1);
+
+	if (ms > WATCH_MAX_MS)
+		ms = WATCH_MAX_MS;
+	/* Drawn at random, so that the VMs look one after another. */
+	return ms / 2 + (uint32_t)(proxy_random(r->proxy) % (ms / 2));
+}
+
+/* The pause between two lists of databases. */
+static usec_t list_pause(const struct registry *r, usec_t now)
+{
+	const struct proxy_policy *policy = &r->proxy->policy;
+	usec_t pause = policy->registry_every *
+		       (beacon_live(r->proxy->beacon) + 1);
 
+	if (now < r->hurry_until)
+		return policy->registry_soon;
+	return pause < LIST_PAUSE_MAX_US ? pause : LIST_PAUSE_MAX_US;
+}
+
+/* The catalogue was read whole; from now on its changes are watched. */
+static void take_read(struct registry *r, struct poll *p)
+{
+	if (!take_catalog(r, p))
+		return;
+	p->due = 0;
+	if (r->watch.due == 0)
+		r->watch.due = proxy_now();
+}
+
+/*
+ * Goes on from what the watch has told. One that brought nothing may have
+ * missed something, so the next begins where it began.
+ */
+static void take_watch(struct registry *r, struct poll *p)
+{
 	if (p->call.result == PLATFORM_ABSENT) {
 		/* The history since is gone: all is read anew. */
-		r->listed = false;
-		p->due = proxy_now();
+		p->due = 0;
+		if (r->read.due == 0)
+			r->read.due = proxy_now();
 		return;
 	}
+	if (take_catalog(r, p))
+		p->due = proxy_now();
+}
+
+/*
+ * A newer configuration comes into force; an older one never does. False if
+ * the answer is none.
+ */
+static bool take_catalog(struct registry *r, const struct poll *p)
+{
+	struct proxy *x = r->proxy;
+	struct catalog *c;
+	struct error e;
+	uint64_t revision = 0;
+
 	if (p->call.result != PLATFORM_OK || !p->reply)
-		return;
+		return false;
 	error_clear(&e);
 	c = codec->catalog(p->reply, &revision, &e);
 	if (e.code != ERR_NONE) {
 		log_error(EV_CONFIG_REFUSED, &e);
-		r->listed = false;
-		return;
+		return false;
 	}
-	p->due = proxy_now();
-	r->listed = true;
-	if (revision > r->revision)
+	if (c || p == &r->read)
 		r->revision = revision;
 	if (!c)
-		return;
+		return true;
 	if (x->catalog && c->revision <= x->catalog->revision) {
 		catalog_destroy(c);
-		return;
+		return true;
 	}
 	log_event(EV_CONFIG_APPLIED,
 		  "version=%llu revision=%llu routes=%u teams=%u keys=%u",
@@ -312,6 +406,7 @@
 	cluster_apply_catalog(x, proxy_now());
 	/* Databases of new services may have been passed over. */
 	r->databases.due = proxy_now();
+	return true;
 }
 
 /* Asks for one page of the list of databases. */
@@ -357,12 +452,36 @@
 		r->away_until = now + BACK_WITHIN_US;
 	}
 	r->listed_at = p->asked_at;
-	p->due = now + (now < r->hurry_until ? x->policy.registry_soon
-					     : x->policy.registry_every);
+	r->list_hash = hash_list(r);
+	p->due = now + list_pause(r, now);
 	x->databases_known = r->n_list > 0;
 	cluster_apply_databases(x, r->list, r->n_list, now >= r->away_until);
 }
 
+/* Sums up what VMs have to agree on: who is there, departs and leads. */
+static uint64_t hash_list(const struct registry *r)
+{
+	XXH64_hash_t h = 0;
+	uint32_t i;
+
+	qsort(r->list, r->n_list, sizeof(*r->list), by_id);
+	for (i = 0; i < r->n_list; i++) {
+		const struct registry_db *d = &r->list[i];
+		uint64_t flags = d->born * 4 + d->departing * 2U + d->primary;
+
+		h = XXH3_64bits_withSeed(d->id, strlen(d->id), h);
+		h = XXH3_64bits_withSeed(d->address, strlen(d->address), h);
+		h = XXH3_64bits_withSeed(&flags, sizeof(flags), h);
+	}
+	return h;
+}
+
+static int by_id(const void *a, const void *b)
+{
+	return strcmp(((const struct registry_db *)a)->id,
+		      ((const struct registry_db *)b)->id);
+}
+
 static void add_database(void *ctx, const struct registry_db *db)
 {
 	struct registry *r = ctx;
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -85,6 +85,19 @@
 void registry_hurry(struct registry *r, usec_t now);
 /* When the newest list of databases was asked for; 0: none yet. */
 usec_t registry_listed_at(const struct registry *r);
+/*
+ * What this VM has taken in: the revision of the configuration, and a hash of
+ * the databases. A peer that tells of others is a reason to ask again.
+ */
+struct registry_news {
+	uint64_t catalog;   /* revision */
+	uint64_t databases; /* hash */
+	uint64_t age_ms;    /* of the list of databases */
+};
+
+struct registry_news registry_news(const struct registry *r, usec_t now);
+void registry_peer_news(struct registry *r, const struct registry_news *n,
+			usec_t now);
 
 typedef void (*registry_claim_fn)(void *ctx, bool ok, uint64_t token);
 /*
--- a/src/proxy/session.c
+++ b/src/proxy/session.c
@@ -504,6 +504,7 @@
 	s->tx_begun = false;
 	s->tx_wrote = false;
 	s->tx_ran = false;
+	memcpy(s->begin_id, s->task.id, sizeof(s->begin_id));
 	s->state = STATE_OPEN;
 	s->proxy->protocol->put_complete(bufferevent_get_output(s->bev));
 	reply_state(s, NULL);
