Leave a primary alone that answers, and never cut its log back for a replica

A pause that the paused database did not take counted as done, and a promotion seen first by a status was never confirmed, so that replicas stayed paused for 2.5 s.

Change: a silent primary is asked, not stepped down, and left alone if it answers; a VM acts only after it has heard most others for as long as silence takes; a tie of opinions leaves the primary; after a step down only a replica with the whole log takes over, else the old primary leads again; a pause counts by the term that the database holds.

Ruled out: the guard. The log shows no commit at the old primary after its proofs had run out.

--- a/src/decide/succession.c
+++ b/src/decide/succession.c
@@ -62,6 +62,7 @@
 			break;
 		s->cause = env->cause;
 		s->old = env->primary;
+		s->base = env->term;
 		s->failed = 0;
 		s->attempts = 0;
 		s->call_open = true;
@@ -228,24 +229,25 @@
 }
 
 /*
- * Is it for this VM to act now? A primary that more peers hear than miss is
- * left alone, whatever this VM misses; a departing one is replaced anyway.
+ * Is it for this VM to act now? A primary that as many peers hear as miss,
+ * with this VM, is left alone; a departing one is replaced anyway. A VM that
+ * hears few others may be cut off itself.
  */
 static bool due(struct succession *s, const struct succession_env *env)
 {
-	uint32_t i;
 	bool successor = false;
+	uint32_t i;
 
 	if (s->cause_at == 0 || env->now < s->quiet_until ||
-	    !env->platform_up || env->peer_at_work)
+	    !env->platform_up || !env->in_company || env->peer_at_work)
 		return false;
 	if (env->cause != SUCCESSION_DEPARTING &&
-	    env->cause != SUCCESSION_NOBODY && env->hear > env->miss + 1)
+	    env->cause != SUCCESSION_NOBODY && env->hear >= env->miss + 1)
 		return false;
 	for (i = 0; i < env->n; i++)
 		successor |= can_follow(env, i) && env->db[i].answers;
-	return successor &&
-	       env->now - s->cause_at >= (usec_t)env->rank * s->policy.stagger;
+	return successor && env->now - s->cause_at >=
+				    (usec_t)env->rank * s->policy.stagger;
 }
 
 /* May this database take over? */
@@ -299,16 +301,23 @@
 }
 
 /*
- * Steps the old primary down, and pauses the replicas unless it departs in
- * order: then it answers, and its last commits shall still reach them.
+ * Pauses the replicas, or steps a departing primary down: that one answers,
+ * and its last commits shall still reach the replicas. One that was taken for
+ * silent is only asked how it is, and left alone if it answers.
  */
 static void fence(struct succession *s, const struct succession_env *env,
 		  struct succession_actions *out)
 {
-	const bool overdue =
-		env->now - s->phase_at > ORDERLY_ASKS * s->policy.again;
+	const bool orderly = s->cause == SUCCESSION_DEPARTING;
+	const bool overdue = env->now - s->phase_at > ORDERLY_ASKS *
+							      s->policy.again;
 	uint32_t i;
 
+	if (!orderly && s->old != DB_NONE && env->db[s->old].said &&
+	    env->db[s->old].primary && s->cause != SUCCESSION_ABANDONED) {
+		give_up(s, env, out);
+		return;
+	}
 	if (fence_done(s, env)) {
 		enter(s, env->now, SUCCESSION_GUARD);
 		wait_guard(s, env, out);
@@ -320,9 +329,9 @@
 		if (!env->db[i].present && i != s->old)
 			continue;
 		if (i == s->old)
-			emit(out, SUCCEED_STEP_DOWN, i, s->term);
-		else if (!(s->paused & (1U << i)) &&
-			 (s->cause != SUCCESSION_DEPARTING || overdue))
+			emit(out, orderly ? SUCCEED_STEP_DOWN : SUCCEED_ASK, i,
+			     s->term);
+		else if (!(s->paused & (1U << i)) && (!orderly || overdue))
 			emit(out, SUCCEED_PAUSE, i, s->term);
 	}
 }
@@ -392,7 +401,10 @@
 	return false;
 }
 
-/* The furthest one that may take over and has not been refused. */
+/*
+ * The furthest one that may take over and has not been refused. If the old
+ * primary stepped down and no replica has all of its log, it leads again.
+ */
 static uint32_t choose(const struct succession *s,
 		       const struct succession_env *env)
 {
@@ -408,6 +420,10 @@
 						   env->db[best].received) > 0)
 			best = i;
 	}
+	if (s->stepped_down && !(s->failed & (1U << s->old)) &&
+	    (best == DB_NONE ||
+	     log_pos_cmp(env->db[best].received, s->last) < 0))
+		return s->old;
 	return best;
 }
 
@@ -418,7 +434,7 @@
 	const struct succession_db *db = &env->db[s->target];
 	uint32_t i;
 
-	if (db->said && db->primary && db->term > env->term) {
+	if (db->said && db->primary && db->term > s->base) {
 		emit(out, SUCCEED_LEAD, s->target, db->term);
 		for (i = 0; i < env->n; i++) {
 			if (i != s->target && (s->paused & (1U << i)))
--- a/src/decide/succession.h
+++ b/src/decide/succession.h
@@ -87,6 +87,7 @@
 	bool peer_at_work; /* a peer is at it */
 	uint32_t rank;	   /* of this VM for the group, 0 first */
 	bool platform_up;
+	bool in_company; /* most VMs have been heard for a while */
 };
 
 struct succession_policy {
@@ -109,6 +110,7 @@
 	usec_t quiet_until;
 	uint64_t token;
 	uint64_t term;	     /* the fence's */
+	uint64_t base;	     /* of the group, when this began */
 	uint32_t old;	     /* the primary that is replaced, or DB_NONE */
 	bool stepped_down;   /* it said so */
 	struct log_pos last; /* its log's end then */
@@ -138,7 +140,10 @@
 
 void succession_promoted(struct succession *s, usec_t now,
 			 enum succession_answer a);
-/* Another VM's new primary is known: this VM's own attempt ends. */
+/*
+ * Another VM's new primary is known: this VM's own attempt ends. Replicas that
+ * it paused are let go by whoever promoted, or by succession_tick().
+ */
 void succession_superseded(struct succession *s, usec_t now);
 const char *succession_phase_name(enum succession_phase phase);
 const char *succession_cause_name(enum succession_cause cause);
--- a/src/proxy/beacon.c
+++ b/src/proxy/beacon.c
@@ -57,6 +57,7 @@
 	uint32_t n;
 	struct peer_vm **peers;
 	usec_t due;
+	usec_t alone_at; /* most others were not heard then */
 	msgpack_packer *packing;
 	uint32_t demands;
 };
@@ -144,12 +145,28 @@
 			  (long long)(v->heard_at ? now - v->heard_at : 0));
 		quota_peer(b->proxy->quota, v->name, silent);
 	}
+	if (beacon_live(b) * 2 < b->n)
+		b->alone_at = now;
 	if (now < b->due)
 		return;
 	b->due = now + pause_of(b);
 	send_all(b, now);
 }
 
+/* Tells whether most others have been heard for as long as silence takes. */
+bool beacon_in_company(const struct beacon *b, usec_t now)
+{
+	return b->alone_at == 0 ||
+	       now - b->alone_at > b->proxy->policy.silence;
+}
+
+/* Makes the next beacon due. */
+void beacon_hurry(struct beacon *b)
+{
+	b->due = 0;
+	beacon_tick(b, proxy_now());
+}
+
 /* A VM that the platform lists. */
 void beacon_peer(struct beacon *b, const struct registry_vm *vm)
 {
@@ -436,7 +453,7 @@
 			continue;
 		db = cluster_find(g, primary);
 		if (term > g->lead.term && db != DB_NONE)
-			cluster_lead(g, db, term, 0, v->name);
+			cluster_lead(g, db, term, v->name);
 		else if (term > g->lead.term)
 			registry_hurry(b->proxy->registry, proxy_now());
 		/* An opinion counts for the primary that this VM means. */
--- a/src/proxy/cluster.c
+++ b/src/proxy/cluster.c
@@ -127,7 +127,7 @@
 
 /* A database leads the group from now on, in this term. */
 void cluster_lead(struct pgroup *g, uint32_t db, uint64_t term,
-		  usec_t proved_at, const char *source)
+		  const char *source)
 {
 	usec_t now = proxy_now();
 
@@ -139,8 +139,6 @@
 		  (unsigned long long)g->lead.term, source);
 	if (g->lead.term != term)
 		lead_begin(&g->lead, term);
-	if (proved_at)
-		lead_unpaused(&g->lead, proved_at, term);
 	g->primary = db;
 	g->db[db].says_primary = true;
 	succession_superseded(&g->succession, now);
@@ -324,7 +322,7 @@
 	if (report->primary) {
 		if (report->term > g->lead.term ||
 		    (report->term == g->lead.term && g->primary == DB_NONE))
-			cluster_lead(g, i, report->term, 0, "status");
+			cluster_lead(g, i, report->term, "status");
 		return;
 	}
 	db->says_primary = false;
--- a/src/proxy/failover.c
+++ b/src/proxy/failover.c
@@ -122,6 +122,7 @@
 	env->peer_at_work = o.at_work;
 	env->rank = beacon_rank(g->proxy->beacon, g->service);
 	env->platform_up = platform_is_up(g->proxy->kernel);
+	env->in_company = beacon_in_company(g->proxy->beacon, now);
 	for (i = 0; i < GROUP_DBS_MAX; i++) {
 		const struct pdb *d = &g->db[i];
 
@@ -148,6 +149,8 @@
 	switch (a->act) {
 	case SUCCEED_CLAIM:
 		registry_claim(p->registry, g->service, on_claimed, g);
+		/* The others shall not begin the same. */
+		beacon_hurry(p->beacon);
 		break;
 	case SUCCEED_VERIFY:
 		g->verified_at = proxy_now();
@@ -182,7 +185,11 @@
 			  g->service, g->db[a->db].id,
 			  (unsigned long long)a->term);
 		counter_add(CTR_PROMOTIONS, 1);
-		cluster_lead(g, a->db, a->term, g->verified_at, "promoted");
+		cluster_lead(g, a->db, a->term, "promoted");
+		/* No later claim was there then, so no other promotion can
+		 * have taken effect within the guard after it. */
+		lead_unpaused(&g->lead, g->verified_at, a->term);
+		dispatch_pump(g);
 		break;
 	}
 }
@@ -210,7 +217,8 @@
 	struct pgroup *g = c->group;
 
 	(void)asked_at;
-	if (ok && c->term && (!c->step_down || !report->primary)) {
+	if (ok && c->term &&
+	    (c->step_down ? !report->primary : report->held_term >= c->term)) {
 		log_event(EV_PROMOTE_FENCE,
 			  "service=%s database=%s term=%llu step_down=%d "
 			  "received=%llu.%llu held=%llu",
--- a/src/proxy/proxy_own.h
+++ b/src/proxy/proxy_own.h
@@ -313,7 +313,7 @@
 void cluster_tick(struct proxy *p, usec_t now);
 void cluster_heard(struct pdb *db, usec_t asked_at, const struct log_pos *at);
 void cluster_lead(struct pgroup *g, uint32_t db, uint64_t term,
-		  usec_t proved_at, const char *source);
+		  const char *source);
 /* The primary turned a write away: who leads is found out anew. */
 void cluster_doubt(struct pgroup *g, usec_t now);
 bool cluster_primary_usable(struct pgroup *g, usec_t now);
@@ -339,6 +339,10 @@
 uint32_t beacon_live(const struct beacon *b);
 /* Rank of this VM for a service among those heard lately; 0 first. */
 uint32_t beacon_rank(const struct beacon *b, const char *service);
+/* Has this VM heard most of the others for a while? */
+bool beacon_in_company(const struct beacon *b, usec_t now);
+/* Sends the next beacon at once. */
+void beacon_hurry(struct beacon *b);
 /* What peers say of a service's primary. */
 struct beacon_opinion {
 	uint32_t hear;
