--- a/src/decide/succession.c
+++ b/src/decide/succession.c
@@ -246,8 +246,8 @@
 		return false;
 	for (i = 0; i < env->n; i++)
 		successor |= can_follow(env, i) && env->db[i].answers;
-	return successor && env->now - s->cause_at >=
-				    (usec_t)env->rank * s->policy.stagger;
+	return successor &&
+	       env->now - s->cause_at >= (usec_t)env->rank * s->policy.stagger;
 }
 
 /* May this database take over? */
@@ -309,8 +309,8 @@
 		  struct succession_actions *out)
 {
 	const bool orderly = s->cause == SUCCESSION_DEPARTING;
-	const bool overdue = env->now - s->phase_at > ORDERLY_ASKS *
-							      s->policy.again;
+	const bool overdue =
+		env->now - s->phase_at > ORDERLY_ASKS * s->policy.again;
 	uint32_t i;
 
 	if (!orderly && s->old != DB_NONE && env->db[s->old].said &&
--- a/src/kernel/kernel.c
+++ b/src/kernel/kernel.c
@@ -33,8 +33,8 @@
 {
 	const struct settings *s = &k->settings;
 	const struct drain_limits limits = {
-		.notice = (usec_t)s->drain_notice_ms * USEC_PER_MSEC,
-		.most = (usec_t)s->drain_max_ms * USEC_PER_MSEC,
+		.notice = kernel_drain_notice(s),
+		.most = kernel_drain_most(s),
 		.give = DRAIN_GIVE_MAX,
 	};
 	enum drain_phase phase = DRAIN_SERVING;
@@ -55,6 +55,24 @@
 	return !d.forced;
 }
 
+/* From the signal until sessions are let go, in microseconds. */
+usec_t kernel_drain_notice(const struct settings *s)
+{
+	if (s->grace_s)
+		return kernel_drain_most(s) * 2 / 5;
+	return (usec_t)s->drain_notice_ms * USEC_PER_MSEC;
+}
+
+/* From the signal to the end, in microseconds. */
+usec_t kernel_drain_most(const struct settings *s)
+{
+	if (s->grace_s > 1)
+		return (usec_t)(s->grace_s - 1) * USEC_PER_SEC;
+	if (s->grace_s == 1)
+		return USEC_PER_SEC / 2;
+	return (usec_t)s->drain_max_ms * USEC_PER_MSEC;
+}
+
 /* Stops the plug-ins, the last started first. */
 void kernel_stop(struct kernel *k)
 {
--- a/src/kernel/kernel.h
+++ b/src/kernel/kernel.h
@@ -33,5 +33,8 @@
  */
 bool kernel_drain(struct kernel *k);
 void kernel_stop(struct kernel *k);
+/* The times of a graceful shutdown; see "grace_s" in the settings. */
+usec_t kernel_drain_notice(const struct settings *s);
+usec_t kernel_drain_most(const struct settings *s);
 
 #endif
--- /dev/null
+++ b/src/kernel/latency.h
@@ -0,0 +1,28 @@
+#ifndef KERNEL_LATENCY_H
+#define KERNEL_LATENCY_H
+
+#include <stddef.h>
+
+#include "decide/types.h"
+
+/* Every histogram of latencies: id, exported name, help. */
+#define LATENCY_TABLE(X)                                                    \
+	X(STATEMENT, "statement_seconds", "from a statement to its answer") \
+	X(DATABASE, "database_seconds", "answers of databases")             \
+	X(WAIT, "wait_seconds", "statements before they were sent")         \
+	X(CONNECT, "connect_seconds", "new connections to databases")       \
+	X(PLATFORM, "platform_seconds", "calls to the platform")
+
+enum latency {
+#define X(id, name, help) LATENCY_##id,
+	LATENCY_TABLE(X)
+#undef X
+		LATENCY_COUNT
+};
+
+/* Counts one latency, in microseconds. Any thread, no lock. */
+void latency_add(enum latency l, usec_t took);
+/* Writes all in the text format of scrapers; returns the length. */
+size_t latencies_print(char *buf, size_t size);
+
+#endif
--- a/src/kernel/log.c
+++ b/src/kernel/log.c
@@ -2,12 +2,14 @@
 
 #include <ctype.h>
 #include <log4c.h>
+#include <poll.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/time.h>
 #include <time.h>
 
+#include "kernel/counters.h"
 #include "kernel/timeline.h"
 
 #define LINE_BYTES	 512
@@ -45,6 +47,12 @@
 static log4c_category_t *category;
 static enum log_level threshold = LOG_INFO;
 static char vm_name[NAME_MAX_BYTES];
+static FILE *stream; /* NULL: standard error */
+static uint32_t most_per_s;
+/* The lines of the current second, and those left out; with __atomic. */
+static int64_t second;
+static uint32_t written;
+static uint32_t dropped;
 
 static const char *format_line(const log4c_layout_t *l,
 			       const log4c_logging_event_t *ev);
@@ -52,14 +60,15 @@
 static const struct event_info *find(enum event_id ev);
 static void write_event(const struct event_info *info, char *text);
 static void clean(char *text);
+static bool may_write(int64_t now_s);
 
 static const log4c_layout_type_t line_layout = {
 	.name = "gypsumcleat_line",
 	.format = format_line,
 };
 
-static const log4c_appender_type_t stderr_appender = {
-	.name = "gypsumcleat_stderr",
+static const log4c_appender_type_t stream_appender = {
+	.name = "gypsumcleat_stream",
 	.append = write_line,
 };
 
@@ -90,7 +99,7 @@
 				 "log: log4c gave no category");
 	log4c_rc->config.reread = 0;
 	log4c_layout_set_type(layout, &line_layout);
-	log4c_appender_set_type(out, &stderr_appender);
+	log4c_appender_set_type(out, &stream_appender);
 	log4c_appender_set_layout(out, layout);
 	if (log4c_appender_open(out) == -1)
 		return error_set(e, ERR_SYSTEM, STEP_NONE, NULL,
@@ -104,6 +113,13 @@
 	return 0;
 }
 
+/* Sets where lines go and how many. */
+void log_stream(FILE *out, uint32_t lines_per_s)
+{
+	stream = out;
+	most_per_s = lines_per_s;
+}
+
 /* Closes the log; later events only go to the time line. */
 void log_close(void)
 {
@@ -161,11 +177,43 @@
 	return ev->evt_msg;
 }
 
-/* Log4c's appender: one call a line, so that lines of threads stay whole. */
+/*
+ * Log4c's appender: one call a line, so that lines of threads stay whole. A
+ * pipe with room takes a whole line without blocking.
+ */
 static int write_line(log4c_appender_t *a, const log4c_logging_event_t *ev)
 {
+	FILE *out = stream ? stream : stderr;
+	struct pollfd p = { .fd = fileno(out), .events = POLLOUT };
+
 	(void)a;
-	return fputs(ev->evt_rendered_msg, stderr) < 0 ? -1 : 0;
+	if (poll(&p, 1, 0) != 1 || !(p.revents & POLLOUT)) {
+		__atomic_add_fetch(&dropped, 1, __ATOMIC_RELAXED);
+		counter_add(CTR_LOG_DROPPED, 1);
+		return 0;
+	}
+	if (fputs(ev->evt_rendered_msg, out) < 0 || fflush(out) != 0)
+		return -1;
+	return 0;
+}
+
+/* Counts the line; false if the second has had its number. */
+static bool may_write(int64_t now_s)
+{
+	uint32_t lost;
+
+	if (__atomic_exchange_n(&second, now_s, __ATOMIC_RELAXED) != now_s) {
+		__atomic_store_n(&written, 0, __ATOMIC_RELAXED);
+		lost = __atomic_exchange_n(&dropped, 0, __ATOMIC_RELAXED);
+		if (lost > 0)
+			log_event(EV_LOG_DROPPED, "lines=%u", lost);
+	}
+	if (most_per_s == 0 ||
+	    __atomic_add_fetch(&written, 1, __ATOMIC_RELAXED) <= most_per_s)
+		return true;
+	__atomic_add_fetch(&dropped, 1, __ATOMIC_RELAXED);
+	counter_add(CTR_LOG_DROPPED, 1);
+	return false;
 }
 
 /* Finds an event in the table; NULL if there is none of that number. */
@@ -192,6 +240,8 @@
 	if (!category || info->level > threshold)
 		return;
 	gettimeofday(&tv, NULL);
+	if (!may_write(tv.tv_sec))
+		return;
 	gmtime_r(&tv.tv_sec, &tm);
 	strftime(when, sizeof(when), "%Y-%m-%dT%H:%M:%S", &tm);
 	log4c_category_log(category, levels[info->level].priority,
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -1,6 +1,8 @@
 #ifndef KERNEL_LOG_H
 #define KERNEL_LOG_H
 
+#include <stdio.h>
+
 #include "decide/error.h"
 
 enum log_level {
@@ -21,6 +23,7 @@
 	X(1003, VM_DRAIN, INFO, "drain begins")                            \
 	X(1004, VM_STOP, INFO, "VM stops")                                 \
 	X(1005, VM_FAIL, ERROR, "VM cannot start")                         \
+	X(1006, LOG_DROPPED, WARN, "log lines were left out")              \
 	X(2001, CALLER_REFUSED, DEBUG, "request refused")                  \
 	X(2002, CALLER_UNKNOWN, WARN, "outcome of a request unknown")      \
 	X(2003, STATEMENT_DONE, INFO, "statement answered")                \
@@ -64,6 +67,12 @@
 };
 
 int log_open(const char *vm, enum log_level level, struct error *e);
+/*
+ * Where lines go, standard error unless told otherwise, and how many a second
+ * at the most, 0 for any number. Lines beyond that, and lines that the reader
+ * is too slow for, are left out and counted. Called before threads start.
+ */
+void log_stream(FILE *out, uint32_t lines_per_s);
 void log_close(void);
 /*
  * Writes an event to the log and to the time line. "fmt" gives key=value
--- a/src/kernel/loop.h
+++ b/src/kernel/loop.h
@@ -35,9 +35,9 @@
 	bool if_none_match;		     /* sent as If-None-Match: * */
 	char authorization[HTTP_AUTH_BYTES]; /* bearer token, may be empty */
 	char extra[HTTP_EXTRA][HTTP_AUTH_BYTES]; /* further header lines */
-	usec_t timeout;			     /* from start to end */
-	size_t reply_max;		     /* bytes; larger replies fail */
-	bool fresh;			     /* on a new connection */
+	usec_t timeout;				 /* from start to end */
+	size_t reply_max; /* bytes; larger replies fail */
+	bool fresh;	  /* on a new connection */
 	void (*done)(struct http_call *call);
 	void *ctx;
 	/* Filled in before done(): */
--- a/src/kernel/platform.h
+++ b/src/kernel/platform.h
@@ -28,7 +28,6 @@
 	PLATFORM_PROMOTE, /* a database, under a fencing token */
 };
 
-
 enum platform_result {
 	PLATFORM_OK,
 	PLATFORM_CONFLICT, /* the version was not the expected one */
--- a/src/kernel/plugin.h
+++ b/src/kernel/plugin.h
@@ -15,12 +15,12 @@
 struct plugin {
 	const char *name;
 	int rank;
-	enum vm_form form; /* a VM of another form leaves it out */
 	int (*start)(struct kernel *k, struct error *e);
 	void (*drain)(struct kernel *k); /* begins; must not block */
 	bool (*drained)(struct kernel *k);
 	void (*stop)(struct kernel *k);
 	struct plugin *next;
+	enum vm_form form; /* a VM of another form leaves it out */
 };
 
 enum plugin_rank {
--- a/src/kernel/settings.c
+++ b/src/kernel/settings.c
@@ -68,6 +68,7 @@
 	TEXT_OF(ready_listen, SETTING_LISTEN, FORM_SESSIONS),
 	TEXT(peer_listen, SETTING_LISTEN),
 	TEXT(platform, SETTING_ADDRESS),
+	TEXT_OF(metrics_listen, SETTING_LISTEN, FORM_SESSIONS),
 	TEXT_OF(promotion, SETTING_ADDRESS, FORM_SESSIONS),
 	TEXT_OF(operator_key_hash, SETTING_HASH, FORM_HTTP),
 	{ .key = "peer_secret",
@@ -106,6 +107,8 @@
 	NUMBER(drain_notice_ms, 0, 600000, 2000),
 	NUMBER(drain_max_ms, 0, 3600000, 30000),
 	NUMBER(timeline_events, 16, 1000000, 4096),
+	NUMBER(log_lines_per_s, 0, 1000000, 1000),
+	NUMBER(grace_s, 0, 3600, 0),
 };
 
 #define SETTINGS (sizeof(table) / sizeof(table[0]))
--- a/src/kernel/settings.h
+++ b/src/kernel/settings.h
@@ -18,16 +18,17 @@
  * *_listen field before its start() returns.
  */
 struct settings {
-	enum vm_form form;		    /* "form": "http" or "sessions" */
-	char vm[NAME_MAX_BYTES];	    /* "vm": this VM's name */
-	char domain[NAME_MAX_BYTES];	    /* "domain": failure domain */
-	char region[NAME_MAX_BYTES];	    /* "region" */
-	char caller_listen[ADDR_MAX_BYTES]; /* "caller_listen": ip:port */
-	char admin_listen[ADDR_MAX_BYTES];  /* "admin_listen" */
-	char peer_listen[ADDR_MAX_BYTES];   /* "peer_listen" */
-	char platform[ADDR_MAX_BYTES];	    /* "platform": ip:port */
-	char ready_listen[ADDR_MAX_BYTES];  /* "ready_listen": probes */
-	char promotion[ADDR_MAX_BYTES];	    /* "promotion": ip:port */
+	enum vm_form form;		     /* "form": "http" or "sessions" */
+	char vm[NAME_MAX_BYTES];	     /* "vm": this VM's name */
+	char domain[NAME_MAX_BYTES];	     /* "domain": failure domain */
+	char region[NAME_MAX_BYTES];	     /* "region" */
+	char caller_listen[ADDR_MAX_BYTES];  /* "caller_listen": ip:port */
+	char admin_listen[ADDR_MAX_BYTES];   /* "admin_listen" */
+	char peer_listen[ADDR_MAX_BYTES];    /* "peer_listen" */
+	char platform[ADDR_MAX_BYTES];	     /* "platform": ip:port */
+	char ready_listen[ADDR_MAX_BYTES];   /* "ready_listen": probes */
+	char metrics_listen[ADDR_MAX_BYTES]; /* "metrics_listen" */
+	char promotion[ADDR_MAX_BYTES];	     /* "promotion": ip:port */
 	char operator_key_hash[65]; /* "operator_key_hash": hex of BLAKE2b-256
 				     */
 	char peer_secret[65]; /* "peer_secret": 32 bytes in hex, or empty */
@@ -59,6 +60,8 @@
 	uint32_t drain_notice_ms;     /* "drain_notice_ms" */
 	uint32_t drain_max_ms;	      /* "drain_max_ms" */
 	uint32_t timeline_events;     /* "timeline_events" */
+	uint32_t log_lines_per_s;     /* "log_lines_per_s": at most; 0: any */
+	uint32_t grace_s;	      /* "grace_s": from SIGTERM to SIGKILL */
 };
 
 /* Each failure found, one a line, "file: key: value: bound". */
--- a/src/proxy/backend.c
+++ b/src/proxy/backend.c
@@ -9,6 +9,7 @@
 
 #include "kernel/address.h"
 #include "kernel/counters.h"
+#include "kernel/latency.h"
 #include "kernel/log.h"
 #include "proxy/proxy_own.h"
 
@@ -377,6 +378,7 @@
 {
 	usec_t took = proxy_now() - b->opened_at;
 
+	latency_add(LATENCY_CONNECT, took);
 	log_event(EV_BACKEND_OPENED,
 		  "service=%s database=%s team=%s took_us=%lld",
 		  b->db->group->service, b->db->id, b->team, (long long)took);
@@ -408,6 +410,7 @@
 		return;
 	}
 	took = proxy_now() - s->task.sent_at;
+	latency_add(LATENCY_DATABASE, took);
 	b->db->latency += (took - b->db->latency) / LATENCY_WEIGHT;
 	if (failed) {
 		enum task_end end = END_REFUSED;
@@ -524,6 +527,7 @@
 	}
 	s->task.stage = TASK_RUNNING;
 	s->task.sent_at = proxy_now();
+	latency_add(LATENCY_WAIT, s->task.sent_at - s->task.began_at);
 	if (s->task.writes && s->tx)
 		s->tx_wrote = true;
 	b->db->running++;
--- a/src/proxy/beacon.c
+++ b/src/proxy/beacon.c
@@ -156,8 +156,7 @@
 /* Tells whether most others have been heard for as long as silence takes. */
 bool beacon_in_company(const struct beacon *b, usec_t now)
 {
-	return b->alone_at == 0 ||
-	       now - b->alone_at > b->proxy->policy.silence;
+	return b->alone_at == 0 || now - b->alone_at > b->proxy->policy.silence;
 }
 
 /* Makes the next beacon due. */
--- a/src/proxy/proxy.c
+++ b/src/proxy/proxy.c
@@ -12,6 +12,7 @@
 
 #include "kernel/address.h"
 #include "kernel/counters.h"
+#include "kernel/latency.h"
 #include "kernel/log.h"
 #include "kernel/loop.h"
 #include "kernel/platform.h"
@@ -22,6 +23,8 @@
 #define TICK_US	     (25 * USEC_PER_MSEC)
 #define METRICS_MAX  65536
 #define LISTEN_QUEUE 512
+/* A VM that stops answers all that is still open so long before its end. */
+#define LAST_WORD_US (500 * USEC_PER_MSEC)
 
 /* Work of other threads for the proxy's. */
 struct proxy_job {
@@ -49,6 +52,9 @@
 static void stop(struct kernel *k);
 static int open_inbox(struct proxy *p, struct error *e);
 static int open_listeners(struct proxy *p, struct error *e);
+static struct evhttp *open_http(struct proxy *p, char *address,
+				void (*fn)(struct evhttp_request *, void *),
+				struct error *e);
 static void *APR_THREAD_FUNC run(apr_thread_t *t, void *ctx);
 static void on_inbox(evutil_socket_t fd, short what, void *ctx);
 static void on_accept(struct evconnlistener *l, evutil_socket_t fd,
@@ -231,7 +237,6 @@
 	struct settings *s = &p->kernel->settings;
 	struct sockaddr_storage at;
 	socklen_t len;
-	char *colon;
 
 	if (!address_parse(s->caller_listen, &at, &len))
 		return error_set(e, ERR_SETTINGS, STEP_LISTEN, s->caller_listen,
@@ -247,22 +252,45 @@
 	if (getsockname(evconnlistener_get_fd(p->listener),
 			(struct sockaddr *)&at, &len) == 0)
 		address_format((struct sockaddr *)&at, s->caller_listen);
-	p->ready = evhttp_new(p->base);
-	if (!p->ready || !address_parse(s->ready_listen, &at, &len))
-		return error_set(e, ERR_SETTINGS, STEP_LISTEN, s->ready_listen,
-				 "not an address");
-	colon = strrchr(s->ready_listen, ':');
-	*colon = '\0';
-	if (evhttp_bind_socket(p->ready, s->ready_listen,
-			       (uint16_t)strtoul(colon + 1, NULL, 10)))
-		return error_set(e, ERR_SYSTEM, STEP_LISTEN, s->ready_listen,
-				 "%m");
-	*colon = ':';
-	evhttp_set_cb(p->ready, "/metrics", on_metrics, p);
-	evhttp_set_gencb(p->ready, on_ready_probe, p);
+	p->ready = open_http(p, s->ready_listen, on_ready_probe, e);
+	if (!p->ready)
+		return -1;
+	p->metrics = open_http(p, s->metrics_listen, on_metrics, e);
+	if (!p->metrics)
+		return -1;
 	return 0;
 }
 
+/* Serves one thing on any path of an address; writes the bound one back. */
+static struct evhttp *open_http(struct proxy *p, char *address,
+				void (*fn)(struct evhttp_request *, void *),
+				struct error *e)
+{
+	struct evhttp *http = evhttp_new(p->base);
+	struct evhttp_bound_socket *bound = NULL;
+	char *colon = strrchr(address, ':');
+	struct sockaddr_storage at;
+	socklen_t len = sizeof(at);
+
+	if (http && colon) {
+		*colon = '\0';
+		bound = evhttp_bind_socket_with_handle(
+			http, address, (uint16_t)strtoul(colon + 1, NULL, 10));
+		*colon = ':';
+	}
+	if (!bound) {
+		error_set(e, ERR_SYSTEM, STEP_LISTEN, address, "%m");
+		if (http)
+			evhttp_free(http);
+		return NULL;
+	}
+	if (getsockname(evhttp_bound_socket_get_fd(bound),
+			(struct sockaddr *)&at, &len) == 0)
+		address_format((struct sockaddr *)&at, address);
+	evhttp_set_gencb(http, fn, p);
+	return http;
+}
+
 static void *APR_THREAD_FUNC run(apr_thread_t *t, void *ctx)
 {
 	struct proxy *p = ctx;
@@ -321,6 +349,7 @@
 
 	(void)ctx;
 	evbuffer_add(out, text, counters_print(text, sizeof(text)));
+	evbuffer_add(out, text, latencies_print(text, sizeof(text)));
 	evhttp_send_reply(req, HTTP_OK, "OK", NULL);
 }
 
@@ -347,8 +376,7 @@
  */
 static void drain_sessions(struct proxy *p, usec_t now)
 {
-	const struct settings *s = &p->kernel->settings;
-	usec_t notice = (usec_t)s->drain_notice_ms * USEC_PER_MSEC;
+	usec_t notice = kernel_drain_notice(&p->kernel->settings);
 	uint32_t most = 1 + p->n_sessions / 16;
 	struct session *next;
 	struct session *x;
@@ -359,6 +387,14 @@
 	}
 	if (now - p->drain_at < notice)
 		return;
+	if (now - p->drain_at >
+	    kernel_drain_most(&p->kernel->settings) - LAST_WORD_US) {
+		for (x = TAILQ_FIRST(&p->sessions); x; x = next) {
+			next = TAILQ_NEXT(x, all);
+			session_stop(x);
+		}
+		return;
+	}
 	for (x = TAILQ_FIRST(&p->sessions); x && most > 0; x = next) {
 		next = TAILQ_NEXT(x, all);
 		if (x->task.stage != TASK_NONE || x->tx)
--- a/src/proxy/proxy_own.h
+++ b/src/proxy/proxy_own.h
@@ -140,14 +140,14 @@
 	char committed_in[NAME_MAX_BYTES]; /* the service of that */
 	char state;
 	/* A transaction: */
-	bool tx;	 /* the caller is in one */
-	bool tx_reads;	 /* it began as reading only */
+	bool tx;			 /* the caller is in one */
+	bool tx_reads;			 /* it began as reading only */
 	char begin_id[STATEMENT_ID_MAX]; /* of the caller's BEGIN */
-	bool tx_begun;	 /* the database has it too */
-	bool tx_wrote;	 /* a write was sent in it */
-	bool tx_ran;	 /* a statement of it was answered */
-	bool reading;	 /* lines are being taken */
-	usec_t tx_until; /* idle until then */
+	bool tx_begun;			 /* the database has it too */
+	bool tx_wrote;			 /* a write was sent in it */
+	bool tx_ran;			 /* a statement of it was answered */
+	bool reading;			 /* lines are being taken */
+	usec_t tx_until;		 /* idle until then */
 	struct backend *held;
 	/* The route in force for the operation: */
 	struct pgroup *group;
@@ -247,6 +247,7 @@
 	struct quota *quota;
 	struct evconnlistener *listener;
 	struct evhttp *ready;
+	struct evhttp *metrics;
 	struct event *tick;
 	bool draining;
 	usec_t drain_at;
@@ -275,6 +276,8 @@
 /* The session's connection to the database is gone while no task ran. */
 void session_lost_backend(struct session *s);
 void session_drain(struct session *s);
+/* Answers what is under way, as the VM stops, and closes. */
+void session_stop(struct session *s);
 void session_refuse(struct session *s, enum refusal_code code, const char *why);
 
 /* dispatch.c */
--- a/src/proxy/registry.c
+++ b/src/proxy/registry.c
@@ -5,6 +5,7 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "kernel/latency.h"
 #include "kernel/log.h"
 #include "kernel/platform.h"
 #include "proxy/proxy_own.h"
@@ -48,7 +49,7 @@
 	struct poll watch; /* and its changes, once it was read */
 	struct poll databases;
 	struct poll vms;
-	struct poll self; /* registers this VM */
+	struct poll self;  /* registers this VM */
 	uint64_t revision; /* of what was read or heard last */
 	usec_t hurry_until;
 	usec_t listed_at;
@@ -308,6 +309,8 @@
 
 	p->busy = false;
 	p->due = proxy_now() + RETRY_US;
+	if (p->call.op != PLATFORM_WATCH)
+		latency_add(LATENCY_PLATFORM, proxy_now() - p->asked_at);
 	p->take(r, p);
 	free(p->reply);
 	p->reply = NULL;
@@ -334,8 +337,8 @@
 static usec_t list_pause(const struct registry *r, usec_t now)
 {
 	const struct proxy_policy *policy = &r->proxy->policy;
-	usec_t pause = policy->registry_every *
-		       (beacon_live(r->proxy->beacon) + 1);
+	usec_t pause =
+		policy->registry_every * (beacon_live(r->proxy->beacon) + 1);
 
 	if (now < r->hurry_until)
 		return policy->registry_soon;
--- a/src/proxy/session.c
+++ b/src/proxy/session.c
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 
 #include "kernel/counters.h"
+#include "kernel/latency.h"
 #include "kernel/log.h"
 #include "proxy/proxy_own.h"
 
@@ -38,6 +39,7 @@
 static void end_task(struct session *s);
 static void reply_state(struct session *s, const struct log_pos *at);
 static void set_timer(struct session *s, usec_t at);
+static void give_up(struct session *s, const char *unsent, const char *sent);
 static void fail_and_close(struct session *s, enum refusal_code code,
 			   const char *why);
 static void close_after_output(struct session *s);
@@ -242,6 +244,14 @@
 		close_after_output(s);
 }
 
+/* The VM stops: no caller is left without an answer. */
+void session_stop(struct session *s)
+{
+	if (s->task.stage != TASK_NONE)
+		give_up(s, "this VM stops, not run", "this VM stops");
+	close_after_output(s);
+}
+
 static void on_read(struct bufferevent *bev, void *ctx)
 {
 	(void)bev;
@@ -294,24 +304,34 @@
 		set_timer(s, t->deadline);
 		return;
 	}
-	if (t->stage == TASK_RUNNING) {
-		enum refusal_code code = REFUSE_TIMEOUT;
+	give_up(s, "no database could take it in time, not run",
+		"no answer of the database in time");
+}
 
-		if ((t->commits && s->tx_wrote) || (t->writes && !s->tx))
-			code = REFUSE_IN_DOUBT;
-		else if (s->tx)
-			code = REFUSE_ABORTED;
-		if (s->held) {
-			s->held->doomed = true;
-			backend_release(s->held);
-		}
-		session_refuse(s, code, "no answer of the database in time");
+/*
+ * Ends the statement under way: one that was not sent was surely not run, one
+ * that was may have been.
+ */
+static void give_up(struct session *s, const char *unsent, const char *sent)
+{
+	struct task *t = &s->task;
+	enum refusal_code code = REFUSE_TIMEOUT;
+
+	if (t->stage != TASK_RUNNING) {
+		dispatch_cancel(s);
+		t->stage = TASK_WAITING;
+		session_refuse(s, s->tx ? REFUSE_ABORTED : REFUSE_BUSY, unsent);
 		return;
 	}
-	dispatch_cancel(s);
-	t->stage = TASK_WAITING;
-	session_refuse(s, s->tx ? REFUSE_ABORTED : REFUSE_BUSY,
-		       "no database could take it in time, not run");
+	if ((t->commits && s->tx_wrote) || (t->writes && !s->tx))
+		code = REFUSE_IN_DOUBT;
+	else if (s->tx)
+		code = REFUSE_ABORTED;
+	if (s->held) {
+		s->held->doomed = true;
+		backend_release(s->held);
+	}
+	session_refuse(s, code, sent);
 }
 
 /* Reads lines while no statement is under way. */
@@ -648,6 +668,7 @@
 		  (unsigned long long)ready->at.term,
 		  (unsigned long long)ready->at.position);
 	counter_add(CTR_DONE, 1);
+	latency_add(LATENCY_STATEMENT, proxy_now() - t->began_at);
 	if (!t->writes && !t->commits)
 		counter_add(t->db == s->group->primary ? CTR_READS_PRIMARY
 						       : CTR_READS_REPLICA,
--- /dev/null
+++ b/tests/decide/lead_test.cc
@@ -0,0 +1,117 @@
+#include <gtest/gtest.h>
+
+extern "C" {
+#include "decide/lead.h"
+}
+
+namespace
+{
+constexpr usec_t kMs = USEC_PER_MSEC;
+constexpr usec_t kGuard = 600 * kMs;
+constexpr usec_t kNow = 100 * USEC_PER_SEC;
+
+TEST(Lead, ProofsByReplicas)
+{
+	// A primary of term 3 said 3.10 to a question of kNow.
+	const struct {
+		const char *name;
+		struct log_pos replica;
+		bool proved;
+	} cases[] = {
+		{ "holds less", { 3, 9 }, false },
+		{ "holds as much: may be from before", { 3, 10 }, false },
+		{ "holds more", { 3, 11 }, true },
+		{ "more of another term", { 2, 11 }, false },
+		{ "a later term", { 4, 11 }, false },
+	};
+	for (const auto &c : cases) {
+		struct lead l;
+		lead_init(&l);
+		lead_begin(&l, 3);
+		lead_sample(&l, kNow, { 3, 10 });
+		lead_followed(&l, c.replica);
+		EXPECT_EQ(lead_holds(&l, kNow + 1, kGuard), c.proved) << c.name;
+	}
+}
+
+TEST(Lead, Guard)
+{
+	const struct {
+		const char *name;
+		usec_t after;
+		bool holds;
+	} cases[] = {
+		{ "at once", 0, true },
+		{ "just before", kGuard - 1, true },
+		{ "run out", kGuard, false },
+		{ "after a suspension", 3600 * USEC_PER_SEC, false },
+	};
+	for (const auto &c : cases) {
+		struct lead l;
+		lead_init(&l);
+		lead_begin(&l, 1);
+		lead_unpaused(&l, kNow, 1);
+		EXPECT_EQ(lead_holds(&l, kNow + c.after, kGuard), c.holds)
+			<< c.name;
+	}
+}
+
+TEST(Lead, AnotherTermNeedsItsOwnProof)
+{
+	struct lead l;
+	lead_init(&l);
+	EXPECT_FALSE(lead_holds(&l, kNow, kGuard));
+	lead_begin(&l, 1);
+	lead_unpaused(&l, kNow, 1);
+	ASSERT_TRUE(lead_holds(&l, kNow, kGuard));
+	lead_begin(&l, 2);
+	EXPECT_FALSE(lead_holds(&l, kNow, kGuard));
+	lead_unpaused(&l, kNow, 1);
+	EXPECT_FALSE(lead_holds(&l, kNow, kGuard));
+	lead_unpaused(&l, kNow, 2);
+	EXPECT_TRUE(lead_holds(&l, kNow, kGuard));
+}
+
+TEST(Lead, PositionForAnAge)
+{
+	struct lead l;
+	struct log_pos at;
+	lead_init(&l);
+	lead_begin(&l, 1);
+	for (uint64_t i = 1; i <= 10; i++)
+		lead_sample(&l, kNow + (usec_t)i * 100 * kMs, { 1, i });
+	const struct {
+		const char *name;
+		usec_t before;
+		uint64_t position; // 0: none
+	} cases[] = {
+		{ "older than all: the oldest will do", kNow, 1 },
+		{ "at a sample", kNow + 300 * kMs, 3 },
+		{ "between two: the later", kNow + 301 * kMs, 4 },
+		{ "younger than all", kNow + 1001 * kMs, 0 },
+	};
+	for (const auto &c : cases) {
+		bool found = lead_position(&l, c.before, &at);
+		EXPECT_EQ(found, c.position != 0) << c.name;
+		if (found) {
+			EXPECT_EQ(at.position, c.position) << c.name;
+		}
+	}
+}
+
+// Many answers in a short time must not push the older ones out.
+TEST(Lead, SamplesAreThinnedOut)
+{
+	struct lead l;
+	struct log_pos at;
+	lead_init(&l);
+	lead_begin(&l, 1);
+	for (uint64_t i = 0; i < 2000; i++)
+		lead_sample(&l, kNow + (usec_t)i * kMs, { 1, i });
+	ASSERT_TRUE(lead_position(&l, kNow + 500 * kMs, &at));
+	EXPECT_GE(at.position, 500u);
+	EXPECT_LE(at.position, 600u);
+	ASSERT_TRUE(lead_position(&l, kNow + 1999 * kMs, &at));
+	EXPECT_EQ(at.position, 1999u);
+}
+} // namespace
--- /dev/null
+++ b/tests/decide/place_test.cc
@@ -0,0 +1,83 @@
+#include <gtest/gtest.h>
+
+extern "C" {
+#include "decide/place.h"
+}
+
+namespace
+{
+constexpr usec_t kMs = USEC_PER_MSEC;
+constexpr struct place_costs kCosts = {
+	.open = 16 * kMs,
+	.evict = 24 * kMs,
+	.remote = 6 * kMs,
+	.behind = 20 * kMs,
+	.primary = 10 * kMs,
+};
+
+struct place_db db(bool primary, bool local, enum place_way way,
+		   uint32_t running = 0, bool behind = false)
+{
+	return { .usable = true,
+		 .primary = primary,
+		 .local = local,
+		 .way = way,
+		 .running = running,
+		 .slots = 5,
+		 .latency = 30 * kMs,
+		 .behind = behind };
+}
+
+TEST(Place, Read)
+{
+	const struct place_db gone = {};
+	const struct {
+		const char *name;
+		struct place_db db[3];
+		uint32_t best;
+	} cases[] = {
+		{ "the local replica",
+		  { db(true, false, PLACE_IDLE), db(false, true, PLACE_IDLE),
+		    db(false, false, PLACE_IDLE) },
+		  1 },
+		{ "an idle connection before a new one",
+		  { db(true, false, PLACE_OPEN), db(false, true, PLACE_OPEN),
+		    db(false, false, PLACE_IDLE) },
+		  2 },
+		{ "a new one before one taken from another team",
+		  { gone, db(false, true, PLACE_EVICT),
+		    db(false, true, PLACE_OPEN) },
+		  2 },
+		{ "burst at the local one: the other replica",
+		  { db(true, false, PLACE_IDLE), db(false, true, PLACE_IDLE, 5),
+		    db(false, false, PLACE_IDLE) },
+		  2 },
+		{ "both replicas busy: the primary helps",
+		  { db(true, false, PLACE_IDLE), db(false, true, PLACE_IDLE, 5),
+		    db(false, false, PLACE_IDLE, 5) },
+		  0 },
+		{ "one replica behind",
+		  { gone, db(false, true, PLACE_IDLE, 0, true),
+		    db(false, false, PLACE_IDLE) },
+		  2 },
+		{ "no way to any", { gone, gone, gone }, DB_NONE },
+		{ "no connection to be had",
+		  { db(true, true, PLACE_NONE), gone, gone },
+		  DB_NONE },
+	};
+	for (const auto &c : cases) {
+		for (uint64_t random = 0; random < 3; random++)
+			EXPECT_EQ(place_read(c.db, 3, &kCosts, random), c.best)
+				<< c.name;
+	}
+}
+
+TEST(Place, TiesAreSpread)
+{
+	const struct place_db two[] = { db(false, true, PLACE_IDLE),
+					db(false, true, PLACE_IDLE) };
+	EXPECT_EQ(place_read(two, 2, &kCosts, 0), 0u);
+	EXPECT_EQ(place_read(two, 2, &kCosts, 1), 1u);
+	EXPECT_EQ(place_read(two, 0, &kCosts, 1), DB_NONE);
+}
+} // namespace
--- /dev/null
+++ b/tests/decide/succession_test.cc
@@ -0,0 +1,296 @@
+#include <gtest/gtest.h>
+#include <string>
+
+extern "C" {
+#include "decide/succession.h"
+}
+
+namespace
+{
+constexpr usec_t kMs = USEC_PER_MSEC;
+constexpr struct succession_policy kPolicy = {
+	.guard = 600 * kMs,
+	.margin = 100 * kMs,
+	.stagger = 250 * kMs,
+	.phase_max = 2500 * kMs,
+	.again = 60 * kMs,
+	.back_off = 700 * kMs,
+	.catch_up = 400 * kMs,
+};
+
+// A group of three, its primary 0 of term 4, at one VM.
+class Group
+{
+      public:
+	Group()
+	{
+		succession_init(&s, &kPolicy);
+		env.now = 1000 * USEC_PER_SEC;
+		env.n = 3;
+		env.primary = 0;
+		env.term = 4;
+		env.platform_up = true;
+		env.in_company = true;
+		for (uint32_t i = 0; i < 3; i++)
+			env.db[i] = { .present = true,
+				      .departing = false,
+				      .answers = true,
+				      .said = false,
+				      .primary = i == 0,
+				      .term = 4,
+				      .held_term = 0,
+				      .received = { 4, 100 } };
+	}
+
+	// Ticks in steps of 10 ms; returns the acts, a letter each.
+	std::string run(usec_t time)
+	{
+		std::string acts;
+		for (usec_t end = env.now + time; env.now < end;
+		     env.now += 10 * kMs) {
+			struct succession_actions out;
+			succession_tick(&s, &env, &out);
+			for (uint32_t i = 0; i < out.n; i++)
+				acts += act(out.a[i]);
+		}
+		return acts;
+	}
+
+	void claim()
+	{
+		succession_claimed(&s, env.now, true, 77);
+	}
+	void pause(uint32_t db)
+	{
+		succession_fenced(&s, env.now, db, s.term, false,
+				  env.db[db].received);
+	}
+	// Up to the verified claim, of a primary that is silent.
+	void silent_until_promote()
+	{
+		env.cause = SUCCESSION_SILENT;
+		env.db[0].answers = false;
+		run(20 * kMs);
+		claim();
+		run(20 * kMs);
+		pause(1);
+		pause(2);
+		run(kPolicy.guard + kPolicy.margin + 50 * kMs);
+		succession_verified(&s, env.now, true);
+	}
+
+	struct succession s;
+	struct succession_env env = {};
+
+      private:
+	static std::string act(const struct succession_action &a)
+	{
+		static const char letters[] = "CPSAVMRL";
+		std::string one(1, letters[a.act]);
+		if (a.db != DB_NONE)
+			one += std::to_string(a.db);
+		return one + " ";
+	}
+};
+
+TEST(Succession, WhoActs)
+{
+	const struct {
+		const char *name;
+		enum succession_cause cause;
+		uint32_t hear, miss, rank;
+		bool platform_up, in_company, at_work;
+		usec_t time;
+		bool acts;
+	} cases[] = {
+		{ "nothing is wrong", SUCCESSION_NONE, 0, 0, 0, true, true,
+		  false, USEC_PER_SEC, false },
+		{ "silent, all miss it", SUCCESSION_SILENT, 0, 7, 0, true, true,
+		  false, 20 * kMs, true },
+		{ "silent here, most hear it", SUCCESSION_SILENT, 5, 2, 0, true,
+		  true, false, USEC_PER_SEC, false },
+		{ "a tie leaves it", SUCCESSION_SILENT, 4, 3, 0, true, true,
+		  false, USEC_PER_SEC, false },
+		{ "most miss it", SUCCESSION_SILENT, 3, 4, 0, true, true, false,
+		  20 * kMs, true },
+		{ "departing, though all hear it", SUCCESSION_DEPARTING, 7, 0,
+		  0, true, true, false, 20 * kMs, true },
+		{ "this VM may be cut off itself", SUCCESSION_SILENT, 0, 0, 0,
+		  true, false, false, USEC_PER_SEC, false },
+		{ "the platform is away", SUCCESSION_SILENT, 0, 7, 0, false,
+		  true, false, USEC_PER_SEC, false },
+		{ "a peer is at it", SUCCESSION_SILENT, 0, 7, 0, true, true,
+		  true, USEC_PER_SEC, false },
+		{ "the second waits", SUCCESSION_SILENT, 0, 7, 1, true, true,
+		  false, 200 * kMs, false },
+		{ "and then acts", SUCCESSION_SILENT, 0, 7, 1, true, true,
+		  false, 300 * kMs, true },
+	};
+	for (const auto &c : cases) {
+		Group g;
+		g.env.cause = c.cause;
+		g.env.hear = c.hear;
+		g.env.miss = c.miss;
+		g.env.rank = c.rank;
+		g.env.platform_up = c.platform_up;
+		g.env.in_company = c.in_company;
+		g.env.peer_at_work = c.at_work;
+		EXPECT_EQ(g.run(c.time), c.acts ? "C " : "") << c.name;
+	}
+}
+
+TEST(Succession, SilentPrimary)
+{
+	Group g;
+	g.env.cause = SUCCESSION_SILENT;
+	g.env.db[0].answers = false;
+	EXPECT_EQ(g.run(20 * kMs), "C ");
+	g.claim();
+	EXPECT_EQ(g.run(20 * kMs), "A0 P1 P2 ");
+	EXPECT_EQ(g.s.term, 5u);
+	g.pause(1);
+	EXPECT_EQ(g.run(100 * kMs), "A0 P2 ");
+	g.pause(2);
+	g.env.db[2].received = { 4, 120 };
+	std::string acts = g.run(kPolicy.guard);
+	EXPECT_EQ(acts.find('V'), std::string::npos) << "within the guard";
+	acts = g.run(kPolicy.margin + 60 * kMs);
+	EXPECT_NE(acts.find('V'), std::string::npos);
+	succession_verified(&g.s, g.env.now, true);
+	EXPECT_EQ(g.run(20 * kMs), "M2 ") << "the furthest";
+	succession_promoted(&g.s, g.env.now, SUCCESSION_DONE);
+	EXPECT_EQ(g.run(20 * kMs), "A2 ");
+	// Its lead may be known here before it is confirmed.
+	g.env.term = 5;
+	g.env.primary = 2;
+	g.env.db[2].said = true;
+	g.env.db[2].primary = true;
+	g.env.db[2].term = 5;
+	EXPECT_EQ(g.run(20 * kMs), "L2 R1 ");
+	EXPECT_EQ(g.s.phase, SUCCESSION_IDLE);
+}
+
+// A VM that comes back from a cut must not take a healthy primary down.
+TEST(Succession, SilentPrimaryThatAnswersIsLeftAlone)
+{
+	Group g;
+	g.env.cause = SUCCESSION_SILENT;
+	g.run(20 * kMs);
+	g.claim();
+	EXPECT_EQ(g.run(20 * kMs), "A0 P1 P2 ");
+	g.pause(1);
+	g.env.db[0].said = true;
+	EXPECT_EQ(g.run(20 * kMs), "R1 ");
+	EXPECT_EQ(g.s.phase, SUCCESSION_IDLE);
+}
+
+TEST(Succession, DepartingPrimary)
+{
+	const struct {
+		const char *name;
+		uint64_t replica; // position of both
+		const char *promoted;
+	} cases[] = {
+		{ "a replica has all", 100, "M1 " },
+		{ "none has: the old one leads on", 99, "M0 " },
+	};
+	for (const auto &c : cases) {
+		Group g;
+		g.env.cause = SUCCESSION_DEPARTING;
+		g.env.db[0].departing = true;
+		EXPECT_EQ(g.run(20 * kMs), "C ") << c.name;
+		g.claim();
+		EXPECT_EQ(g.run(20 * kMs), "S0 ") << c.name;
+		succession_fenced(&g.s, g.env.now, 0, 5, true, { 4, 100 });
+		for (uint32_t i = 1; i < 3; i++) {
+			g.env.db[i].said = true;
+			g.env.db[i].received = { 4, c.replica };
+		}
+		std::string acts = g.run(kPolicy.catch_up + 100 * kMs);
+		EXPECT_NE(acts.find('V'), std::string::npos) << c.name;
+		succession_verified(&g.s, g.env.now, true);
+		EXPECT_EQ(g.run(20 * kMs), c.promoted) << c.name;
+	}
+}
+
+// A departing primary that does not answer is fenced like a silent one.
+TEST(Succession, DepartingAndSilent)
+{
+	Group g;
+	g.env.cause = SUCCESSION_DEPARTING;
+	g.env.db[0].departing = true;
+	g.run(20 * kMs);
+	g.claim();
+	std::string acts = g.run(300 * kMs);
+	EXPECT_NE(acts.find("P1 P2"), std::string::npos) << acts;
+	g.pause(1);
+	g.pause(2);
+	acts = g.run(kPolicy.guard);
+	EXPECT_EQ(acts.find('V'), std::string::npos) << "within the guard";
+}
+
+TEST(Succession, SupersededClaimIsNotUsed)
+{
+	Group g;
+	g.silent_until_promote();
+	EXPECT_EQ(g.run(20 * kMs), "M1 ");
+	Group h;
+	h.env.cause = SUCCESSION_SILENT;
+	h.env.db[0].answers = false;
+	h.run(20 * kMs);
+	h.claim();
+	h.run(20 * kMs);
+	h.pause(1);
+	h.pause(2);
+	h.run(kPolicy.guard + kPolicy.margin + 50 * kMs);
+	succession_verified(&h.s, h.env.now, false);
+	EXPECT_EQ(h.run(100 * kMs).find('M'), std::string::npos);
+	EXPECT_EQ(h.s.phase, SUCCESSION_IDLE);
+}
+
+TEST(Succession, AnswersOfThePromotion)
+{
+	const struct {
+		const char *name;
+		enum succession_answer answer;
+		const char *next;
+	} cases[] = {
+		{ "not running: the other replica", SUCCESSION_DENIED, "M2 " },
+		{ "no answer: the same again", SUCCESSION_LOST, "M1 " },
+	};
+	for (const auto &c : cases) {
+		Group g;
+		g.silent_until_promote();
+		EXPECT_EQ(g.run(20 * kMs), "M1 ") << c.name;
+		succession_promoted(&g.s, g.env.now, c.answer);
+		EXPECT_EQ(g.run(20 * kMs), "V ") << c.name;
+		succession_verified(&g.s, g.env.now, true);
+		EXPECT_EQ(g.run(20 * kMs), c.next) << c.name;
+	}
+}
+
+TEST(Succession, GivesUpAndLetsReplicasFollow)
+{
+	Group g;
+	g.env.cause = SUCCESSION_SILENT;
+	g.env.db[0].answers = false;
+	g.run(20 * kMs);
+	g.claim();
+	g.run(20 * kMs);
+	g.pause(1); // the other replica never answers
+	std::string acts = g.run(kPolicy.phase_max + 20 * kMs);
+	EXPECT_NE(acts.find("R1"), std::string::npos);
+	EXPECT_EQ(acts.find('M'), std::string::npos);
+}
+
+TEST(Succession, LateAndForeignResultsAreHarmless)
+{
+	Group g;
+	succession_claimed(&g.s, g.env.now, true, 1);
+	succession_verified(&g.s, g.env.now, true);
+	succession_promoted(&g.s, g.env.now, SUCCESSION_DONE);
+	succession_fenced(&g.s, g.env.now, 1, 5, false, { 4, 1 });
+	EXPECT_EQ(g.s.phase, SUCCESSION_IDLE);
+	EXPECT_EQ(g.run(USEC_PER_SEC), "");
+}
+} // namespace
--- a/tests/kernel/plugin_test.cc
+++ b/tests/kernel/plugin_test.cc
@@ -55,11 +55,11 @@
 		registry::plugin_register(&a);
 	}
 	struct plugin a = { "a",     1,		start<'a'>, drain<'a'>,
-			    drained, stop<'a'>, nullptr };
+			    drained, stop<'a'>, nullptr,    FORM_ANY };
 	struct plugin b = { "b",     2,		start<'b'>, nullptr,
-			    nullptr, stop<'b'>, nullptr };
+			    nullptr, stop<'b'>, nullptr,    FORM_HTTP };
 	struct plugin c = { "c",     2,		start<'c'>, drain<'c'>,
-			    nullptr, stop<'c'>, nullptr };
+			    nullptr, stop<'c'>, nullptr,    FORM_ANY };
 	struct error e;
 };
 
@@ -97,6 +97,17 @@
 	registry::plugin_stop_all(nullptr);
 }
 
+TEST_F(Plugin, ThoseOfAnotherFormAreLeftOut)
+{
+	registry::plugin_select(FORM_SESSIONS);
+	ASSERT_EQ(registry::plugin_start_all(nullptr, &e), 0);
+	EXPECT_EQ(calls, "+a+c");
+	registry::plugin_drain_all(nullptr);
+	registry::plugin_stop_all(nullptr);
+	EXPECT_EQ(calls, "+a+c~c~a-c-a");
+	registry::plugin_select(FORM_HTTP);
+}
+
 // The program's own list is sorted too.
 TEST(PluginList, IsSortedByRank)
 {
--- /dev/null
+++ b/tests/platform/objects_test.cc
@@ -0,0 +1,202 @@
+#include <gtest/gtest.h>
+#include <string>
+#include <vector>
+
+#include "../mutate.h"
+
+extern "C" {
+#include "platform/objects.h"
+}
+
+namespace
+{
+const char *const kConfig = R"({"version":7,
+"routes":[
+{"name":"b","host":"xapu","kind":"bounded_staleness","timeoutMs":3000,
+"targetLatencyMs":800,"priority":2,"service":"huvo","maxStalenessMs":1500,
+"public":false},
+{"name":"a","host":"lepu","kind":"primary","timeoutMs":1000,
+"targetLatencyMs":200,"priority":1,"service":"huvo","public":true},
+{"name":"c","host":"fiti","kind":"someday","service":"huvo"},
+{"name":"d","host":7,"kind":"primary","service":"huvo"}],
+"services":[{"name":"huvo","maxConns":34,"syncReplicas":1}],
+"limits":{"txIdleMs":3000},
+"tenants":[{"name":"nypu","apiKeys":["k2","k1",5],"ratePerS":121,"burst":60},
+{"name":"kafi","apiKeys":["k3"],"ratePerS":10}]})";
+
+std::string object(const std::string &name, uint64_t revision,
+		   const std::string &spec)
+{
+	return "{\"meta\":{\"name\":\"" + name +
+	       "\",\"revision\":" + std::to_string(revision) +
+	       "},\"spec\":" + spec + "}";
+}
+
+TEST(Objects, Configuration)
+{
+	struct error e;
+	error_clear(&e);
+	uint64_t revision = 0;
+	std::string list = "{\"items\":[" + object("main", 12, kConfig) +
+			   "],\"more\":false,\"currentRev\":15}";
+	struct catalog *c = objects_catalog(list.c_str(), &revision, &e);
+	ASSERT_NE(c, nullptr) << e.message;
+	EXPECT_EQ(revision, 15u);
+	EXPECT_EQ(c->version, 7u);
+	EXPECT_EQ(c->revision, 12u);
+	EXPECT_EQ(c->transaction_idle_ms, 3000u);
+	const struct catalog_route *r = catalog_route(c, "xapu");
+	ASSERT_NE(r, nullptr);
+	EXPECT_EQ(r->freshness, READ_BOUNDED);
+	EXPECT_EQ(r->staleness_ms, 1500u);
+	EXPECT_FALSE(r->open);
+	EXPECT_TRUE(catalog_route(c, "lepu")->open);
+	// A kind that is not known may read nothing stale.
+	EXPECT_EQ(catalog_route(c, "fiti")->freshness, READ_PRIMARY);
+	EXPECT_EQ(catalog_route(c, "none"), nullptr);
+	EXPECT_EQ(catalog_service(c, "huvo")->connections, 34u);
+	EXPECT_STREQ(catalog_team(c, "k1")->name, "nypu");
+	EXPECT_STREQ(catalog_team(c, "k3")->name, "kafi");
+	EXPECT_EQ(catalog_team(c, "k3")->burst, 10u);
+	EXPECT_EQ(catalog_team(c, "k4"), nullptr);
+	catalog_destroy(c);
+}
+
+TEST(Objects, WatchesOfTheConfiguration)
+{
+	std::string events =
+		"{\"events\":[{\"deleted\":false,\"object\":" +
+		object("main", 20, kConfig) +
+		"},{\"deleted\":false,\"object\":" + object("main", 19, "{}") +
+		"},{\"deleted\":true,\"object\":" +
+		object("main", 21, kConfig) +
+		"},{\"deleted\":false,\"object\":" + object("other", 22, "{}") +
+		"}],\"currentRev\":22}";
+	const struct {
+		const char *name;
+		std::string reply;
+		uint64_t revision; // 0: no catalogue
+		bool fails;
+	} cases[] = {
+		{ "the newest that is there", events, 20, false },
+		{ "nothing new", "{\"events\":[],\"currentRev\":9}", 0, false },
+		{ "no object", "[]", 0, true },
+		{ "no JSON", "{", 0, true },
+		{ "a spec of another shape",
+		  "{\"items\":[" + object("main", 3, "{\"routes\":5}") +
+			  "],\"currentRev\":9}",
+		  0, true },
+	};
+	for (const auto &c : cases) {
+		struct error e;
+		error_clear(&e);
+		uint64_t revision = 0;
+		struct catalog *got =
+			objects_catalog(c.reply.c_str(), &revision, &e);
+		EXPECT_EQ(got ? got->revision : 0, c.revision) << c.name;
+		EXPECT_EQ(e.code != ERR_NONE, c.fails) << c.name;
+		catalog_destroy(got);
+	}
+}
+
+struct Taken {
+	std::vector<struct registry_db> dbs;
+};
+
+void take(void *ctx, const struct registry_db *db)
+{
+	static_cast<Taken *>(ctx)->dbs.push_back(*db);
+}
+
+// An entry of another writer names no database; the others hold.
+TEST(Objects, Databases)
+{
+	const std::string good =
+		"{\"service\":\"huvo\",\"address\":\"10.0.0.9:8080\","
+		"\"zone\":\"a\",\"slots\":5,\"state\":\"ready\","
+		"\"dbRole\":\"replica\",\"born\":1700000000000,"
+		"\"sequence\":4}";
+	auto with = [&](const std::string &from, const std::string &to) {
+		std::string s = good;
+		return s.replace(s.find(from), from.size(), to);
+	};
+	const struct {
+		const char *name;
+		std::string spec;
+		bool taken;
+	} cases[] = {
+		{ "whole", good, true },
+		{ "departing", with("ready", "draining"), true },
+		{ "primary", with("replica", "primary"), true },
+		{ "without born", with("\"born\":1700000000000,", ""), true },
+		{ "born of another type",
+		  with("1700000000000", "\"yesterday\""), false },
+		{ "a state that is not known", with("ready", "resting"),
+		  false },
+		{ "a role that is not known", with("replica", "observer"),
+		  false },
+		{ "no service", with("\"service\"", "\"servixe\""), false },
+		{ "address of another type", with("\"10.0.0.9:8080\"", "17"),
+		  false },
+		{ "slots of another type", with(":5", ":\"5\""), false },
+		{ "no object", "17", false },
+		{ "null", "null", false },
+	};
+	for (const auto &c : cases) {
+		std::string list = "{\"items\":[" + object("bad", 1, "{}") +
+				   "," + object("i-1", 2, c.spec) + "," +
+				   object("i-2", 3, good) +
+				   "],\"more\":true,\"currentRev\":9}";
+		struct registry_page page = {};
+		struct error e;
+		Taken t;
+		ASSERT_EQ(objects_databases(list.c_str(), take, &t, &page, &e),
+			  0)
+			<< c.name;
+		EXPECT_EQ(t.dbs.size(), c.taken ? 2u : 1u) << c.name;
+		EXPECT_EQ(page.skipped, c.taken ? 1u : 2u) << c.name;
+		EXPECT_TRUE(page.more);
+		EXPECT_STREQ(page.last, "i-2");
+		EXPECT_STREQ(t.dbs.back().id, "i-2");
+	}
+}
+
+TEST(Objects, DutiesAndVms)
+{
+	const struct registry_codec *codec = registry_codec();
+	struct registry_duty duty = { "vm-1", 5, 3, 0 };
+	char *body = codec->duty_body(&duty);
+	std::string reply = object("svc", 41, body);
+	struct registry_duty got;
+	ASSERT_EQ(codec->duty(reply.c_str(), &got), 0);
+	EXPECT_STREQ(got.holder, "vm-1");
+	EXPECT_EQ(got.revision, 41u);
+	EXPECT_EQ(got.claim, 3u);
+	free(body);
+	EXPECT_EQ(codec->duty("{}", &got), -1);
+	EXPECT_EQ(codec->duty("", &got), -1);
+	EXPECT_EQ(objects_revision(reply.c_str()), 41u);
+	EXPECT_EQ(objects_revision(nullptr), 0u);
+	char *wrapped = objects_wrap("svc", 41, "{\"a\":1}");
+	EXPECT_EQ(objects_revision(wrapped), 41u);
+	free(wrapped);
+	EXPECT_EQ(objects_wrap("svc", 0, "{"), nullptr);
+}
+
+TEST(Objects, Mutations)
+{
+	std::string list = "{\"items\":[" + object("main", 12, kConfig) +
+			   "],\"more\":false,\"currentRev\":15}";
+	Mutator m(182305, { list }, { "null", "-1", "[]", "{}", "\"\"" });
+	for (int i = 0; i < 5000; i++) {
+		std::string s = m.next();
+		uint64_t revision = 0;
+		struct registry_page page = {};
+		struct error e;
+		Taken t;
+		error_clear(&e);
+		catalog_destroy(objects_catalog(s.c_str(), &revision, &e));
+		objects_databases(s.c_str(), take, &t, &page, &e);
+	}
+}
+} // namespace
