--- a/src/decide/place.h
+++ b/src/decide/place.h
@@ -18,14 +18,14 @@
 
 /* One database, as this VM sees it now. */
 struct place_db {
-	bool usable; /* answers, is not departing, has not refused this one */
-	bool primary;
-	bool local; /* in this VM's failure domain */
+	usec_t latency; /* moving average of its answers */
 	enum place_way way;
 	uint32_t running; /* statements of this VM there */
 	uint32_t slots;
-	usec_t latency; /* moving average of its answers */
-	bool behind;	/* is not known to hold the position wanted */
+	bool usable; /* answers, is not departing, has not refused this one */
+	bool primary;
+	bool local;  /* in this VM's failure domain */
+	bool behind; /* is not known to hold the position wanted */
 };
 
 struct place_costs {
--- a/src/decide/succession.c
+++ b/src/decide/succession.c
@@ -420,7 +420,8 @@
 						   env->db[best].received) > 0)
 			best = i;
 	}
-	if (s->stepped_down && !(s->failed & (1U << s->old)) &&
+	if (s->stepped_down && s->old < env->n &&
+	    !(s->failed & (1U << s->old)) &&
 	    (best == DB_NONE ||
 	     log_pos_cmp(env->db[best].received, s->last) < 0))
 		return s->old;
--- a/src/kernel/settings.c
+++ b/src/kernel/settings.c
@@ -27,13 +27,13 @@
 /* One key; numbers have a default and bounds, all else is required. */
 struct setting {
 	const char *key;
-	enum setting_type type;
 	size_t offset; /* in struct settings */
-	bool optional;
+	enum setting_type type;
 	enum vm_form only; /* needed by VMs of this form only */
 	uint32_t min;
 	uint32_t max;
 	uint32_t preset;
+	bool optional;
 };
 
 #define TEXT(k, t)                                                             \
--- a/src/proxy/cluster.c
+++ b/src/proxy/cluster.c
@@ -219,7 +219,7 @@
 	struct pgroup *g = calloc(1, sizeof(*g));
 	uint32_t i;
 
-	more = realloc(p->groups, (p->n_groups + 1) * sizeof(*more));
+	more = realloc(p->groups, (p->n_groups + 1) * sizeof(struct pgroup *));
 	if (more)
 		p->groups = more;
 	if (!g || !more) {
--- a/src/proxy/registry.c
+++ b/src/proxy/registry.c
@@ -470,7 +470,8 @@
 	qsort(r->list, r->n_list, sizeof(*r->list), by_id);
 	for (i = 0; i < r->n_list; i++) {
 		const struct registry_db *d = &r->list[i];
-		uint64_t flags = d->born * 4 + d->departing * 2U + d->primary;
+		uint64_t flags = d->born << 2 | (uint64_t)d->departing << 1 |
+				 (uint64_t)d->primary;
 
 		h = XXH3_64bits_withSeed(d->id, strlen(d->id), h);
 		h = XXH3_64bits_withSeed(d->address, strlen(d->address), h);
--- a/src/proxy/session.c
+++ b/src/proxy/session.c
@@ -612,7 +612,7 @@
 			  quota_part(s->proxy->quota, s->team));
 		snprintf(why, sizeof(why),
 			 "over the team's rate, not run, retry after %lld ms",
-			 (long long)(retry_after / USEC_PER_MSEC + 1));
+			 (long long)retry_after / USEC_PER_MSEC + 1);
 		s->proxy->protocol->put_error(out, REFUSE_BUSY, why);
 		reply_state(s, NULL);
 		return false;
--- a/tests/decide/place_test.cc
+++ b/tests/decide/place_test.cc
@@ -18,13 +18,13 @@
 struct place_db db(bool primary, bool local, enum place_way way,
 		   uint32_t running = 0, bool behind = false)
 {
-	return { .usable = true,
-		 .primary = primary,
-		 .local = local,
+	return { .latency = 30 * kMs,
 		 .way = way,
 		 .running = running,
 		 .slots = 5,
-		 .latency = 30 * kMs,
+		 .usable = true,
+		 .primary = primary,
+		 .local = local,
 		 .behind = behind };
 }
 
