Test sessions end to end against a stand-in of the users' platform

What it found is mended: an idle transaction whose timer fired a little early was never ended; after some idle seconds a read that needed the primary asked nobody for a proof, so it waited in vain; a write in a reading transaction put the primary in doubt; a database that accepted and closed was tried every 25 ms; replicas that stayed paused above the new term were not let go.

Ruled out: letting a VM promote again when replicas stay paused. A primary that answers is kept, and the replicas are resumed once no promotion of the pause can take effect any more.

--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,10 @@
 SRCS	:= $(wildcard src/*.c src/*/*.c platform/*.c)
 OBJS	:= $(SRCS:%.c=$(B)/%.o)
 LIBOBJS	:= $(filter-out $(B)/src/main.o,$(OBJS))
-TSRCS	:= $(wildcard tests/*.cc tests/*/*.cc)
+# The stand-in of the platform for sessions is a program of its own.
+WSRCS	:= $(wildcard tests/sessions/*.cc)
+WOBJS	:= $(WSRCS:%.cc=$(B)/%.o)
+TSRCS	:= $(filter-out $(WSRCS),$(wildcard tests/*.cc tests/*/*.cc))
 TOBJS	:= $(TSRCS:%.cc=$(B)/%.o)
 HDRS	:= $(wildcard src/*/*.h platform/*.h)
 
@@ -35,6 +38,9 @@
 $(B)/check: $(LIBOBJS) $(TOBJS)
 	$(CXX) $(SAN) -o $@ $(LIBOBJS) $(TOBJS) $(LDLIBS) -lgtest
 
+$(B)/sessions-world: $(WOBJS)
+	$(CXX) $(SAN) -o $@ $(WOBJS) $(LDLIBS)
+
 $(B)/%.o: %.c
 	@mkdir -p $(@D)
 	$(CC) $(CFLAGS) -c -o $@ $<
@@ -45,7 +51,8 @@
 
 # A second make reads the package flags only once the packages are there.
 check: packages
-	@$(MAKE) --no-print-directory -j$$(nproc) $(B)/gypsumcleat $(B)/check
+	@$(MAKE) --no-print-directory -j$$(nproc) $(B)/gypsumcleat $(B)/check \
+	    $(B)/sessions-world
 	@B=$(B) tests/run.sh
 
 demo: packages
@@ -56,7 +63,7 @@
 	@scripts/lint
 
 format:
-	clang-format -i $(SRCS) $(HDRS) $(TSRCS)
+	clang-format -i $(SRCS) $(HDRS) $(TSRCS) $(WSRCS)
 
 matrix: packages
 	@$(MAKE) --no-print-directory -j$$(nproc) $(B)/check
@@ -86,4 +93,4 @@
 clean:
 	rm -rf build
 
--include $(OBJS:.o=.d) $(TOBJS:.o=.d)
+-include $(OBJS:.o=.d) $(TOBJS:.o=.d) $(WOBJS:.o=.d)
--- a/src/cmd/serve.c
+++ b/src/cmd/serve.c
@@ -177,5 +177,7 @@
 	printf("ready %s callers\n", s->caller_listen);
 	printf("ready %s %s\n", other, what);
 	printf("ready %s peers\n", s->peer_listen);
+	if (s->form == FORM_SESSIONS)
+		printf("ready %s metrics\n", s->metrics_listen);
 	fflush(stdout);
 }
--- a/src/decide/succession.c
+++ b/src/decide/succession.c
@@ -17,6 +17,7 @@
 static void begin_fence(struct succession *s, const struct succession_env *env);
 static void fence(struct succession *s, const struct succession_env *env,
 		  struct succession_actions *out);
+static bool somebody_leads(const struct succession_env *env);
 static bool fence_done(const struct succession *s,
 		       const struct succession_env *env);
 static void wait_guard(struct succession *s, const struct succession_env *env,
@@ -63,6 +64,7 @@
 		s->cause = env->cause;
 		s->old = env->primary;
 		s->base = env->term;
+		s->began_at = env->now;
 		s->failed = 0;
 		s->attempts = 0;
 		s->call_open = true;
@@ -86,7 +88,9 @@
 		if (s->call_open)
 			break;
 		s->target = choose(s, env);
-		if (s->target == DB_NONE) {
+		/* Replicas may be let go by others after that time. */
+		if (s->target == DB_NONE ||
+		    env->now - s->began_at > s->policy.all_max) {
 			give_up(s, env, out);
 			break;
 		}
@@ -203,7 +207,6 @@
 		[SUCCESSION_REFUSED] = "refused",
 		[SUCCESSION_DEPARTING] = "departing",
 		[SUCCESSION_NOBODY] = "nobody",
-		[SUCCESSION_ABANDONED] = "abandoned",
 	};
 
 	return names[cause];
@@ -313,8 +316,7 @@
 		env->now - s->phase_at > ORDERLY_ASKS * s->policy.again;
 	uint32_t i;
 
-	if (!orderly && s->old != DB_NONE && env->db[s->old].said &&
-	    env->db[s->old].primary && s->cause != SUCCESSION_ABANDONED) {
+	if (!orderly && somebody_leads(env)) {
 		give_up(s, env, out);
 		return;
 	}
@@ -336,6 +338,19 @@
 	}
 }
 
+/* Has a database said in this attempt that it leads? */
+static bool somebody_leads(const struct succession_env *env)
+{
+	uint32_t i;
+
+	for (i = 0; i < env->n; i++) {
+		if (env->db[i].present && env->db[i].said &&
+		    env->db[i].primary && env->db[i].term >= env->term)
+			return true;
+	}
+	return false;
+}
+
 /*
  * The old primary itself, or every database that could still prove it. A
  * departing one that does not answer has to be fenced like a silent one.
--- a/src/decide/succession.h
+++ b/src/decide/succession.h
@@ -38,7 +38,6 @@
 	SUCCESSION_REFUSED,   /* its address takes no connections */
 	SUCCESSION_DEPARTING, /* is leaving, or has left the registry */
 	SUCCESSION_NOBODY,    /* no database says that it leads */
-	SUCCESSION_ABANDONED, /* replicas stay paused and nobody promotes */
 };
 
 enum succession_act {
@@ -95,6 +94,7 @@
 	usec_t margin;	  /* for what was sent just before a proof ran out */
 	usec_t stagger;	  /* each rank waits so much longer */
 	usec_t phase_max; /* a phase is given up after */
+	usec_t all_max;	  /* from the claim to the promotion, at most */
 	usec_t again;	  /* questions are repeated after */
 	usec_t back_off;  /* after giving up */
 	usec_t catch_up;  /* a replica may take so long to the last commit */
@@ -106,6 +106,7 @@
 	enum succession_cause cause;
 	usec_t cause_at; /* it has been seen since; 0: not */
 	usec_t phase_at;
+	usec_t began_at; /* of the attempt */
 	usec_t asked_at; /* last round of questions in the phase */
 	usec_t quiet_until;
 	uint64_t token;
--- a/src/proxy/backend.c
+++ b/src/proxy/backend.c
@@ -263,7 +263,7 @@
 		expect(b, EXPECT_START);
 		return;
 	}
-	if (b->state == BACKEND_CONNECTING) {
+	if (b->state == BACKEND_CONNECTING || b->state == BACKEND_STARTING) {
 		db->failures++;
 		db->refused_at = now;
 		db->retry_at = now + RETRY_AFTER_REFUSED_US;
--- a/src/proxy/cluster.c
+++ b/src/proxy/cluster.c
@@ -137,8 +137,11 @@
 		  "service=%s database=%s term=%llu former_term=%llu source=%s",
 		  g->service, g->db[db].id, (unsigned long long)term,
 		  (unsigned long long)g->lead.term, source);
-	if (g->lead.term != term)
+	if (g->lead.term != term) {
 		lead_begin(&g->lead, term);
+		g->promoted_here = false;
+		g->paused_since = 0;
+	}
 	g->primary = db;
 	g->db[db].says_primary = true;
 	succession_superseded(&g->succession, now);
@@ -170,6 +173,7 @@
 		return false;
 	if (lead_holds(&g->lead, now, g->proxy->policy.guard))
 		return true;
+	g->wanted_at = now;
 	prove(g, now);
 	return false;
 }
--- a/src/proxy/failover.c
+++ b/src/proxy/failover.c
@@ -13,8 +13,15 @@
 #define REFUSED_TRIES 2
 /* A group without a primary in the registry is left alone for so long. */
 #define NOBODY_US (500 * USEC_PER_MSEC)
-/* Replicas paused so long by somebody who has not promoted. */
-#define ABANDONED_US (2500 * USEC_PER_MSEC)
+/* From a claim to its promotion at the most. */
+#define ATTEMPT_US (3 * USEC_PER_SEC)
+/*
+ * Replicas that stay paused so long are let go: any promotion has taken effect
+ * by then, which takes the platform up to a second.
+ */
+#define PAUSED_US (ATTEMPT_US + 2 * USEC_PER_SEC)
+/* Pause between two tries of that. */
+#define RESUME_AGAIN_US (300 * USEC_PER_MSEC)
 /* What was asked and answered within this counts as heard. */
 #define ANSWERS_US (1500 * USEC_PER_MSEC)
 
@@ -29,6 +36,7 @@
 	.margin = 100 * USEC_PER_MSEC,
 	.stagger = 250 * USEC_PER_MSEC,
 	.phase_max = 2500 * USEC_PER_MSEC,
+	.all_max = ATTEMPT_US,
 	.again = 60 * USEC_PER_MSEC,
 	.back_off = 700 * USEC_PER_MSEC,
 	.catch_up = 400 * USEC_PER_MSEC,
@@ -36,6 +44,7 @@
 
 static void fill_env(struct pgroup *g, usec_t now, struct succession_env *env);
 static void act(struct pgroup *g, const struct succession_action *a);
+static void release_paused(struct pgroup *g, const struct succession_env *env);
 static void ask_fence(struct pgroup *g, uint32_t db, enum control_verb verb,
 		      uint64_t term);
 static void on_fenced(void *ctx, struct pdb *db, bool ok,
@@ -75,6 +84,29 @@
 			  env.rank);
 	for (i = 0; i < out.n; i++)
 		act(g, &out.a[i]);
+	if (g->paused_since && s->phase == SUCCESSION_IDLE)
+		release_paused(g, &env);
+}
+
+/*
+ * Lets replicas follow that were paused for a promotion which is over, or was
+ * given up by a VM that can't do it any more.
+ */
+static void release_paused(struct pgroup *g, const struct succession_env *env)
+{
+	uint32_t i;
+
+	if (g->primary == DB_NONE || env->peer_at_work ||
+	    env->now - g->resumed_at < RESUME_AGAIN_US ||
+	    (!g->promoted_here &&
+	     (env->rank != 0 || env->now - g->paused_since < PAUSED_US)))
+		return;
+	g->resumed_at = env->now;
+	for (i = 0; i < GROUP_DBS_MAX; i++) {
+		if (g->db[i].present && i != g->primary &&
+		    g->db[i].report.held_term > g->lead.term)
+			ask_fence(g, i, CONTROL_RESUME, 0);
+	}
 }
 
 /* Why the group needs another primary, as this VM sees it; or none. */
@@ -99,9 +131,6 @@
 		return SUCCESSION_REFUSED;
 	if (p->silent_since && now - p->silent_since > SILENT_US)
 		return SUCCESSION_SILENT;
-	if (g->lead.proved_at != INT64_MIN && g->paused_since &&
-	    now - g->paused_since > ABANDONED_US)
-		return SUCCESSION_ABANDONED;
 	return SUCCESSION_NONE;
 }
 
@@ -189,6 +218,7 @@
 		/* No later claim was there then, so no other promotion can
 		 * have taken effect within the guard after it. */
 		lead_unpaused(&g->lead, g->verified_at, a->term);
+		g->promoted_here = true;
 		dispatch_pump(g);
 		break;
 	}
--- a/src/proxy/proxy_own.h
+++ b/src/proxy/proxy_own.h
@@ -80,6 +80,8 @@
 	struct succession succession;
 	usec_t verified_at;   /* the claim was asked for then */
 	usec_t paused_since;  /* a replica is paused for a later term; 0: no */
+	usec_t resumed_at;    /* paused ones were let go last */
+	bool promoted_here;   /* the primary of this term, by this VM */
 	usec_t leaderless_at; /* no primary is known since; 0: one is */
 };
 
--- a/src/proxy/session.c
+++ b/src/proxy/session.c
@@ -39,6 +39,7 @@
 static void end_task(struct session *s);
 static void reply_state(struct session *s, const struct log_pos *at);
 static void set_timer(struct session *s, usec_t at);
+static void end_idle(struct session *s, usec_t now);
 static void give_up(struct session *s, const char *unsent, const char *sent);
 static void fail_and_close(struct session *s, enum refusal_code code,
 			   const char *why);
@@ -291,13 +292,7 @@
 		return;
 	}
 	if (t->stage == TASK_NONE) {
-		if (s->tx && s->tx_begun && now >= s->tx_until && s->held) {
-			log_event(EV_TRANSACTION_IDLE, "service=%s team=%s",
-				  s->group->service, s->team);
-			backend_release(s->held);
-			s->tx_begun = false;
-			s->state = STATE_FAILED;
-		}
+		end_idle(s, now);
 		return;
 	}
 	if (now < t->deadline) {
@@ -308,6 +303,25 @@
 		"no answer of the database in time");
 }
 
+/* Ends a transaction that has been idle for too long. */
+static void end_idle(struct session *s, usec_t now)
+{
+	if (!s->tx || s->state != STATE_OPEN)
+		return;
+	if (now < s->tx_until) {
+		/* The timer's clock may run a little ahead. */
+		set_timer(s, s->tx_until + USEC_PER_MSEC);
+		return;
+	}
+	if (!s->held)
+		return;
+	log_event(EV_TRANSACTION_IDLE, "service=%s team=%s idle_ms=%u",
+		  s->group->service, s->team, s->tx_idle_ms);
+	backend_release(s->held);
+	s->tx_begun = false;
+	s->state = STATE_FAILED;
+}
+
 /*
  * Ends the statement under way: one that was not sent was surely not run, one
  * that was may have been.
@@ -574,6 +588,10 @@
 
 	if (!s->tx && !open_operation(s))
 		return;
+	if (s->tx && s->tx_reads && t->writes) {
+		session_refuse(s, REFUSE_READ_ONLY, "the transaction reads");
+		return;
+	}
 	t->at_primary = t->writes || s->freshness == READ_PRIMARY ||
 			(s->tx && !s->tx_reads);
 	t->deadline = t->began_at + (usec_t)s->timeout_ms * USEC_PER_MSEC;
--- a/tests/decide/succession_test.cc
+++ b/tests/decide/succession_test.cc
@@ -13,6 +13,7 @@
 	.margin = 100 * kMs,
 	.stagger = 250 * kMs,
 	.phase_max = 2500 * kMs,
+	.all_max = 3000 * kMs,
 	.again = 60 * kMs,
 	.back_off = 700 * kMs,
 	.catch_up = 400 * kMs,
@@ -184,6 +185,32 @@
 	EXPECT_EQ(g.s.phase, SUCCESSION_IDLE);
 }
 
+// A primary that this VM did not know of is found while it is fenced.
+TEST(Succession, SomebodyLeadsAfterAll)
+{
+	Group g;
+	g.env.cause = SUCCESSION_NOBODY;
+	g.env.primary = DB_NONE;
+	EXPECT_EQ(g.run(20 * kMs), "C ");
+	g.claim();
+	EXPECT_EQ(g.run(20 * kMs), "P0 P1 P2 ");
+	g.pause(1);
+	g.env.db[0].said = true; // the answer of a primary to the pause
+	EXPECT_EQ(g.run(20 * kMs), "R1 ");
+	EXPECT_EQ(g.s.phase, SUCCESSION_IDLE);
+}
+
+// A VM that was suspended in an attempt does not go on with it: others may
+// have let the replicas go meanwhile.
+TEST(Succession, SuspendedMeanwhile)
+{
+	Group g;
+	g.silent_until_promote();
+	g.env.now += 4 * USEC_PER_SEC;
+	std::string acts = g.run(20 * kMs);
+	EXPECT_EQ(acts.find('M'), std::string::npos) << acts;
+}
+
 TEST(Succession, DepartingPrimary)
 {
 	const struct {
