Bound how fast a VM's part of a limit grows; look at the platform once a second

Change: demand counts up to three times what peers were told, and demand they know nothing of is assumed at half strength at each of them. Watches are held up to 25 s and lists repeated after 1 s for each live VM: one VM of the fleet looks about once a second, whatever its size. Beacons of large fleets come twice as often.

Ruled out: parts by told demand alone.

--- a/src/decide/quota.c
+++ b/src/decide/quota.c
@@ -11,6 +11,14 @@
 #define DEMAND_US (1 * USEC_PER_SEC)
 /* Demand below this counts as none, operations a second. */
 #define DEMAND_MIN 0.05
+/* Demand counts up to this many times what peers were told, and this much
+ * more, operations a second: what they do not know yet they can't make room
+ * for. */
+#define GROWTH_MAX  3.0
+#define GROWTH_FREE 2.0
+/* Demand that peers know nothing of may have begun everywhere: this part of it
+ * is assumed at each of them. */
+#define SUDDEN_PART 0.5
 /* Longest time for which tokens are counted up at once. */
 #define REFILL_MAX_US (10 * USEC_PER_SEC)
 
@@ -21,6 +29,7 @@
 	double tokens;
 	usec_t at;
 	double demand; /* of this VM, operations a second */
+	double told;   /* of it, what peers were told last */
 	usec_t demand_at;
 	double *peers; /* demand by peer, room for n_room */
 	uint32_t n_room;
@@ -172,15 +181,18 @@
 	t->peers[i] = per_s > 0 && isfinite(per_s) ? per_s : 0;
 }
 
-/* Tells this VM's demand, team by team. */
+/* Tells this VM's demand, team by team, and notes what was told. */
 void quota_demands(struct quota *q, usec_t now, quota_demand_fn fn, void *ctx)
 {
 	uint32_t i;
 
 	for (i = 0; i < q->n_teams; i++) {
-		decay(&q->teams[i], now);
-		if (q->teams[i].demand >= DEMAND_MIN)
-			fn(ctx, q->teams[i].name, q->teams[i].demand);
+		struct team *t = &q->teams[i];
+
+		decay(t, now);
+		t->told = t->demand >= DEMAND_MIN ? t->demand : 0;
+		if (t->told > 0)
+			fn(ctx, t->name, t->told);
 	}
 }
 
@@ -243,7 +255,7 @@
 static double part(const struct quota *q, const struct team *t)
 {
 	double others = 0;
-	double mine = t->demand;
+	double mine = fmin(t->demand, t->told * GROWTH_MAX + GROWTH_FREE);
 	uint32_t silent = 0;
 	uint32_t vms = 1;
 	double even;
@@ -259,6 +271,8 @@
 			others += t->peers[i];
 	}
 	even = 1.0 / vms;
+	if (t->told <= 0)
+		others = fmax(others, mine * SUDDEN_PART * (vms - 1 - silent));
 	if (mine + others < DEMAND_MIN)
 		return even;
 	return (1 - silent * even) * (EVEN_PART / (vms - silent) +
--- a/src/decide/quota.h
+++ b/src/decide/quota.h
@@ -41,7 +41,7 @@
 		       double per_s);
 
 typedef void (*quota_demand_fn)(void *ctx, const char *team, double per_s);
-/* This VM's demand for each team it has any for. */
+/* This VM's demand for each team it has any for, to be told to all peers. */
 void quota_demands(struct quota *q, usec_t now, quota_demand_fn fn, void *ctx);
 /* This VM's part of a team's limit, 0 to 1. */
 double quota_part(struct quota *q, const char *team);
--- a/src/proxy/beacon.c
+++ b/src/proxy/beacon.c
@@ -22,7 +22,7 @@
 #define BEACON_VERSION 1
 /* Each VM adds this much to the pause between two beacons, so that what one
  * VM sends and takes in does not grow with the fleet. */
-#define PER_PEER_US (12 * USEC_PER_MSEC)
+#define PER_PEER_US (6 * USEC_PER_MSEC)
 /* Beacons missed in a row before a VM counts as silent. */
 #define MISSED_MAX 4
 #define PEERS_MAX  QUOTA_PEERS_MAX
--- a/src/proxy/proxy.c
+++ b/src/proxy/proxy.c
@@ -86,8 +86,9 @@
 	/* A database that is full stays so for about a statement's work. */
 	.refused_pause = 50 * USEC_PER_MSEC,
 	.silence = 600 * USEC_PER_MSEC,
-	/* A departing database gets no more work after 7 s. */
-	.registry_every = 2 * USEC_PER_SEC,
+	/* One VM of the fleet looks so often; a departing database has to be
+	 * without work after 7 s. */
+	.registry_every = USEC_PER_SEC,
 	.registry_soon = 200 * USEC_PER_MSEC,
 	.beacon_every = 150 * USEC_PER_MSEC,
 	.costs = {
--- a/src/proxy/registry.c
+++ b/src/proxy/registry.c
@@ -17,9 +17,9 @@
  * has to be in force. A VM alone looks as often itself.
  */
 #define WATCH_PER_VM_MS 1000
-#define WATCH_MAX_MS	8000
+#define WATCH_MAX_MS	25000
 /* The list of databases has to be known in 7 s, and is asked for likewise. */
-#define LIST_PAUSE_MAX_US (4 * USEC_PER_SEC)
+#define LIST_PAUSE_MAX_US (20 * USEC_PER_SEC)
 /* Pauses after a call that failed. */
 #define RETRY_US (250 * USEC_PER_MSEC)
 /* The VMs are listed again after this. */
--- a/tests/decide/quota_test.cc
+++ b/tests/decide/quota_test.cc
@@ -151,6 +151,17 @@
 	EXPECT_GE(sum(done), 100u * 10 * 95 / 100);
 }
 
+// A team without any demand that begins to send everywhere at once: before the
+// first beacons no VM may take the whole for itself.
+TEST(Quota, SuddenTeam)
+{
+	Fleet f(40, 100, 100);
+	f.run(3 * USEC_PER_SEC, std::vector<double>(40, 0));
+	f.run(6 * USEC_PER_SEC, std::vector<double>(40, 30));
+	EXPECT_LE(f.most(5 * USEC_PER_SEC),
+		  allowed(100, 100, 5 * USEC_PER_SEC));
+}
+
 // A surge that moves from some VMs to others.
 TEST(Quota, MovedCallers)
 {
