Begin transactions under no id, and start up without crowding the databases

A transaction counted twice since its BEGIN was sent on under the caller's own id.

Change: BEGIN carries no id, as before. A VM is ready once it knows the other VMs, and holds two connections to a database until then; refusals for want of room are waited out for longer each time. A VM's part of a limit goes by the demand that peers were told, above two operations a second.

The overshoot of parts that grow: gone with the told demand.

--- a/src/decide/quota.c
+++ b/src/decide/quota.c
@@ -11,11 +11,9 @@
 #define DEMAND_US (1 * USEC_PER_SEC)
 /* Demand below this counts as none, operations a second. */
 #define DEMAND_MIN 0.05
-/* Demand counts up to this many times what peers were told, and this much
- * more, operations a second: what they do not know yet they can't make room
- * for. */
-#define GROWTH_MAX  3.0
-#define GROWTH_FREE 2.0
+/* Demand counts as far as peers were told of it, so that all parts sum to one;
+ * below this, operations a second, it counts at once. */
+#define DEMAND_FREE 2.0
 /* Demand that peers know nothing of may have begun everywhere: this part of it
  * is assumed at each of them. */
 #define SUDDEN_PART 0.5
@@ -255,7 +253,7 @@
 static double part(const struct quota *q, const struct team *t)
 {
 	double others = 0;
-	double mine = fmin(t->demand, t->told * GROWTH_MAX + GROWTH_FREE);
+	double mine = fmax(t->told, fmin(t->demand, DEMAND_FREE));
 	uint32_t silent = 0;
 	uint32_t vms = 1;
 	double even;
--- a/src/proxy/backend.c
+++ b/src/proxy/backend.c
@@ -379,6 +379,7 @@
 	usec_t took = proxy_now() - b->opened_at;
 
 	latency_add(LATENCY_CONNECT, took);
+	b->db->refusals = 0;
 	log_event(EV_BACKEND_OPENED,
 		  "service=%s database=%s team=%s took_us=%lld",
 		  b->db->group->service, b->db->id, b->team, (long long)took);
@@ -483,7 +484,7 @@
 	}
 	bring_prepared(b, s);
 	if (s->tx && !s->tx_begun) {
-		proto->put_begin(out, s->begin_id, s->tx_reads,
+		proto->put_begin(out, s->tx_reads,
 				 s->task.has_after ? &s->task.after : NULL);
 		expect(b, EXPECT_BEGIN);
 	}
--- a/src/proxy/pool.c
+++ b/src/proxy/pool.c
@@ -4,6 +4,11 @@
 
 /* A limit that was lowered by a refusal rises by one after this. */
 #define LIMIT_STEP_US (2 * USEC_PER_SEC)
+/* The pause doubles so often at the most while refusals go on: a database
+ * drops connections whose other end has died after three seconds. */
+#define REFUSALS_MAX 4
+/* Connections to a database while the other VMs are not known. */
+#define PART_UNKNOWN 2
 /* Connections of a team that wait for one being opened. */
 #define OPENING_MAX 2
 
@@ -84,7 +89,10 @@
 
 	db->limit = db->n_conns > 2 ? db->n_conns - 1 : 1;
 	db->limit_at = now;
-	db->retry_at = now + db->group->proxy->policy.refused_pause;
+	if (db->refusals < REFUSALS_MAX)
+		db->refusals++;
+	db->retry_at = now + (db->group->proxy->policy.refused_pause
+			      << (db->refusals - 1));
 }
 
 /* Any idle connection, for questions of the VM's own. */
@@ -103,9 +111,11 @@
 /* An even part of what the database takes, at least one. */
 static uint32_t fair_part(const struct pdb *db)
 {
-	uint32_t part =
-		db->group->connections / proxy_fleet_size(db->group->proxy);
+	const struct proxy *p = db->group->proxy;
+	uint32_t part = db->group->connections / proxy_fleet_size(p);
 
+	if (!p->vms_known && part > PART_UNKNOWN)
+		return PART_UNKNOWN;
 	return part ? part : 1;
 }
 
--- a/src/proxy/proxy.c
+++ b/src/proxy/proxy.c
@@ -123,7 +123,7 @@
 /* Can this VM serve callers that come now? */
 bool proxy_is_ready(const struct proxy *p)
 {
-	return !p->draining && p->catalog && p->databases_known;
+	return !p->draining && p->catalog && p->databases_known && p->vms_known;
 }
 
 /* VMs that share the databases' connections, this one included. */
--- a/src/proxy/proxy_own.h
+++ b/src/proxy/proxy_own.h
@@ -49,6 +49,7 @@
 	uint32_t running;    /* statements of this VM there */
 	uint32_t limit;	     /* connections this VM may hold */
 	usec_t limit_at;     /* last change of it */
+	uint32_t refusals;   /* for want of room, in a row */
 	struct log_pos at;   /* newest position it showed */
 	usec_t heard_at;     /* last byte of it; 0: never */
 	usec_t silent_since; /* oldest question without an answer; 0: none */
@@ -142,14 +143,13 @@
 	char committed_in[NAME_MAX_BYTES]; /* the service of that */
 	char state;
 	/* A transaction: */
-	bool tx;			 /* the caller is in one */
-	bool tx_reads;			 /* it began as reading only */
-	char begin_id[STATEMENT_ID_MAX]; /* of the caller's BEGIN */
-	bool tx_begun;			 /* the database has it too */
-	bool tx_wrote;			 /* a write was sent in it */
-	bool tx_ran;			 /* a statement of it was answered */
-	bool reading;			 /* lines are being taken */
-	usec_t tx_until;		 /* idle until then */
+	bool tx;	 /* the caller is in one */
+	bool tx_reads;	 /* it began as reading only */
+	bool tx_begun;	 /* the database has it too */
+	bool tx_wrote;	 /* a write was sent in it */
+	bool tx_ran;	 /* a statement of it was answered */
+	bool reading;	 /* lines are being taken */
+	usec_t tx_until; /* idle until then */
 	struct backend *held;
 	/* The route in force for the operation: */
 	struct pgroup *group;
@@ -254,6 +254,7 @@
 	bool draining;
 	usec_t drain_at;
 	bool databases_known;
+	bool vms_known;
 	uint64_t claims; /* of duties, by this VM */
 	struct proxy_inbox *inbox;
 	uint64_t random[16];
--- a/src/proxy/registry.c
+++ b/src/proxy/registry.c
@@ -514,6 +514,7 @@
 	}
 	p->call.from[0] = '\0';
 	p->due = proxy_now() + VMS_EVERY_US;
+	r->proxy->vms_known = true;
 }
 
 static void add_vm(void *ctx, const struct registry_vm *vm)
--- a/src/proxy/session.c
+++ b/src/proxy/session.c
@@ -538,7 +538,6 @@
 	s->tx_begun = false;
 	s->tx_wrote = false;
 	s->tx_ran = false;
-	memcpy(s->begin_id, s->task.id, sizeof(s->begin_id));
 	s->state = STATE_OPEN;
 	s->proxy->protocol->put_complete(bufferevent_get_output(s->bev));
 	reply_state(s, NULL);
@@ -625,9 +624,12 @@
 	if (s->team[0] &&
 	    !quota_take(s->proxy->quota, s->team, now, &retry_after)) {
 		counter_add(CTR_OVER_RATE, 1);
-		log_event(EV_TEAM_REFUSED, "id=%s team=%s part=%.3f",
+		log_event(EV_STATEMENT_REFUSED,
+			  "id=%s team=%s code=BUSY part=%.3f retry_ms=%lld "
+			  "reason=\"over the team's rate\"",
 			  s->task.id, s->team,
-			  quota_part(s->proxy->quota, s->team));
+			  quota_part(s->proxy->quota, s->team),
+			  (long long)retry_after / USEC_PER_MSEC + 1);
 		snprintf(why, sizeof(why),
 			 "over the team's rate, not run, retry after %lld ms",
 			 (long long)retry_after / USEC_PER_MSEC + 1);
@@ -677,9 +679,10 @@
 	struct task *t = &s->task;
 
 	log_event(EV_STATEMENT_DONE,
-		  "id=%s service=%s database=%s took_us=%lld attempts=%u "
-		  "after=%llu.%llu at=%llu.%llu",
-		  t->id, s->group->service, s->group->db[t->db].id,
+		  "id=%s team=%s tx=%d service=%s database=%s took_us=%lld "
+		  "attempts=%u after=%llu.%llu at=%llu.%llu",
+		  t->id, s->team, s->tx, s->group->service,
+		  s->group->db[t->db].id,
 		  (long long)(proxy_now() - t->began_at), t->attempts,
 		  (unsigned long long)(t->has_after ? t->after.term : 0),
 		  (unsigned long long)(t->has_after ? t->after.position : 0),
