Keep sessions while a VM that stops is still in rotation

A VM that was not ready any more closed each session right after its start, while the balancer still sent callers to it.

Ruled out: the exit itself; phase=exit came 2.8 s after the signal with no session left.

--- a/src/proxy/proxy.c
+++ b/src/proxy/proxy.c
@@ -388,6 +388,7 @@
 	}
 	if (now - p->drain_at < notice)
 		return;
+	p->letting_go = true;
 	if (now - p->drain_at >
 	    kernel_drain_most(&p->kernel->settings) - LAST_WORD_US) {
 		for (x = TAILQ_FIRST(&p->sessions); x; x = next) {
--- a/src/proxy/proxy_own.h
+++ b/src/proxy/proxy_own.h
@@ -251,7 +251,8 @@
 	struct evhttp *ready;
 	struct evhttp *metrics;
 	struct event *tick;
-	bool draining;
+	bool draining;	 /* not ready; all sessions are still served */
+	bool letting_go; /* sessions are closed as they become idle */
 	usec_t drain_at;
 	bool databases_known;
 	bool vms_known;
--- a/src/proxy/session.c
+++ b/src/proxy/session.c
@@ -240,7 +240,7 @@
 /* Lets go of a session that has nothing under way, when the VM stops. */
 void session_drain(struct session *s)
 {
-	if (s->task.stage == TASK_NONE && !s->tx &&
+	if (!s->closed && s->task.stage == TASK_NONE && !s->tx &&
 	    evbuffer_get_length(bufferevent_get_input(s->bev)) == 0)
 		close_after_output(s);
 }
@@ -705,6 +705,9 @@
 	end_task(s);
 	reply_state(s, ready->has_position ? &ready->at : NULL);
 	read_lines(s);
+	/* The caller has its answer and can't have sent more yet. */
+	if (s->proxy->letting_go)
+		session_drain(s);
 }
 
 /* The operation is over: the session holds no connection any more. */
@@ -734,8 +737,6 @@
 {
 	s->proxy->protocol->put_ready(bufferevent_get_output(s->bev), s->state,
 				      at);
-	if (s->proxy->draining && s->started)
-		session_drain(s);
 }
 
 /* Sets the session's one timer. */
