Draw the times at random at which VMs ask the platform

News of 17.5 s had made all of them list together, and 9 s later together again.

Change: pauses of lists and watches are drawn between a tenth and the whole of their length, so that one of the VMs looks about once a second also after news. A departing primary leads again at most once for want of a replica that has its whole log, since it has to be without work in time.

Ruled out: the hand-over itself; it took 0.2 s to the promotion and the platform 1.1 s more.

--- a/src/decide/succession.c
+++ b/src/decide/succession.c
@@ -418,7 +418,8 @@
 
 /*
  * The furthest one that may take over and has not been refused. If the old
- * primary stepped down and no replica has all of its log, it leads again.
+ * primary stepped down and no replica has all of its log, it leads again; but
+ * only once, since it departs and has to be without work in time.
  */
 static uint32_t choose(const struct succession *s,
 		       const struct succession_env *env)
@@ -435,7 +436,7 @@
 						   env->db[best].received) > 0)
 			best = i;
 	}
-	if (s->stepped_down && s->old < env->n &&
+	if (s->stepped_down && s->old < env->n && !s->kept &&
 	    !(s->failed & (1U << s->old)) &&
 	    (best == DB_NONE ||
 	     log_pos_cmp(env->db[best].received, s->last) < 0))
@@ -451,6 +452,7 @@
 	uint32_t i;
 
 	if (db->said && db->primary && db->term > s->base) {
+		s->kept = s->target == s->old;
 		emit(out, SUCCEED_LEAD, s->target, db->term);
 		for (i = 0; i < env->n; i++) {
 			if (i != s->target && (s->paused & (1U << i)))
--- a/src/decide/succession.h
+++ b/src/decide/succession.h
@@ -114,6 +114,7 @@
 	uint64_t base;	     /* of the group, when this began */
 	uint32_t old;	     /* the primary that is replaced, or DB_NONE */
 	bool stepped_down;   /* it said so */
+	bool kept;	     /* it led again once, for want of a replica */
 	struct log_pos last; /* its log's end then */
 	uint32_t paused;     /* mask */
 	uint32_t failed;     /* mask: could not be promoted */
--- a/src/proxy/registry.c
+++ b/src/proxy/registry.c
@@ -82,6 +82,7 @@
 static void take_watch(struct registry *r, struct poll *p);
 static bool take_catalog(struct registry *r, const struct poll *p);
 static bool due(const struct poll *p, usec_t now);
+static uint64_t drawn(const struct registry *r, uint64_t most);
 static uint32_t watch_ms(const struct registry *r);
 static usec_t list_pause(const struct registry *r, usec_t now);
 static uint64_t hash_list(const struct registry *r);
@@ -322,6 +323,17 @@
 	return !p->busy && p->due && now >= p->due;
 }
 
+/*
+ * A time of up to "most", at random. News makes all VMs ask at once; without
+ * this they would all ask together from then on, and nobody in between.
+ */
+static uint64_t drawn(const struct registry *r, uint64_t most)
+{
+	uint64_t least = most / 10;
+
+	return least + proxy_random(r->proxy) % (most - least);
+}
+
 /* How long a watch is held, in milliseconds. */
 static uint32_t watch_ms(const struct registry *r)
 {
@@ -329,8 +341,7 @@
 
 	if (ms > WATCH_MAX_MS)
 		ms = WATCH_MAX_MS;
-	/* Drawn at random, so that the VMs look one after another. */
-	return ms / 2 + (uint32_t)(proxy_random(r->proxy) % (ms / 2));
+	return (uint32_t)drawn(r, ms);
 }
 
 /* The pause between two lists of databases. */
@@ -342,7 +353,9 @@
 
 	if (now < r->hurry_until)
 		return policy->registry_soon;
-	return pause < LIST_PAUSE_MAX_US ? pause : LIST_PAUSE_MAX_US;
+	if (pause > LIST_PAUSE_MAX_US)
+		pause = LIST_PAUSE_MAX_US;
+	return (usec_t)drawn(r, (uint64_t)pause);
 }
 
 /* The catalogue was read whole; from now on its changes are watched. */
--- a/tests/decide/succession_test.cc
+++ b/tests/decide/succession_test.cc
@@ -240,6 +240,26 @@
 	}
 }
 
+// One that departs and had to lead again is replaced at the second try.
+TEST(Succession, DepartingPrimaryLeadsAgainOnlyOnce)
+{
+	Group g;
+	g.s.kept = true;
+	g.env.cause = SUCCESSION_DEPARTING;
+	g.env.db[0].departing = true;
+	g.run(20 * kMs);
+	g.claim();
+	g.run(20 * kMs);
+	succession_fenced(&g.s, g.env.now, 0, 5, true, { 4, 100 });
+	for (uint32_t i = 1; i < 3; i++) {
+		g.env.db[i].said = true;
+		g.env.db[i].received = { 4, 97 + i };
+	}
+	g.run(kPolicy.catch_up + 100 * kMs);
+	succession_verified(&g.s, g.env.now, true);
+	EXPECT_EQ(g.run(20 * kMs), "M2 ");
+}
+
 // A departing primary that does not answer is fenced like a silent one.
 TEST(Succession, DepartingAndSilent)
 {
