--- a/src/cmd/serve.c
+++ b/src/cmd/serve.c
@@ -25,6 +25,7 @@
 	apr_thread_mutex_t *lock;
 	apr_thread_cond_t *changed;
 	bool stop;
+	bool reload;
 } signals;
 
 static int open_process(struct kernel *k, struct error *e);
@@ -33,8 +34,10 @@
 			struct error *e);
 static void *APR_THREAD_FUNC watch_signals(apr_thread_t *t, void *ctx);
 static int on_signal(int signum);
-static void wait_for_stop(void);
-static int serve(struct kernel *k, apr_pool_t *pool, struct error *e);
+static void wait_for_stop(struct settings *s, int argc, char **argv);
+static void reload(struct settings *s, int argc, char **argv);
+static int serve(struct kernel *k, apr_pool_t *pool, int argc, char **argv,
+		 struct error *e);
 static void print_ready(const struct settings *s);
 
 /* Runs a VM until SIGTERM or SIGINT: 0 once drained, 1 if it cannot start. */
@@ -51,7 +54,8 @@
 	if (apr_initialize() != APR_SUCCESS ||
 	    apr_pool_create(&pool, NULL) != APR_SUCCESS)
 		return 1;
-	if (open_process(&k, &e) == -1 || serve(&k, pool, &e) == -1) {
+	if (open_process(&k, &e) == -1 ||
+	    serve(&k, pool, argc, argv, &e) == -1) {
 		log_error(EV_VM_FAIL, &e);
 		fprintf(stderr, "gypsumcleat: %s %s: %s\n", step_name(e.step),
 			e.peer, e.message);
@@ -95,7 +99,8 @@
 }
 
 /* Starts the plug-ins, serves, drains and stops. */
-static int serve(struct kernel *k, apr_pool_t *pool, struct error *e)
+static int serve(struct kernel *k, apr_pool_t *pool, int argc, char **argv,
+		 struct error *e)
 {
 	apr_thread_t *thread = NULL;
 	apr_status_t ignored;
@@ -105,7 +110,7 @@
 	if (kernel_start(k, e) == -1)
 		return -1;
 	print_ready(&k->settings);
-	wait_for_stop();
+	wait_for_stop(&k->settings, argc, argv);
 	if (!kernel_drain(k))
 		log_event(EV_VM_DRAIN, "phase=exit forced=true");
 	kernel_stop(k);
@@ -142,29 +147,59 @@
 	return NULL;
 }
 
-/* The first SIGTERM or SIGINT begins the drain; further ones do nothing. */
+/*
+ * The first SIGTERM or SIGINT begins the drain, further ones do nothing;
+ * SIGHUP asks for a reload.
+ */
 static int on_signal(int signum)
 {
 	if (signum == SIGNAL_QUIT)
 		return 1;
-	if (signum != SIGTERM && signum != SIGINT)
+	if (signum != SIGTERM && signum != SIGINT && signum != SIGHUP)
 		return 0;
 	apr_thread_mutex_lock(signals.lock);
-	signals.stop = true;
+	if (signum == SIGHUP)
+		signals.reload = true;
+	else
+		signals.stop = true;
 	apr_thread_cond_signal(signals.changed);
 	apr_thread_mutex_unlock(signals.lock);
 	return 0;
 }
 
-/* Waits until a signal asks the VM to stop. */
-static void wait_for_stop(void)
+/* Waits until a signal asks the VM to stop; reloads when one asks for that. */
+static void wait_for_stop(struct settings *s, int argc, char **argv)
 {
 	apr_thread_mutex_lock(signals.lock);
-	while (!signals.stop)
+	while (!signals.stop) {
+		if (signals.reload) {
+			signals.reload = false;
+			reload(s, argc, argv);
+			continue;
+		}
 		apr_thread_cond_wait(signals.changed, signals.lock);
+	}
 	apr_thread_mutex_unlock(signals.lock);
 }
 
+/*
+ * Reads the settings file again. What can change while the VM runs is taken:
+ * the times of its shutdown. A file that is refused changes nothing.
+ */
+static void reload(struct settings *s, int argc, char **argv)
+{
+	static struct settings fresh;
+	int rc = settings_from_arguments(argc, argv, &fresh);
+
+	if (rc == 0) {
+		s->grace_s = fresh.grace_s;
+		s->drain_notice_ms = fresh.drain_notice_ms;
+		s->drain_max_ms = fresh.drain_max_ms;
+	}
+	log_event(EV_SETTINGS_RELOADED, "taken=%d grace_s=%u", rc == 0,
+		  s->grace_s);
+}
+
 /* Tells where the VM listens, for scripts; ports are the bound ones. */
 static void print_ready(const struct settings *s)
 {
--- a/src/proxy/session.c
+++ b/src/proxy/session.c
@@ -214,9 +214,12 @@
 
 	log_event(code == REFUSE_IN_DOUBT ? EV_CALLER_UNKNOWN
 					  : EV_STATEMENT_REFUSED,
-		  "id=%s service=%s code=%s attempts=%u waited_us=%lld "
-		  "reason=\"%s\"",
-		  s->task.id, s->group ? s->group->service : "-",
+		  "id=%s team=%s service=%s database=%s code=%s attempts=%u "
+		  "waited_us=%lld reason=\"%s\"",
+		  s->task.id, s->team, s->group ? s->group->service : "-",
+		  s->group && s->task.db < GROUP_DBS_MAX
+			  ? s->group->db[s->task.db].id
+			  : "-",
 		  s->proxy->protocol->code_name(code), s->task.attempts,
 		  (long long)(proxy_now() - s->task.began_at), why);
 	counter_add(code == REFUSE_IN_DOUBT ? CTR_UNKNOWN : CTR_NOT_RUN, 1);
--- a/tests/process/sessions.sh
+++ b/tests/process/sessions.sh
@@ -35,6 +35,8 @@
 	start "s$n" "$G" serve -f "$T/s$n.json" || exit 1
 	ok "s$n gets ready" eventually 80 ready $n
 done
+kill -HUP "$PID_s1"
+ok "SIGHUP has its line" eventually 50 grep -q "settings_reloaded vm=s1 taken=1 grace_s=6" "$T/s1.out"
 perl tests/process/sessions.pl "$WORLD" "$(address 1 callers)" \
     "$(address 2 callers)" "$(address 2 probes)" "$PID_s2" >"$T/callers" 2>&1
 grep -E '^(not ok|#)' "$T/callers"
