Split sessions and registry by their jobs

Change: session_end.c has how statements and operations end, registry_duty.c the duties and promotions.

--- a/src/proxy/failover.c
+++ b/src/proxy/failover.c
@@ -177,13 +177,13 @@
 
 	switch (a->act) {
 	case SUCCEED_CLAIM:
-		registry_claim(p->registry, g->service, on_claimed, g);
+		registry_claim(p, g->service, on_claimed, g);
 		/* The others shall not begin the same. */
 		beacon_hurry(p->beacon);
 		break;
 	case SUCCEED_VERIFY:
 		g->verified_at = proxy_now();
-		registry_verify(p->registry, g->service, on_verified, g);
+		registry_verify(p, g->service, on_verified, g);
 		break;
 	case SUCCEED_PAUSE:
 		ask_fence(g, a->db, CONTROL_PAUSE, a->term);
@@ -203,7 +203,7 @@
 			  (unsigned long long)g->db[a->db].report.received.term,
 			  (unsigned long long)g->db[a->db]
 				  .report.received.position);
-		registry_promote(p->registry, g->service, g->db[a->db].id,
+		registry_promote(p, g->service, g->db[a->db].id,
 				 g->succession.token, on_promoted, g);
 		break;
 	case SUCCEED_RESUME:
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -104,11 +104,11 @@
  * Takes on the duty for a service: reads who has it, and replaces that. fn is
  * called once, later.
  */
-void registry_claim(struct registry *r, const char *service,
-		    registry_claim_fn fn, void *ctx);
+void registry_claim(struct proxy *p, const char *service, registry_claim_fn fn,
+		    void *ctx);
 /* Reads the token of the newest claim. */
-void registry_verify(struct registry *r, const char *service,
-		     registry_claim_fn fn, void *ctx);
+void registry_verify(struct proxy *p, const char *service, registry_claim_fn fn,
+		     void *ctx);
 
 enum promote_answer {
 	PROMOTE_ANSWER_OK,
@@ -118,7 +118,7 @@
 
 /* Asks the platform to make a database the primary. */
 typedef void (*registry_promote_fn)(void *ctx, enum promote_answer a);
-void registry_promote(struct registry *r, const char *service, const char *id,
+void registry_promote(struct proxy *p, const char *service, const char *id,
 		      uint64_t token, registry_promote_fn fn, void *ctx);
 
 #endif
--- a/src/proxy/session.c
+++ b/src/proxy/session.c
@@ -7,9 +7,9 @@
 #include <sys/socket.h>
 
 #include "kernel/counters.h"
-#include "kernel/latency.h"
 #include "kernel/log.h"
 #include "proxy/proxy_own.h"
+#include "proxy/session_own.h"
 
 /* Prepared names and values of one session. */
 #define SESSION_NAMES_MAX 128
@@ -22,7 +22,6 @@
 static void on_written(struct bufferevent *bev, void *ctx);
 static void on_event(struct bufferevent *bev, short what, void *ctx);
 static void on_timer(evutil_socket_t fd, short what, void *ctx);
-static void read_lines(struct session *s);
 static void take_line(struct session *s, char *line, size_t len);
 static void start(struct session *s, const struct caller_msg *m);
 static void query(struct session *s);
@@ -33,18 +32,8 @@
 static void run(struct session *s);
 static bool open_operation(struct session *s);
 static bool check_route(struct session *s, enum refusal_code *code);
-static void answer(struct session *s, struct evbuffer *reply,
-		   const struct reply_msg *ready);
-static void end_operation(struct session *s);
-static void end_task(struct session *s);
-static void reply_state(struct session *s, const struct log_pos *at);
-static void set_timer(struct session *s, usec_t at);
-static void end_idle(struct session *s, usec_t now);
-static void give_up(struct session *s, const char *unsent, const char *sent);
 static void fail_and_close(struct session *s, enum refusal_code code,
 			   const char *why);
-static void close_after_output(struct session *s);
-static bool promised(enum refusal_code code);
 
 /* Takes a caller's new connection. */
 void session_accept(struct proxy *p, int fd)
@@ -75,7 +64,7 @@
 	bufferevent_setwatermark(s->bev, EV_READ, 0,
 				 MESSAGE_MAX_BYTES + STATEMENT_ID_MAX);
 	bufferevent_enable(s->bev, EV_READ | EV_WRITE);
-	set_timer(s, proxy_now() + START_WAIT_US);
+	session_set_timer(s, proxy_now() + START_WAIT_US);
 }
 
 /* Ends a session whose caller is gone or to be let go. */
@@ -112,154 +101,18 @@
 	}
 }
 
-/*
- * A statement has come to its end. A refusal that lets it be tried elsewhere
- * does so while there is time; all else is answered at once.
- */
-void session_ended(struct session *s, enum task_end end, enum refusal_code code,
-		   struct evbuffer *reply, const struct reply_msg *ready)
-{
-	struct task *t = &s->task;
-	struct pgroup *g = s->group;
-	usec_t now = proxy_now();
-
-	if (end == END_ANSWER) {
-		if (t->writes || (t->commits && s->tx_wrote)) {
-			if (!cluster_primary_usable(g, now)) {
-				/* Another primary may lead already; whether
-				 * this commit is in its log is not known. */
-				log_event(EV_CALLER_UNKNOWN,
-					  "id=%s service=%s reason=\"primary "
-					  "not proved at its answer\" "
-					  "proof_age_us=%lld",
-					  t->id, g->service,
-					  (long long)(now - g->lead.proved_at));
-				evbuffer_drain(reply,
-					       evbuffer_get_length(reply));
-				session_refuse(s, REFUSE_IN_DOUBT,
-					       "the primary may be superseded");
-				return;
-			}
-			if (ready->has_position && (!s->tx || t->commits)) {
-				s->committed = ready->at;
-				snprintf(s->committed_in,
-					 sizeof(s->committed_in), "%s",
-					 g->service);
-			}
-		}
-		answer(s, reply, ready);
-		return;
-	}
-	if (end == END_LOST) {
-		if (t->commits && s->tx_wrote)
-			code = REFUSE_IN_DOUBT;
-		else if (s->tx)
-			code = REFUSE_ABORTED;
-		else if (t->writes)
-			code = REFUSE_IN_DOUBT;
-		else {
-			dispatch_again(s, REFUSE_NONE);
-			return;
-		}
-		session_refuse(s, code, "connection to the database lost");
-		return;
-	}
-	if (end == END_FAILED) {
-		if (!s->tx && !t->writes && t->attempts == 0) {
-			backend_release(s->held);
-			dispatch_again(s, code);
-			return;
-		}
-		session_refuse(s, code, "failed at the database");
-		return;
-	}
-	/* Not run. */
-	if (s->tx && !s->tx_begun && !s->tx_ran && s->held)
-		backend_release(s->held);
-	if (s->tx && s->tx_begun && !s->tx_ran) {
-		backend_release(s->held);
-		dispatch_again(s, code);
-		return;
-	}
-	if (s->tx && s->tx_begun) {
-		session_refuse(s, REFUSE_ABORTED,
-			       "transaction ended by the database");
-		return;
-	}
-	if (!s->tx) {
-		if (s->held)
-			backend_release(s->held);
-		dispatch_again(s, code);
-		return;
-	}
-	session_refuse(s, promised(code) ? code : REFUSE_ABORTED,
-		       "transaction not begun");
-}
-
-/* The database connection of an idle transaction is gone. */
-void session_lost_backend(struct session *s)
-{
-	if (!s->tx || !s->tx_begun)
-		return;
-	s->state = STATE_FAILED;
-	s->tx_begun = false;
-	log_event(EV_TRANSACTION_LOST, "service=%s team=%s", s->group->service,
-		  s->team);
-}
-
-/* Answers the statement under way with an error. */
-void session_refuse(struct session *s, enum refusal_code code, const char *why)
-{
-	struct evbuffer *out = bufferevent_get_output(s->bev);
-
-	log_event(code == REFUSE_IN_DOUBT ? EV_CALLER_UNKNOWN
-					  : EV_STATEMENT_REFUSED,
-		  "id=%s team=%s service=%s database=%s code=%s attempts=%u "
-		  "waited_us=%lld reason=\"%s\"",
-		  s->task.id, s->team, s->group ? s->group->service : "-",
-		  s->group && s->task.db < GROUP_DBS_MAX
-			  ? s->group->db[s->task.db].id
-			  : "-",
-		  s->proxy->protocol->code_name(code), s->task.attempts,
-		  (long long)(proxy_now() - s->task.began_at), why);
-	counter_add(code == REFUSE_IN_DOUBT ? CTR_UNKNOWN : CTR_NOT_RUN, 1);
-	s->proxy->protocol->put_error(out, code, why);
-	if (s->tx && !s->task.commits) {
-		if (s->held) {
-			s->held->doomed |= s->task.stage == TASK_RUNNING &&
-					   s->held->n_expect > 0;
-			backend_release(s->held);
-		}
-		s->tx_begun = false;
-		s->state = STATE_FAILED;
-	} else {
-		end_operation(s);
-	}
-	end_task(s);
-	reply_state(s, NULL);
-	read_lines(s);
-}
-
 /* Lets go of a session that has nothing under way, when the VM stops. */
 void session_drain(struct session *s)
 {
 	if (!s->closed && s->task.stage == TASK_NONE && !s->tx &&
 	    evbuffer_get_length(bufferevent_get_input(s->bev)) == 0)
-		close_after_output(s);
-}
-
-/* The VM stops: no caller is left without an answer. */
-void session_stop(struct session *s)
-{
-	if (s->task.stage != TASK_NONE)
-		give_up(s, "this VM stops, not run", "this VM stops");
-	close_after_output(s);
+		session_close_after_output(s);
 }
 
 static void on_read(struct bufferevent *bev, void *ctx)
 {
 	(void)bev;
-	read_lines(ctx);
+	session_read_lines(ctx);
 }
 
 static void on_written(struct bufferevent *bev, void *ctx)
@@ -270,7 +123,7 @@
 	if (s->closing)
 		session_close(s);
 	else
-		read_lines(s);
+		session_read_lines(s);
 }
 
 static void on_event(struct bufferevent *bev, short what, void *ctx)
@@ -295,64 +148,19 @@
 		return;
 	}
 	if (t->stage == TASK_NONE) {
-		end_idle(s, now);
+		session_end_idle(s, now);
 		return;
 	}
 	if (now < t->deadline) {
-		set_timer(s, t->deadline);
+		session_set_timer(s, t->deadline);
 		return;
 	}
-	give_up(s, "no database could take it in time, not run",
-		"no answer of the database in time");
-}
-
-/* Ends a transaction that has been idle for too long. */
-static void end_idle(struct session *s, usec_t now)
-{
-	if (!s->tx || s->state != STATE_OPEN)
-		return;
-	if (now < s->tx_until) {
-		/* The timer's clock may run a little ahead. */
-		set_timer(s, s->tx_until + USEC_PER_MSEC);
-		return;
-	}
-	if (!s->held)
-		return;
-	log_event(EV_TRANSACTION_IDLE, "service=%s team=%s idle_ms=%u",
-		  s->group->service, s->team, s->tx_idle_ms);
-	backend_release(s->held);
-	s->tx_begun = false;
-	s->state = STATE_FAILED;
-}
-
-/*
- * Ends the statement under way: one that was not sent was surely not run, one
- * that was may have been.
- */
-static void give_up(struct session *s, const char *unsent, const char *sent)
-{
-	struct task *t = &s->task;
-	enum refusal_code code = REFUSE_TIMEOUT;
-
-	if (t->stage != TASK_RUNNING) {
-		dispatch_cancel(s);
-		t->stage = TASK_WAITING;
-		session_refuse(s, s->tx ? REFUSE_ABORTED : REFUSE_BUSY, unsent);
-		return;
-	}
-	if ((t->commits && s->tx_wrote) || (t->writes && !s->tx))
-		code = REFUSE_IN_DOUBT;
-	else if (s->tx)
-		code = REFUSE_ABORTED;
-	if (s->held) {
-		s->held->doomed = true;
-		backend_release(s->held);
-	}
-	session_refuse(s, code, sent);
+	session_give_up(s, "no database could take it in time, not run",
+			"no answer of the database in time");
 }
 
 /* Reads lines while no statement is under way. */
-static void read_lines(struct session *s)
+void session_read_lines(struct session *s)
 {
 	struct evbuffer *in = bufferevent_get_input(s->bev);
 	char *line;
@@ -429,7 +237,7 @@
 	}
 	s->started = true;
 	event_del(s->timer);
-	reply_state(s, NULL);
+	session_reply_state(s, NULL);
 }
 
 /* Takes a statement. */
@@ -480,7 +288,7 @@
 		if (!p) {
 			s->proxy->protocol->put_error(out, REFUSE_NO_STATEMENT,
 						      "no such name");
-			reply_state(s, NULL);
+			session_reply_state(s, NULL);
 			return;
 		}
 		t->writes = p->flag;
@@ -499,7 +307,7 @@
 	}
 	s->proxy->protocol->put_error(out, REFUSE_MALFORMED,
 				      "statement not understood");
-	reply_state(s, NULL);
+	session_reply_state(s, NULL);
 }
 
 /* Values and prepared names are kept here until a connection needs them. */
@@ -521,7 +329,7 @@
 	else
 		s->proxy->protocol->put_error(out, REFUSE_TOO_BIG,
 					      "too many names in the session");
-	reply_state(s, NULL);
+	session_reply_state(s, NULL);
 }
 
 /* A transaction begins here; at the database only with its first statement. */
@@ -531,7 +339,7 @@
 		s->proxy->protocol->put_error(bufferevent_get_output(s->bev),
 					      REFUSE_MALFORMED,
 					      "in a transaction already");
-		reply_state(s, NULL);
+		session_reply_state(s, NULL);
 		return;
 	}
 	if (!open_operation(s))
@@ -543,7 +351,7 @@
 	s->tx_ran = false;
 	s->state = STATE_OPEN;
 	s->proxy->protocol->put_complete(bufferevent_get_output(s->bev));
-	reply_state(s, NULL);
+	session_reply_state(s, NULL);
 }
 
 /* In a failed transaction only its end is taken, and it rolls back. */
@@ -553,17 +361,17 @@
 	enum verb verb = s->task.msg.statement.verb;
 
 	if (verb == VERB_ROLLBACK) {
-		end_operation(s);
+		session_end_operation(s);
 		s->proxy->protocol->put_complete(out);
 	} else if (verb == VERB_COMMIT) {
-		end_operation(s);
+		session_end_operation(s);
 		s->proxy->protocol->put_error(out, REFUSE_ABORTED,
 					      "transaction rolled back");
 	} else {
 		s->proxy->protocol->put_error(out, REFUSE_MALFORMED,
 					      "transaction has failed");
 	}
-	reply_state(s, NULL);
+	session_reply_state(s, NULL);
 }
 
 /* A rollback, or an end without a transaction. */
@@ -577,10 +385,10 @@
 	} else {
 		if (s->held)
 			backend_release(s->held);
-		end_operation(s);
+		session_end_operation(s);
 		s->proxy->protocol->put_complete(out);
 	}
-	reply_state(s, NULL);
+	session_reply_state(s, NULL);
 }
 
 /* Sends a statement on its way to a database. */
@@ -597,7 +405,7 @@
 	t->at_primary = t->writes || s->freshness == READ_PRIMARY ||
 			(s->tx && !s->tx_reads);
 	t->deadline = t->began_at + (usec_t)s->timeout_ms * USEC_PER_MSEC;
-	set_timer(s, t->deadline);
+	session_set_timer(s, t->deadline);
 	dispatch_start(s);
 }
 
@@ -621,7 +429,7 @@
 			  (unsigned long long)s->proxy->catalog->version);
 		s->proxy->protocol->put_error(out, code,
 					      "no such database or key");
-		reply_state(s, NULL);
+		session_reply_state(s, NULL);
 		return false;
 	}
 	if (s->team[0] &&
@@ -637,7 +445,7 @@
 			 "over the team's rate, not run, retry after %lld ms",
 			 (long long)retry_after / USEC_PER_MSEC + 1);
 		s->proxy->protocol->put_error(out, REFUSE_BUSY, why);
-		reply_state(s, NULL);
+		session_reply_state(s, NULL);
 		return false;
 	}
 	return true;
@@ -675,75 +483,14 @@
 	return true;
 }
 
-/* Passes on a whole reply. */
-static void answer(struct session *s, struct evbuffer *reply,
-		   const struct reply_msg *ready)
-{
-	struct task *t = &s->task;
-
-	log_event(EV_STATEMENT_DONE,
-		  "id=%s team=%s tx=%d service=%s database=%s took_us=%lld "
-		  "attempts=%u after=%llu.%llu at=%llu.%llu",
-		  t->id, s->team, s->tx, s->group->service,
-		  s->group->db[t->db].id,
-		  (long long)(proxy_now() - t->began_at), t->attempts,
-		  (unsigned long long)(t->has_after ? t->after.term : 0),
-		  (unsigned long long)(t->has_after ? t->after.position : 0),
-		  (unsigned long long)ready->at.term,
-		  (unsigned long long)ready->at.position);
-	counter_add(CTR_DONE, 1);
-	latency_add(LATENCY_STATEMENT, proxy_now() - t->began_at);
-	if (!t->writes && !t->commits)
-		counter_add(t->db == s->group->primary ? CTR_READS_PRIMARY
-						       : CTR_READS_REPLICA,
-			    1);
-	bufferevent_write_buffer(s->bev, reply);
-	if (!s->tx || t->commits) {
-		end_operation(s);
-	} else {
-		s->tx_ran = true;
-		if (ready->state != STATE_OPEN)
-			s->state = STATE_FAILED;
-	}
-	end_task(s);
-	reply_state(s, ready->has_position ? &ready->at : NULL);
-	read_lines(s);
-	/* The caller has its answer and can't have sent more yet. */
-	if (s->proxy->letting_go)
-		session_drain(s);
-}
-
-/* The operation is over: the session holds no connection any more. */
-static void end_operation(struct session *s)
-{
-	if (s->held)
-		backend_release(s->held);
-	s->tx = false;
-	s->tx_begun = false;
-	s->tx_wrote = false;
-	s->tx_ran = false;
-	s->state = STATE_IDLE;
-}
-
-/* No statement is under way; an open transaction may idle for a while. */
-static void end_task(struct session *s)
-{
-	s->task.stage = TASK_NONE;
-	event_del(s->timer);
-	if (!s->tx || s->state != STATE_OPEN)
-		return;
-	s->tx_until = proxy_now() + (usec_t)s->tx_idle_ms * USEC_PER_MSEC;
-	set_timer(s, s->tx_until);
-}
-
-static void reply_state(struct session *s, const struct log_pos *at)
+void session_reply_state(struct session *s, const struct log_pos *at)
 {
 	s->proxy->protocol->put_ready(bufferevent_get_output(s->bev), s->state,
 				      at);
 }
 
 /* Sets the session's one timer. */
-static void set_timer(struct session *s, usec_t at)
+void session_set_timer(struct session *s, usec_t at)
 {
 	usec_t wait = at - proxy_now();
 	struct timeval tv;
@@ -763,11 +510,11 @@
 		  s->proxy->protocol->code_name(code), why);
 	s->proxy->protocol->put_error(bufferevent_get_output(s->bev), code,
 				      why);
-	close_after_output(s);
+	session_close_after_output(s);
 }
 
 /* Closes once all that was written has left. */
-static void close_after_output(struct session *s)
+void session_close_after_output(struct session *s)
 {
 	if (s->closing || s->closed)
 		return;
@@ -775,19 +522,3 @@
 	if (evbuffer_get_length(bufferevent_get_output(s->bev)) == 0)
 		session_close(s);
 }
-
-/* Does the code promise that nothing is kept? */
-static bool promised(enum refusal_code code)
-{
-	switch (code) {
-	case REFUSE_BUSY:
-	case REFUSE_ABORTED:
-	case REFUSE_LAGGING:
-	case REFUSE_READ_ONLY:
-	case REFUSE_WRONG_DATABASE:
-	case REFUSE_TOO_MANY:
-		return true;
-	default:
-		return false;
-	}
-}
