Take no proof of a primary from a database that has just joined

A database that started again, or joined, between the fence and the promotion has not been paused, so its status proved the old primary.

Change: a database that joins a known group, or starts again, proves nothing for five seconds, by when any promotion of that pause is over.

Ruled out: the guard of databases that were paused; the log shows both paused and the guard waited out before the promotion.

--- a/src/proxy/cluster.c
+++ b/src/proxy/cluster.c
@@ -11,6 +11,11 @@
 #define WANTED_FOR_US (2 * USEC_PER_SEC)
 /* Least pause between two questions to one database. */
 #define ASK_PAUSE_US (100 * USEC_PER_MSEC)
+/*
+ * A database that joined a group or started again may have missed a pause that
+ * the others took: it proves nothing until any promotion of that pause is over.
+ */
+#define VOUCHES_AFTER_US (5 * USEC_PER_SEC)
 /* Expected work of a database that has answered nothing yet. */
 #define LATENCY_FIRST_US (20 * USEC_PER_MSEC)
 
@@ -118,7 +123,8 @@
 		return;
 	db->at = *at;
 	if (index_of(db) != g->primary) {
-		lead_followed(&g->lead, *at);
+		if (proxy_now() >= db->vouches_at)
+			lead_followed(&g->lead, *at);
 		return;
 	}
 	if (lead_holds(&g->lead, asked_at, g->proxy->policy.guard))
@@ -276,6 +282,8 @@
 		snprintf(d->id, sizeof(d->id), "%s", r->id);
 		snprintf(d->address, sizeof(d->address), "%s", r->address);
 		snprintf(d->domain, sizeof(d->domain), "%s", r->domain);
+		if (g->lead.term > 0)
+			d->vouches_at = proxy_now() + VOUCHES_AFTER_US;
 		d->limit = UINT32_MAX;
 		d->latency = LATENCY_FIRST_US;
 		log_event(EV_DB_JOINED,
@@ -334,6 +342,8 @@
 		cluster_doubt(g, proxy_now());
 		return;
 	}
+	if (proxy_now() < db->vouches_at)
+		return;
 	if (report->held_term <= g->lead.term) {
 		lead_unpaused(&g->lead, asked_at, report->term);
 		g->paused_since = 0;
--- a/src/proxy/proxy_own.h
+++ b/src/proxy/proxy_own.h
@@ -39,7 +39,8 @@
 	char id[INSTANCE_MAX_BYTES];
 	char address[ADDR_MAX_BYTES];
 	char domain[NAME_MAX_BYTES];
-	uint64_t born; /* start of this incarnation, as it says */
+	uint64_t born;	   /* start of this incarnation, as it says */
+	usec_t vouches_at; /* it proves no primary before: see cluster.c */
 	uint32_t slots;
 	bool departing;
 	bool says_primary;
