Let replicas go only if nobody else relies on their pause

A VM that gives up an attempt resumed the replicas that it had paused, also while a rival with a later claim waited out its guard: their status then proved the old primary again.

Change: before a replica is let go the newest claim is read, and only its owner lets go. In the guard the replicas are asked on, and the fence begins anew if one is no longer paused; the old primary is asked too, and left alone if it answers.

Ruled out: that rivals promote both; each reads its claim before it promotes.

--- a/src/decide/succession.c
+++ b/src/decide/succession.c
@@ -22,6 +22,8 @@
 		       const struct succession_env *env);
 static void wait_guard(struct succession *s, const struct succession_env *env,
 		       struct succession_actions *out);
+static bool pause_lost(const struct succession *s,
+		       const struct succession_env *env);
 static bool caught_up(const struct succession *s,
 		      const struct succession_env *env);
 static uint32_t choose(const struct succession *s,
@@ -268,7 +270,10 @@
 	return true;
 }
 
-/* Lets the replicas follow again and waits before another attempt. */
+/*
+ * Lets the replicas follow again and waits before another attempt. A rival
+ * with a later claim may rely on their pause, so that is looked at first.
+ */
 static void give_up(struct succession *s, const struct succession_env *env,
 		    struct succession_actions *out)
 {
@@ -276,7 +281,7 @@
 
 	for (i = 0; i < env->n; i++) {
 		if (s->paused & (1U << i))
-			emit(out, SUCCEED_RESUME, i, 0);
+			emit(out, SUCCEED_RELEASE, i, s->token);
 	}
 	s->paused = 0;
 	s->call_open = false;
@@ -380,6 +385,14 @@
 	usec_t waited = env->now - s->phase_at;
 	uint32_t i;
 
+	if (s->cause != SUCCESSION_DEPARTING && somebody_leads(env)) {
+		give_up(s, env, out);
+		return;
+	}
+	if (pause_lost(s, env)) {
+		begin_fence(s, env);
+		return;
+	}
 	if (s->stepped_down) {
 		if (caught_up(s, env) || waited >= s->policy.catch_up) {
 			s->call_open = false;
@@ -397,11 +410,25 @@
 	if (!ask_again(s, env->now))
 		return;
 	for (i = 0; i < env->n; i++) {
-		if (can_follow(env, i))
+		if (can_follow(env, i) || i == s->old)
 			emit(out, SUCCEED_ASK, i, 0);
 	}
 }
 
+/* Has a replica been let go since it was paused, or started again? */
+static bool pause_lost(const struct succession *s,
+		       const struct succession_env *env)
+{
+	uint32_t i;
+
+	for (i = 0; i < env->n; i++) {
+		if ((s->paused & (1U << i)) && env->db[i].said &&
+		    !env->db[i].primary && env->db[i].held_term < s->term)
+			return true;
+	}
+	return false;
+}
+
 /* Does some replica hold all that the old primary had at its end? */
 static bool caught_up(const struct succession *s,
 		      const struct succession_env *env)
--- a/src/decide/succession.h
+++ b/src/decide/succession.h
@@ -48,6 +48,7 @@
 	SUCCEED_VERIFY,
 	SUCCEED_PROMOTE, /* db */
 	SUCCEED_RESUME,	 /* db */
+	SUCCEED_RELEASE, /* db, token in "term": resume it if no later claim */
 	SUCCEED_LEAD,	 /* db, term: the new primary */
 };
 
--- a/src/proxy/failover.c
+++ b/src/proxy/failover.c
@@ -32,6 +32,13 @@
 	bool step_down;
 };
 
+/* A replica that is to be let go, once it is known that nobody relies on it. */
+struct release_call {
+	struct pgroup *group;
+	uint32_t db;
+	uint64_t token;
+};
+
 static const struct succession_policy policy = {
 	.margin = 100 * USEC_PER_MSEC,
 	.stagger = 250 * USEC_PER_MSEC,
@@ -49,6 +56,9 @@
 		      uint64_t term);
 static void on_fenced(void *ctx, struct pdb *db, bool ok,
 		      const struct db_report *report, usec_t asked_at);
+static void release_if_newest(struct pgroup *g,
+			      const struct succession_action *a);
+static void on_release_verified(void *ctx, bool ok, uint64_t token);
 static void on_claimed(void *ctx, bool ok, uint64_t token);
 static void on_verified(void *ctx, bool ok, uint64_t token);
 static void on_promoted(void *ctx, enum promote_answer a);
@@ -206,6 +216,9 @@
 		registry_promote(p, g->service, g->db[a->db].id,
 				 g->succession.token, on_promoted, g);
 		break;
+	case SUCCEED_RELEASE:
+		release_if_newest(g, a);
+		break;
 	case SUCCEED_RESUME:
 		ask_fence(g, a->db, CONTROL_RESUME, 0);
 		break;
@@ -224,6 +237,29 @@
 	}
 }
 
+/* Reads the newest claim; the replica is let go if that is still ours. */
+static void release_if_newest(struct pgroup *g,
+			      const struct succession_action *a)
+{
+	struct release_call *c = calloc(1, sizeof(*c));
+
+	if (!c)
+		return;
+	c->group = g;
+	c->db = a->db;
+	c->token = a->term;
+	registry_verify(g->proxy, g->service, on_release_verified, c);
+}
+
+static void on_release_verified(void *ctx, bool ok, uint64_t token)
+{
+	struct release_call *c = ctx;
+
+	if (ok && token == c->token)
+		ask_fence(c->group, c->db, CONTROL_RESUME, 0);
+	free(c);
+}
+
 /* Asks one database to take part in the fence. */
 static void ask_fence(struct pgroup *g, uint32_t db, enum control_verb verb,
 		      uint64_t term)
