--- a/src/decide/change.c
+++ b/src/decide/change.c
@@ -100,6 +100,16 @@
 	return out;
 }
 
+/* Can the object be read? If not, "e" says where it fails. */
+bool change_readable(const char *body, struct error *e)
+{
+	json_t *root = json_check_load(body, "object", e);
+	bool ok = root != NULL;
+
+	json_decref(root);
+	return ok;
+}
+
 /* Did the change with this id take effect in the object? */
 bool change_took_effect(const char *body, const char *id)
 {
--- a/src/decide/change.h
+++ b/src/decide/change.h
@@ -38,6 +38,8 @@
  * "body" is the current one, NULL if the object does not exist yet.
  */
 char *change_apply(const struct change *c, const char *body, struct error *e);
+/* Can the object be read at all, so that its changes can be told? */
+bool change_readable(const char *body, struct error *e);
 /* Did the change with this id take effect in the object? */
 bool change_took_effect(const char *body, const char *id);
 
--- a/src/plugins/admin_change.c
+++ b/src/plugins/admin_change.c
@@ -104,6 +104,8 @@
 static void on_absent_or_found(struct admin_change *a, const char *body,
 			       uint64_t version)
 {
+	struct error why;
+
 	if (body && change_took_effect(body, a->change.id)) {
 		a->already = a->body == NULL;
 		written(a, body, version);
@@ -119,6 +121,14 @@
 		end(a, ADMIN_UNKNOWN);
 		return;
 	}
+	if (a->maybe_done && body && !change_readable(body, &why)) {
+		error_set(&a->error, ERR_UNKNOWN, STEP_CONFIG_WRITE, a->object,
+			  "reply lost, and another writer has left what can't "
+			  "be read: %s",
+			  why.message);
+		end(a, ADMIN_UNKNOWN);
+		return;
+	}
 	a->maybe_done = false;
 	if (!condition_holds(a, body, version))
 		return;
--- a/tests/plugins/admin_change_test.cc
+++ b/tests/plugins/admin_change_test.cc
@@ -27,6 +27,7 @@
 //   n  a write is lost on its way
 //   l  a write seems lost, and arrives after the next call
 //   x  another operator changes the object just before the call
+//   b  another writer leaves bytes that can't be read just before the call
 class ScriptedPlatform
 {
       public:
@@ -88,6 +89,10 @@
 		}
 		if (what == 'x')
 			change_by_another();
+		if (what == 'b') {
+			body = "{\"teams\":";
+			version++;
+		}
 		if (c->op == PLATFORM_GET)
 			get(c, what);
 		else
@@ -266,6 +271,8 @@
 		  ERR_NONE, 1 },
 		{ "write late, then another's change", ".lx", ADMIN_ACCEPTED,
 		  ERR_NONE, 1 },
+		{ "in effect, then the object is broken", ".ab", ADMIN_UNKNOWN,
+		  ERR_UNKNOWN, 0 },
 		{ "another's change first", ".x", ADMIN_ACCEPTED, ERR_NONE, 1 },
 	};
 	for (const auto &c : cases) {
