Fence whatever joins a group, and trust no list made too early

The store was away while all VMs were killed; the entries of the databases lapsed. At its return every VM took the empty list for whole and dropped all databases at once; a VM that had just started saw one replica alone, took the group for leaderless, paused that one and promoted another replica that came back within its guard and was never paused. Others went on proving the old primary by that replica.

Change: a database that is missing from the list is kept until it has been missing for 2.5 s, unless it had announced its departure (decide/absence). A VM starts no succession until its list can be whole: 2.5 s after its first one and after an outage that was long enough for entries to lapse. The fence covers whoever joins until the promotion, only a paused replica is promoted, and right before it the databases are listed anew.

Ruled out: the vouching of joined databases; it holds, but a VM that starts knows no term yet and trusts its first list, which is right at every other start.

--- a/src/decide/succession.c
+++ b/src/decide/succession.c
@@ -96,11 +96,19 @@
 			give_up(s, env, out);
 			break;
 		}
-		s->call_open = true;
 		if (s->phase == SUCCESSION_VERIFY) {
+			s->call_open = true;
+			s->verify_at = env->now;
 			emit(out, SUCCEED_VERIFY, DB_NONE, 0);
 			break;
 		}
+		if (!s->stepped_down && !fence_done(s, env)) {
+			begin_fence(s, env);
+			break;
+		}
+		if (!s->stepped_down && env->listed_at < s->verify_at)
+			break;
+		s->call_open = true;
 		emit(out, SUCCEED_PROMOTE, s->target, 0);
 		break;
 	case SUCCESSION_CONFIRM:
@@ -236,14 +244,15 @@
 /*
  * Is it for this VM to act now? A primary that as many peers hear as miss,
  * with this VM, is left alone; a departing one is replaced anyway. A VM that
- * hears few others may be cut off itself.
+ * hears few others may be cut off itself. One that may not know all replicas
+ * would leave some of them unpaused, and they would go on proving the primary.
  */
 static bool due(struct succession *s, const struct succession_env *env)
 {
 	bool successor = false;
 	uint32_t i;
 
-	if (s->cause_at == 0 || env->now < s->quiet_until ||
+	if (s->cause_at == 0 || env->now < s->quiet_until || !env->settled ||
 	    !env->platform_up || !env->in_company || env->peer_at_work)
 		return false;
 	if (env->cause != SUCCESSION_DEPARTING &&
@@ -357,7 +366,8 @@
 }
 
 /*
- * The old primary itself, or every database that could still prove it. A
+ * The old primary itself, or every database that could still prove it,
+ * wherever it came from since the fence began. A
  * departing one that does not answer has to be fenced like a silent one.
  */
 static bool fence_done(const struct succession *s,
@@ -389,7 +399,7 @@
 		give_up(s, env, out);
 		return;
 	}
-	if (pause_lost(s, env)) {
+	if (pause_lost(s, env) || !fence_done(s, env)) {
 		begin_fence(s, env);
 		return;
 	}
@@ -459,6 +469,8 @@
 		    env->db[i].departing || (s->failed & (1U << i)) ||
 		    !env->db[i].answers)
 			continue;
+		if (!s->stepped_down && !(s->paused & (1U << i)))
+			continue;
 		if (best == DB_NONE || log_pos_cmp(env->db[i].received,
 						   env->db[best].received) > 0)
 			best = i;
--- a/src/decide/succession.h
+++ b/src/decide/succession.h
@@ -10,7 +10,8 @@
  *   claim     a fencing token, by a conditional write at the platform
  *   fence     the old primary steps down, or all replicas are paused
  *   guard     unless it stepped down, every VM's proof of it runs out
- *   verify    the claim is still the newest
+ *   verify    the claim is still the newest, and no replica has come to the
+ *             group that is not paused
  *   promote   the replica that has most of the log
  *   confirm   it says itself that it leads a later term
  *
@@ -45,9 +46,9 @@
 	SUCCEED_PAUSE,	   /* db, term */
 	SUCCEED_STEP_DOWN, /* db, term */
 	SUCCEED_ASK,	   /* db: its status */
-	SUCCEED_VERIFY,
-	SUCCEED_PROMOTE, /* db */
-	SUCCEED_RESUME,	 /* db */
+	SUCCEED_VERIFY,	   /* the claim; and list the databases anew */
+	SUCCEED_PROMOTE,   /* db */
+	SUCCEED_RESUME,	   /* db */
 	SUCCEED_RELEASE, /* db, token in "term": resume it if no later claim */
 	SUCCEED_LEAD,	 /* db, term: the new primary */
 };
@@ -87,7 +88,9 @@
 	bool peer_at_work; /* a peer is at it */
 	uint32_t rank;	   /* of this VM for the group, 0 first */
 	bool platform_up;
-	bool in_company; /* most VMs have been heard for a while */
+	bool in_company;  /* most VMs have been heard for a while */
+	bool settled;	  /* the databases listed are all that live */
+	usec_t listed_at; /* when the newest list of them was asked for */
 };
 
 struct succession_policy {
@@ -107,8 +110,9 @@
 	enum succession_cause cause;
 	usec_t cause_at; /* it has been seen since; 0: not */
 	usec_t phase_at;
-	usec_t began_at; /* of the attempt */
-	usec_t asked_at; /* last round of questions in the phase */
+	usec_t began_at;  /* of the attempt */
+	usec_t asked_at;  /* last round of questions in the phase */
+	usec_t verify_at; /* the claim and the list were asked for then */
 	usec_t quiet_until;
 	uint64_t token;
 	uint64_t term;	     /* the fence's */
--- a/src/proxy/cluster.c
+++ b/src/proxy/cluster.c
@@ -21,6 +21,8 @@
 
 static struct pgroup *make_group(struct proxy *p, const char *service);
 static void apply_one(struct pgroup *g, const struct registry_db *r);
+static bool listed(const struct pdb *d, const struct registry_db *db,
+		   uint32_t n);
 static void remove_db(struct pdb *db, const char *why);
 static void on_status(void *ctx, struct pdb *db, bool ok,
 		      const struct db_report *report, usec_t asked_at);
@@ -64,14 +66,17 @@
 	}
 }
 
-/* Takes in the list of databases. */
-void cluster_apply_databases(struct proxy *p, const struct registry_db *db,
-			     uint32_t n, bool whole)
+/*
+ * Takes in the list of databases, asked for at "asked_at". Those that are
+ * missing are kept for a while; returns when another list will tell whether
+ * they have left, 0 if none is missing.
+ */
+usec_t cluster_apply_databases(struct proxy *p, const struct registry_db *db,
+			       uint32_t n, usec_t asked_at)
 {
-	bool seen;
+	usec_t again = 0;
 	uint32_t i;
 	uint32_t j;
-	uint32_t k;
 
 	for (i = 0; i < n; i++) {
 		struct pgroup *g = cluster_group(p, db[i].service);
@@ -79,21 +84,41 @@
 		if (g)
 			apply_one(g, &db[i]);
 	}
-	for (i = 0; whole && i < p->n_groups; i++) {
+	for (i = 0; i < p->n_groups; i++) {
 		for (j = 0; j < GROUP_DBS_MAX; j++) {
 			struct pdb *d = &p->groups[i]->db[j];
 
-			seen = !d->present;
-			for (k = 0; k < n && !seen; k++)
-				seen = strcmp(db[k].id, d->id) == 0 &&
-				       strcmp(db[k].service,
-					      d->group->service) == 0;
-			if (!seen)
+			if (!d->present)
+				continue;
+			if (listed(d, db, n)) {
+				absence_seen(&d->absence);
+				continue;
+			}
+			if (absence_missed(&d->absence, asked_at, d->departing,
+					   BACK_WITHIN_US)) {
 				remove_db(d, "left the registry");
+				continue;
+			}
+			if (!again || d->absence.since + BACK_WITHIN_US < again)
+				again = d->absence.since + BACK_WITHIN_US;
 		}
 	}
 	for (i = 0; i < p->n_groups; i++)
 		dispatch_pump(p->groups[i]);
+	return again;
+}
+
+static bool listed(const struct pdb *d, const struct registry_db *db,
+		   uint32_t n)
+{
+	uint32_t i;
+
+	for (i = 0; i < n; i++) {
+		if (strcmp(db[i].id, d->id) == 0 &&
+		    strcmp(db[i].service, d->group->service) == 0)
+			return true;
+	}
+	return false;
 }
 
 /* Does what time brings: overdue replies, proofs, promotions, the queue. */
--- a/src/proxy/failover.c
+++ b/src/proxy/failover.c
@@ -162,6 +162,8 @@
 	env->rank = beacon_rank(g->proxy->beacon, g->service);
 	env->platform_up = platform_is_up(g->proxy->kernel);
 	env->in_company = beacon_in_company(g->proxy->beacon, now);
+	env->settled = registry_settled(g->proxy->registry, now);
+	env->listed_at = registry_listed_at(g->proxy->registry);
 	for (i = 0; i < GROUP_DBS_MAX; i++) {
 		const struct pdb *d = &g->db[i];
 
@@ -194,6 +196,7 @@
 	case SUCCEED_VERIFY:
 		g->verified_at = proxy_now();
 		registry_verify(p, g->service, on_verified, g);
+		registry_list(p->registry, proxy_now());
 		break;
 	case SUCCEED_PAUSE:
 		ask_fence(g, a->db, CONTROL_PAUSE, a->term);
--- a/src/proxy/proxy_own.h
+++ b/src/proxy/proxy_own.h
@@ -5,6 +5,7 @@
 #include <event2/event.h>
 #include <sys/queue.h>
 
+#include "decide/absence.h"
 #include "decide/lead.h"
 #include "decide/place.h"
 #include "decide/quota.h"
@@ -43,6 +44,7 @@
 	usec_t vouches_at; /* it proves no primary before: see cluster.c */
 	uint32_t slots;
 	bool departing;
+	struct absence absence; /* from the registry */
 	bool says_primary;
 	struct pgroup *group;
 	struct backend_list conns;
@@ -315,9 +317,9 @@
 /* cluster.c */
 struct pgroup *cluster_group(struct proxy *p, const char *service);
 void cluster_apply_catalog(struct proxy *p, usec_t now);
-/* "whole": databases that are not in the list have left. */
-void cluster_apply_databases(struct proxy *p, const struct registry_db *db,
-			     uint32_t n, bool whole);
+/* Takes in a whole list; when to list again for what is missing, 0: no need. */
+usec_t cluster_apply_databases(struct proxy *p, const struct registry_db *db,
+			       uint32_t n, usec_t asked_at);
 void cluster_tick(struct proxy *p, usec_t now);
 void cluster_heard(struct pdb *db, usec_t asked_at, const struct log_pos *at);
 void cluster_lead(struct pgroup *g, uint32_t db, uint64_t term,
--- a/src/proxy/registry.c
+++ b/src/proxy/registry.c
@@ -24,8 +24,11 @@
 #define RETRY_US (250 * USEC_PER_MSEC)
 /* The VMs are listed again after this. */
 #define VMS_EVERY_US (20 * USEC_PER_SEC)
-/* Databases that lapsed while the platform was away are back by then. */
-#define BACK_WITHIN_US (2500 * USEC_PER_MSEC)
+/*
+ * Entries of databases lapse after three of their heartbeats, 1.2 s each: a
+ * platform that was away for less has lost none.
+ */
+#define LAPSE_US (3 * USEC_PER_SEC)
 /* Databases taken from one whole list. */
 #define LIST_MAX 4096
 
@@ -53,8 +56,9 @@
 	uint64_t revision; /* of what was read or heard last */
 	usec_t hurry_until;
 	usec_t listed_at;
-	usec_t away_until; /* absent databases may still come back */
-	bool failing;
+	usec_t settled_at; /* what is listed from then on is whole */
+	usec_t failing_at; /* first call that failed since one went well */
+	bool list_again;   /* at once after the one under way */
 	struct registry_db *list;
 	uint32_t n_list;
 	uint64_t list_hash; /* of the newest whole list */
@@ -69,6 +73,8 @@
 static void take_read(struct registry *r, struct poll *p);
 static void take_watch(struct registry *r, struct poll *p);
 static bool take_catalog(struct registry *r, const struct poll *p);
+static void note_outcome(struct registry *r, enum platform_result result,
+			 usec_t now);
 static bool due(const struct poll *p, usec_t now);
 static uint64_t drawn(const struct registry *r, uint64_t most);
 static uint32_t watch_ms(const struct registry *r);
@@ -204,6 +210,20 @@
 	registry_tick(r, now);
 }
 
+/* Lists the databases, asked for not before now. */
+void registry_list(struct registry *r, usec_t now)
+{
+	r->list_again = r->databases.busy;
+	r->databases.due = now;
+	registry_tick(r, now);
+}
+
+/* Tells whether the list can be taken for whole. */
+bool registry_settled(const struct registry *r, usec_t now)
+{
+	return r->settled_at && now >= r->settled_at;
+}
+
 /* When the newest whole list was asked for. */
 usec_t registry_listed_at(const struct registry *r)
 {
@@ -250,12 +270,27 @@
 	p->due = proxy_now() + RETRY_US;
 	if (p->call.op != PLATFORM_WATCH)
 		latency_add(LATENCY_PLATFORM, proxy_now() - p->asked_at);
+	note_outcome(r, p->call.result, proxy_now());
 	p->take(r, p);
 	free(p->reply);
 	p->reply = NULL;
 	registry_tick(r, proxy_now());
 }
 
+/* Notes how long the platform was away, if it was. */
+static void note_outcome(struct registry *r, enum platform_result result,
+			 usec_t now)
+{
+	if (result == PLATFORM_DOWN || result == PLATFORM_LOST) {
+		if (r->failing_at == 0)
+			r->failing_at = now;
+		return;
+	}
+	if (r->failing_at && now - r->failing_at >= LAPSE_US)
+		r->settled_at = now + BACK_WITHIN_US;
+	r->failing_at = 0;
+}
+
 static bool due(const struct poll *p, usec_t now)
 {
 	return !p->busy && p->due && now >= p->due;
@@ -373,21 +408,16 @@
 	poll_call(&r->databases, PLATFORM_LIST, now);
 }
 
-/*
- * Takes in one page, and with the last one the whole list. While the platform
- * has been back for less than the databases need to return to it, those that
- * are missing are kept.
- */
+/* Takes in one page, and with the last one the whole list. */
 static void take_databases(struct registry *r, struct poll *p)
 {
 	struct proxy *x = r->proxy;
 	usec_t now = proxy_now();
 	struct error e;
+	usec_t again;
 
-	if (p->call.result != PLATFORM_OK || !p->reply) {
-		r->failing = true;
+	if (p->call.result != PLATFORM_OK || !p->reply)
 		return;
-	}
 	error_clear(&e);
 	memset(&r->page, 0, sizeof(r->page));
 	if (codec->databases(p->reply, add_database, r, &r->page, &e)) {
@@ -401,15 +431,18 @@
 		call_databases(r, r->page.last, now);
 		return;
 	}
-	if (r->failing) {
-		r->failing = false;
-		r->away_until = now + BACK_WITHIN_US;
-	}
+	if (r->settled_at == 0)
+		r->settled_at = now + BACK_WITHIN_US;
 	r->listed_at = p->asked_at;
 	r->list_hash = hash_list(r);
 	p->due = now + list_pause(r, now);
 	x->databases_known = r->n_list > 0;
-	cluster_apply_databases(x, r->list, r->n_list, now >= r->away_until);
+	again = cluster_apply_databases(x, r->list, r->n_list, p->asked_at);
+	if (again && again < p->due)
+		p->due = again > now ? again : now;
+	if (r->list_again)
+		p->due = now;
+	r->list_again = false;
 }
 
 /* Sums up what VMs have to agree on: who is there, departs and leads. */
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -76,6 +76,12 @@
 struct proxy;
 struct registry;
 
+/*
+ * Databases that lapsed while the platform was away are back within about 2 s
+ * of its return, as the users' pages say.
+ */
+#define BACK_WITHIN_US (2500 * USEC_PER_MSEC)
+
 /* Begins to follow the platform; all callbacks run on the proxy's thread. */
 struct registry *registry_create(struct proxy *p);
 void registry_destroy(struct registry *r);
@@ -83,6 +89,13 @@
 void registry_tick(struct registry *r, usec_t now);
 /* The databases are wanted sooner than usual. */
 void registry_hurry(struct registry *r, usec_t now);
+/* Lists the databases now, or again once the list under way is there. */
+void registry_list(struct registry *r, usec_t now);
+/*
+ * Have all databases that live had the time to register, since this VM began
+ * to list them and since the platform came back? What it knows is whole then.
+ */
+bool registry_settled(const struct registry *r, usec_t now);
 /* When the newest list of databases was asked for; 0: none yet. */
 usec_t registry_listed_at(const struct registry *r);
 /*
--- a/tests/decide/succession_test.cc
+++ b/tests/decide/succession_test.cc
@@ -32,6 +32,7 @@
 		env.term = 4;
 		env.platform_up = true;
 		env.in_company = true;
+		env.settled = true;
 		for (uint32_t i = 0; i < 3; i++)
 			env.db[i] = { .present = true,
 				      .departing = false,
@@ -50,6 +51,8 @@
 		for (usec_t end = env.now + time; env.now < end;
 		     env.now += 10 * kMs) {
 			struct succession_actions out;
+			if (lists)
+				env.listed_at = env.now;
 			succession_tick(&s, &env, &out);
 			for (uint32_t i = 0; i < out.n; i++)
 				acts += act(out.a[i]);
@@ -82,6 +85,7 @@
 
 	struct succession s;
 	struct succession_env env = {};
+	bool lists = true; // databases are listed anew all the time
 
       private:
 	static std::string act(const struct succession_action &a)
@@ -221,6 +225,72 @@
 	EXPECT_EQ(acts.find('V'), std::string::npos);
 }
 
+// A database that comes to the group is not paused: the fence begins anew,
+// else it would go on proving the old primary, or be promoted unpaused.
+TEST(Succession, DatabaseJoinsDuringTheAttempt)
+{
+	const struct {
+		const char *name;
+		usec_t guard; // spent in it before the other joins
+		bool verified;
+	} cases[] = {
+		{ "in the guard", 300 * kMs, false },
+		{ "after the guard", kPolicy.guard + kPolicy.margin + 50 * kMs,
+		  true },
+	};
+	for (const auto &c : cases) {
+		Group g;
+		g.env.cause = SUCCESSION_SILENT;
+		g.env.db[0].answers = false;
+		g.env.db[2].present = false;
+		g.run(20 * kMs);
+		g.claim();
+		g.run(20 * kMs);
+		g.pause(1);
+		g.run(c.guard);
+		g.env.db[2].present = true;
+		if (c.verified)
+			succession_verified(&g.s, g.env.now, true);
+		std::string acts = g.run(40 * kMs);
+		EXPECT_EQ(acts.find('M'), std::string::npos) << c.name;
+		EXPECT_EQ(g.s.phase, SUCCESSION_FENCE) << c.name;
+		EXPECT_NE(acts.find("P1 P2"), std::string::npos)
+			<< c.name << ": " << acts;
+	}
+}
+
+// Whoever joined is known only by a list that was asked for after the guard.
+TEST(Succession, PromotesByAListOfAfterTheGuard)
+{
+	Group g;
+	g.env.cause = SUCCESSION_SILENT;
+	g.env.db[0].answers = false;
+	g.run(20 * kMs);
+	g.claim();
+	g.run(20 * kMs);
+	g.pause(1);
+	g.pause(2);
+	g.run(300 * kMs);
+	g.lists = false;
+	g.run(kPolicy.guard + kPolicy.margin);
+	succession_verified(&g.s, g.env.now, true);
+	EXPECT_EQ(g.run(100 * kMs).find('M'), std::string::npos);
+	g.lists = true;
+	EXPECT_EQ(g.run(20 * kMs), "M1 ");
+}
+
+// A VM that may not know all databases yet leaves the group to others.
+TEST(Succession, UnsettledVmDoesNotAct)
+{
+	Group g;
+	g.env.cause = SUCCESSION_NOBODY;
+	g.env.primary = DB_NONE;
+	g.env.settled = false;
+	EXPECT_EQ(g.run(USEC_PER_SEC), "");
+	g.env.settled = true;
+	EXPECT_EQ(g.run(20 * kMs), "C ");
+}
+
 // An old primary that answers in the guard is left alone.
 TEST(Succession, AnswersInTheGuard)
 {
