Believe an unpaused replica only soon after a proof

A promotion lets the replicas go.

A proof that has run out is made anew by all other databases: neither paused nor promoted. For one that does not answer the registry speaks, as databases register a promotion at once; a former primary that is gone is passed over. The primary counts as used for 5 s, so that the chain of proofs rarely breaks. lead_peer() went, nothing called it.

Ruled out: a fence that missed a replica (both were paused, term 2, 0.8 s before); the joining of databases (none joined).

--- a/src/decide/lead.c
+++ b/src/decide/lead.c
@@ -67,17 +67,49 @@
 	}
 }
 
-/* Notes the answer of a replica that said so itself. */
-void lead_unpaused(struct lead *l, usec_t asked_at, uint64_t term)
+/* Notes a proof of whatever kind. */
+void lead_proved(struct lead *l, usec_t at, uint64_t term)
 {
-	if (term == l->term && asked_at > l->proved_at)
-		l->proved_at = asked_at;
+	if (term == l->term && at > l->proved_at)
+		l->proved_at = at;
 }
 
-/* Notes a peer's proof; the same rule holds for it. */
-void lead_peer(struct lead *l, usec_t proved_at, uint64_t term)
+/*
+ * Notes the answer of a replica that was not paused. Long after the last proof
+ * it proves nothing: a promotion lets the replicas go, and one that is late or
+ * cut off does not know the new term yet.
+ */
+void lead_unpaused(struct lead *l, usec_t asked_at, uint64_t term, usec_t guard)
+{
+	if (l->proved_at != INT64_MIN && asked_at - l->proved_at < guard)
+		lead_proved(l, asked_at, term);
+}
+
+/*
+ * Where all others say that they are neither promoted nor paused, no promotion
+ * had taken effect when the first of them was asked: the promoted one would
+ * say so. Nor is one under way, for which they would all be paused. A primary
+ * of an earlier term has not heard of this one yet.
+ */
+void lead_unanimous(struct lead *l, const struct lead_word *word, uint32_t n)
 {
-	lead_unpaused(l, proved_at, term);
+	usec_t first = INT64_MAX;
+	bool vouched = false;
+	uint32_t i;
+
+	for (i = 0; i < n; i++) {
+		const struct lead_word *w = &word[i];
+		bool former = w->primary && w->term < l->term;
+
+		if (w->asked_at == 0 || w->term > l->term ||
+		    (w->primary && !former) || w->held_term > l->term)
+			return;
+		vouched |= w->vouches && !former && w->term == l->term;
+		if (w->asked_at < first)
+			first = w->asked_at;
+	}
+	if (vouched)
+		lead_proved(l, first, l->term);
 }
 
 /* Tells whether the newest proof is younger than the guard. */
--- a/src/decide/lead.h
+++ b/src/decide/lead.h
@@ -9,8 +9,11 @@
  * suspend-aware clock, in microseconds.
  *
  * A promotion first pauses the replicas and then waits out the guard. So a
- * replica that took a commit, or said that it was not paused, shows that no
- * promotion can take effect before the guard has passed since then.
+ * replica that took a commit after some time shows that no promotion can take
+ * effect before the guard has passed since then. One that says that it is not
+ * paused may have been let go by a promotion that it has not heard of yet. Its
+ * word counts only within the guard of an earlier proof, as no promotion fits
+ * in between, or if no other database says that it was promoted.
  */
 
 #define LEAD_SAMPLES 64
@@ -37,10 +40,23 @@
 void lead_sample(struct lead *l, usec_t asked_at, struct log_pos at);
 /* A replica holds the log up to "at". */
 void lead_followed(struct lead *l, struct log_pos at);
+/* No promotion of another can take effect before the guard after "at". */
+void lead_proved(struct lead *l, usec_t at, uint64_t term);
 /* A replica of this term, asked at "asked_at", was not paused. */
-void lead_unpaused(struct lead *l, usec_t asked_at, uint64_t term);
-/* A peer's proof for the same term. */
-void lead_peer(struct lead *l, usec_t proved_at, uint64_t term);
+void lead_unpaused(struct lead *l, usec_t asked_at, uint64_t term,
+		   usec_t guard);
+
+/* The newest word of a database of the group that is not its primary. */
+struct lead_word {
+	usec_t asked_at; /* 0: it has not said anything */
+	bool primary;	 /* it says that it leads */
+	bool vouches;	 /* no fence of this time can have passed it over */
+	uint64_t term;
+	uint64_t held_term; /* it was paused by this term; 0: by none */
+};
+
+/* The newest words of all others: together they may be a proof. */
+void lead_unanimous(struct lead *l, const struct lead_word *word, uint32_t n);
 /* May the primary be used now? */
 bool lead_holds(const struct lead *l, usec_t now, usec_t guard);
 /*
--- a/src/proxy/cluster.c
+++ b/src/proxy/cluster.c
@@ -7,8 +7,13 @@
 
 /* A primary in use is proved again when this part of the guard has passed. */
 #define PROOF_AGE_PARTS 2
-/* The primary counts as used for so long after a statement for it. */
-#define WANTED_FOR_US (2 * USEC_PER_SEC)
+/*
+ * The primary counts as used for so long after a statement for it: a proof that
+ * has run out is made anew only with the help of all databases.
+ */
+#define WANTED_FOR_US (5 * USEC_PER_SEC)
+/* A database that was asked and has not answered for half the guard. */
+#define UNREACHABLE_US (300 * USEC_PER_MSEC)
 /* Least pause between two questions to one database. */
 #define ASK_PAUSE_US (100 * USEC_PER_MSEC)
 /*
@@ -26,6 +31,9 @@
 static void remove_db(struct pdb *db, const char *why);
 static void on_status(void *ctx, struct pdb *db, bool ok,
 		      const struct db_report *report, usec_t asked_at);
+static void weigh_words(struct pgroup *g, usec_t now);
+static bool unreachable(const struct pdb *d, usec_t now);
+static bool any_unreachable(const struct pgroup *g, usec_t now);
 static void tick_db(struct pdb *db, usec_t now);
 static void prove(struct pgroup *g, usec_t now);
 static uint32_t index_of(const struct pdb *db);
@@ -175,6 +183,7 @@
 	}
 	g->primary = db;
 	g->db[db].says_primary = true;
+	g->db[db].led_term = term;
 	succession_superseded(&g->succession, now);
 	prove(g, now);
 	dispatch_pump(g);
@@ -324,6 +333,7 @@
 	d->slots = r->slots;
 	d->departing = r->departing;
 	d->says_primary = r->primary;
+	d->listed_primary = r->primary;
 }
 
 /* A database has left, or is another one under the same id. */
@@ -367,10 +377,12 @@
 		cluster_doubt(g, proxy_now());
 		return;
 	}
+	weigh_words(g, proxy_now());
 	if (proxy_now() < db->vouches_at)
 		return;
 	if (report->held_term <= g->lead.term) {
-		lead_unpaused(&g->lead, asked_at, report->term);
+		lead_unpaused(&g->lead, asked_at, report->term,
+			      g->proxy->policy.guard);
 		g->paused_since = 0;
 	} else if (g->paused_since == 0) {
 		g->paused_since = proxy_now();
@@ -380,6 +392,52 @@
 	dispatch_pump(g);
 }
 
+/*
+ * Looks whether all that the others said last is a proof of the primary. For
+ * one that does not answer the registry speaks: a database that is promoted
+ * registers as such at once. The entry of a former primary that is gone says
+ * nothing, but it can't be promoted before it answers again.
+ */
+static void weigh_words(struct pgroup *g, usec_t now)
+{
+	const struct registry *r = g->proxy->registry;
+	struct lead_word word[GROUP_DBS_MAX];
+	uint32_t n = 0;
+	uint32_t i;
+
+	for (i = 0; i < GROUP_DBS_MAX; i++) {
+		const struct pdb *d = &g->db[i];
+
+		if (!d->present || i == g->primary)
+			continue;
+		if (unreachable(d, now)) {
+			if (d->led_term > 0 && d->led_term < g->lead.term)
+				continue;
+			word[n++] = (struct lead_word){
+				.asked_at = registry_listed_at(r),
+				.primary = d->listed_primary,
+				.term = g->lead.term,
+			};
+			continue;
+		}
+		word[n++] = (struct lead_word){
+			.asked_at = d->report_at,
+			.primary = d->report.primary,
+			.vouches = now >= d->vouches_at,
+			.term = d->report.term,
+			.held_term = d->report.held_term,
+		};
+	}
+	lead_unanimous(&g->lead, word, n);
+}
+
+/* Has it answered nothing lately, though it was asked? */
+static bool unreachable(const struct pdb *d, usec_t now)
+{
+	return d->failures > 0 ||
+	       (d->silent_since && now - d->silent_since > UNREACHABLE_US);
+}
+
 /* Closes what is overdue or of no more use at one database. */
 static void tick_db(struct pdb *db, usec_t now)
 {
@@ -398,18 +456,27 @@
 		cluster_probe(db, now);
 }
 
-/* Asks replicas, in turn, while the primary is in use and its proof ages. */
+/*
+ * Asks replicas while the primary is in use and its proof ages: one at a time,
+ * in turn, but all of them once the proof has run out.
+ */
 static void prove(struct pgroup *g, usec_t now)
 {
-	usec_t due = g->proxy->policy.guard / PROOF_AGE_PARTS;
+	usec_t guard = g->proxy->policy.guard;
+	bool one = lead_holds(&g->lead, now, guard);
 	uint32_t i;
 
 	if (g->primary == DB_NONE)
 		return;
 	if (g->lead.proved_at != INT64_MIN &&
-	    (now - g->lead.proved_at < due ||
+	    (now - g->lead.proved_at < guard / PROOF_AGE_PARTS ||
 	     now - g->wanted_at > WANTED_FOR_US))
 		return;
+	if (!one) {
+		weigh_words(g, now);
+		if (any_unreachable(g, now))
+			registry_hurry(g->proxy->registry, now);
+	}
 	for (i = 0; i < GROUP_DBS_MAX; i++) {
 		uint32_t at = (g->next_probe + i) % GROUP_DBS_MAX;
 		struct pdb *d = &g->db[at];
@@ -417,12 +484,27 @@
 		if (at == g->primary || !d->present || d->probing ||
 		    now < d->retry_at || now - d->probed_at < ASK_PAUSE_US)
 			continue;
-		g->next_probe = at + 1;
 		cluster_probe(d, now);
+		if (!one)
+			continue;
+		g->next_probe = at + 1;
 		return;
 	}
 }
 
+/* Is there a database other than the primary that has to be vouched for? */
+static bool any_unreachable(const struct pgroup *g, usec_t now)
+{
+	uint32_t i;
+
+	for (i = 0; i < GROUP_DBS_MAX; i++) {
+		if (g->db[i].present && i != g->primary &&
+		    unreachable(&g->db[i], now))
+			return true;
+	}
+	return false;
+}
+
 static uint32_t index_of(const struct pdb *db)
 {
 	return (uint32_t)(db - db->group->db);
--- a/src/proxy/failover.c
+++ b/src/proxy/failover.c
@@ -233,7 +233,7 @@
 		cluster_lead(g, a->db, a->term, "promoted");
 		/* No later claim was there then, so no other promotion can
 		 * have taken effect within the guard after it. */
-		lead_unpaused(&g->lead, g->verified_at, a->term);
+		lead_proved(&g->lead, g->verified_at, a->term);
 		g->promoted_here = true;
 		dispatch_pump(g);
 		break;
--- a/src/proxy/proxy_own.h
+++ b/src/proxy/proxy_own.h
@@ -46,6 +46,8 @@
 	bool departing;
 	struct absence absence; /* from the registry */
 	bool says_primary;
+	bool listed_primary; /* the registry's newest word */
+	uint64_t led_term;   /* it led in this term, as known here; 0: none */
 	struct pgroup *group;
 	struct backend_list conns;
 	uint32_t n_conns;
--- a/tests/decide/lead_test.cc
+++ b/tests/decide/lead_test.cc
@@ -50,7 +50,7 @@
 		struct lead l;
 		lead_init(&l);
 		lead_begin(&l, 1);
-		lead_unpaused(&l, kNow, 1);
+		lead_proved(&l, kNow, 1);
 		EXPECT_EQ(lead_holds(&l, kNow + c.after, kGuard), c.holds)
 			<< c.name;
 	}
@@ -62,16 +62,104 @@
 	lead_init(&l);
 	EXPECT_FALSE(lead_holds(&l, kNow, kGuard));
 	lead_begin(&l, 1);
-	lead_unpaused(&l, kNow, 1);
+	lead_proved(&l, kNow, 1);
 	ASSERT_TRUE(lead_holds(&l, kNow, kGuard));
 	lead_begin(&l, 2);
 	EXPECT_FALSE(lead_holds(&l, kNow, kGuard));
-	lead_unpaused(&l, kNow, 1);
+	lead_proved(&l, kNow, 1);
 	EXPECT_FALSE(lead_holds(&l, kNow, kGuard));
-	lead_unpaused(&l, kNow, 2);
+	lead_proved(&l, kNow, 2);
 	EXPECT_TRUE(lead_holds(&l, kNow, kGuard));
 }
 
+// A promotion lets replicas go; one that has not heard of it says that it is
+// not paused, of the former term.
+TEST(Lead, NotPausedCountsOnlySoonAfterAProof)
+{
+	const struct {
+		const char *name;
+		usec_t proof, asked; // after kNow; proof 0: none
+		uint64_t term;
+		bool proved; // at "asked"
+	} cases[] = {
+		{ "without any proof", 0, kMs, 1, false },
+		{ "soon after one", kMs, 500 * kMs, 1, true },
+		{ "just within", kMs, kGuard, 1, true },
+		{ "when it has run out", kMs, kGuard + kMs, 1, false },
+		{ "of another term", kMs, 500 * kMs, 2, false },
+	};
+	for (const auto &c : cases) {
+		struct lead l;
+		lead_init(&l);
+		lead_begin(&l, 1);
+		if (c.proof)
+			lead_proved(&l, kNow + c.proof, 1);
+		lead_unpaused(&l, kNow + c.asked, c.term, kGuard);
+		EXPECT_EQ(l.proved_at == kNow + c.asked, c.proved) << c.name;
+	}
+}
+
+TEST(Lead, AllOthersTogether)
+{
+	constexpr usec_t kA = kNow + 10 * kMs;
+	constexpr usec_t kB = kNow + 20 * kMs;
+	const struct {
+		const char *name;
+		struct lead_word a, b;
+		usec_t proved; // 0: not
+	} cases[] = {
+		{ "both follow",
+		  { kA, false, true, 3, 0 },
+		  { kB, false, true, 3, 0 },
+		  kA },
+		{ "one has not answered",
+		  { kA, false, true, 3, 0 },
+		  { 0, false, true, 0, 0 },
+		  0 },
+		{ "one is paused",
+		  { kA, false, true, 3, 0 },
+		  { kB, false, true, 3, 4 },
+		  0 },
+		{ "one was promoted",
+		  { kA, false, true, 3, 0 },
+		  { kB, true, true, 4, 0 },
+		  0 },
+		{ "one knows a later term",
+		  { kA, false, true, 3, 0 },
+		  { kB, false, true, 4, 0 },
+		  0 },
+		{ "the former primary does not know yet",
+		  { kA, false, true, 3, 0 },
+		  { kB, true, true, 2, 0 },
+		  kA },
+		{ "only the former primary knows of nothing",
+		  { kA, false, false, 3, 0 },
+		  { kB, true, true, 2, 0 },
+		  0 },
+		{ "one has just joined",
+		  { kA, false, false, 3, 0 },
+		  { kB, false, true, 3, 0 },
+		  kA },
+		{ "both have just joined",
+		  { kA, false, false, 3, 0 },
+		  { kB, false, false, 3, 0 },
+		  0 },
+		{ "let go of a pause of this term",
+		  { kA, false, true, 3, 3 },
+		  { kB, false, true, 3, 3 },
+		  kA },
+	};
+	for (const auto &c : cases) {
+		struct lead_word w[2] = { c.a, c.b };
+		struct lead l;
+		lead_init(&l);
+		lead_begin(&l, 3);
+		lead_unanimous(&l, w, 2);
+		EXPECT_EQ(l.proved_at, c.proved ? c.proved : INT64_MIN)
+			<< c.name;
+	}
+}
+
 TEST(Lead, PositionForAnAge)
 {
 	struct lead l;
