Let one VM keep each team's limit

A team of 15 operations a second over 83 VMs has one operation in six seconds at each: parts by demand are always told too late, and a quarter was divided evenly for nothing.

Change: the live VM with the highest hash for a team keeps its bucket, and the others ask it by one datagram for each operation (some 3 ms). A VM that begins to keep a team, stood still or was without company starts without tokens. Nobody who keeps the team answers: an even part, drawn in parts of a token, which keepers leave to each VM that is not heard. Beacons carry no demands any more, groups only while somebody doubts a primary, and the names of VMs not heard, so that a cut one way is known at both ends.

Ruled out: a larger even part (wastes more), telling demand more often (the beacons were 60% of the bytes between failure domains already).

--- a/src/decide/quota.c
+++ b/src/decide/quota.c
@@ -1,72 +1,81 @@
 #include "decide/quota.h"
 
-#include <math.h>
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
-/* Part of a limit that is divided evenly, so that a VM without recent demand
- * serves its first requests. */
-#define EVEN_PART 0.25
-/* Demand is averaged over about this time. */
-#define DEMAND_US (1 * USEC_PER_SEC)
-/* Demand below this counts as none, operations a second. */
-#define DEMAND_MIN 0.05
-/* Demand counts as far as peers were told of it, so that all parts sum to one;
- * below this, operations a second, it counts at once. */
-#define DEMAND_FREE 2.0
-/* Demand that peers know nothing of may have begun everywhere: this part of it
- * is assumed at each of them. */
-#define SUDDEN_PART 0.5
 /* Longest time for which tokens are counted up at once. */
 #define REFILL_MAX_US (10 * USEC_PER_SEC)
+/*
+ * A VM's even part is counted up over this time only: the keeper may have given
+ * out the whole burst, and a site allows little more than the limit.
+ */
+#define RESERVE_US (200 * USEC_PER_MSEC)
+/* The VM itself, where an index of a peer is meant. */
+#define SELF HANDLE_NONE
+
+struct bucket {
+	double tokens;
+	usec_t at; /* counted up to then */
+};
 
 struct team {
 	char name[NAME_MAX_BYTES];
 	uint32_t rate;
 	uint32_t burst;
-	double tokens;
-	usec_t at;
-	double demand; /* of this VM, operations a second */
-	double told;   /* of it, what peers were told last */
-	usec_t demand_at;
-	double *peers; /* demand by peer, room for n_room */
-	uint32_t n_room;
+	uint32_t keeper; /* index of a peer, or SELF */
+	struct bucket whole;
+	struct bucket reserve;
 };
 
 struct peer {
 	char name[NAME_MAX_BYTES];
-	bool silent;
+	uint64_t hash;
+	bool heard;
+	bool live; /* heard, and stays: it may keep teams */
 	bool gone;
 };
 
 struct quota {
+	uint64_t hash; /* of this VM's name */
+	bool leaving;
+	bool company; /* at least half of the others are heard */
 	uint32_t n_teams;
 	uint32_t n_peers;
+	uint32_t n_heard;
+	uint32_t n_gone;
 	struct team *teams;
 	struct peer *peers;
 };
 
-static struct team *find_team(struct quota *q, const char *name);
+static struct team *find_team(const struct quota *q, const char *name);
 static uint32_t find_peer(struct quota *q, const char *name, bool make);
-static void decay(struct team *t, usec_t now);
-static double part(const struct quota *q, const struct team *t);
-static void refill(const struct quota *q, struct team *t, usec_t now);
-
-/* Makes an empty table; NULL if memory is short. */
-struct quota *quota_create(void)
+static uint64_t weight(const struct quota *q, const struct team *t,
+		       uint32_t peer);
+static void set_keeper(struct team *t, uint32_t keeper, usec_t now);
+static void choose_keeper(const struct quota *q, struct team *t, usec_t now);
+static void peer_changed(struct quota *q, uint32_t peer, bool live, usec_t now);
+static void weigh_company(struct quota *q, usec_t now);
+static uint32_t vms(const struct quota *q);
+static void refill(struct bucket *b, double per_s, double most, usec_t now);
+
+/* Makes an empty table for the VM named "self"; NULL if memory is short. */
+struct quota *quota_create(const char *self)
 {
-	return calloc(1, sizeof(struct quota));
+	struct quota *q = calloc(1, sizeof(*q));
+
+	if (!q)
+		return NULL;
+	q->hash = XXH3_64bits(self, strlen(self));
+	q->company = true;
+	return q;
 }
 
 /* Frees the table; NULL is allowed. */
 void quota_destroy(struct quota *q)
 {
-	uint32_t i;
-
 	if (!q)
 		return;
-	for (i = 0; i < q->n_teams; i++)
-		free(q->teams[i].peers);
 	free(q->teams);
 	free(q->peers);
 	free(q);
@@ -92,117 +101,140 @@
 		t = &q->teams[q->n_teams++];
 		memset(t, 0, sizeof(*t));
 		strncpy(t->name, team, sizeof(t->name) - 1);
-		t->at = now;
-		t->demand_at = now;
+		t->keeper = SELF;
+		t->whole.at = now;
+		t->reserve.at = now;
+		choose_keeper(q, t, now);
 	}
-	refill(q, t, now);
 	t->rate = rate_per_s;
 	t->burst = burst;
-	refill(q, t, now);
+	if (t->whole.tokens > burst)
+		t->whole.tokens = burst;
 	return true;
 }
 
-/* Counts an operation as demand, and takes a token if there is one. */
-bool quota_take(struct quota *q, const char *team, usec_t now,
-		usec_t *retry_after)
-{
-	struct team *t = find_team(q, team);
-	double per_s;
-
-	if (!t)
-		return true;
-	decay(t, now);
-	t->demand += (double)USEC_PER_SEC / (double)DEMAND_US;
-	refill(q, t, now);
-	if (t->tokens >= 1) {
-		t->tokens -= 1;
-		return true;
-	}
-	per_s = (double)t->rate * part(q, t);
-	*retry_after = per_s > 0 ? (usec_t)((1 - t->tokens) / per_s *
-					    (double)USEC_PER_SEC)
-				 : USEC_PER_SEC;
-	return false;
-}
-
-/* Notes a VM of the fleet. */
-void quota_peer(struct quota *q, const char *peer, bool silent)
+/* Notes whether a VM of the fleet is heard and can keep teams. */
+void quota_peer(struct quota *q, const char *peer, bool heard, bool leaves,
+		usec_t now)
 {
 	uint32_t i = find_peer(q, peer, true);
+	bool live = heard && !leaves;
 
 	if (i == HANDLE_NONE)
 		return;
-	q->peers[i].silent = silent;
-	q->peers[i].gone = false;
+	if (q->peers[i].gone) {
+		q->peers[i].gone = false;
+		q->n_gone--;
+	}
+	if (q->peers[i].heard != heard)
+		q->n_heard += heard ? 1 : (uint32_t)-1;
+	q->peers[i].heard = heard;
+	if (q->peers[i].live != live)
+		peer_changed(q, i, live, now);
+	weigh_company(q, now);
 }
 
 /* Notes that a VM has left for good. */
-void quota_peer_gone(struct quota *q, const char *peer)
+void quota_peer_gone(struct quota *q, const char *peer, usec_t now)
 {
 	uint32_t i = find_peer(q, peer, false);
 
-	if (i != HANDLE_NONE)
-		q->peers[i].gone = true;
+	if (i == HANDLE_NONE || q->peers[i].gone)
+		return;
+	if (q->peers[i].heard)
+		q->n_heard--;
+	q->peers[i].heard = false;
+	if (q->peers[i].live)
+		peer_changed(q, i, false, now);
+	q->peers[i].gone = true;
+	q->n_gone++;
+	weigh_company(q, now);
 }
 
-/* Takes all of a peer's demands for nothing. */
-void quota_peer_quiet(struct quota *q, const char *peer)
+/* Gives up all teams for good. */
+void quota_leave(struct quota *q, usec_t now)
 {
-	uint32_t i = find_peer(q, peer, false);
-	uint32_t t;
+	uint32_t i;
 
-	for (t = 0; i != HANDLE_NONE && t < q->n_teams; t++) {
-		if (i < q->teams[t].n_room)
-			q->teams[t].peers[i] = 0;
-	}
+	if (q->leaving)
+		return;
+	q->leaving = true;
+	for (i = 0; i < q->n_teams; i++)
+		choose_keeper(q, &q->teams[i], now);
 }
 
-/* Notes a peer's demand; unknown teams and peers are left out. */
-void quota_peer_demand(struct quota *q, const char *peer, const char *team,
-		       double per_s)
+/* Forgets all tokens. */
+void quota_lapse(struct quota *q, usec_t now)
 {
-	struct team *t = find_team(q, team);
-	uint32_t i = find_peer(q, peer, false);
-	double *more;
+	uint32_t i;
 
-	if (!t || i == HANDLE_NONE)
-		return;
-	if (i >= t->n_room) {
-		more = realloc(t->peers, q->n_peers * sizeof(*more));
-		if (!more)
-			return;
-		memset(more + t->n_room, 0,
-		       (q->n_peers - t->n_room) * sizeof(*more));
-		t->peers = more;
-		t->n_room = q->n_peers;
+	for (i = 0; i < q->n_teams; i++) {
+		q->teams[i].whole = (struct bucket){ .at = now };
+		q->teams[i].reserve = (struct bucket){ .at = now };
 	}
-	t->peers[i] = per_s > 0 && isfinite(per_s) ? per_s : 0;
 }
 
-/* Tells this VM's demand, team by team, and notes what was told. */
-void quota_demands(struct quota *q, usec_t now, quota_demand_fn fn, void *ctx)
+/* Names the peer that keeps a team. */
+const char *quota_keeper(const struct quota *q, const char *team)
 {
-	uint32_t i;
+	const struct team *t = find_team(q, team);
 
-	for (i = 0; i < q->n_teams; i++) {
-		struct team *t = &q->teams[i];
+	return !t || t->keeper == SELF ? NULL : q->peers[t->keeper].name;
+}
+
+/* Takes a token of the whole limit, less what is left to VMs not heard. */
+enum quota_answer quota_grant(struct quota *q, const char *team, usec_t now,
+			      usec_t *retry_after)
+{
+	struct team *t = find_team(q, team);
+	double heard;
 
-		decay(t, now);
-		t->told = t->demand >= DEMAND_MIN ? t->demand : 0;
-		if (t->told > 0)
-			fn(ctx, t->name, t->told);
+	if (!t)
+		return QUOTA_GRANTED;
+	if (t->keeper != SELF || !q->company || q->leaving)
+		return QUOTA_NOT_KEPT;
+	heard = (double)(1 + q->n_heard) / vms(q);
+	refill(&t->whole, t->rate * heard, t->burst * heard, now);
+	if (t->whole.tokens >= 1) {
+		t->whole.tokens -= 1;
+		return QUOTA_GRANTED;
 	}
+	*retry_after = t->rate > 0 ? (usec_t)((1 - t->whole.tokens) /
+					      (t->rate * heard) * USEC_PER_SEC)
+				   : USEC_PER_SEC;
+	return QUOTA_REFUSED;
 }
 
-/* Tells this VM's part; 0 for a team that is not known. */
-double quota_part(struct quota *q, const char *team)
+/*
+ * Takes a token of this VM's even part. That is far less than one where VMs
+ * are many, so a part of a token lets an operation in as often as it says.
+ */
+bool quota_reserve(struct quota *q, const char *team, usec_t now, double draw,
+		   usec_t *retry_after)
 {
-	const struct team *t = find_team(q, team);
+	struct team *t = find_team(q, team);
+	double rate;
 
-	return t ? part(q, t) : 0;
+	if (!t)
+		return true;
+	rate = (double)t->rate / vms(q);
+	refill(&t->reserve, rate,
+	       rate * (double)RESERVE_US / (double)USEC_PER_SEC, now);
+	if (t->reserve.tokens >= 1) {
+		t->reserve.tokens -= 1;
+		return true;
+	}
+	if (draw < t->reserve.tokens) {
+		t->reserve.tokens = 0;
+		return true;
+	}
+	/* The draw is made once for this part. */
+	t->reserve.tokens = 0;
+	*retry_after = rate > 1 ? (usec_t)(USEC_PER_SEC / rate) : USEC_PER_SEC;
+	return false;
 }
 
-static struct team *find_team(struct quota *q, const char *name)
+static struct team *find_team(const struct quota *q, const char *name)
 {
 	uint32_t i;
 
@@ -231,68 +263,89 @@
 	q->peers = more;
 	memset(&q->peers[q->n_peers], 0, sizeof(*more));
 	strncpy(q->peers[q->n_peers].name, name, NAME_MAX_BYTES - 1);
+	q->peers[q->n_peers].hash = XXH3_64bits(name, strlen(name));
 	return q->n_peers++;
 }
 
-/* Lets the demand fade with time. */
-static void decay(struct team *t, usec_t now)
+/* The VM with the highest weight keeps the team (rendezvous hashing). */
+static uint64_t weight(const struct quota *q, const struct team *t,
+		       uint32_t peer)
 {
-	usec_t since = now - t->demand_at;
+	uint64_t hash = peer == SELF ? q->hash : q->peers[peer].hash;
+
+	return XXH3_64bits_withSeed(t->name, strlen(t->name), hash);
+}
 
-	if (since <= 0)
+/* A VM that begins to keep a team starts without tokens. */
+static void set_keeper(struct team *t, uint32_t keeper, usec_t now)
+{
+	if (t->keeper == keeper)
 		return;
-	t->demand *= exp(-(double)since / (double)DEMAND_US);
-	t->demand_at = now;
+	t->keeper = keeper;
+	if (keeper == SELF)
+		t->whole = (struct bucket){ .at = now };
 }
 
-/*
- * This VM's part of the whole: an even share of what is divided evenly, and
- * of the rest as much as it has of the demand of all VMs that are heard. What
- * VMs that are not heard may be using, an even part each, is left to them.
- */
-static double part(const struct quota *q, const struct team *t)
+/* Finds the keeper among all; a VM that leaves keeps what nobody else can. */
+static void choose_keeper(const struct quota *q, struct team *t, usec_t now)
 {
-	double others = 0;
-	double mine = fmax(t->told, fmin(t->demand, DEMAND_FREE));
-	uint32_t silent = 0;
-	uint32_t vms = 1;
-	double even;
+	uint32_t best = SELF;
 	uint32_t i;
 
 	for (i = 0; i < q->n_peers; i++) {
-		if (q->peers[i].gone)
+		if (!q->peers[i].live)
 			continue;
-		vms++;
-		if (q->peers[i].silent)
-			silent++;
-		else if (i < t->n_room)
-			others += t->peers[i];
+		if ((best == SELF && q->leaving) ||
+		    weight(q, t, i) > weight(q, t, best))
+			best = i;
 	}
-	even = 1.0 / vms;
-	if (t->told <= 0)
-		others = fmax(others, mine * SUDDEN_PART * (vms - 1 - silent));
-	if (mine + others < DEMAND_MIN)
-		return even;
-	return (1 - silent * even) * (EVEN_PART / (vms - silent) +
-				      (1 - EVEN_PART) * mine / (mine + others));
+	set_keeper(t, best, now);
+}
+
+/* One VM came or went: only the teams that it keeps, or kept, change. */
+static void peer_changed(struct quota *q, uint32_t peer, bool live, usec_t now)
+{
+	uint32_t i;
+
+	q->peers[peer].live = live;
+	for (i = 0; i < q->n_teams; i++) {
+		struct team *t = &q->teams[i];
+
+		if (!live && t->keeper == peer)
+			choose_keeper(q, t, now);
+		else if (live && ((t->keeper == SELF && q->leaving) ||
+				  weight(q, t, peer) > weight(q, t, t->keeper)))
+			set_keeper(t, peer, now);
+	}
+}
+
+/* Others kept the teams while this VM was without company. */
+static void weigh_company(struct quota *q, usec_t now)
+{
+	bool company = q->n_heard * 2 >= q->n_peers - q->n_gone;
+
+	if (company && !q->company)
+		quota_lapse(q, now);
+	q->company = company;
+}
+
+/* VMs that may let operations in, heard or not. */
+static uint32_t vms(const struct quota *q)
+{
+	return 1 + q->n_peers - q->n_gone;
 }
 
-/* Adds the tokens of the time since, up to this VM's part of the burst. */
-static void refill(const struct quota *q, struct team *t, usec_t now)
+/* Adds the tokens of the time since, up to "most". */
+static void refill(struct bucket *b, double per_s, double most, usec_t now)
 {
-	double mine = part(q, t);
-	double most = t->burst * mine;
-	usec_t since = now - t->at;
+	usec_t since = now - b->at;
 
 	if (since < 0)
 		since = 0;
 	if (since > REFILL_MAX_US)
 		since = REFILL_MAX_US;
-	t->tokens +=
-		(double)t->rate * mine * (double)since / (double)USEC_PER_SEC;
-	t->at = now;
-	if (most < 1)
-		most = 1;
-	if (t->tokens > most)
-		t->tokens = most;
+	b->tokens += per_s * (double)since / (double)USEC_PER_SEC;
+	b->at = now;
+	if (b->tokens > most)
+		b->tokens = most;
 }
--- a/src/decide/quota.h
+++ b/src/decide/quota.h
@@ -4,46 +4,58 @@
 #include "decide/types.h"
 
 /*
- * A team's rate and burst, divided over the VMs by their demand. Each VM holds
- * a token bucket with its part of both; the parts sum to one while all VMs
- * hear each other. A part of the whole is kept for each VM whatever its
- * demand, and a VM that is not heard keeps an even part, so that a cut or a
- * frozen VM takes away no more than that. No storage and no lease is needed:
- * all that is shared is each VM's demand, told every few hundred milliseconds.
- * Times are of the suspend-aware clock, in microseconds.
+ * A team's rate and burst over all VMs. One VM keeps each team's token bucket
+ * and the others ask it: the live VM with the highest hash for the team, so
+ * that all agree as far as they hear the same VMs. A VM that begins to keep a
+ * team starts without tokens, since another may have given them out a moment
+ * ago. One that hears fewer than half of the others keeps nothing.
+ *
+ * While nobody who keeps the team can be asked, a VM lets in an even part of
+ * its rate by itself; keepers leave that much to each VM that they don't hear.
+ * No storage and no lease is needed, and all VMs may fail at once. Times are
+ * of the suspend-aware clock, in microseconds.
  */
 struct quota;
 
 #define QUOTA_TEAMS_MAX 4096
-#define QUOTA_PEERS_MAX 1024
+#define QUOTA_PEERS_MAX 8192
 
-struct quota *quota_create(void);
+struct quota *quota_create(const char *self);
 void quota_destroy(struct quota *q);
 
 /* Sets a team's limit; tokens beyond a lower one are dropped. */
 bool quota_limit(struct quota *q, const char *team, uint32_t rate_per_s,
 		 uint32_t burst, usec_t now);
+/* Another VM of the fleet: do both hear each other, and does it leave? */
+void quota_peer(struct quota *q, const char *peer, bool heard, bool leaves,
+		usec_t now);
+/* It will not come back: nothing is left to it. */
+void quota_peer_gone(struct quota *q, const char *peer, usec_t now);
+/* This VM stops: others keep its teams from now on. */
+void quota_leave(struct quota *q, usec_t now);
+/* This VM stood still: others have kept its teams meanwhile. */
+void quota_lapse(struct quota *q, usec_t now);
+
+/* The peer that keeps a team; NULL: this VM, or the team is not known. */
+const char *quota_keeper(const struct quota *q, const char *team);
+
+enum quota_answer {
+	QUOTA_GRANTED,
+	QUOTA_REFUSED, /* over the rate */
+	QUOTA_NOT_KEPT /* not by this VM, as far as it knows */
+};
+
+/*
+ * One operation of a team, at the VM that keeps it. If refused, "retry_after"
+ * is the time until the next token. A team without a limit is let in.
+ */
+enum quota_answer quota_grant(struct quota *q, const char *team, usec_t now,
+			      usec_t *retry_after);
 /*
- * Counts one operation and takes a token for it. If there is none, returns
- * false with the time after which it may come back, in microseconds.
+ * The same from this VM's even part, when no keeper answers. "draw", 0 to 1
+ * and drawn anew each time, decides on parts of a token.
  */
-bool quota_take(struct quota *q, const char *team, usec_t now,
-		usec_t *retry_after);
-
-/* A VM of the fleet, heard or not; "silent" if nothing came of it lately. */
-void quota_peer(struct quota *q, const char *peer, bool silent);
-/* It will not come back. */
-void quota_peer_gone(struct quota *q, const char *peer);
-/* Forgets a peer's demands; what it still has is told anew. */
-void quota_peer_quiet(struct quota *q, const char *peer);
-/* A peer's demand for a team, in operations a second. */
-void quota_peer_demand(struct quota *q, const char *peer, const char *team,
-		       double per_s);
-
-typedef void (*quota_demand_fn)(void *ctx, const char *team, double per_s);
-/* This VM's demand for each team it has any for, to be told to all peers. */
-void quota_demands(struct quota *q, usec_t now, quota_demand_fn fn, void *ctx);
-/* This VM's part of a team's limit, 0 to 1. */
-double quota_part(struct quota *q, const char *team);
+bool quota_reserve(struct quota *q, const char *team, usec_t now, double draw,
+		   usec_t *retry_after);
 
 #endif
--- a/src/kernel/latency.h
+++ b/src/kernel/latency.h
@@ -11,7 +11,8 @@
 	X(DATABASE, "database_seconds", "answers of databases")             \
 	X(WAIT, "wait_seconds", "statements before they were sent")         \
 	X(CONNECT, "connect_seconds", "new connections to databases")       \
-	X(PLATFORM, "platform_seconds", "calls to the platform")
+	X(PLATFORM, "platform_seconds", "calls to the platform")            \
+	X(LIMIT, "limit_seconds", "questions for tokens of team limits")
 
 enum latency {
 #define X(id, name, help) LATENCY_##id,
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -17,47 +17,48 @@
  * Number ranges: 1xxx kernel, 2xxx callers, 3xxx databases, 4xxx promotion,
  * 5xxx teams and limits, 6xxx configuration and platform, 7xxx peers.
  */
-#define EVENT_TABLE(X)                                                     \
-	X(1001, VM_START, INFO, "VM starts")                               \
-	X(1002, VM_READY, INFO, "VM serves callers")                       \
-	X(1003, VM_DRAIN, INFO, "drain begins")                            \
-	X(1004, VM_STOP, INFO, "VM stops")                                 \
-	X(1005, VM_FAIL, ERROR, "VM cannot start")                         \
-	X(1006, LOG_DROPPED, WARN, "log lines were left out")              \
-	X(2001, CALLER_REFUSED, DEBUG, "request refused")                  \
-	X(2002, CALLER_UNKNOWN, WARN, "outcome of a request unknown")      \
-	X(2003, STATEMENT_DONE, INFO, "statement answered")                \
-	X(2004, STATEMENT_REFUSED, INFO, "statement refused or failed")    \
-	X(2005, STATEMENT_AGAIN, INFO, "statement tried elsewhere")        \
-	X(2006, TRANSACTION_IDLE, INFO, "idle transaction ended")          \
-	X(2007, TRANSACTION_LOST, WARN, "transaction lost its connection") \
-	X(3001, DB_LOST, WARN, "database does not answer")                 \
-	X(3002, DB_BACK, INFO, "database answers again")                   \
-	X(3003, DB_SUSPECT, WARN, "connection closed after overdue reply") \
-	X(3004, DB_JOINED, INFO, "database registered")                    \
-	X(3005, DB_LEFT, INFO, "database left the registry")               \
-	X(3006, DB_DEPARTS, INFO, "database departs, or no longer does")   \
-	X(3007, BACKEND_OPENED, INFO, "connection to a database opened")   \
-	X(3008, BACKEND_CLOSED, INFO, "connection to a database closed")   \
-	X(4001, PROMOTE_SUSPECT, WARN, "primary suspected")                \
-	X(4002, PROMOTE_CLAIM, INFO, "term claimed")                       \
-	X(4003, PROMOTE_FENCE, INFO, "group fenced by majority")           \
-	X(4004, PROMOTE_DONE, INFO, "database promoted")                   \
-	X(4005, PROMOTE_PUBLISH, INFO, "new primary published")            \
-	X(4006, PROMOTE_GIVE_UP, WARN, "promotion given up")               \
-	X(4007, PROMOTE_VIEW, INFO, "new primary known")                   \
-	X(4008, HANDOVER_START, INFO, "planned hand-over begins")          \
-	X(4009, SUCCESSION, INFO, "change of primary moves on")            \
-	X(5001, ESCROW_RECOUNT, INFO, "recount of a team limit")           \
-	X(5002, TEAM_REFUSED, DEBUG, "request over the team's rate")       \
-	X(6001, CONFIG_APPLIED, INFO, "configuration object applied")      \
-	X(6002, CONFIG_REFUSED, WARN, "configuration object refused")      \
-	X(6003, PLATFORM_DOWN, WARN, "platform does not answer")           \
-	X(6004, PLATFORM_BACK, INFO, "platform answers again")             \
-	X(6005, AUDIT, INFO, "administrative change")                      \
-	X(6006, SETTINGS_RELOADED, INFO, "settings file read again")       \
-	X(7001, PEER_BAD_MESSAGE, WARN, "message of a peer refused")       \
-	X(7002, PEER_JOINED, INFO, "VM joined")                            \
+#define EVENT_TABLE(X)                                                      \
+	X(1001, VM_START, INFO, "VM starts")                                \
+	X(1002, VM_READY, INFO, "VM serves callers")                        \
+	X(1003, VM_DRAIN, INFO, "drain begins")                             \
+	X(1004, VM_STOP, INFO, "VM stops")                                  \
+	X(1005, VM_FAIL, ERROR, "VM cannot start")                          \
+	X(1006, LOG_DROPPED, WARN, "log lines were left out")               \
+	X(2001, CALLER_REFUSED, DEBUG, "request refused")                   \
+	X(2002, CALLER_UNKNOWN, WARN, "outcome of a request unknown")       \
+	X(2003, STATEMENT_DONE, INFO, "statement answered")                 \
+	X(2004, STATEMENT_REFUSED, INFO, "statement refused or failed")     \
+	X(2005, STATEMENT_AGAIN, INFO, "statement tried elsewhere")         \
+	X(2006, TRANSACTION_IDLE, INFO, "idle transaction ended")           \
+	X(2007, TRANSACTION_LOST, WARN, "transaction lost its connection")  \
+	X(3001, DB_LOST, WARN, "database does not answer")                  \
+	X(3002, DB_BACK, INFO, "database answers again")                    \
+	X(3003, DB_SUSPECT, WARN, "connection closed after overdue reply")  \
+	X(3004, DB_JOINED, INFO, "database registered")                     \
+	X(3005, DB_LEFT, INFO, "database left the registry")                \
+	X(3006, DB_DEPARTS, INFO, "database departs, or no longer does")    \
+	X(3007, BACKEND_OPENED, INFO, "connection to a database opened")    \
+	X(3008, BACKEND_CLOSED, INFO, "connection to a database closed")    \
+	X(4001, PROMOTE_SUSPECT, WARN, "primary suspected")                 \
+	X(4002, PROMOTE_CLAIM, INFO, "term claimed")                        \
+	X(4003, PROMOTE_FENCE, INFO, "group fenced by majority")            \
+	X(4004, PROMOTE_DONE, INFO, "database promoted")                    \
+	X(4005, PROMOTE_PUBLISH, INFO, "new primary published")             \
+	X(4006, PROMOTE_GIVE_UP, WARN, "promotion given up")                \
+	X(4007, PROMOTE_VIEW, INFO, "new primary known")                    \
+	X(4008, HANDOVER_START, INFO, "planned hand-over begins")           \
+	X(4009, SUCCESSION, INFO, "change of primary moves on")             \
+	X(5001, ESCROW_RECOUNT, INFO, "recount of a team limit")            \
+	X(5002, TEAM_REFUSED, DEBUG, "request over the team's rate")        \
+	X(5003, LIMIT_ALONE, INFO, "team limit decided without its keeper") \
+	X(6001, CONFIG_APPLIED, INFO, "configuration object applied")       \
+	X(6002, CONFIG_REFUSED, WARN, "configuration object refused")       \
+	X(6003, PLATFORM_DOWN, WARN, "platform does not answer")            \
+	X(6004, PLATFORM_BACK, INFO, "platform answers again")              \
+	X(6005, AUDIT, INFO, "administrative change")                       \
+	X(6006, SETTINGS_RELOADED, INFO, "settings file read again")        \
+	X(7001, PEER_BAD_MESSAGE, WARN, "message of a peer refused")        \
+	X(7002, PEER_JOINED, INFO, "VM joined")                             \
 	X(7003, PEER_GONE, WARN, "VM gone")
 
 enum event_id {
--- a/src/proxy/beacon.c
+++ b/src/proxy/beacon.c
@@ -15,11 +15,11 @@
 
 /*
  * Every VM tells every other, a few times a second and in one datagram each,
- * what it demands of each team's limit and what it hears of each primary. A
- * lost datagram is made up for by the next; nothing is acknowledged.
+ * that it lives, whom it does not hear and what it hears of primaries that
+ * someone misses. A lost datagram is made up for by the next; nothing is
+ * acknowledged. The same socket carries the questions of limits.c.
  */
 
-#define BEACON_VERSION 1
 /* Each VM adds this much to the pause between two beacons, so that what one
  * VM sends and takes in does not grow with the fleet. */
 #define PER_PEER_US (6 * USEC_PER_MSEC)
@@ -27,13 +27,35 @@
 #define MISSED_MAX 4
 #define PEERS_MAX  QUOTA_PEERS_MAX
 /* Groups of one beacon. */
-#define GROUPS_MAX	   64
+#define GROUPS_MAX 64
+/* VMs named in one beacon as not heard. */
+#define SILENT_MAX 64
+/* A change of a group's primary is told for so long, in each beacon. */
+#define NEWS_US (5 * USEC_PER_SEC)
+/* A VM silent for so long has been removed; one that is only frozen or cut off
+ * is so for seconds. */
+#define GONE_US (30 * USEC_PER_SEC)
+/*
+ * A primary that has left something unanswered for so long is told of, so that
+ * others say whether they hear it: a quarter of the time after which it is
+ * missed.
+ */
+#define WAITS_US (150 * USEC_PER_MSEC)
+/* A pause between two ticks in which others took this VM for silent. */
+#define STOOD_STILL_US	   (500 * USEC_PER_MSEC)
 #define DATAGRAM_MAX_BYTES 60000
 
+/* What a VM says of a primary that it can't say it hears. */
+enum doubt {
+	DOUBT_NONE,
+	DOUBT_MISS,  /* would replace it */
+	DOUBT_WAITS, /* waits for an answer for longer than is usual */
+};
+
 struct heard_group {
 	char service[NAME_MAX_BYTES];
 	bool hear;
-	bool miss;
+	enum doubt doubt;
 	bool at_work;
 };
 
@@ -45,6 +67,8 @@
 	uint64_t incarnation;
 	usec_t heard_at; /* 0: never */
 	bool silent;
+	bool deaf; /* it does not hear this VM, as it says */
+	bool gone;
 	bool draining;
 	uint32_t n_groups;
 	struct heard_group groups[GROUPS_MAX];
@@ -58,20 +82,27 @@
 	struct peer_vm **peers;
 	usec_t due;
 	usec_t alone_at; /* most others were not heard then */
-	msgpack_packer *packing;
-	uint32_t demands;
+	usec_t ticked_at;
+	bool left;
 };
 
 static void send_all(struct beacon *b, usec_t now);
 static void pack(struct beacon *b, msgpack_sbuffer *buf, usec_t now);
 static void pack_group(msgpack_packer *p, struct pgroup *g, usec_t now);
-static void count_demand(void *ctx, const char *team, double per_s);
-static void pack_demand(void *ctx, const char *team, double per_s);
+static void pack_silent(const struct beacon *b, msgpack_packer *p);
+static bool to_tell(const struct beacon *b, struct pgroup *g, usec_t now);
+static enum doubt doubt_of(struct pgroup *g, usec_t now);
+static void tell_quota(struct beacon *b, const struct peer_vm *v, usec_t now);
 static void on_readable(evutil_socket_t fd, short what, void *ctx);
 static void take(struct beacon *b, const char *data, size_t len,
 		 const struct sockaddr_storage *from, socklen_t from_len);
+static bool take_beacon(struct beacon *b, struct wire_reader *r,
+			const struct sockaddr_storage *from,
+			socklen_t from_len);
+static bool names_self(const struct beacon *b, struct wire_reader r);
 static void take_groups(struct beacon *b, struct peer_vm *v,
 			struct wire_reader r);
+static enum doubt doubt_from(uint64_t v);
 static struct peer_vm *find(struct beacon *b, const char *name, bool make);
 static bool hears(struct pgroup *g, usec_t now);
 static usec_t pause_of(const struct beacon *b);
@@ -131,19 +162,32 @@
 {
 	uint32_t i;
 
+	if (b->ticked_at && now - b->ticked_at > STOOD_STILL_US)
+		quota_lapse(b->proxy->quota, now);
+	b->ticked_at = now;
+	if (b->proxy->draining && !b->left) {
+		b->left = true;
+		quota_leave(b->proxy->quota, now);
+	}
 	for (i = 0; i < b->n; i++) {
 		struct peer_vm *v = b->peers[i];
 		bool silent = v->heard_at == 0 ||
 			      now - v->heard_at > MISSED_MAX * pause_of(b);
 
+		if (v->silent && !v->gone && v->heard_at &&
+		    now - v->heard_at > GONE_US) {
+			v->gone = true;
+			quota_peer_gone(b->proxy->quota, v->name, now);
+		}
 		if (silent == v->silent)
 			continue;
 		v->silent = silent;
+		v->gone = false;
 		log_event(silent ? EV_PEER_GONE : EV_PEER_JOINED,
 			  "peer=%s incarnation=%llu silent_us=%lld", v->name,
 			  (unsigned long long)v->incarnation,
 			  (long long)(v->heard_at ? now - v->heard_at : 0));
-		quota_peer(b->proxy->quota, v->name, silent);
+		tell_quota(b, v, now);
 	}
 	if (beacon_live(b) * 2 < b->n)
 		b->alone_at = now;
@@ -245,7 +289,8 @@
 			if (strcmp(g->service, service) != 0)
 				continue;
 			o.hear += g->hear;
-			o.miss += g->miss;
+			o.miss += g->doubt == DOUBT_MISS;
+			o.doubt |= g->doubt != DOUBT_NONE;
 			o.at_work |= g->at_work;
 		}
 	}
@@ -271,19 +316,24 @@
 	msgpack_sbuffer_destroy(&buf);
 }
 
-/* [version, name, domain, incarnation, draining, news, groups, demands] */
+/* [kind, name, domain, incarnation, draining, news, groups, silent] */
 static void pack(struct beacon *b, msgpack_sbuffer *buf, usec_t now)
 {
 	struct proxy *p = b->proxy;
 	const struct settings *s = &p->kernel->settings;
 	struct registry_news news = registry_news(p->registry, now);
+	struct pgroup *tell[GROUPS_MAX];
 	msgpack_packer packer;
-	uint32_t n = p->n_groups < GROUPS_MAX ? p->n_groups : GROUPS_MAX;
+	uint32_t n = 0;
 	uint32_t i;
 
+	for (i = 0; i < p->n_groups && n < GROUPS_MAX; i++) {
+		if (to_tell(b, p->groups[i], now))
+			tell[n++] = p->groups[i];
+	}
 	msgpack_packer_init(&packer, buf, msgpack_sbuffer_write);
 	msgpack_pack_array(&packer, 8);
-	msgpack_pack_uint32(&packer, BEACON_VERSION);
+	msgpack_pack_uint32(&packer, PEER_BEACON);
 	wire_put_str(&packer, s->vm);
 	wire_put_str(&packer, s->domain);
 	msgpack_pack_uint64(&packer, p->kernel->incarnation);
@@ -297,49 +347,95 @@
 	msgpack_pack_uint64(&packer, news.age_ms);
 	msgpack_pack_array(&packer, n);
 	for (i = 0; i < n; i++)
-		pack_group(&packer, p->groups[i], now);
-	b->demands = 0;
-	quota_demands(p->quota, now, count_demand, b);
-	msgpack_pack_array(&packer, (size_t)b->demands * 2);
-	b->packing = &packer;
-	quota_demands(p->quota, now, pack_demand, b);
-	b->packing = NULL;
+		pack_group(&packer, tell[i], now);
+	pack_silent(b, &packer);
 }
 
-/* [service, primary, term, hear, miss, at work] */
+/*
+ * A group is told of while this VM or another doubts its primary or is at
+ * work on it, and for a while after its primary has changed.
+ */
+static bool to_tell(const struct beacon *b, struct pgroup *g, usec_t now)
+{
+	struct beacon_opinion o = beacon_opinion(b, g->service);
+
+	return g->succession.phase != SUCCESSION_IDLE || o.doubt || o.at_work ||
+	       now - g->led_at < NEWS_US || doubt_of(g, now) != DOUBT_NONE;
+}
+
+/* What this VM thinks of a group's primary. */
+static enum doubt doubt_of(struct pgroup *g, usec_t now)
+{
+	enum succession_cause cause = failover_cause(g, now);
+	const struct pdb *d;
+
+	if (g->primary == DB_NONE)
+		return DOUBT_NONE;
+	if (cause == SUCCESSION_SILENT || cause == SUCCESSION_REFUSED)
+		return DOUBT_MISS;
+	d = &g->db[g->primary];
+	return d->silent_since && now - d->silent_since > WAITS_US ? DOUBT_WAITS
+								   : DOUBT_NONE;
+}
+
+/* The names of VMs that are listed, but not heard. */
+static void pack_silent(const struct beacon *b, msgpack_packer *p)
+{
+	uint32_t n = 0;
+	uint32_t i;
+
+	for (i = 0; i < b->n && n < SILENT_MAX; i++)
+		n += b->peers[i]->silent && !b->peers[i]->gone;
+	msgpack_pack_array(p, n);
+	for (i = 0; i < b->n && n > 0; i++) {
+		if (!b->peers[i]->silent || b->peers[i]->gone)
+			continue;
+		wire_put_str(p, b->peers[i]->name);
+		n--;
+	}
+}
+
+/* [service, primary, term, hear, doubt, at work] */
 static void pack_group(msgpack_packer *p, struct pgroup *g, usec_t now)
 {
 	bool known = g->primary != DB_NONE;
 	bool hear = known && hears(g, now);
-	enum succession_cause cause = failover_cause(g, now);
-	bool miss = known &&
-		    (cause == SUCCESSION_SILENT || cause == SUCCESSION_REFUSED);
 
 	msgpack_pack_array(p, 6);
 	wire_put_str(p, g->service);
 	wire_put_str(p, known ? g->db[g->primary].id : "");
 	msgpack_pack_uint64(p, g->lead.term);
 	msgpack_pack_uint32(p, hear);
-	msgpack_pack_uint32(p, miss);
+	msgpack_pack_uint32(p, doubt_of(g, now));
 	msgpack_pack_uint32(p, g->succession.phase != SUCCESSION_IDLE);
 }
 
-static void count_demand(void *ctx, const char *team, double per_s)
+/* A VM can be asked if it and this one hear each other. */
+static void tell_quota(struct beacon *b, const struct peer_vm *v, usec_t now)
 {
-	struct beacon *b = ctx;
-
-	(void)team;
-	(void)per_s;
-	b->demands++;
+	quota_peer(b->proxy->quota, v->name, !v->silent && !v->deaf,
+		   v->draining, now);
 }
 
-/* team, operations in 1000 seconds */
-static void pack_demand(void *ctx, const char *team, double per_s)
+/* Sends to a peer by name. */
+void beacon_send(struct beacon *b, const char *peer, const void *data,
+		 size_t len)
 {
-	struct beacon *b = ctx;
+	struct peer_vm *v = find(b, peer, false);
 
-	wire_put_str(b->packing, team);
-	msgpack_pack_uint64(b->packing, (uint64_t)(per_s * 1000));
+	if (v)
+		beacon_reply(b, (struct sockaddr *)&v->to, v->to_len, data,
+			     len);
+}
+
+/* Sends to an address; what the socket does not take is lost. */
+void beacon_reply(struct beacon *b, const struct sockaddr *to, socklen_t to_len,
+		  const void *data, size_t len)
+{
+	if (sendto(b->fd, data, len, MSG_DONTWAIT, to, to_len) == -1)
+		return;
+	counter_add(CTR_PEER_SENT, 1);
+	counter_add(CTR_PEER_SENT_BYTES, len);
 }
 
 /* Takes in all datagrams that wait. */
@@ -362,66 +458,94 @@
 	}
 }
 
-/* Takes in one beacon; one of an earlier incarnation is dropped. */
+/* Takes in one datagram; its first field tells its kind. */
 static void take(struct beacon *b, const char *data, size_t len,
 		 const struct sockaddr_storage *from, socklen_t from_len)
 {
-	struct wire_reader r;
+	struct wire_reader r = { .bad = true };
+	msgpack_unpacked u;
+
+	counter_add(CTR_PEER_RECEIVED, 1);
+	counter_add(CTR_PEER_RECEIVED_BYTES, len);
+	msgpack_unpacked_init(&u);
+	if (wire_unpack(&u, data, len))
+		r = wire_array(&u.data, 3);
+	switch (wire_u64(&r)) {
+	case PEER_BEACON:
+		r.bad |= !take_beacon(b, &r, from, from_len);
+		break;
+	case PEER_ASK:
+		limits_take_ask(b->proxy->limits, &r,
+				(const struct sockaddr *)from, from_len);
+		break;
+	case PEER_GRANT:
+		limits_take_grant(b->proxy->limits, &r);
+		break;
+	default:
+		r.bad = true;
+		break;
+	}
+	if (r.bad)
+		counter_add(CTR_PEER_BAD, 1);
+	msgpack_unpacked_destroy(&u);
+}
+
+/* Takes in one beacon; false for one of an earlier incarnation, or a bad one.
+ */
+static bool take_beacon(struct beacon *b, struct wire_reader *r,
+			const struct sockaddr_storage *from, socklen_t from_len)
+{
 	struct wire_reader groups;
-	struct wire_reader demands;
+	struct wire_reader silent;
 	struct wire_reader told;
 	struct registry_news news;
 	char name[NAME_MAX_BYTES];
 	char domain[NAME_MAX_BYTES];
-	char team[NAME_MAX_BYTES];
 	uint64_t incarnation;
-	msgpack_unpacked u;
 	struct peer_vm *v;
 	bool draining;
 
-	counter_add(CTR_PEER_RECEIVED, 1);
-	counter_add(CTR_PEER_RECEIVED_BYTES, len);
-	msgpack_unpacked_init(&u);
-	if (!wire_unpack(&u, data, len))
-		goto bad;
-	r = wire_array(&u.data, 8);
-	if (wire_u64(&r) != BEACON_VERSION)
-		goto bad;
-	wire_str(&r, name, sizeof(name));
-	wire_str(&r, domain, sizeof(domain));
-	incarnation = wire_u64(&r);
-	draining = wire_bool(&r);
-	told = wire_sub(&r, 3);
+	wire_str(r, name, sizeof(name));
+	wire_str(r, domain, sizeof(domain));
+	incarnation = wire_u64(r);
+	draining = wire_bool(r);
+	told = wire_sub(r, 3);
 	news.catalog = wire_u64(&told);
 	news.databases = wire_u64(&told);
 	news.age_ms = wire_u64(&told);
-	groups = wire_sub(&r, GROUPS_MAX);
-	demands = wire_sub(&r, QUOTA_TEAMS_MAX * 2);
-	if (r.bad || told.bad || name[0] == '\0' ||
+	groups = wire_sub(r, GROUPS_MAX);
+	silent = wire_sub(r, SILENT_MAX);
+	if (r->bad || told.bad || name[0] == '\0' ||
 	    strcmp(name, b->proxy->kernel->settings.vm) == 0)
-		goto bad;
+		return false;
 	v = find(b, name, true);
 	if (!v || incarnation < v->incarnation)
-		goto bad;
+		return false;
 	v->incarnation = incarnation;
 	v->heard_at = proxy_now();
 	v->draining = draining;
+	v->deaf = names_self(b, silent);
 	v->to = *from;
 	v->to_len = from_len;
 	snprintf(v->domain, sizeof(v->domain), "%s", domain);
 	take_groups(b, v, groups);
-	quota_peer_quiet(b->proxy->quota, name);
-	while (demands.left >= 2 && !demands.bad) {
-		wire_str(&demands, team, sizeof(team));
-		quota_peer_demand(b->proxy->quota, name, team,
-				  (double)wire_u64(&demands) / 1000);
-	}
-	msgpack_unpacked_destroy(&u);
+	if (!v->silent)
+		tell_quota(b, v, v->heard_at);
 	registry_peer_news(b->proxy->registry, &news, v->heard_at);
-	return;
-bad:
-	msgpack_unpacked_destroy(&u);
-	counter_add(CTR_PEER_BAD, 1);
+	return true;
+}
+
+/* Is this VM among those that the peer does not hear? */
+static bool names_self(const struct beacon *b, struct wire_reader r)
+{
+	char name[NAME_MAX_BYTES];
+
+	while (r.left > 0 && !r.bad) {
+		wire_str(&r, name, sizeof(name));
+		if (strcmp(name, b->proxy->kernel->settings.vm) == 0)
+			return true;
+	}
+	return false;
 }
 
 /* What the peer says of each group; a later primary is taken over. */
@@ -442,7 +566,7 @@
 		wire_str(&e, primary, sizeof(primary));
 		term = wire_u64(&e);
 		h->hear = wire_u64(&e) != 0;
-		h->miss = wire_u64(&e) != 0;
+		h->doubt = doubt_from(wire_u64(&e));
 		h->at_work = wire_u64(&e) != 0;
 		if (e.bad || r.bad)
 			return;
@@ -458,11 +582,18 @@
 		/* An opinion counts for the primary that this VM means. */
 		if (term != g->lead.term) {
 			h->hear = false;
-			h->miss = false;
+			h->doubt = DOUBT_NONE;
 		}
 	}
 }
 
+static enum doubt doubt_from(uint64_t v)
+{
+	return v == DOUBT_MISS	  ? DOUBT_MISS
+	       : v == DOUBT_WAITS ? DOUBT_WAITS
+				  : DOUBT_NONE;
+}
+
 /* Finds a peer, or makes one that has not been heard yet. */
 static struct peer_vm *find(struct beacon *b, const char *name, bool make)
 {
@@ -485,8 +616,8 @@
 		return NULL;
 	snprintf(v->name, sizeof(v->name), "%s", name);
 	v->silent = true;
-	quota_peer(b->proxy->quota, name, true);
 	b->peers[b->n++] = v;
+	tell_quota(b, v, proxy_now());
 	return v;
 }
 
--- a/src/proxy/cluster.c
+++ b/src/proxy/cluster.c
@@ -182,6 +182,7 @@
 		g->paused_since = 0;
 	}
 	g->primary = db;
+	g->led_at = now;
 	g->db[db].says_primary = true;
 	g->db[db].led_term = term;
 	succession_superseded(&g->succession, now);
--- a/src/proxy/dispatch.c
+++ b/src/proxy/dispatch.c
@@ -62,6 +62,8 @@
 {
 	struct backend *b = s->held;
 
+	if (s->task.stage == TASK_ADMITTING)
+		limits_cancel(s->proxy->limits, s);
 	if (s->task.stage == TASK_WAITING) {
 		TAILQ_REMOVE(&s->group->waiting, s, wait);
 		s->group->n_waiting--;
--- a/src/proxy/proxy.c
+++ b/src/proxy/proxy.c
@@ -120,6 +120,12 @@
 	return p->random[--p->random_left];
 }
 
+/* A number from 0 to 1: 53 random bits, as many as a double holds. */
+double proxy_draw(struct proxy *p)
+{
+	return (double)(proxy_random(p) >> 11) / 9007199254740992.0;
+}
+
 /* Can this VM serve callers that come now? */
 bool proxy_is_ready(const struct proxy *p)
 {
@@ -169,9 +175,10 @@
 		return error_set(e, ERR_INTERNAL, STEP_NONE, NULL,
 				 "built without a protocol for sessions");
 	p->base = event_base_new();
-	p->quota = quota_create();
+	p->quota = quota_create(k->settings.vm);
+	p->limits = limits_create(p);
 	p->registry = registry_create(p);
-	if (!p->base || !p->quota || !p->registry)
+	if (!p->base || !p->quota || !p->limits || !p->registry)
 		return error_set(e, ERR_SYSTEM, STEP_NONE, NULL,
 				 "no memory for the proxy");
 	p->beacon = beacon_create(p, e);
@@ -364,6 +371,7 @@
 	(void)what;
 	registry_tick(p->registry, now);
 	beacon_tick(p->beacon, now);
+	limits_tick(p->limits, now);
 	cluster_tick(p, now);
 	if (__atomic_load_n(&p->kernel->draining, __ATOMIC_ACQUIRE))
 		drain_sessions(p, now);
--- a/src/proxy/proxy_own.h
+++ b/src/proxy/proxy_own.h
@@ -11,6 +11,7 @@
 #include "decide/quota.h"
 #include "decide/succession.h"
 #include "kernel/kernel.h"
+#include "kernel/wire.h"
 #include "proxy/catalog.h"
 #include "proxy/names.h"
 #include "proxy/protocol.h"
@@ -88,6 +89,7 @@
 	usec_t paused_since;  /* a replica is paused for a later term; 0: no */
 	usec_t resumed_at;    /* paused ones were let go last */
 	bool promoted_here;   /* the primary of this term, by this VM */
+	usec_t led_at;	      /* its primary was last changed here */
 	usec_t leaderless_at; /* no primary is known since; 0: one is */
 };
 
@@ -101,6 +103,7 @@
 
 enum task_stage {
 	TASK_NONE,
+	TASK_ADMITTING, /* its team's limit is asked for */
 	TASK_WAITING,	/* for a connection, a replica or a primary */
 	TASK_OPENING,	/* its connection is being opened */
 	TASK_PREPARING, /* the connection takes on the session's state */
@@ -252,6 +255,7 @@
 	struct registry *registry;
 	struct beacon *beacon;
 	struct quota *quota;
+	struct limits *limits;
 	struct evconnlistener *listener;
 	struct evhttp *ready;
 	struct evhttp *metrics;
@@ -269,6 +273,8 @@
 
 /* proxy.c */
 uint64_t proxy_random(struct proxy *p);
+/* A number from 0 to 1, drawn anew. */
+double proxy_draw(struct proxy *p);
 usec_t proxy_now(void);
 bool proxy_is_ready(const struct proxy *p);
 /* Runs fn(ctx) on the proxy's thread, soon; any thread. */
@@ -278,6 +284,8 @@
 /* session.c */
 void session_accept(struct proxy *p, int fd);
 void session_close(struct session *s);
+/* The answer to an operation that waits for its team's limit. */
+void session_admitted(struct session *s, bool granted, usec_t retry_after);
 void session_reap(struct proxy *p);
 /* Ends the task: the reply so far read lies in "reply" if there is one. */
 void session_ended(struct session *s, enum task_end end, enum refusal_code code,
@@ -355,13 +363,43 @@
 bool beacon_in_company(const struct beacon *b, usec_t now);
 /* Sends the next beacon at once. */
 void beacon_hurry(struct beacon *b);
+/* One datagram to a peer, or to where one came from; it may be lost. */
+void beacon_send(struct beacon *b, const char *peer, const void *data,
+		 size_t len);
+void beacon_reply(struct beacon *b, const struct sockaddr *to, socklen_t to_len,
+		  const void *data, size_t len);
 /* What peers say of a service's primary. */
 struct beacon_opinion {
 	uint32_t hear;
 	uint32_t miss;
 	bool at_work;
+	bool doubt; /* some live peer misses it, or waits for it */
 };
 struct beacon_opinion beacon_opinion(const struct beacon *b,
 				     const char *service);
 
+/* limits.c */
+/* The kinds of datagrams between VMs; the first field of each. */
+enum peer_kind {
+	PEER_BEACON = 2, /* 1 had another form */
+	PEER_ASK = 3,
+	PEER_GRANT = 4,
+};
+
+enum limits_answer {
+	LIMITS_GRANTED,
+	LIMITS_REFUSED,
+	LIMITS_PENDING, /* session_admitted() follows */
+};
+
+struct limits *limits_create(struct proxy *p);
+void limits_destroy(struct limits *l);
+enum limits_answer limits_take(struct limits *l, struct session *s,
+			       usec_t *retry_after);
+void limits_cancel(struct limits *l, const struct session *s);
+void limits_tick(struct limits *l, usec_t now);
+void limits_take_ask(struct limits *l, struct wire_reader *r,
+		     const struct sockaddr *from, socklen_t from_len);
+void limits_take_grant(struct limits *l, struct wire_reader *r);
+
 #endif
--- a/src/proxy/session.c
+++ b/src/proxy/session.c
@@ -29,7 +29,10 @@
 static void begin(struct session *s);
 static void end_failed(struct session *s);
 static void end_unstarted(struct session *s);
+static void begin_open(struct session *s);
 static void run(struct session *s);
+static void send_on(struct session *s);
+static void refuse_over_rate(struct session *s, usec_t retry_after);
 static bool open_operation(struct session *s);
 static bool check_route(struct session *s, enum refusal_code *code);
 static void fail_and_close(struct session *s, enum refusal_code code,
@@ -342,8 +345,12 @@
 		session_reply_state(s, NULL);
 		return;
 	}
-	if (!open_operation(s))
-		return;
+	if (open_operation(s))
+		begin_open(s);
+}
+
+static void begin_open(struct session *s)
+{
 	s->tx = true;
 	s->tx_reads = s->task.msg.statement.verb == VERB_BEGIN_READ;
 	s->tx_begun = false;
@@ -391,13 +398,18 @@
 	session_reply_state(s, NULL);
 }
 
-/* Sends a statement on its way to a database. */
+/* Runs a statement, after the limit if it is an operation of its own. */
 static void run(struct session *s)
+{
+	if (s->tx || open_operation(s))
+		send_on(s);
+}
+
+/* Sends a statement on its way to a database. */
+static void send_on(struct session *s)
 {
 	struct task *t = &s->task;
 
-	if (!s->tx && !open_operation(s))
-		return;
 	if (s->tx && s->tx_reads && t->writes) {
 		session_refuse(s, REFUSE_READ_ONLY, "the transaction reads");
 		return;
@@ -411,15 +423,14 @@
 
 /*
  * Begins an operation: looks up route and key as they are now, and takes a
- * token of the team's rate. Answers the refusal itself if it returns false.
+ * token of the team's rate. If it returns false, the refusal was answered, or
+ * session_admitted() goes on.
  */
 static bool open_operation(struct session *s)
 {
 	struct evbuffer *out = bufferevent_get_output(s->bev);
 	enum refusal_code code = REFUSE_NONE;
-	usec_t now = s->task.began_at;
 	usec_t retry_after = 0;
-	char why[96];
 
 	if (!check_route(s, &code)) {
 		log_event(EV_STATEMENT_REFUSED,
@@ -432,23 +443,57 @@
 		session_reply_state(s, NULL);
 		return false;
 	}
-	if (s->team[0] &&
-	    !quota_take(s->proxy->quota, s->team, now, &retry_after)) {
-		counter_add(CTR_OVER_RATE, 1);
-		log_event(EV_STATEMENT_REFUSED,
-			  "id=%s team=%s code=BUSY part=%.3f retry_ms=%lld "
-			  "reason=\"over the team's rate\"",
-			  s->task.id, s->team,
-			  quota_part(s->proxy->quota, s->team),
-			  (long long)retry_after / USEC_PER_MSEC + 1);
-		snprintf(why, sizeof(why),
-			 "over the team's rate, not run, retry after %lld ms",
-			 (long long)retry_after / USEC_PER_MSEC + 1);
-		s->proxy->protocol->put_error(out, REFUSE_BUSY, why);
-		session_reply_state(s, NULL);
+	if (!s->team[0])
+		return true;
+	switch (limits_take(s->proxy->limits, s, &retry_after)) {
+	case LIMITS_GRANTED:
+		return true;
+	case LIMITS_REFUSED:
+		refuse_over_rate(s, retry_after);
 		return false;
+	case LIMITS_PENDING:
+		break;
 	}
-	return true;
+	s->task.stage = TASK_ADMITTING;
+	s->task.deadline =
+		s->task.began_at + (usec_t)s->timeout_ms * USEC_PER_MSEC;
+	session_set_timer(s, s->task.deadline);
+	return false;
+}
+
+/* The operation's token was granted, or not. */
+void session_admitted(struct session *s, bool granted, usec_t retry_after)
+{
+	s->task.stage = TASK_NONE;
+	event_del(s->timer);
+	if (!granted)
+		refuse_over_rate(s, retry_after);
+	else if (s->task.msg.statement.verb == VERB_BEGIN ||
+		 s->task.msg.statement.verb == VERB_BEGIN_READ)
+		begin_open(s);
+	else
+		send_on(s);
+	session_read_lines(s);
+}
+
+/* Answers an operation over its team's rate at once. */
+static void refuse_over_rate(struct session *s, usec_t retry_after)
+{
+	long long ms = (long long)(retry_after / USEC_PER_MSEC) + 1;
+	const char *keeper = quota_keeper(s->proxy->quota, s->team);
+	char why[96];
+
+	counter_add(CTR_OVER_RATE, 1);
+	log_event(EV_STATEMENT_REFUSED,
+		  "id=%s team=%s code=BUSY keeper=%s retry_ms=%lld "
+		  "reason=\"over the team's rate\"",
+		  s->task.id, s->team,
+		  keeper ? keeper : s->proxy->kernel->settings.vm, ms);
+	snprintf(why, sizeof(why),
+		 "over the team's rate, not run, retry after %lld ms", ms);
+	s->proxy->protocol->put_error(bufferevent_get_output(s->bev),
+				      REFUSE_BUSY, why);
+	session_reply_state(s, NULL);
 }
 
 /* Copies what the configuration in force says of the session's route. */
