List the VMs again when others know more of them

Two VMs that started within milliseconds listed the VMs before the other had registered, and did not know each other for 20 s. Each named another keeper for some teams, and both keepers gave out the whole limit.

Change: beacons carry a hash of the VMs known; one who hears another hash lists again, at most every 2 s. Until the VMs are listed once, no operation is let in, as a VM that knows no others would keep every team.

--- a/src/proxy/beacon.c
+++ b/src/proxy/beacon.c
@@ -232,6 +232,18 @@
 	}
 }
 
+/* A hash of the names of all VMs known, whatever their order. */
+uint64_t beacon_names(const struct beacon *b)
+{
+	const char *own = b->proxy->kernel->settings.vm;
+	uint64_t h = XXH3_64bits(own, strlen(own));
+	uint32_t i;
+
+	for (i = 0; i < b->n; i++)
+		h ^= XXH3_64bits(b->peers[i]->name, strlen(b->peers[i]->name));
+	return h;
+}
+
 /* VMs known besides this one. */
 uint32_t beacon_peers(const struct beacon *b)
 {
@@ -341,10 +353,11 @@
 		msgpack_pack_true(&packer);
 	else
 		msgpack_pack_false(&packer);
-	msgpack_pack_array(&packer, 3);
+	msgpack_pack_array(&packer, 4);
 	msgpack_pack_uint64(&packer, news.catalog);
 	msgpack_pack_uint64(&packer, news.databases);
 	msgpack_pack_uint64(&packer, news.age_ms);
+	msgpack_pack_uint64(&packer, news.vms);
 	msgpack_pack_array(&packer, n);
 	for (i = 0; i < n; i++)
 		pack_group(&packer, tell[i], now);
@@ -509,10 +522,11 @@
 	wire_str(r, domain, sizeof(domain));
 	incarnation = wire_u64(r);
 	draining = wire_bool(r);
-	told = wire_sub(r, 3);
+	told = wire_sub(r, 4);
 	news.catalog = wire_u64(&told);
 	news.databases = wire_u64(&told);
 	news.age_ms = wire_u64(&told);
+	news.vms = wire_u64(&told);
 	groups = wire_sub(r, GROUPS_MAX);
 	silent = wire_sub(r, SILENT_MAX);
 	if (r->bad || told.bad || name[0] == '\0' ||
--- a/src/proxy/limits.c
+++ b/src/proxy/limits.c
@@ -76,6 +76,11 @@
 	enum quota_answer answer;
 	struct ask *a;
 
+	if (!l->proxy->vms_known) {
+		/* Who keeps a team is not known yet. */
+		*retry_after = USEC_PER_SEC;
+		return LIMITS_REFUSED;
+	}
 	if (!quota_keeper(q, s->team)) {
 		answer = quota_grant(q, s->team, now, retry_after);
 		if (answer != QUOTA_NOT_KEPT)
--- a/src/proxy/proxy_own.h
+++ b/src/proxy/proxy_own.h
@@ -355,6 +355,7 @@
 void beacon_tick(struct beacon *b, usec_t now);
 void beacon_peer(struct beacon *b, const struct registry_vm *vm);
 uint32_t beacon_peers(const struct beacon *b);
+uint64_t beacon_names(const struct beacon *b);
 /* Of them, those heard lately. */
 uint32_t beacon_live(const struct beacon *b);
 /* Rank of this VM for a service among those heard lately; 0 first. */
--- a/src/proxy/registry.c
+++ b/src/proxy/registry.c
@@ -22,6 +22,11 @@
 #define LIST_PAUSE_MAX_US (20 * USEC_PER_SEC)
 /* Pauses after a call that failed. */
 #define RETRY_US (250 * USEC_PER_MSEC)
+/*
+ * VMs that start together may list each other too early. Those that know others
+ * list again, no more often than this.
+ */
+#define VMS_SOON_US (2 * USEC_PER_SEC)
 /* The VMs are listed again after this. */
 #define VMS_EVERY_US (20 * USEC_PER_SEC)
 /*
@@ -193,6 +198,7 @@
 		.catalog = c ? c->revision : 0,
 		.databases = r->list_hash,
 		.age_ms = (uint64_t)((now - r->listed_at) / USEC_PER_MSEC),
+		.vms = beacon_names(r->proxy->beacon),
 	};
 }
 
@@ -207,6 +213,9 @@
 	if (n->databases != own.databases && n->age_ms < own.age_ms &&
 	    r->databases.due > now)
 		r->databases.due = now;
+	if (n->vms != own.vms && r->proxy->vms_known &&
+	    r->vms.due > r->vms.asked_at + VMS_SOON_US)
+		r->vms.due = r->vms.asked_at + VMS_SOON_US;
 	registry_tick(r, now);
 }
 
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -99,13 +99,15 @@
 /* When the newest list of databases was asked for; 0: none yet. */
 usec_t registry_listed_at(const struct registry *r);
 /*
- * What this VM has taken in: the revision of the configuration, and a hash of
- * the databases. A peer that tells of others is a reason to ask again.
+ * What this VM has taken in: the revision of the configuration, and hashes of
+ * the databases and of the VMs. A peer that tells of others is a reason to ask
+ * again.
  */
 struct registry_news {
 	uint64_t catalog;   /* revision */
 	uint64_t databases; /* hash */
 	uint64_t age_ms;    /* of the list of databases */
+	uint64_t vms;	    /* hash of the names of all VMs known */
 };
 
 struct registry_news registry_news(const struct registry *r, usec_t now);
