Give no claim while a promotion may be under way

At a planned change two VMs claimed within milliseconds. The second found the old primary stepped down, needed no guard, and promoted another database 20 ms after the first VM's promotion call, which takes 1 s to take effect. Between the two effects VMs used the first one's primary. The same can follow a guard: a promotion that takes effect lets the replicas go that a later claim has paused.

Change: right before it promotes, the holder notes so in the duty's record, on condition of its claim; that is the verification, too. Nobody claims over such a note until its term is known or 5 s have passed (decide/duty). A VM keeps the tokens of team limits when a second one joins it, and answers the first beacon of a peer at once, so that both know each other after a round trip.

--- a/src/decide/quota.c
+++ b/src/decide/quota.c
@@ -40,6 +40,7 @@
 	uint64_t hash; /* of this VM's name */
 	bool leaving;
 	bool company; /* at least half of the others are heard */
+	bool stale;   /* others may have kept this VM's teams meanwhile */
 	uint32_t n_teams;
 	uint32_t n_peers;
 	uint32_t n_heard;
@@ -55,7 +56,7 @@
 static void set_keeper(struct team *t, uint32_t keeper, usec_t now);
 static void choose_keeper(const struct quota *q, struct team *t, usec_t now);
 static void peer_changed(struct quota *q, uint32_t peer, bool live, usec_t now);
-static void weigh_company(struct quota *q, usec_t now);
+static void weigh_company(struct quota *q, bool fell_silent, usec_t now);
 static uint32_t vms(const struct quota *q);
 static void refill(struct bucket *b, double per_s, double most, usec_t now);
 
@@ -68,6 +69,7 @@
 		return NULL;
 	q->hash = XXH3_64bits(self, strlen(self));
 	q->company = true;
+	q->stale = true;
 	return q;
 }
 
@@ -119,6 +121,7 @@
 {
 	uint32_t i = find_peer(q, peer, true);
 	bool live = heard && !leaves;
+	bool was;
 
 	if (i == HANDLE_NONE)
 		return;
@@ -126,12 +129,13 @@
 		q->peers[i].gone = false;
 		q->n_gone--;
 	}
-	if (q->peers[i].heard != heard)
+	was = q->peers[i].heard;
+	if (was != heard)
 		q->n_heard += heard ? 1 : (uint32_t)-1;
 	q->peers[i].heard = heard;
 	if (q->peers[i].live != live)
 		peer_changed(q, i, live, now);
-	weigh_company(q, now);
+	weigh_company(q, was && !heard, now);
 }
 
 /* Notes that a VM has left for good. */
@@ -148,7 +152,14 @@
 		peer_changed(q, i, false, now);
 	q->peers[i].gone = true;
 	q->n_gone++;
-	weigh_company(q, now);
+	weigh_company(q, false, now);
+}
+
+/* A VM that is alone has kept its teams from the beginning. */
+void quota_settle(struct quota *q)
+{
+	if (q->n_peers == 0)
+		q->stale = false;
 }
 
 /* Gives up all teams for good. */
@@ -319,14 +330,19 @@
 	}
 }
 
-/* Others kept the teams while this VM was without company. */
-static void weigh_company(struct quota *q, usec_t now)
+/*
+ * Others may have kept the teams while this VM was without company, unless it
+ * lacks nothing but the word of a VM that has just been listed.
+ */
+static void weigh_company(struct quota *q, bool fell_silent, usec_t now)
 {
-	bool company = q->n_heard * 2 >= q->n_peers - q->n_gone;
-
-	if (company && !q->company)
+	q->company = q->n_heard * 2 >= q->n_peers - q->n_gone;
+	if (!q->company) {
+		q->stale |= fell_silent;
+	} else if (q->stale && q->n_heard > 0) {
+		q->stale = false;
 		quota_lapse(q, now);
-	q->company = company;
+	}
 }
 
 /* VMs that may let operations in, heard or not. */
--- a/src/decide/quota.h
+++ b/src/decide/quota.h
@@ -31,6 +31,8 @@
 		usec_t now);
 /* It will not come back: nothing is left to it. */
 void quota_peer_gone(struct quota *q, const char *peer, usec_t now);
+/* All VMs were listed: if there are no others, this one keeps all teams. */
+void quota_settle(struct quota *q);
 /* This VM stops: others keep its teams from now on. */
 void quota_leave(struct quota *q, usec_t now);
 /* This VM stood still: others have kept its teams meanwhile. */
--- a/src/decide/succession.c
+++ b/src/decide/succession.c
@@ -132,12 +132,14 @@
 }
 
 /* Whether the claim is still the newest; if not, another VM is at it. */
-void succession_verified(struct succession *s, usec_t now, bool ok)
+void succession_verified(struct succession *s, usec_t now, bool ok,
+			 uint64_t token)
 {
 	if (s->phase != SUCCESSION_VERIFY || !s->call_open)
 		return;
 	s->call_open = false;
 	if (ok) {
+		s->token = token;
 		enter(s, now, SUCCESSION_PROMOTE);
 		return;
 	}
--- a/src/decide/succession.h
+++ b/src/decide/succession.h
@@ -17,7 +17,8 @@
  *
  * Safety rests on the fence and the guard: see decide/lead.h. Rival, dying
  * and waking VMs are harmless, since a token that was superseded is found out
- * before it is used.
+ * before it is used, and no other is given while a promotion may be under way
+ * (decide/duty.h).
  */
 
 #define SUCCESSION_DBS	   8
@@ -46,9 +47,9 @@
 	SUCCEED_PAUSE,	   /* db, term */
 	SUCCEED_STEP_DOWN, /* db, term */
 	SUCCEED_ASK,	   /* db: its status */
-	SUCCEED_VERIFY,	   /* the claim; and list the databases anew */
-	SUCCEED_PROMOTE,   /* db */
-	SUCCEED_RESUME,	   /* db */
+	SUCCEED_VERIFY,	 /* the claim, by noting its use; list databases anew */
+	SUCCEED_PROMOTE, /* db */
+	SUCCEED_RESUME,	 /* db */
 	SUCCEED_RELEASE, /* db, token in "term": resume it if no later claim */
 	SUCCEED_LEAD,	 /* db, term: the new primary */
 };
@@ -134,7 +135,9 @@
 		     struct succession_actions *out);
 void succession_claimed(struct succession *s, usec_t now, bool ok,
 			uint64_t token);
-void succession_verified(struct succession *s, usec_t now, bool ok);
+/* The claim is still the newest, under a token that rises with it. */
+void succession_verified(struct succession *s, usec_t now, bool ok,
+			 uint64_t token);
 /* The database answered the pause or the step down of this term. */
 void succession_fenced(struct succession *s, usec_t now, uint32_t db,
 		       uint64_t term, bool stepped_down,
--- a/src/proxy/beacon.c
+++ b/src/proxy/beacon.c
@@ -87,6 +87,9 @@
 };
 
 static void send_all(struct beacon *b, usec_t now);
+static void send_one(struct beacon *b, const struct peer_vm *v, usec_t now);
+static void set_silent(struct beacon *b, struct peer_vm *v, bool silent,
+		       usec_t heard_at, usec_t now);
 static void pack(struct beacon *b, msgpack_sbuffer *buf, usec_t now);
 static void pack_group(msgpack_packer *p, struct pgroup *g, usec_t now);
 static void pack_silent(const struct beacon *b, msgpack_packer *p);
@@ -179,15 +182,8 @@
 			v->gone = true;
 			quota_peer_gone(b->proxy->quota, v->name, now);
 		}
-		if (silent == v->silent)
-			continue;
-		v->silent = silent;
-		v->gone = false;
-		log_event(silent ? EV_PEER_GONE : EV_PEER_JOINED,
-			  "peer=%s incarnation=%llu silent_us=%lld", v->name,
-			  (unsigned long long)v->incarnation,
-			  (long long)(v->heard_at ? now - v->heard_at : 0));
-		tell_quota(b, v, now);
+		if (silent && !v->silent)
+			set_silent(b, v, true, v->heard_at, now);
 	}
 	if (beacon_live(b) * 2 < b->n)
 		b->alone_at = now;
@@ -328,6 +324,18 @@
 	msgpack_sbuffer_destroy(&buf);
 }
 
+/* Sends a beacon to one peer. */
+static void send_one(struct beacon *b, const struct peer_vm *v, usec_t now)
+{
+	msgpack_sbuffer buf;
+
+	msgpack_sbuffer_init(&buf);
+	pack(b, &buf, now);
+	beacon_reply(b, (const struct sockaddr *)&v->to, v->to_len, buf.data,
+		     buf.size);
+	msgpack_sbuffer_destroy(&buf);
+}
+
 /* [kind, name, domain, incarnation, draining, news, groups, silent] */
 static void pack(struct beacon *b, msgpack_sbuffer *buf, usec_t now)
 {
@@ -423,6 +431,19 @@
 	msgpack_pack_uint32(p, g->succession.phase != SUCCESSION_IDLE);
 }
 
+/* A VM last heard at "heard_at" has fallen silent, or is heard again. */
+static void set_silent(struct beacon *b, struct peer_vm *v, bool silent,
+		       usec_t heard_at, usec_t now)
+{
+	v->silent = silent;
+	v->gone = false;
+	log_event(silent ? EV_PEER_GONE : EV_PEER_JOINED,
+		  "peer=%s incarnation=%llu silent_us=%lld", v->name,
+		  (unsigned long long)v->incarnation,
+		  (long long)(heard_at ? now - heard_at : 0));
+	tell_quota(b, v, now);
+}
+
 /* A VM can be asked if it and this one hear each other. */
 static void tell_quota(struct beacon *b, const struct peer_vm *v, usec_t now)
 {
@@ -516,6 +537,7 @@
 	char domain[NAME_MAX_BYTES];
 	uint64_t incarnation;
 	struct peer_vm *v;
+	usec_t before;
 	bool draining;
 
 	wire_str(r, name, sizeof(name));
@@ -535,6 +557,7 @@
 	v = find(b, name, true);
 	if (!v || incarnation < v->incarnation)
 		return false;
+	before = v->heard_at;
 	v->incarnation = incarnation;
 	v->heard_at = proxy_now();
 	v->draining = draining;
@@ -543,8 +566,13 @@
 	v->to_len = from_len;
 	snprintf(v->domain, sizeof(v->domain), "%s", domain);
 	take_groups(b, v, groups);
-	if (!v->silent)
+	if (v->silent) {
+		set_silent(b, v, false, before, v->heard_at);
+		/* It shall not wait for the next one to know that. */
+		send_one(b, v, v->heard_at);
+	} else {
 		tell_quota(b, v, v->heard_at);
+	}
 	registry_peer_news(b->proxy->registry, &news, v->heard_at);
 	return true;
 }
--- a/src/proxy/failover.c
+++ b/src/proxy/failover.c
@@ -189,13 +189,13 @@
 
 	switch (a->act) {
 	case SUCCEED_CLAIM:
-		registry_claim(p, g->service, on_claimed, g);
+		registry_claim(p, g, on_claimed, g);
 		/* The others shall not begin the same. */
 		beacon_hurry(p->beacon);
 		break;
 	case SUCCEED_VERIFY:
 		g->verified_at = proxy_now();
-		registry_verify(p, g->service, on_verified, g);
+		registry_commit(p, g, g->succession.token, on_verified, g);
 		registry_list(p->registry, proxy_now());
 		break;
 	case SUCCEED_PAUSE:
@@ -216,8 +216,8 @@
 			  (unsigned long long)g->db[a->db].report.received.term,
 			  (unsigned long long)g->db[a->db]
 				  .report.received.position);
-		registry_promote(p, g->service, g->db[a->db].id,
-				 g->succession.token, on_promoted, g);
+		registry_promote(p, g, g->db[a->db].id, g->succession.token,
+				 on_promoted, g);
 		break;
 	case SUCCEED_RELEASE:
 		release_if_newest(g, a);
@@ -251,7 +251,7 @@
 	c->group = g;
 	c->db = a->db;
 	c->token = a->term;
-	registry_verify(g->proxy, g->service, on_release_verified, c);
+	registry_verify(g->proxy, g, on_release_verified, c);
 }
 
 static void on_release_verified(void *ctx, bool ok, uint64_t token)
@@ -311,13 +311,12 @@
 	failover_tick(g, proxy_now());
 }
 
-/* The claim is verified if its token is still the newest. */
+/* The claim is verified if the note that it promotes could replace it. */
 static void on_verified(void *ctx, bool ok, uint64_t token)
 {
 	struct pgroup *g = ctx;
 
-	succession_verified(&g->succession, proxy_now(),
-			    ok && token == g->succession.token);
+	succession_verified(&g->succession, proxy_now(), ok, token);
 	failover_tick(g, proxy_now());
 }
 
--- a/src/proxy/proxy_own.h
+++ b/src/proxy/proxy_own.h
@@ -6,6 +6,7 @@
 #include <sys/queue.h>
 
 #include "decide/absence.h"
+#include "decide/duty.h"
 #include "decide/lead.h"
 #include "decide/place.h"
 #include "decide/quota.h"
@@ -85,7 +86,8 @@
 	uint32_t n_waiting;
 	bool pumping; /* the queue is being gone through */
 	struct succession succession;
-	usec_t verified_at;   /* the claim was asked for then */
+	usec_t verified_at; /* the claim was asked for then */
+	struct duty_sight duty_seen;
 	usec_t paused_since;  /* a replica is paused for a later term; 0: no */
 	usec_t resumed_at;    /* paused ones were let go last */
 	bool promoted_here;   /* the primary of this term, by this VM */
--- a/src/proxy/registry.c
+++ b/src/proxy/registry.c
@@ -507,6 +507,8 @@
 	}
 	p->call.from[0] = '\0';
 	p->due = proxy_now() + VMS_EVERY_US;
+	if (!r->proxy->vms_known)
+		quota_settle(r->proxy->quota);
 	r->proxy->vms_known = true;
 }
 
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -43,6 +43,8 @@
 	uint64_t incarnation;
 	uint64_t claim;	   /* count of the VM's claims: no two are alike */
 	uint64_t revision; /* the fencing token: unique, rises with each */
+	bool promotes;	   /* its promotion may be under way: decide/duty */
+	uint64_t base;	   /* the term that it replaces */
 };
 
 /* One page of a list. */
@@ -74,6 +76,7 @@
 const struct registry_codec *registry_codec(void);
 
 struct proxy;
+struct pgroup;
 struct registry;
 
 /*
@@ -116,13 +119,19 @@
 
 typedef void (*registry_claim_fn)(void *ctx, bool ok, uint64_t token);
 /*
- * Takes on the duty for a service: reads who has it, and replaces that. fn is
- * called once, later.
+ * Takes on the duty for a group: reads who has it, and replaces that unless a
+ * promotion may be under way. fn is called once, later.
  */
-void registry_claim(struct proxy *p, const char *service, registry_claim_fn fn,
+void registry_claim(struct proxy *p, struct pgroup *g, registry_claim_fn fn,
 		    void *ctx);
+/*
+ * Notes that the holder of "token" promotes now; not if the duty has been
+ * taken over. The token rises.
+ */
+void registry_commit(struct proxy *p, struct pgroup *g, uint64_t token,
+		     registry_claim_fn fn, void *ctx);
 /* Reads the token of the newest claim. */
-void registry_verify(struct proxy *p, const char *service, registry_claim_fn fn,
+void registry_verify(struct proxy *p, struct pgroup *g, registry_claim_fn fn,
 		     void *ctx);
 
 enum promote_answer {
@@ -133,7 +142,7 @@
 
 /* Asks the platform to make a database the primary. */
 typedef void (*registry_promote_fn)(void *ctx, enum promote_answer a);
-void registry_promote(struct proxy *p, const char *service, const char *id,
+void registry_promote(struct proxy *p, struct pgroup *g, const char *id,
 		      uint64_t token, registry_promote_fn fn, void *ctx);
 
 #endif
--- a/src/proxy/registry_duty.c
+++ b/src/proxy/registry_duty.c
@@ -2,48 +2,72 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "kernel/log.h"
 #include "kernel/platform.h"
 #include "proxy/proxy_own.h"
 
 /* Who may promote a database, and the promotion itself. */
 
+/*
+ * From the note that a VM promotes to the end of what it does: its attempt
+ * lasts 3 s at the most, and the platform takes up to a second, more when it is
+ * slow.
+ */
+#define PROMOTION_LASTS_US (5 * USEC_PER_SEC)
+
 /* One call about a duty, or a promotion. */
 struct duty_call {
 	struct proxy *proxy;
 	struct platform_call call;
-	char service[NAME_MAX_BYTES];
+	struct pgroup *group;
 	registry_claim_fn fn;
 	registry_promote_fn promote_fn;
 	void *ctx;
-	bool writes;
+	bool claims; /* what is read is replaced */
 	char *reply;
 };
 
-static struct duty_call *duty_create(struct proxy *p, const char *service,
+static struct duty_call *duty_create(struct proxy *p, struct pgroup *g,
 				     enum platform_op op, void *ctx);
 static void on_duty(struct platform_call *c);
 static void duty_done(void *ctx);
+static bool put_claim(struct duty_call *d, const struct registry_duty *found);
+static void put_record(struct duty_call *d, uint64_t revision, bool promotes);
 
 /* Reads who has the duty; the write follows when that is known. */
-void registry_claim(struct proxy *p, const char *service, registry_claim_fn fn,
+void registry_claim(struct proxy *p, struct pgroup *g, registry_claim_fn fn,
 		    void *ctx)
 {
-	struct duty_call *d = duty_create(p, service, PLATFORM_GET, ctx);
+	struct duty_call *d = duty_create(p, g, PLATFORM_GET, ctx);
 
 	if (!d) {
 		fn(ctx, false, 0);
 		return;
 	}
 	d->fn = fn;
-	d->writes = true;
+	d->claims = true;
 	platform_submit(p->kernel, &d->call);
 }
 
+/* Replaces this VM's own claim by the note that it promotes. */
+void registry_commit(struct proxy *p, struct pgroup *g, uint64_t token,
+		     registry_claim_fn fn, void *ctx)
+{
+	struct duty_call *d = duty_create(p, g, PLATFORM_PUT, ctx);
+
+	if (!d) {
+		fn(ctx, false, 0);
+		return;
+	}
+	d->fn = fn;
+	put_record(d, token, true);
+}
+
 /* Reads who has the duty. */
-void registry_verify(struct proxy *p, const char *service, registry_claim_fn fn,
+void registry_verify(struct proxy *p, struct pgroup *g, registry_claim_fn fn,
 		     void *ctx)
 {
-	struct duty_call *d = duty_create(p, service, PLATFORM_GET, ctx);
+	struct duty_call *d = duty_create(p, g, PLATFORM_GET, ctx);
 
 	if (!d) {
 		fn(ctx, false, 0);
@@ -54,10 +78,10 @@
 }
 
 /* Asks for a promotion under a token. */
-void registry_promote(struct proxy *p, const char *service, const char *id,
+void registry_promote(struct proxy *p, struct pgroup *g, const char *id,
 		      uint64_t token, registry_promote_fn fn, void *ctx)
 {
-	struct duty_call *d = duty_create(p, service, PLATFORM_PROMOTE, ctx);
+	struct duty_call *d = duty_create(p, g, PLATFORM_PROMOTE, ctx);
 
 	if (!d) {
 		fn(ctx, PROMOTE_ANSWER_NONE);
@@ -65,12 +89,12 @@
 	}
 	d->promote_fn = fn;
 	d->call.version = token;
-	snprintf(d->call.name, sizeof(d->call.name), "%s", service);
+	snprintf(d->call.name, sizeof(d->call.name), "%s", g->service);
 	snprintf(d->call.from, sizeof(d->call.from), "%s", id);
 	platform_submit(p->kernel, &d->call);
 }
 
-static struct duty_call *duty_create(struct proxy *p, const char *service,
+static struct duty_call *duty_create(struct proxy *p, struct pgroup *g,
 				     enum platform_op op, void *ctx)
 {
 	struct duty_call *d = calloc(1, sizeof(*d));
@@ -82,9 +106,9 @@
 	d->call.op = op;
 	d->call.done = on_duty;
 	d->call.ctx = d;
-	snprintf(d->service, sizeof(d->service), "%s", service);
+	d->group = g;
 	snprintf(d->call.name, sizeof(d->call.name), "%s/%s", REGISTRY_DUTY,
-		 service);
+		 g->service);
 	return d;
 }
 
@@ -104,40 +128,75 @@
 static void duty_done(void *ctx)
 {
 	struct duty_call *d = ctx;
-	struct proxy *p = d->proxy;
 	struct registry_duty duty = { 0 };
 	enum platform_result result = d->call.result;
-	bool read = d->call.op == PLATFORM_GET;
 
+	if (result == PLATFORM_OK && d->reply && !d->promote_fn &&
+	    registry_codec()->duty(d->reply, &duty) != 0)
+		result = PLATFORM_DOWN;
 	if (d->promote_fn) {
 		d->promote_fn(d->ctx, result == PLATFORM_OK ? PROMOTE_ANSWER_OK
 				      : result == PLATFORM_CONFLICT
 					      ? PROMOTE_ANSWER_REFUSED
 					      : PROMOTE_ANSWER_NONE);
-	} else if (read && d->writes &&
-		   (result == PLATFORM_OK || result == PLATFORM_ABSENT)) {
-		if (result == PLATFORM_OK && d->reply)
-			registry_codec()->duty(d->reply, &duty);
-		snprintf(duty.holder, sizeof(duty.holder), "%s",
-			 p->kernel->settings.vm);
-		duty.incarnation = p->kernel->incarnation;
-		duty.claim = ++p->claims;
-		d->call.op = PLATFORM_PUT;
-		d->call.version = duty.revision;
-		d->call.body = registry_codec()->duty_body(&duty);
-		free(d->reply);
-		d->reply = NULL;
-		platform_submit(p->kernel, &d->call);
+	} else if (d->claims &&
+		   (result == PLATFORM_OK || result == PLATFORM_ABSENT) &&
+		   put_claim(d, &duty)) {
 		return;
 	} else {
-		if (result == PLATFORM_OK && d->reply)
-			result = registry_codec()->duty(d->reply, &duty) == 0
-					 ? PLATFORM_OK
-					 : PLATFORM_DOWN;
-		d->fn(d->ctx, result == PLATFORM_OK && duty.revision > 0,
+		d->fn(d->ctx,
+		      result == PLATFORM_OK && !d->claims && duty.revision > 0,
 		      duty.revision);
 	}
 	free(d->call.body);
 	free(d->reply);
 	free(d);
 }
+
+/* Replaces what was found, unless a promotion may be under way. */
+static bool put_claim(struct duty_call *d, const struct registry_duty *found)
+{
+	struct pgroup *g = d->group;
+	const struct duty_record record = {
+		.revision = found->revision,
+		.promotes = found->promotes,
+		.base = found->base,
+	};
+
+	if (!duty_is_free(&g->duty_seen, &record, g->lead.term, proxy_now(),
+			  PROMOTION_LASTS_US)) {
+		log_event(EV_SUCCESSION,
+			  "service=%s phase=claim holder=%s token=%llu "
+			  "base=%llu seen_us=%lld reason=\"a promotion may be "
+			  "under way\"",
+			  g->service, found->holder,
+			  (unsigned long long)found->revision,
+			  (unsigned long long)found->base,
+			  (long long)(proxy_now() - g->duty_seen.since));
+		return false;
+	}
+	d->claims = false;
+	free(d->reply);
+	d->reply = NULL;
+	put_record(d, found->revision, false);
+	return true;
+}
+
+/* Writes this VM's record over the one of a revision; 0: there is none. */
+static void put_record(struct duty_call *d, uint64_t revision, bool promotes)
+{
+	struct proxy *p = d->proxy;
+	struct registry_duty duty = {
+		.incarnation = p->kernel->incarnation,
+		.claim = ++p->claims,
+		.promotes = promotes,
+		.base = d->group->lead.term,
+	};
+
+	snprintf(duty.holder, sizeof(duty.holder), "%s",
+		 p->kernel->settings.vm);
+	d->call.op = PLATFORM_PUT;
+	d->call.version = revision;
+	d->call.body = registry_codec()->duty_body(&duty);
+	platform_submit(p->kernel, &d->call);
+}
--- a/tests/decide/quota_test.cc
+++ b/tests/decide/quota_test.cc
@@ -420,6 +420,40 @@
 		quota_destroy(x);
 }
 
+// A VM that was alone keeps its tokens when a second one comes; one that comes
+// to others has none.
+TEST(Quota, SecondVmComes)
+{
+	const struct {
+		const char *name;
+		bool alone;
+		uint32_t tokens;
+	} cases[] = {
+		{ "was alone", true, 10 },
+		{ "came to others", false, 0 },
+	};
+	for (const auto &c : cases) {
+		struct quota *q = quota_create("a");
+		usec_t later;
+		usec_t now = 100 * USEC_PER_SEC;
+		quota_limit(q, "team", 10, 10, now);
+		if (c.alone)
+			quota_settle(q);
+		now += 5 * USEC_PER_SEC;
+		quota_peer(q, "b", false, false, now);
+		quota_settle(q);
+		EXPECT_EQ(quota_grant(q, "team", now, &later), QUOTA_NOT_KEPT)
+			<< c.name;
+		// Heard, but leaving: this VM keeps the team.
+		quota_peer(q, "b", true, true, now);
+		uint32_t n = 0;
+		while (quota_grant(q, "team", now, &later) == QUOTA_GRANTED)
+			n++;
+		EXPECT_EQ(n, c.tokens) << c.name;
+		quota_destroy(q);
+	}
+}
+
 TEST(Quota, UnknownTeamsAndNoRate)
 {
 	struct quota *q = quota_create("a");
--- a/tests/decide/succession_test.cc
+++ b/tests/decide/succession_test.cc
@@ -80,7 +80,7 @@
 		pause(1);
 		pause(2);
 		run(kPolicy.guard + kPolicy.margin + 50 * kMs);
-		succession_verified(&s, env.now, true);
+		succession_verified(&s, env.now, true, 78);
 	}
 
 	struct succession s;
@@ -161,7 +161,7 @@
 	EXPECT_EQ(acts.find('V'), std::string::npos) << "within the guard";
 	acts = g.run(kPolicy.margin + 60 * kMs);
 	EXPECT_NE(acts.find('V'), std::string::npos);
-	succession_verified(&g.s, g.env.now, true);
+	succession_verified(&g.s, g.env.now, true, 78);
 	EXPECT_EQ(g.run(20 * kMs), "M2 ") << "the furthest";
 	succession_promoted(&g.s, g.env.now, SUCCESSION_DONE);
 	EXPECT_EQ(g.run(20 * kMs), "A2 ");
@@ -250,7 +250,7 @@
 		g.run(c.guard);
 		g.env.db[2].present = true;
 		if (c.verified)
-			succession_verified(&g.s, g.env.now, true);
+			succession_verified(&g.s, g.env.now, true, 78);
 		std::string acts = g.run(40 * kMs);
 		EXPECT_EQ(acts.find('M'), std::string::npos) << c.name;
 		EXPECT_EQ(g.s.phase, SUCCESSION_FENCE) << c.name;
@@ -273,7 +273,7 @@
 	g.run(300 * kMs);
 	g.lists = false;
 	g.run(kPolicy.guard + kPolicy.margin);
-	succession_verified(&g.s, g.env.now, true);
+	succession_verified(&g.s, g.env.now, true, 78);
 	EXPECT_EQ(g.run(100 * kMs).find('M'), std::string::npos);
 	g.lists = true;
 	EXPECT_EQ(g.run(20 * kMs), "M1 ");
@@ -344,7 +344,7 @@
 		}
 		std::string acts = g.run(kPolicy.catch_up + 100 * kMs);
 		EXPECT_NE(acts.find('V'), std::string::npos) << c.name;
-		succession_verified(&g.s, g.env.now, true);
+		succession_verified(&g.s, g.env.now, true, 78);
 		EXPECT_EQ(g.run(20 * kMs), c.promoted) << c.name;
 	}
 }
@@ -365,7 +365,7 @@
 		g.env.db[i].received = { 4, 97 + i };
 	}
 	g.run(kPolicy.catch_up + 100 * kMs);
-	succession_verified(&g.s, g.env.now, true);
+	succession_verified(&g.s, g.env.now, true, 78);
 	EXPECT_EQ(g.run(20 * kMs), "M2 ");
 }
 
@@ -399,7 +399,7 @@
 	h.pause(1);
 	h.pause(2);
 	h.run(kPolicy.guard + kPolicy.margin + 50 * kMs);
-	succession_verified(&h.s, h.env.now, false);
+	succession_verified(&h.s, h.env.now, false, 78);
 	EXPECT_EQ(h.run(100 * kMs).find('M'), std::string::npos);
 	EXPECT_EQ(h.s.phase, SUCCESSION_IDLE);
 }
@@ -420,7 +420,7 @@
 		EXPECT_EQ(g.run(20 * kMs), "M1 ") << c.name;
 		succession_promoted(&g.s, g.env.now, c.answer);
 		EXPECT_EQ(g.run(20 * kMs), "V ") << c.name;
-		succession_verified(&g.s, g.env.now, true);
+		succession_verified(&g.s, g.env.now, true, 78);
 		EXPECT_EQ(g.run(20 * kMs), c.next) << c.name;
 	}
 }
@@ -443,7 +443,7 @@
 {
 	Group g;
 	succession_claimed(&g.s, g.env.now, true, 1);
-	succession_verified(&g.s, g.env.now, true);
+	succession_verified(&g.s, g.env.now, true, 78);
 	succession_promoted(&g.s, g.env.now, SUCCESSION_DONE);
 	succession_fenced(&g.s, g.env.now, 1, 5, false, { 4, 1 });
 	EXPECT_EQ(g.s.phase, SUCCESSION_IDLE);
--- a/tests/platform/objects_test.cc
+++ b/tests/platform/objects_test.cc
@@ -164,7 +164,7 @@
 TEST(Objects, DutiesAndVms)
 {
 	const struct registry_codec *codec = registry_codec();
-	struct registry_duty duty = { "vm-1", 5, 3, 0 };
+	struct registry_duty duty = { "vm-1", 5, 3, 0, true, 9 };
 	char *body = codec->duty_body(&duty);
 	std::string reply = object("svc", 41, body);
 	struct registry_duty got;
@@ -172,6 +172,8 @@
 	EXPECT_STREQ(got.holder, "vm-1");
 	EXPECT_EQ(got.revision, 41u);
 	EXPECT_EQ(got.claim, 3u);
+	EXPECT_TRUE(got.promotes);
+	EXPECT_EQ(got.base, 9u);
 	free(body);
 	EXPECT_EQ(codec->duty("{}", &got), -1);
 	EXPECT_EQ(codec->duty("", &got), -1);
