Make fewer calls to the platform

Each change of configuration made each VM list all databases, though only a new service needs that; lists of databases and VMs had a longest pause of 20 s whatever the size of the fleet, though VMs tell each other what is new; a call that failed was made again each 250 ms, by four polls of each VM.

Change: a list after a configuration only for new services; longest pauses of 120 s, the fleet still looks once a second; pauses after failures double up to 1 s, at random.

--- a/src/proxy/cluster.c
+++ b/src/proxy/cluster.c
@@ -50,10 +50,14 @@
 	return NULL;
 }
 
-/* Brings a new catalogue into force: groups, limits of teams. */
-void cluster_apply_catalog(struct proxy *p, usec_t now)
+/*
+ * Brings a new catalogue into force: groups, limits of teams. Tells whether
+ * there are services that were not known.
+ */
+bool cluster_apply_catalog(struct proxy *p, usec_t now)
 {
 	const struct catalog *c = p->catalog;
+	uint32_t known = p->n_groups;
 	struct pgroup *g;
 	uint32_t i;
 
@@ -72,6 +76,7 @@
 				  "team=%s reason=\"no room for its limit\"",
 				  c->teams[i].name);
 	}
+	return p->n_groups > known;
 }
 
 /*
--- a/src/proxy/proxy_own.h
+++ b/src/proxy/proxy_own.h
@@ -328,7 +328,8 @@
 
 /* cluster.c */
 struct pgroup *cluster_group(struct proxy *p, const char *service);
-void cluster_apply_catalog(struct proxy *p, usec_t now);
+/* True if there are new services. */
+bool cluster_apply_catalog(struct proxy *p, usec_t now);
 /* Takes in a whole list; when to list again for what is missing, 0: no need. */
 usec_t cluster_apply_databases(struct proxy *p, const struct registry_db *db,
 			       uint32_t n, usec_t asked_at);
--- a/src/proxy/registry.c
+++ b/src/proxy/registry.c
@@ -18,17 +18,24 @@
  */
 #define WATCH_PER_VM_MS 1000
 #define WATCH_MAX_MS	25000
-/* The list of databases has to be known in 7 s, and is asked for likewise. */
-#define LIST_PAUSE_MAX_US (20 * USEC_PER_SEC)
-/* Pauses after a call that failed. */
-#define RETRY_US (250 * USEC_PER_MSEC)
+/*
+ * The list of databases has to be known in 7 s, and is asked for likewise: the
+ * fleet looks once a second, and a VM no less often than this.
+ */
+#define LIST_PAUSE_MAX_US (120 * USEC_PER_SEC)
+/*
+ * Pauses after a call that failed: the first, doubled each time, and the
+ * longest, a third of the time in which a configuration has to be in force.
+ */
+#define RETRY_US     (250 * USEC_PER_MSEC)
+#define RETRY_MAX_US (1000 * USEC_PER_MSEC)
 /*
  * VMs that start together may list each other too early. Those that know others
  * list again, no more often than this.
  */
 #define VMS_SOON_US (2 * USEC_PER_SEC)
-/* The VMs are listed again after this. */
-#define VMS_EVERY_US (20 * USEC_PER_SEC)
+/* The VMs are listed again after this, if no peer knows others. */
+#define VMS_EVERY_US (120 * USEC_PER_SEC)
 /*
  * Entries of databases lapse after three of their heartbeats, 1.2 s each: a
  * platform that was away for less has lost none.
@@ -48,7 +55,8 @@
 	usec_t due; /* next call; 0: none */
 	usec_t asked_at;
 	bool busy;
-	char *reply; /* copied on the platform's thread */
+	uint32_t failures; /* in a row */
+	char *reply;	   /* copied on the platform's thread */
 };
 
 struct registry {
@@ -78,6 +86,7 @@
 static void take_read(struct registry *r, struct poll *p);
 static void take_watch(struct registry *r, struct poll *p);
 static bool take_catalog(struct registry *r, const struct poll *p);
+static usec_t retry_pause(const struct registry *r, struct poll *p);
 static void note_outcome(struct registry *r, enum platform_result result,
 			 usec_t now);
 static bool due(const struct poll *p, usec_t now);
@@ -276,7 +285,7 @@
 	struct registry *r = p->registry;
 
 	p->busy = false;
-	p->due = proxy_now() + RETRY_US;
+	p->due = proxy_now() + retry_pause(r, p);
 	if (p->call.op != PLATFORM_WATCH)
 		latency_add(LATENCY_PLATFORM, proxy_now() - p->asked_at);
 	note_outcome(r, p->call.result, proxy_now());
@@ -286,6 +295,23 @@
 	registry_tick(r, proxy_now());
 }
 
+/* The pause before a call is made again, at random if it failed before. */
+static usec_t retry_pause(const struct registry *r, struct poll *p)
+{
+	usec_t pause = RETRY_US;
+	uint32_t i;
+
+	if (p->call.result != PLATFORM_DOWN &&
+	    p->call.result != PLATFORM_LOST) {
+		p->failures = 0;
+		return pause;
+	}
+	for (i = 0; i < p->failures && pause < RETRY_MAX_US; i++)
+		pause *= 2;
+	p->failures++;
+	return pause / 2 + (usec_t)drawn(r, (uint64_t)pause) / 2;
+}
+
 /* Notes how long the platform was away, if it was. */
 static void note_outcome(struct registry *r, enum platform_result result,
 			 usec_t now)
@@ -401,9 +427,9 @@
 		  c->n_keys);
 	catalog_destroy(x->catalog);
 	x->catalog = c;
-	cluster_apply_catalog(x, proxy_now());
 	/* Databases of new services may have been passed over. */
-	r->databases.due = proxy_now();
+	if (cluster_apply_catalog(x, proxy_now()))
+		r->databases.due = proxy_now();
 	return true;
 }
 
