Let one VM keep the proof of each group's primary

Change: the live VM with the highest hash for a service keeps the proof, and has the position of the primary's log; the others ask it by datagram when a statement for the primary is on its way, or when reads lack a recent position. Ages count from when the question was sent. A VM that gets no answer for 120 ms asks the databases itself for a while.

A VM is ready only when the limits are settled: a keeper that has just begun has no tokens, and callers would be refused without need.

Ruled out: proofs told in beacons; a datagram that waits at a frozen VM would be taken for fresh. A longer guard; it is the gap at a failover.

--- a/src/decide/lead.c
+++ b/src/decide/lead.c
@@ -119,6 +119,14 @@
 	       now - l->proved_at < guard;
 }
 
+/* Gives the newest sample. */
+void lead_newest(const struct lead *l, struct lead_sample *out)
+{
+	memset(out, 0, sizeof(*out));
+	if (l->n > 0)
+		*out = l->samples[(l->next + LEAD_SAMPLES - 1) % LEAD_SAMPLES];
+}
+
 /* Finds the oldest sample that was asked for at or after "before". */
 bool lead_position(const struct lead *l, usec_t before, struct log_pos *out)
 {
--- a/src/decide/lead.h
+++ b/src/decide/lead.h
@@ -59,6 +59,8 @@
 void lead_unanimous(struct lead *l, const struct lead_word *word, uint32_t n);
 /* May the primary be used now? */
 bool lead_holds(const struct lead *l, usec_t now, usec_t guard);
+/* The newest sample; all zero if there is none. */
+void lead_newest(const struct lead *l, struct lead_sample *out);
 /*
  * The least position that holds all that was acknowledged before "before";
  * false if none is known.
--- a/src/decide/quota.c
+++ b/src/decide/quota.c
@@ -11,6 +11,8 @@
  * out the whole burst, and a site allows little more than the limit.
  */
 #define RESERVE_US (200 * USEC_PER_MSEC)
+/* Tokens of so long are what a team may expect to find at a VM. */
+#define SETTLED_US (1 * USEC_PER_SEC)
 /* The VM itself, where an index of a peer is meant. */
 #define SELF HANDLE_NONE
 
@@ -39,8 +41,9 @@
 struct quota {
 	uint64_t hash; /* of this VM's name */
 	bool leaving;
-	bool company; /* at least half of the others are heard */
-	bool stale;   /* others may have kept this VM's teams meanwhile */
+	bool company;	   /* at least half of the others are heard */
+	usec_t company_at; /* since then; 0: not, or not known yet */
+	bool stale;	   /* others may have kept this VM's teams meanwhile */
 	uint32_t n_teams;
 	uint32_t n_peers;
 	uint32_t n_heard;
@@ -156,10 +159,18 @@
 }
 
 /* A VM that is alone has kept its teams from the beginning. */
-void quota_settle(struct quota *q)
+void quota_settle(struct quota *q, usec_t now)
 {
-	if (q->n_peers == 0)
+	if (q->n_peers == 0) {
 		q->stale = false;
+		q->company_at = now;
+	}
+}
+
+/* A VM that has just begun to keep teams has no tokens for them yet. */
+bool quota_settled(const struct quota *q, usec_t now)
+{
+	return q->company && q->company_at && now - q->company_at >= SETTLED_US;
 }
 
 /* Gives up all teams for good. */
@@ -337,6 +348,10 @@
 static void weigh_company(struct quota *q, bool fell_silent, usec_t now)
 {
 	q->company = q->n_heard * 2 >= q->n_peers - q->n_gone;
+	if (!q->company)
+		q->company_at = 0;
+	else if (q->company_at == 0 && q->n_heard > 0)
+		q->company_at = now;
 	if (!q->company) {
 		q->stale |= fell_silent;
 	} else if (q->stale && q->n_heard > 0) {
--- a/src/decide/quota.h
+++ b/src/decide/quota.h
@@ -32,7 +32,9 @@
 /* It will not come back: nothing is left to it. */
 void quota_peer_gone(struct quota *q, const char *peer, usec_t now);
 /* All VMs were listed: if there are no others, this one keeps all teams. */
-void quota_settle(struct quota *q);
+void quota_settle(struct quota *q, usec_t now);
+/* Has it kept its teams for long enough to let in what they may ask for? */
+bool quota_settled(const struct quota *q, usec_t now);
 /* This VM stops: others keep its teams from now on. */
 void quota_leave(struct quota *q, usec_t now);
 /* This VM stood still: others have kept its teams meanwhile. */
--- a/src/proxy/beacon.c
+++ b/src/proxy/beacon.c
@@ -106,6 +106,7 @@
 static void take_groups(struct beacon *b, struct peer_vm *v,
 			struct wire_reader r);
 static enum doubt doubt_from(uint64_t v);
+static XXH64_hash_t rank_of(const char *vm, const char *service);
 static struct peer_vm *find(struct beacon *b, const char *name, bool make);
 static bool hears(struct pgroup *g, usec_t now);
 static usec_t pause_of(const struct beacon *b);
@@ -260,11 +261,7 @@
 /* Counts the live VMs whose hash for the service is above this one's. */
 uint32_t beacon_rank(const struct beacon *b, const char *service)
 {
-	const struct proxy *p = b->proxy;
-	XXH64_hash_t seed = XXH3_64bits(service, strlen(service));
-	const char *own_name = p->kernel->settings.vm;
-	XXH64_hash_t own =
-		XXH3_64bits_withSeed(own_name, strlen(own_name), seed);
+	XXH64_hash_t own = rank_of(b->proxy->kernel->settings.vm, service);
 	uint32_t rank = 0;
 	uint32_t i;
 
@@ -273,13 +270,42 @@
 
 		if (v->silent || v->draining)
 			continue;
-		if (p->draining ||
-		    XXH3_64bits_withSeed(v->name, strlen(v->name), seed) > own)
+		if (b->proxy->draining || rank_of(v->name, service) > own)
 			rank++;
 	}
 	return rank;
 }
 
+/* Names the live peer with the highest hash, if it is above this one's. */
+const char *beacon_first(const struct beacon *b, const char *service)
+{
+	const struct peer_vm *first = NULL;
+	XXH64_hash_t best = 0;
+	uint32_t i;
+
+	if (!b->proxy->draining)
+		best = rank_of(b->proxy->kernel->settings.vm, service);
+	for (i = 0; i < b->n; i++) {
+		const struct peer_vm *v = b->peers[i];
+		XXH64_hash_t h;
+
+		if (v->silent || v->draining || v->deaf)
+			continue;
+		h = rank_of(v->name, service);
+		if (h > best) {
+			best = h;
+			first = v;
+		}
+	}
+	return first ? first->name : NULL;
+}
+
+static XXH64_hash_t rank_of(const char *vm, const char *service)
+{
+	return XXH3_64bits_withSeed(vm, strlen(vm),
+				    XXH3_64bits(service, strlen(service)));
+}
+
 /* Sums up what live peers say of a service's primary. */
 struct beacon_opinion beacon_opinion(const struct beacon *b,
 				     const char *service)
@@ -515,6 +541,13 @@
 	case PEER_GRANT:
 		limits_take_grant(b->proxy->limits, &r);
 		break;
+	case PEER_PROVE:
+		proofs_take_ask(b->proxy, &r, (const struct sockaddr *)from,
+				from_len);
+		break;
+	case PEER_PROOF:
+		proofs_take_answer(b->proxy, &r);
+		break;
 	default:
 		r.bad = true;
 		break;
--- a/src/proxy/cluster.c
+++ b/src/proxy/cluster.c
@@ -12,6 +12,9 @@
  * has run out is made anew only with the help of all databases.
  */
 #define WANTED_FOR_US (5 * USEC_PER_SEC)
+/* The proof is kept fresh for so long after a statement for the primary: the
+ * longest that one usually takes. */
+#define IN_USE_US (1 * USEC_PER_SEC)
 /* A database that was asked and has not answered for half the guard. */
 #define UNREACHABLE_US (300 * USEC_PER_MSEC)
 /* Least pause between two questions to one database. */
@@ -146,6 +149,7 @@
 		for (j = 0; j < GROUP_DBS_MAX; j++)
 			tick_db(&g->db[j], now);
 		prove(g, now);
+		cluster_refresh(g, now);
 		failover_tick(g, now);
 		if (g->n_waiting > 0)
 			dispatch_pump(g);
@@ -217,9 +221,12 @@
 {
 	if (g->primary == DB_NONE)
 		return false;
-	if (lead_holds(&g->lead, now, g->proxy->policy.guard))
+	if (lead_holds(&g->lead, now, g->proxy->policy.guard)) {
+		g->unproved_since = 0;
 		return true;
+	}
 	g->wanted_at = now;
+	proofs_missing(g, now);
 	prove(g, now);
 	return false;
 }
@@ -464,19 +471,25 @@
 
 /*
  * Asks replicas while the primary is in use and its proof ages: one at a time,
- * in turn, but all of them once the proof has run out.
+ * in turn, but all of them once the proof has run out. Whoever keeps the proof
+ * for others asks the primary, too, how far its log has come.
  */
 static void prove(struct pgroup *g, usec_t now)
 {
 	usec_t guard = g->proxy->policy.guard;
 	bool one = lead_holds(&g->lead, now, guard);
+	struct lead_sample newest;
 	uint32_t i;
 
-	if (g->primary == DB_NONE)
+	if (g->primary == DB_NONE || !proofs_are_own(g, now))
 		return;
 	if (g->lead.proved_at != INT64_MIN &&
-	    (now - g->lead.proved_at < guard / PROOF_AGE_PARTS ||
-	     now - g->wanted_at > WANTED_FOR_US))
+	    now - g->wanted_at > WANTED_FOR_US)
+		return;
+	lead_newest(&g->lead, &newest);
+	if (one && now - newest.asked_at > guard / PROOF_AGE_PARTS)
+		cluster_probe(&g->db[g->primary], now);
+	if (one && now - g->lead.proved_at < guard / PROOF_AGE_PARTS)
 		return;
 	if (!one) {
 		weigh_words(g, now);
@@ -498,6 +511,23 @@
 	}
 }
 
+/*
+ * A statement for the primary is on its way, or was a moment ago: its answer
+ * counts only with a proof that is still good then.
+ */
+void cluster_refresh(struct pgroup *g, usec_t now)
+{
+	if (g->primary == DB_NONE || now - g->wanted_at > IN_USE_US ||
+	    (g->lead.proved_at != INT64_MIN &&
+	     now - g->lead.proved_at <
+		     g->proxy->policy.guard / PROOF_AGE_PARTS))
+		return;
+	if (proofs_are_own(g, now))
+		prove(g, now);
+	else
+		proofs_ask(g, now);
+}
+
 /* Is there a database other than the primary that has to be vouched for? */
 static bool any_unreachable(const struct pgroup *g, usec_t now)
 {
--- a/src/proxy/dispatch.c
+++ b/src/proxy/dispatch.c
@@ -6,6 +6,11 @@
 
 /* A position older than this says little about a replica now. */
 #define POSITION_FRESH_US (50 * USEC_PER_MSEC)
+/*
+ * While reads come, a new position is asked for when the newest is this old:
+ * half the least age that routes usually allow.
+ */
+#define SAMPLE_AGE_US (700 * USEC_PER_MSEC)
 /* Pause before databases that refused a statement are asked again. */
 #define ROUND_PAUSE_US (20 * USEC_PER_MSEC)
 
@@ -23,8 +28,10 @@
 	usec_t now = proxy_now();
 
 	s->group->used_at = now;
-	if (s->task.at_primary)
+	if (s->task.at_primary) {
 		s->group->wanted_at = now;
+		cluster_refresh(s->group, now);
+	}
 	s->task.stage = TASK_WAITING;
 	if (s->held && s->tx_begun) {
 		backend_run(s->held, s);
@@ -217,8 +224,15 @@
 {
 	struct task *t = &s->task;
 	usec_t age = (usec_t)s->staleness_ms * USEC_PER_MSEC;
+	struct lead_sample newest;
 
-	(void)now;
+	lead_newest(&s->group->lead, &newest);
+	if (now - newest.asked_at > SAMPLE_AGE_US) {
+		if (proofs_are_own(s->group, now))
+			s->group->wanted_at = now;
+		else
+			proofs_ask(s->group, now);
+	}
 	if (s->freshness == READ_PRIMARY ||
 	    !lead_position(&s->group->lead, t->began_at - age, &t->after))
 		return false;
--- a/src/proxy/proxy.c
+++ b/src/proxy/proxy.c
@@ -129,7 +129,8 @@
 /* Can this VM serve callers that come now? */
 bool proxy_is_ready(const struct proxy *p)
 {
-	return !p->draining && p->catalog && p->databases_known && p->vms_known;
+	return !p->draining && p->catalog && p->databases_known &&
+	       p->vms_known && p->limits_known;
 }
 
 /* VMs that share the databases' connections, this one included. */
@@ -372,6 +373,7 @@
 	registry_tick(p->registry, now);
 	beacon_tick(p->beacon, now);
 	limits_tick(p->limits, now);
+	p->limits_known |= quota_settled(p->quota, now);
 	cluster_tick(p, now);
 	if (__atomic_load_n(&p->kernel->draining, __ATOMIC_ACQUIRE))
 		drain_sessions(p, now);
--- a/src/proxy/proxy_own.h
+++ b/src/proxy/proxy_own.h
@@ -88,11 +88,15 @@
 	struct succession succession;
 	usec_t verified_at; /* the claim was asked for then */
 	struct duty_sight duty_seen;
-	usec_t paused_since;  /* a replica is paused for a later term; 0: no */
-	usec_t resumed_at;    /* paused ones were let go last */
-	bool promoted_here;   /* the primary of this term, by this VM */
-	usec_t led_at;	      /* its primary was last changed here */
-	usec_t leaderless_at; /* no primary is known since; 0: one is */
+	uint64_t proof_number; /* of the newest question to its keeper */
+	usec_t proof_asked_at; /* when that was sent */
+	usec_t unproved_since; /* a proof is needed; 0: there is one */
+	usec_t alone_until;    /* this VM asks the databases itself */
+	usec_t paused_since;   /* a replica is paused for a later term; 0: no */
+	usec_t resumed_at;     /* paused ones were let go last */
+	bool promoted_here;    /* the primary of this term, by this VM */
+	usec_t led_at;	       /* its primary was last changed here */
+	usec_t leaderless_at;  /* no primary is known since; 0: one is */
 };
 
 /* What a finished statement came to. */
@@ -267,7 +271,8 @@
 	usec_t drain_at;
 	bool databases_known;
 	bool vms_known;
-	uint64_t claims; /* of duties, by this VM */
+	bool limits_known; /* the share of team limits is there */
+	uint64_t claims;   /* of duties, by this VM */
 	struct proxy_inbox *inbox;
 	uint64_t random[16];
 	uint32_t random_left;
@@ -328,6 +333,8 @@
 
 /* cluster.c */
 struct pgroup *cluster_group(struct proxy *p, const char *service);
+/* Keeps the proof of a primary in use fresh. */
+void cluster_refresh(struct pgroup *g, usec_t now);
 /* True if there are new services. */
 bool cluster_apply_catalog(struct proxy *p, usec_t now);
 /* Takes in a whole list; when to list again for what is missing, 0: no need. */
@@ -363,6 +370,8 @@
 uint32_t beacon_live(const struct beacon *b);
 /* Rank of this VM for a service among those heard lately; 0 first. */
 uint32_t beacon_rank(const struct beacon *b, const char *service);
+/* The peer that comes first for a service; NULL: this VM does. */
+const char *beacon_first(const struct beacon *b, const char *service);
 /* Has this VM heard most of the others for a while? */
 bool beacon_in_company(const struct beacon *b, usec_t now);
 /* Sends the next beacon at once. */
@@ -388,6 +397,8 @@
 	PEER_BEACON = 2, /* 1 had another form */
 	PEER_ASK = 3,
 	PEER_GRANT = 4,
+	PEER_PROVE = 5,
+	PEER_PROOF = 6,
 };
 
 enum limits_answer {
@@ -406,4 +417,12 @@
 		     const struct sockaddr *from, socklen_t from_len);
 void limits_take_grant(struct limits *l, struct wire_reader *r);
 
+/* proofs.c */
+bool proofs_are_own(struct pgroup *g, usec_t now);
+void proofs_ask(struct pgroup *g, usec_t now);
+void proofs_missing(struct pgroup *g, usec_t now);
+void proofs_take_ask(struct proxy *x, struct wire_reader *r,
+		     const struct sockaddr *from, socklen_t from_len);
+void proofs_take_answer(struct proxy *x, struct wire_reader *r);
+
 #endif
--- a/src/proxy/registry.c
+++ b/src/proxy/registry.c
@@ -534,7 +534,7 @@
 	p->call.from[0] = '\0';
 	p->due = proxy_now() + VMS_EVERY_US;
 	if (!r->proxy->vms_known)
-		quota_settle(r->proxy->quota);
+		quota_settle(r->proxy->quota, proxy_now());
 	r->proxy->vms_known = true;
 }
 
--- a/tests/decide/quota_test.cc
+++ b/tests/decide/quota_test.cc
@@ -438,10 +438,10 @@
 		usec_t now = 100 * USEC_PER_SEC;
 		quota_limit(q, "team", 10, 10, now);
 		if (c.alone)
-			quota_settle(q);
+			quota_settle(q, now);
 		now += 5 * USEC_PER_SEC;
 		quota_peer(q, "b", false, false, now);
-		quota_settle(q);
+		quota_settle(q, now);
 		EXPECT_EQ(quota_grant(q, "team", now, &later), QUOTA_NOT_KEPT)
 			<< c.name;
 		// Heard, but leaving: this VM keeps the team.
@@ -450,6 +450,8 @@
 		while (quota_grant(q, "team", now, &later) == QUOTA_GRANTED)
 			n++;
 		EXPECT_EQ(n, c.tokens) << c.name;
+		EXPECT_FALSE(quota_settled(q, now)) << c.name;
+		EXPECT_TRUE(quota_settled(q, now + USEC_PER_SEC)) << c.name;
 		quota_destroy(q);
 	}
 }
