--- a/src/proxy/beacon.c
+++ b/src/proxy/beacon.c
@@ -83,6 +83,7 @@
 	usec_t due;
 	usec_t alone_at; /* most others were not heard then */
 	usec_t ticked_at;
+	uint64_t changes; /* of who may keep something; see beacon_first() */
 	bool left;
 };
 
@@ -171,6 +172,7 @@
 	b->ticked_at = now;
 	if (b->proxy->draining && !b->left) {
 		b->left = true;
+		b->changes++;
 		quota_leave(b->proxy->quota, now);
 	}
 	for (i = 0; i < b->n; i++) {
@@ -276,6 +278,12 @@
 	return rank;
 }
 
+/* Counts the changes after which beacon_first() may give another answer. */
+uint64_t beacon_changes(const struct beacon *b)
+{
+	return b->changes;
+}
+
 /* Names the live peer with the highest hash, if it is above this one's. */
 const char *beacon_first(const struct beacon *b, const char *service)
 {
@@ -463,6 +471,7 @@
 {
 	v->silent = silent;
 	v->gone = false;
+	b->changes++;
 	log_event(silent ? EV_PEER_GONE : EV_PEER_JOINED,
 		  "peer=%s incarnation=%llu silent_us=%lld", v->name,
 		  (unsigned long long)v->incarnation,
@@ -572,6 +581,7 @@
 	struct peer_vm *v;
 	usec_t before;
 	bool draining;
+	bool deaf;
 
 	wire_str(r, name, sizeof(name));
 	wire_str(r, domain, sizeof(domain));
@@ -593,8 +603,10 @@
 	before = v->heard_at;
 	v->incarnation = incarnation;
 	v->heard_at = proxy_now();
+	deaf = names_self(b, silent);
+	b->changes += draining != v->draining || deaf != v->deaf;
 	v->draining = draining;
-	v->deaf = names_self(b, silent);
+	v->deaf = deaf;
 	v->to = *from;
 	v->to_len = from_len;
 	snprintf(v->domain, sizeof(v->domain), "%s", domain);
--- a/src/proxy/proofs.c
+++ b/src/proxy/proofs.c
@@ -17,22 +17,33 @@
 /* And goes on with that for so long. */
 #define ALONE_FOR_US (2 * USEC_PER_SEC)
 
+/* The VM that keeps the group's proof; NULL: this one. */
+static const char *keeper(struct pgroup *g)
+{
+	const struct beacon *b = g->proxy->beacon;
+
+	if (g->proof_changes != beacon_changes(b) + 1) {
+		g->proof_keeper = beacon_first(b, g->service);
+		g->proof_changes = beacon_changes(b) + 1;
+	}
+	return g->proof_keeper;
+}
+
 /* Has this VM to ask the group's databases itself? */
 bool proofs_are_own(struct pgroup *g, usec_t now)
 {
-	return now < g->alone_until ||
-	       !beacon_first(g->proxy->beacon, g->service);
+	return now < g->alone_until || !keeper(g);
 }
 
 /* Asks whoever keeps the group's proof, unless that was done just now. */
 void proofs_ask(struct pgroup *g, usec_t now)
 {
 	struct beacon *b = g->proxy->beacon;
-	const char *keeper = beacon_first(b, g->service);
+	const char *to = keeper(g);
 	msgpack_sbuffer buf;
 	msgpack_packer p;
 
-	if (!keeper || now - g->proof_asked_at < ASK_AGAIN_US)
+	if (!to || now - g->proof_asked_at < ASK_AGAIN_US)
 		return;
 	g->proof_asked_at = now;
 	g->proof_number++;
@@ -43,7 +54,7 @@
 	msgpack_pack_uint64(&p, g->proof_number);
 	wire_put_str(&p, g->service);
 	msgpack_pack_uint64(&p, g->lead.term);
-	beacon_send(b, keeper, buf.data, buf.size);
+	beacon_send(b, to, buf.data, buf.size);
 	msgpack_sbuffer_destroy(&buf);
 }
 
--- a/src/proxy/proxy_own.h
+++ b/src/proxy/proxy_own.h
@@ -88,15 +88,17 @@
 	struct succession succession;
 	usec_t verified_at; /* the claim was asked for then */
 	struct duty_sight duty_seen;
-	uint64_t proof_number; /* of the newest question to its keeper */
-	usec_t proof_asked_at; /* when that was sent */
-	usec_t unproved_since; /* a proof is needed; 0: there is one */
-	usec_t alone_until;    /* this VM asks the databases itself */
-	usec_t paused_since;   /* a replica is paused for a later term; 0: no */
-	usec_t resumed_at;     /* paused ones were let go last */
-	bool promoted_here;    /* the primary of this term, by this VM */
-	usec_t led_at;	       /* its primary was last changed here */
-	usec_t leaderless_at;  /* no primary is known since; 0: one is */
+	const char *proof_keeper; /* as of proof_changes; NULL: this VM */
+	uint64_t proof_changes;	  /* beacon_changes() then, plus one */
+	uint64_t proof_number;	  /* of the newest question to its keeper */
+	usec_t proof_asked_at;	  /* when that was sent */
+	usec_t unproved_since;	  /* a proof is needed; 0: there is one */
+	usec_t alone_until;	  /* this VM asks the databases itself */
+	usec_t paused_since;  /* a replica is paused for a later term; 0: no */
+	usec_t resumed_at;    /* paused ones were let go last */
+	bool promoted_here;   /* the primary of this term, by this VM */
+	usec_t led_at;	      /* its primary was last changed here */
+	usec_t leaderless_at; /* no primary is known since; 0: one is */
 };
 
 /* What a finished statement came to. */
@@ -372,6 +374,7 @@
 uint32_t beacon_rank(const struct beacon *b, const char *service);
 /* The peer that comes first for a service; NULL: this VM does. */
 const char *beacon_first(const struct beacon *b, const char *service);
+uint64_t beacon_changes(const struct beacon *b);
 /* Has this VM heard most of the others for a while? */
 bool beacon_in_company(const struct beacon *b, usec_t now);
 /* Sends the next beacon at once. */
