Let each paused replica go by itself

A VM was killed while it fenced a group; one replica was paused, the other not. The time since when a group's replicas were paused was one for all, and each answer of the unpaused one set it back, so that the five seconds never passed. Since all databases have to speak where a proof has run out, the primary could not be proved either.

Change: that time is kept for each database.

--- a/src/proxy/cluster.c
+++ b/src/proxy/cluster.c
@@ -178,6 +178,7 @@
 		  const char *source)
 {
 	usec_t now = proxy_now();
+	uint32_t i;
 
 	if (g->primary == db && g->lead.term == term)
 		return;
@@ -188,7 +189,8 @@
 	if (g->lead.term != term) {
 		lead_begin(&g->lead, term);
 		g->promoted_here = false;
-		g->paused_since = 0;
+		for (i = 0; i < GROUP_DBS_MAX; i++)
+			g->db[i].paused_since = 0;
 	}
 	g->primary = db;
 	g->led_at = now;
@@ -396,9 +398,9 @@
 	if (report->held_term <= g->lead.term) {
 		lead_unpaused(&g->lead, asked_at, report->term,
 			      g->proxy->policy.guard);
-		g->paused_since = 0;
-	} else if (g->paused_since == 0) {
-		g->paused_since = proxy_now();
+		db->paused_since = 0;
+	} else if (db->paused_since == 0) {
+		db->paused_since = proxy_now();
 	}
 	if (report->term > g->lead.term && g->lead.term > 0)
 		registry_hurry(g->proxy->registry, proxy_now());
--- a/src/proxy/failover.c
+++ b/src/proxy/failover.c
@@ -94,7 +94,7 @@
 			  env.rank);
 	for (i = 0; i < out.n; i++)
 		act(g, &out.a[i]);
-	if (g->paused_since && s->phase == SUCCESSION_IDLE)
+	if (s->phase == SUCCESSION_IDLE)
 		release_paused(g, &env);
 }
 
@@ -108,14 +108,17 @@
 
 	if (g->primary == DB_NONE || env->peer_at_work ||
 	    env->now - g->resumed_at < RESUME_AGAIN_US ||
-	    (!g->promoted_here &&
-	     (env->rank != 0 || env->now - g->paused_since < PAUSED_US)))
+	    (!g->promoted_here && env->rank != 0))
 		return;
-	g->resumed_at = env->now;
 	for (i = 0; i < GROUP_DBS_MAX; i++) {
-		if (g->db[i].present && i != g->primary &&
-		    g->db[i].report.held_term > g->lead.term)
-			ask_fence(g, i, CONTROL_RESUME, 0);
+		const struct pdb *d = &g->db[i];
+
+		if (!d->present || i == g->primary || !d->paused_since ||
+		    (!g->promoted_here &&
+		     env->now - d->paused_since < PAUSED_US))
+			continue;
+		g->resumed_at = env->now;
+		ask_fence(g, i, CONTROL_RESUME, 0);
 	}
 }
 
--- a/src/proxy/proxy_own.h
+++ b/src/proxy/proxy_own.h
@@ -68,6 +68,7 @@
 	bool probing;
 	struct db_report report; /* its last status */
 	usec_t report_at;	 /* when that was asked for; 0: never */
+	usec_t paused_since;	 /* for a later term; 0: it is not */
 };
 
 /* One service: its databases, its primary, and who waits for it. */
@@ -94,11 +95,10 @@
 	usec_t proof_asked_at;	  /* when that was sent */
 	usec_t unproved_since;	  /* a proof is needed; 0: there is one */
 	usec_t alone_until;	  /* this VM asks the databases itself */
-	usec_t paused_since;  /* a replica is paused for a later term; 0: no */
-	usec_t resumed_at;    /* paused ones were let go last */
-	bool promoted_here;   /* the primary of this term, by this VM */
-	usec_t led_at;	      /* its primary was last changed here */
-	usec_t leaderless_at; /* no primary is known since; 0: one is */
+	usec_t resumed_at;	  /* paused ones were let go last */
+	bool promoted_here;	  /* the primary of this term, by this VM */
+	usec_t led_at;		  /* its primary was last changed here */
+	usec_t leaderless_at;	  /* no primary is known since; 0: one is */
 };
 
 /* What a finished statement came to. */
