Open no connections to a database without a slot

A handshake takes a slot for 12 ms. Each waiting statement took an idle connection of another team away and opened its own; by the time it was there the statement had timed out, and the next took it away, unused: some 390 handshakes a second and database, 4.7 of 5 slots.

Change: after a statement for which a database had no slot, a VM opens no connection to it for a pause that doubles up to 0.8 s, until one is answered; a connection that has served nothing is left to its team for 0.3 s.

Ruled out: missing proofs or primaries (no change of primary in one of the two groups).

--- a/src/proxy/dispatch.c
+++ b/src/proxy/dispatch.c
@@ -112,6 +112,8 @@
 	s->tx_begun = false;
 	if (t->db < GROUP_DBS_MAX)
 		t->tried |= 1U << t->db;
+	if (code == REFUSE_BUSY && t->db < GROUP_DBS_MAX)
+		pool_busy(&g->db[t->db]);
 	if (code == REFUSE_READ_ONLY && t->db == g->primary)
 		cluster_doubt(g, now);
 	if (code == REFUSE_WRONG_DATABASE)
--- a/src/proxy/pool.c
+++ b/src/proxy/pool.c
@@ -9,8 +9,17 @@
 #define REFUSALS_MAX 4
 /* Connections to a database while the other VMs are not known. */
 #define PART_UNKNOWN 2
-/* Connections of a team that wait for one being opened. */
+/* Connections being opened to one database. */
 #define OPENING_MAX 2
+/*
+ * A new connection takes a slot as a statement does. While a database has none
+ * for statements, no connections are opened for a pause that doubles: a tenth
+ * of what a statement may usually take, up to half of that.
+ */
+#define BUSY_PAUSE_US  (50 * USEC_PER_MSEC)
+#define BUSY_PAUSE_MAX 4 /* times that it doubles */
+/* A connection that has served nothing is left to its team for so long. */
+#define UNSERVED_US (300 * USEC_PER_MSEC)
 
 static uint32_t fair_part(const struct pdb *db);
 static struct backend *least_used(struct pdb *db, const struct session *s);
@@ -56,7 +65,7 @@
 		db->limit++;
 		db->limit_at += LIMIT_STEP_US;
 	}
-	if (opening(db) >= OPENING_MAX)
+	if (opening(db) >= OPENING_MAX || now < db->open_after)
 		return PLACE_NONE;
 	if (db->n_conns < db->limit)
 		return PLACE_OPEN;
@@ -95,6 +104,25 @@
 			      << (db->refusals - 1));
 }
 
+/* Statements found no slot: no connections are opened for a while. */
+void pool_busy(struct pdb *db)
+{
+	usec_t pause = BUSY_PAUSE_US << db->busy;
+
+	if (db->busy < BUSY_PAUSE_MAX)
+		db->busy++;
+	pause = pause / 2 +
+		(usec_t)(proxy_draw(db->group->proxy) * (double)pause / 2);
+	db->open_after = proxy_now() + pause;
+}
+
+/* A statement was answered. */
+void pool_served(struct backend *b)
+{
+	b->served = true;
+	b->db->busy = 0;
+}
+
 /* Any idle connection, for questions of the VM's own. */
 struct backend *pool_any(struct pdb *db)
 {
@@ -123,10 +151,13 @@
 static struct backend *least_used(struct pdb *db, const struct session *s)
 {
 	struct backend *oldest = NULL;
+	usec_t now = proxy_now();
 	struct backend *b;
 
 	TAILQ_FOREACH(b, &db->conns, link)
 	{
+		if (!b->served && now - b->opened_at < UNSERVED_US)
+			continue;
 		if (b->state == BACKEND_IDLE && strcmp(b->team, s->team) != 0 &&
 		    (!oldest || b->used_at < oldest->used_at))
 			oldest = b;
--- a/src/proxy/proxy_own.h
+++ b/src/proxy/proxy_own.h
@@ -57,6 +57,8 @@
 	uint32_t limit;	     /* connections this VM may hold */
 	usec_t limit_at;     /* last change of it */
 	uint32_t refusals;   /* for want of room, in a row */
+	uint32_t busy;	     /* statements it had no slot for, in a row */
+	usec_t open_after;   /* no new connections before; see pool.c */
 	struct log_pos at;   /* newest position it showed */
 	usec_t heard_at;     /* last byte of it; 0: never */
 	usec_t silent_since; /* oldest question without an answer; 0: none */
@@ -210,6 +212,7 @@
 	struct bufferevent *bev;
 	struct event *timer;
 	enum backend_state state;
+	bool served; /* it has answered a statement */
 	struct session *holder;
 	struct names values;
 	struct names prepared;
@@ -330,6 +333,9 @@
 struct backend *pool_take(struct pdb *db, const struct session *s,
 			  enum place_way way);
 void pool_refused(struct pdb *db);
+/* The database had no slot for a statement, or has answered one. */
+void pool_busy(struct pdb *db);
+void pool_served(struct backend *b);
 /* A connection for the system's own questions; NULL if none may be had. */
 struct backend *pool_any(struct pdb *db);
 
--- a/src/proxy/session_end.c
+++ b/src/proxy/session_end.c
@@ -25,6 +25,8 @@
 	usec_t now = proxy_now();
 
 	if (end == END_ANSWER) {
+		if (s->held)
+			pool_served(s->held);
 		if ((t->writes && !s->tx) || (t->commits && s->tx_wrote)) {
 			if (!cluster_primary_usable(g, now)) {
 				/* Another primary may lead already; whether
