--- a/src/proxy/pool.c
+++ b/src/proxy/pool.c
@@ -11,13 +11,6 @@
 #define PART_UNKNOWN 2
 /* Connections being opened to one database. */
 #define OPENING_MAX 2
-/*
- * A new connection takes a slot as a statement does. While a database has none
- * for statements, no connections are opened for a pause that doubles: a tenth
- * of what a statement may usually take, up to half of that.
- */
-#define BUSY_PAUSE_US  (50 * USEC_PER_MSEC)
-#define BUSY_PAUSE_MAX 4 /* times that it doubles */
 /* A connection that has served nothing is left to its team for so long. */
 #define UNSERVED_US (300 * USEC_PER_MSEC)
 
@@ -65,7 +58,7 @@
 		db->limit++;
 		db->limit_at += LIMIT_STEP_US;
 	}
-	if (opening(db) >= OPENING_MAX || now < db->open_after)
+	if (opening(db) >= OPENING_MAX || !openings_allowed(&db->openings, now))
 		return PLACE_NONE;
 	if (db->n_conns < db->limit)
 		return PLACE_OPEN;
@@ -104,23 +97,17 @@
 			      << (db->refusals - 1));
 }
 
-/* Statements found no slot: no connections are opened for a while. */
+/* A statement found no slot: no connections are opened for a while. */
 void pool_busy(struct pdb *db)
 {
-	usec_t pause = BUSY_PAUSE_US << db->busy;
-
-	if (db->busy < BUSY_PAUSE_MAX)
-		db->busy++;
-	pause = pause / 2 +
-		(usec_t)(proxy_draw(db->group->proxy) * (double)pause / 2);
-	db->open_after = proxy_now() + pause;
+	openings_busy(&db->openings, proxy_now(), proxy_draw(db->group->proxy));
 }
 
 /* A statement was answered. */
 void pool_served(struct backend *b)
 {
 	b->served = true;
-	b->db->busy = 0;
+	openings_served(&b->db->openings);
 }
 
 /* Any idle connection, for questions of the VM's own. */
--- a/src/proxy/proxy_own.h
+++ b/src/proxy/proxy_own.h
@@ -8,6 +8,7 @@
 #include "decide/absence.h"
 #include "decide/duty.h"
 #include "decide/lead.h"
+#include "decide/openings.h"
 #include "decide/place.h"
 #include "decide/quota.h"
 #include "decide/succession.h"
@@ -53,14 +54,13 @@
 	struct pgroup *group;
 	struct backend_list conns;
 	uint32_t n_conns;
-	uint32_t running;    /* statements of this VM there */
-	uint32_t limit;	     /* connections this VM may hold */
-	usec_t limit_at;     /* last change of it */
-	uint32_t refusals;   /* for want of room, in a row */
-	uint32_t busy;	     /* statements it had no slot for, in a row */
-	usec_t open_after;   /* no new connections before; see pool.c */
-	struct log_pos at;   /* newest position it showed */
-	usec_t heard_at;     /* last byte of it; 0: never */
+	uint32_t running;	  /* statements of this VM there */
+	uint32_t limit;		  /* connections this VM may hold */
+	usec_t limit_at;	  /* last change of it */
+	uint32_t refusals;	  /* for want of room, in a row */
+	struct openings openings; /* when new connections may be opened */
+	struct log_pos at;	  /* newest position it showed */
+	usec_t heard_at;	  /* last byte of it; 0: never */
 	usec_t silent_since; /* oldest question without an answer; 0: none */
 	usec_t refused_at;   /* a connection was refused or reset; 0: none */
 	usec_t retry_at;     /* not before; after failures */
--- /dev/null
+++ b/tests/decide/openings_test.cc
@@ -0,0 +1,160 @@
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <random>
+#include <vector>
+
+extern "C" {
+#include "decide/openings.h"
+}
+
+namespace
+{
+constexpr usec_t kMs = USEC_PER_MSEC;
+
+TEST(Openings, PausesDoubleAndEnd)
+{
+	const struct {
+		const char *name;
+		int refused, answered; // in this order
+		int again;	       // refused after that
+		usec_t least, most;    // pause, as drawn from 0 to 1
+	} cases[] = {
+		{ "never refused", 0, 0, 0, 0, 0 },
+		{ "once", 1, 0, 0, 25 * kMs, 50 * kMs },
+		{ "three times", 3, 0, 0, 100 * kMs, 200 * kMs },
+		{ "many times", 40, 0, 0, 400 * kMs, 800 * kMs },
+		{ "answered in between", 40, 1, 1, 25 * kMs, 50 * kMs },
+	};
+	for (const auto &c : cases) {
+		for (double draw : { 0.0, 1.0 }) {
+			struct openings o = {};
+			for (int i = 0; i < c.refused; i++)
+				openings_busy(&o, 0, draw);
+			for (int i = 0; i < c.answered; i++)
+				openings_served(&o);
+			for (int i = 0; i < c.again; i++)
+				openings_busy(&o, 0, draw);
+			usec_t pause = draw > 0 ? c.most : c.least;
+			EXPECT_TRUE(openings_allowed(&o, pause)) << c.name;
+			if (pause > 0) {
+				EXPECT_FALSE(openings_allowed(&o, pause - 1))
+					<< c.name;
+			}
+		}
+	}
+}
+
+// The pattern: many VMs and teams before a database with few connections for
+// each, so that nearly every statement needs a new one; then a surge for a
+// second. A statement gives up after a second. Returns those answered in the
+// ten seconds after the surge.
+class Storm
+{
+      public:
+	explicit Storm(bool pauses) : pauses_(pauses), vms_(66)
+	{
+	}
+	int run()
+	{
+		int answered = 0;
+		for (now_ = 0; now_ < 16 * USEC_PER_SEC; now_ += kMs) {
+			bool surge = now_ > 4 * USEC_PER_SEC &&
+				     now_ < 5 * USEC_PER_SEC;
+			arrive(surge ? 0.6 : 0.08);
+			for (auto &v : vms_)
+				open(v);
+			int done = serve();
+			if (now_ >= 6 * USEC_PER_SEC)
+				answered += done;
+		}
+		return answered;
+	}
+	static constexpr int kAsked = 800; // in those ten seconds
+
+      private:
+	struct Vm {
+		std::deque<usec_t> waiting; // when each came
+		int opening = 0;
+		struct openings o = {};
+	};
+	struct Work {
+		usec_t since; // the statement came; of a handshake: began
+		size_t vm;
+		bool handshake;
+		usec_t left;
+	};
+	void arrive(double per_ms)
+	{
+		for (; per_ms > 0; per_ms -= 1) {
+			if (uniform() < per_ms)
+				vms_[rng_() % vms_.size()].waiting.push_back(
+					now_);
+		}
+	}
+	void open(Vm &v)
+	{
+		while (!v.waiting.empty() &&
+		       now_ - v.waiting.front() > USEC_PER_SEC)
+			v.waiting.pop_front();
+		while (v.opening < 2 && v.opening < (int)v.waiting.size() &&
+		       (!pauses_ || openings_allowed(&v.o, now_))) {
+			v.opening++;
+			queue_.push_back({ now_, (size_t)(&v - &vms_[0]), true,
+					   12 * kMs });
+		}
+	}
+	// Five slots, and 40 that wait for one; more statements are refused.
+	int serve()
+	{
+		int done = 0;
+		for (size_t i = 0; i < 5 && i < queue_.size();) {
+			Work &w = queue_[i];
+			w.left -= kMs;
+			if (w.left > 0) {
+				i++;
+				continue;
+			}
+			Work ended = w;
+			queue_.erase(queue_.begin() + (long)i);
+			done += finish(ended);
+		}
+		return done;
+	}
+	bool finish(const Work &w)
+	{
+		Vm &v = vms_[w.vm];
+		if (!w.handshake) {
+			openings_served(&v.o);
+			return now_ - w.since <= USEC_PER_SEC;
+		}
+		v.opening--;
+		if (v.waiting.empty())
+			return false;
+		if (queue_.size() >= 45) {
+			// Its connection is taken by another team meanwhile.
+			openings_busy(&v.o, now_, uniform());
+			return false;
+		}
+		queue_.push_back({ v.waiting.front(), w.vm, false, 24 * kMs });
+		v.waiting.pop_front();
+		return false;
+	}
+	double uniform()
+	{
+		return (double)rng_() / 4294967296.0;
+	}
+	bool pauses_;
+	std::vector<Vm> vms_;
+	std::deque<Work> queue_;
+	usec_t now_ = 0;
+	std::mt19937 rng_{ 11 };
+};
+
+TEST(Openings, StormAfterASurgeEnds)
+{
+	EXPECT_GE(Storm(true).run(), Storm::kAsked * 9 / 10);
+	// Without pauses the database goes on with handshakes alone.
+	EXPECT_LE(Storm(false).run(), Storm::kAsked / 2);
+}
+} // namespace
