Take a database that is missing alone for gone

Entries that lapse by an outage of the store lapse together.

Change: missing databases are kept only where a quarter of all, and two at least, are missing; one that is missing alone has left.

--- a/src/decide/absence.c
+++ b/src/decide/absence.c
@@ -1,18 +1,20 @@
 #include "decide/absence.h"
 
-/* Forgets that it was missing. */
-void absence_seen(struct absence *a)
-{
-	a->since = 0;
-}
+/* This part of the members, and more, is many. */
+#define MANY_PART 4
 
-/* Notes since when it is missing and tells whether that is long enough. */
-bool absence_missed(struct absence *a, usec_t asked_at, bool departing,
-		    usec_t back_within)
+/* Holds the missing ones from the first list that lacks many. */
+bool absence_left(struct absence *a, uint32_t known, uint32_t missing,
+		  usec_t asked_at, usec_t back_within)
 {
-	if (departing)
+	if (missing == 0) {
+		a->since = 0;
 		return true;
-	if (a->since == 0)
+	}
+	if (a->since == 0 && missing >= 2 && missing * MANY_PART >= known)
 		a->since = asked_at;
-	return asked_at - a->since >= back_within;
+	if (a->since && asked_at - a->since < back_within)
+		return false;
+	a->since = 0;
+	return true;
 }
--- a/src/decide/absence.h
+++ b/src/decide/absence.h
@@ -4,19 +4,21 @@
 #include "decide/types.h"
 
 /*
- * Whether a registered member that is missing from a list has left. One that
- * had announced its departure has. Any other may have lapsed while the
- * platform was away and be on its way back: it is kept until it has been
- * missing for long enough.
+ * Whether members that are missing from a list have left. Entries lapse when a
+ * member dies, but also, many at once, while the platform is away; then those
+ * that live are back soon after its return. So one that is missing alone has
+ * left, and where many are missing together all are kept for that time.
  */
 struct absence {
-	usec_t since; /* the first list that it was missing from; 0: none */
+	usec_t since; /* many are missing since then; 0: no */
 };
 
-/* It is in a list. */
-void absence_seen(struct absence *a);
-/* It is missing from a list asked for at "asked_at"; true if it has left. */
-bool absence_missed(struct absence *a, usec_t asked_at, bool departing,
-		    usec_t back_within);
+/*
+ * A list asked for at "asked_at" lacks "missing" of "known" members; those
+ * that announced their departure are counted in neither. True if the missing
+ * ones have left.
+ */
+bool absence_left(struct absence *a, uint32_t known, uint32_t missing,
+		  usec_t asked_at, usec_t back_within);
 
 #endif
--- a/src/proxy/cluster.c
+++ b/src/proxy/cluster.c
@@ -83,16 +83,18 @@
 }
 
 /*
- * Takes in the list of databases, asked for at "asked_at". Those that are
- * missing are kept for a while; returns when another list will tell whether
- * they have left, 0 if none is missing.
+ * Takes in the list of databases, asked for at "asked_at". Where many are
+ * missing they are kept for a while; returns when another list will tell
+ * whether they have left, else 0.
  */
 usec_t cluster_apply_databases(struct proxy *p, const struct registry_db *db,
 			       uint32_t n, usec_t asked_at)
 {
-	usec_t again = 0;
+	uint32_t missing = 0;
+	uint32_t known = 0;
 	uint32_t i;
 	uint32_t j;
+	bool left;
 
 	for (i = 0; i < n; i++) {
 		struct pgroup *g = cluster_group(p, db[i].service);
@@ -106,22 +108,24 @@
 
 			if (!d->present)
 				continue;
-			if (listed(d, db, n)) {
-				absence_seen(&d->absence);
-				continue;
-			}
-			if (absence_missed(&d->absence, asked_at, d->departing,
-					   BACK_WITHIN_US)) {
+			d->listed = listed(d, db, n);
+			known += !d->departing;
+			missing += !d->listed && !d->departing;
+		}
+	}
+	left = absence_left(&p->absence, known, missing, asked_at,
+			    BACK_WITHIN_US);
+	for (i = 0; i < p->n_groups; i++) {
+		for (j = 0; j < GROUP_DBS_MAX; j++) {
+			struct pdb *d = &p->groups[i]->db[j];
+
+			if (d->present && !d->listed && (left || d->departing))
 				remove_db(d, "left the registry");
-				continue;
-			}
-			if (!again || d->absence.since + BACK_WITHIN_US < again)
-				again = d->absence.since + BACK_WITHIN_US;
 		}
 	}
 	for (i = 0; i < p->n_groups; i++)
 		dispatch_pump(p->groups[i]);
-	return again;
+	return left ? 0 : p->absence.since + BACK_WITHIN_US;
 }
 
 static bool listed(const struct pdb *d, const struct registry_db *db,
--- a/src/proxy/proxy_own.h
+++ b/src/proxy/proxy_own.h
@@ -47,7 +47,7 @@
 	usec_t vouches_at; /* it proves no primary before: see cluster.c */
 	uint32_t slots;
 	bool departing;
-	struct absence absence; /* from the registry */
+	bool listed; /* in the newest list */
 	bool says_primary;
 	bool listed_primary; /* the registry's newest word */
 	uint64_t led_term;   /* it led in this term, as known here; 0: none */
@@ -267,6 +267,7 @@
 	struct beacon *beacon;
 	struct quota *quota;
 	struct limits *limits;
+	struct absence absence; /* of databases */
 	struct evconnlistener *listener;
 	struct evhttp *ready;
 	struct evhttp *metrics;
