Refuse at once what a primary long out of reach can't serve

Change: where a group's primary could not be used for 3 s, longer than a change of primaries takes, new statements for it are refused at once and told when to come back; the search goes on with each.

--- a/src/proxy/cluster.c
+++ b/src/proxy/cluster.c
@@ -15,6 +15,11 @@
 /* The proof is kept fresh for so long after a statement for the primary: the
  * longest that one usually takes. */
 #define IN_USE_US (1 * USEC_PER_SEC)
+/* Statements have been waiting for the primary if one was this lately. */
+#define TRIED_US (300 * USEC_PER_MSEC)
+/* A change of primaries: silence, guard and promotion, up to a second each
+ * at the users' databases. */
+#define HOPELESS_US (3 * USEC_PER_SEC)
 /* A database that was asked and has not answered for half the guard. */
 #define UNREACHABLE_US (300 * USEC_PER_MSEC)
 /* Least pause between two questions to one database. */
@@ -225,18 +230,34 @@
 /* May statements that need the primary go to it now? */
 bool cluster_primary_usable(struct pgroup *g, usec_t now)
 {
-	if (g->primary == DB_NONE)
-		return false;
-	if (lead_holds(&g->lead, now, g->proxy->policy.guard)) {
+	if (g->primary != DB_NONE &&
+	    lead_holds(&g->lead, now, g->proxy->policy.guard)) {
 		g->unproved_since = 0;
+		g->unusable_since = 0;
 		return true;
 	}
+	if (g->unusable_since == 0 || now - g->unusable_at > TRIED_US)
+		g->unusable_since = now;
+	g->unusable_at = now;
+	if (g->primary == DB_NONE)
+		return false;
 	g->wanted_at = now;
 	proofs_missing(g, now);
 	prove(g, now);
 	return false;
 }
 
+/*
+ * Tells whether the primary could not be used for longer than a change of
+ * primaries takes. Who comes now is told so at once: what could be done about
+ * it within the time of a statement has not helped.
+ */
+bool cluster_hopeless(const struct pgroup *g, usec_t now)
+{
+	return g->unusable_since && now - g->unusable_at <= TRIED_US &&
+	       now - g->unusable_since > HOPELESS_US;
+}
+
 /* Asks on an idle connection, or opens one for it. */
 bool cluster_ask(struct pdb *db, enum control_verb verb, uint64_t term,
 		 control_fn fn, void *ctx)
--- a/src/proxy/dispatch.c
+++ b/src/proxy/dispatch.c
@@ -38,7 +38,13 @@
 		return;
 	}
 	/* Who waits already goes first, if it may use what this one may. */
-	if (!place(s, now))
+	if (place(s, now))
+		return;
+	if (s->task.at_primary && cluster_hopeless(s->group, now))
+		session_refuse(s, s->tx ? REFUSE_ABORTED : REFUSE_BUSY,
+			       "no primary can be used, not run, retry after "
+			       "1000 ms");
+	else
 		enqueue(s);
 }
 
--- a/src/proxy/proxy_own.h
+++ b/src/proxy/proxy_own.h
@@ -100,6 +100,8 @@
 	usec_t resumed_at;	  /* paused ones were let go last */
 	bool promoted_here;	  /* the primary of this term, by this VM */
 	usec_t led_at;		  /* its primary was last changed here */
+	usec_t unusable_since;	  /* statements for the primary can't be sent */
+	usec_t unusable_at;	  /* when that was seen last */
 	usec_t leaderless_at;	  /* no primary is known since; 0: one is */
 };
 
@@ -342,6 +344,8 @@
 
 /* cluster.c */
 struct pgroup *cluster_group(struct proxy *p, const char *service);
+/* Is it known that no statement can go to the primary for a while? */
+bool cluster_hopeless(const struct pgroup *g, usec_t now);
 /* Keeps the proof of a primary in use fresh. */
 void cluster_refresh(struct pgroup *g, usec_t now);
 /* True if there are new services. */
