--- a/src/decide/openings.c
+++ b/src/decide/openings.c
@@ -13,7 +13,7 @@
 
 	if (o->busy < DOUBLED_MAX)
 		o->busy++;
-	o->after = now + pause / 2 + (usec_t)(draw * (double)(pause / 2));
+	o->after = now + pause / 2 + (usec_t)(draw * (double)pause / 2);
 }
 
 /* The next refusal begins with the shortest pause again. */
--- a/src/proxy/limits.c
+++ b/src/proxy/limits.c
@@ -55,12 +55,15 @@
 /* Frees it with the questions under way. */
 void limits_destroy(struct limits *l)
 {
+	struct ask *next;
 	struct ask *a;
 
 	if (!l)
 		return;
-	while ((a = TAILQ_FIRST(&l->asks)))
-		end_ask(l, a);
+	for (a = TAILQ_FIRST(&l->asks); a; a = next) {
+		next = TAILQ_NEXT(a, link);
+		free(a);
+	}
 	free(l);
 }
 
