Leave a successor alone that was found while its predecessor was fenced

A VM that takes a departing primary for silent and finds that another leads by now went on, as a departing primary may say that it leads; its fence left out the former one, whose word could go on proving the successor that it then replaced.

Change: only the departing primary itself may say that it leads; any other that does ends the attempt, as with all other causes.

--- a/src/decide/succession.c
+++ b/src/decide/succession.c
@@ -17,7 +17,8 @@
 static void begin_fence(struct succession *s, const struct succession_env *env);
 static void fence(struct succession *s, const struct succession_env *env,
 		  struct succession_actions *out);
-static bool somebody_leads(const struct succession_env *env);
+static bool somebody_leads(const struct succession *s,
+			   const struct succession_env *env);
 static bool fence_done(const struct succession *s,
 		       const struct succession_env *env);
 static void wait_guard(struct succession *s, const struct succession_env *env,
@@ -332,7 +333,7 @@
 		env->now - s->phase_at > ORDERLY_ASKS * s->policy.again;
 	uint32_t i;
 
-	if (!orderly && somebody_leads(env)) {
+	if (somebody_leads(s, env)) {
 		give_up(s, env, out);
 		return;
 	}
@@ -354,12 +355,18 @@
 	}
 }
 
-/* Has a database said in this attempt that it leads? */
-static bool somebody_leads(const struct succession_env *env)
+/*
+ * Has a database said in this attempt that it leads? A departing primary may;
+ * but another one then leads in its place, and replaces it no more.
+ */
+static bool somebody_leads(const struct succession *s,
+			   const struct succession_env *env)
 {
 	uint32_t i;
 
 	for (i = 0; i < env->n; i++) {
+		if (i == s->old && s->cause == SUCCESSION_DEPARTING)
+			continue;
 		if (env->db[i].present && env->db[i].said &&
 		    env->db[i].primary && env->db[i].term >= env->term)
 			return true;
@@ -397,7 +404,7 @@
 	usec_t waited = env->now - s->phase_at;
 	uint32_t i;
 
-	if (s->cause != SUCCESSION_DEPARTING && somebody_leads(env)) {
+	if (somebody_leads(s, env)) {
 		give_up(s, env, out);
 		return;
 	}
--- a/tests/decide/succession_test.cc
+++ b/tests/decide/succession_test.cc
@@ -385,6 +385,36 @@
 	EXPECT_EQ(acts.find('V'), std::string::npos) << "within the guard";
 }
 
+// A departing primary that is silent here was replaced by another VM meanwhile:
+// its successor is not paused, nor promoted over.
+TEST(Succession, DepartingPrimaryWasReplacedMeanwhile)
+{
+	const struct {
+		const char *name;
+		bool in_guard;
+	} cases[] = {
+		{ "found in the fence", false },
+		{ "found in the guard", true },
+	};
+	for (const auto &c : cases) {
+		Group g;
+		g.env.cause = SUCCESSION_DEPARTING;
+		g.env.db[0].departing = true;
+		g.run(20 * kMs);
+		g.claim();
+		g.run(300 * kMs);
+		g.pause(2);
+		if (c.in_guard)
+			g.pause(1);
+		g.run(40 * kMs);
+		g.env.db[1].said = true;
+		g.env.db[1].primary = true;
+		g.env.db[1].term = 5;
+		g.run(20 * kMs);
+		EXPECT_EQ(g.s.phase, SUCCESSION_IDLE) << c.name;
+	}
+}
+
 TEST(Succession, SupersededClaimIsNotUsed)
 {
 	Group g;
