Put all of the proofs into one file

Numbers of questions begin anew with each incarnation, so that an answer to an earlier one is never taken for the newest.

--- a/src/proxy/beacon.c
+++ b/src/proxy/beacon.c
@@ -17,7 +17,7 @@
  * Every VM tells every other, a few times a second and in one datagram each,
  * that it lives, whom it does not hear and what it hears of primaries that
  * someone misses. A lost datagram is made up for by the next; nothing is
- * acknowledged. The same socket carries the questions of limits.c.
+ * acknowledged. The same socket carries the questions of limits.c and proofs.c.
  */
 
 /* Each VM adds this much to the pause between two beacons, so that what one
--- a/src/proxy/cluster.c
+++ b/src/proxy/cluster.c
@@ -5,23 +5,11 @@
 #include "kernel/log.h"
 #include "proxy/proxy_own.h"
 
-/* A primary in use is proved again when this part of the guard has passed. */
-#define PROOF_AGE_PARTS 2
-/*
- * The primary counts as used for so long after a statement for it: a proof that
- * has run out is made anew only with the help of all databases.
- */
-#define WANTED_FOR_US (5 * USEC_PER_SEC)
-/* The proof is kept fresh for so long after a statement for the primary: the
- * longest that one usually takes. */
-#define IN_USE_US (1 * USEC_PER_SEC)
 /* Statements have been waiting for the primary if one was this lately. */
 #define TRIED_US (300 * USEC_PER_MSEC)
 /* A change of primaries: silence, guard and promotion, up to a second each
  * at the users' databases. */
 #define HOPELESS_US (3 * USEC_PER_SEC)
-/* A database that was asked and has not answered for half the guard. */
-#define UNREACHABLE_US (300 * USEC_PER_MSEC)
 /* Least pause between two questions to one database. */
 #define ASK_PAUSE_US (100 * USEC_PER_MSEC)
 /*
@@ -39,11 +27,7 @@
 static void remove_db(struct pdb *db, const char *why);
 static void on_status(void *ctx, struct pdb *db, bool ok,
 		      const struct db_report *report, usec_t asked_at);
-static void weigh_words(struct pgroup *g, usec_t now);
-static bool unreachable(const struct pdb *d, usec_t now);
-static bool any_unreachable(const struct pgroup *g, usec_t now);
 static void tick_db(struct pdb *db, usec_t now);
-static void prove(struct pgroup *g, usec_t now);
 static uint32_t index_of(const struct pdb *db);
 
 /* Finds a service's group; NULL if the configuration has none. */
@@ -157,8 +141,8 @@
 
 		for (j = 0; j < GROUP_DBS_MAX; j++)
 			tick_db(&g->db[j], now);
-		prove(g, now);
-		cluster_refresh(g, now);
+		proofs_make(g, now);
+		proofs_refresh(g, now);
 		failover_tick(g, now);
 		if (g->n_waiting > 0)
 			dispatch_pump(g);
@@ -206,7 +190,7 @@
 	g->db[db].says_primary = true;
 	g->db[db].led_term = term;
 	succession_superseded(&g->succession, now);
-	prove(g, now);
+	proofs_make(g, now);
 	dispatch_pump(g);
 }
 
@@ -243,7 +227,7 @@
 		return false;
 	g->wanted_at = now;
 	proofs_missing(g, now);
-	prove(g, now);
+	proofs_make(g, now);
 	return false;
 }
 
@@ -276,10 +260,17 @@
 	return true;
 }
 
+/* Is it time to ask for the status? */
+bool cluster_may_probe(const struct pdb *db, usec_t now)
+{
+	return db->present && !db->probing &&
+	       now - db->probed_at >= ASK_PAUSE_US;
+}
+
 /* Asks for the status, but not too often. */
 void cluster_probe(struct pdb *db, usec_t now)
 {
-	if (!db->present || db->probing || now - db->probed_at < ASK_PAUSE_US)
+	if (!cluster_may_probe(db, now))
 		return;
 	db->probed_at = now;
 	db->probing = cluster_ask(db, CONTROL_STATUS, 0, on_status, NULL);
@@ -311,6 +302,8 @@
 		return NULL;
 	}
 	g->proxy = p;
+	/* No other incarnation of this VM has asked under these. */
+	g->proof_number = p->kernel->incarnation << 16;
 	snprintf(g->service, sizeof(g->service), "%s", service);
 	g->primary = DB_NONE;
 	lead_init(&g->lead);
@@ -417,7 +410,7 @@
 		cluster_doubt(g, proxy_now());
 		return;
 	}
-	weigh_words(g, proxy_now());
+	proofs_weigh(g, proxy_now());
 	if (proxy_now() < db->vouches_at)
 		return;
 	if (report->held_term <= g->lead.term) {
@@ -432,52 +425,6 @@
 	dispatch_pump(g);
 }
 
-/*
- * Looks whether all that the others said last is a proof of the primary. For
- * one that does not answer the registry speaks: a database that is promoted
- * registers as such at once. The entry of a former primary that is gone says
- * nothing, but it can't be promoted before it answers again.
- */
-static void weigh_words(struct pgroup *g, usec_t now)
-{
-	const struct registry *r = g->proxy->registry;
-	struct lead_word word[GROUP_DBS_MAX];
-	uint32_t n = 0;
-	uint32_t i;
-
-	for (i = 0; i < GROUP_DBS_MAX; i++) {
-		const struct pdb *d = &g->db[i];
-
-		if (!d->present || i == g->primary)
-			continue;
-		if (unreachable(d, now)) {
-			if (d->led_term > 0 && d->led_term < g->lead.term)
-				continue;
-			word[n++] = (struct lead_word){
-				.asked_at = registry_listed_at(r),
-				.primary = d->listed_primary,
-				.term = g->lead.term,
-			};
-			continue;
-		}
-		word[n++] = (struct lead_word){
-			.asked_at = d->report_at,
-			.primary = d->report.primary,
-			.vouches = now >= d->vouches_at,
-			.term = d->report.term,
-			.held_term = d->report.held_term,
-		};
-	}
-	lead_unanimous(&g->lead, word, n);
-}
-
-/* Has it answered nothing lately, though it was asked? */
-static bool unreachable(const struct pdb *d, usec_t now)
-{
-	return d->failures > 0 ||
-	       (d->silent_since && now - d->silent_since > UNREACHABLE_US);
-}
-
 /* Closes what is overdue or of no more use at one database. */
 static void tick_db(struct pdb *db, usec_t now)
 {
@@ -496,78 +443,6 @@
 		cluster_probe(db, now);
 }
 
-/*
- * Asks replicas while the primary is in use and its proof ages: one at a time,
- * in turn, but all of them once the proof has run out. Whoever keeps the proof
- * for others asks the primary, too, how far its log has come.
- */
-static void prove(struct pgroup *g, usec_t now)
-{
-	usec_t guard = g->proxy->policy.guard;
-	bool one = lead_holds(&g->lead, now, guard);
-	struct lead_sample newest;
-	uint32_t i;
-
-	if (g->primary == DB_NONE || !proofs_are_own(g, now))
-		return;
-	if (g->lead.proved_at != INT64_MIN &&
-	    now - g->wanted_at > WANTED_FOR_US)
-		return;
-	lead_newest(&g->lead, &newest);
-	if (one && now - newest.asked_at > guard / PROOF_AGE_PARTS)
-		cluster_probe(&g->db[g->primary], now);
-	if (one && now - g->lead.proved_at < guard / PROOF_AGE_PARTS)
-		return;
-	if (!one) {
-		weigh_words(g, now);
-		if (any_unreachable(g, now))
-			registry_hurry(g->proxy->registry, now);
-	}
-	for (i = 0; i < GROUP_DBS_MAX; i++) {
-		uint32_t at = (g->next_probe + i) % GROUP_DBS_MAX;
-		struct pdb *d = &g->db[at];
-
-		if (at == g->primary || !d->present || d->probing ||
-		    now < d->retry_at || now - d->probed_at < ASK_PAUSE_US)
-			continue;
-		cluster_probe(d, now);
-		if (!one)
-			continue;
-		g->next_probe = at + 1;
-		return;
-	}
-}
-
-/*
- * A statement for the primary is on its way, or was a moment ago: its answer
- * counts only with a proof that is still good then.
- */
-void cluster_refresh(struct pgroup *g, usec_t now)
-{
-	if (g->primary == DB_NONE || now - g->wanted_at > IN_USE_US ||
-	    (g->lead.proved_at != INT64_MIN &&
-	     now - g->lead.proved_at <
-		     g->proxy->policy.guard / PROOF_AGE_PARTS))
-		return;
-	if (proofs_are_own(g, now))
-		prove(g, now);
-	else
-		proofs_ask(g, now);
-}
-
-/* Is there a database other than the primary that has to be vouched for? */
-static bool any_unreachable(const struct pgroup *g, usec_t now)
-{
-	uint32_t i;
-
-	for (i = 0; i < GROUP_DBS_MAX; i++) {
-		if (g->db[i].present && i != g->primary &&
-		    unreachable(&g->db[i], now))
-			return true;
-	}
-	return false;
-}
-
 static uint32_t index_of(const struct pdb *db)
 {
 	return (uint32_t)(db - db->group->db);
--- a/src/proxy/dispatch.c
+++ b/src/proxy/dispatch.c
@@ -30,7 +30,7 @@
 	s->group->used_at = now;
 	if (s->task.at_primary) {
 		s->group->wanted_at = now;
-		cluster_refresh(s->group, now);
+		proofs_refresh(s->group, now);
 	}
 	s->task.stage = TASK_WAITING;
 	if (s->held && s->tx_begun) {
--- a/src/proxy/proofs.c
+++ b/src/proxy/proofs.c
@@ -16,23 +16,125 @@
 #define ALONE_AFTER_US (120 * USEC_PER_MSEC)
 /* And goes on with that for so long. */
 #define ALONE_FOR_US (2 * USEC_PER_SEC)
+/* A primary in use is proved again when this part of the guard has passed. */
+#define PROOF_AGE_PARTS 2
+/*
+ * The primary counts as used for so long after a statement for it: a proof that
+ * has run out is made anew only with the help of all databases.
+ */
+#define WANTED_FOR_US (5 * USEC_PER_SEC)
+/* The proof is kept fresh for so long after a statement for the primary: the
+ * longest that one usually takes. */
+#define IN_USE_US (1 * USEC_PER_SEC)
+/* A database that was asked and has not answered for half the guard. */
+#define UNREACHABLE_US (300 * USEC_PER_MSEC)
 
-/* The VM that keeps the group's proof; NULL: this one. */
-static const char *keeper(struct pgroup *g)
+static const char *keeper(struct pgroup *g);
+static bool unreachable(const struct pdb *d, usec_t now);
+static bool any_unreachable(const struct pgroup *g, usec_t now);
+
+/* Has this VM to ask the group's databases itself? */
+bool proofs_are_own(struct pgroup *g, usec_t now)
 {
-	const struct beacon *b = g->proxy->beacon;
+	return now < g->alone_until || !keeper(g);
+}
 
-	if (g->proof_changes != beacon_changes(b) + 1) {
-		g->proof_keeper = beacon_first(b, g->service);
-		g->proof_changes = beacon_changes(b) + 1;
+/*
+ * Looks whether all that the others said last is a proof of the primary. For
+ * one that does not answer the registry speaks: a database that is promoted
+ * registers as such at once. The entry of a former primary that is gone says
+ * nothing, but it can't be promoted before it answers again.
+ */
+void proofs_weigh(struct pgroup *g, usec_t now)
+{
+	const struct registry *r = g->proxy->registry;
+	struct lead_word word[GROUP_DBS_MAX];
+	uint32_t n = 0;
+	uint32_t i;
+
+	for (i = 0; i < GROUP_DBS_MAX; i++) {
+		const struct pdb *d = &g->db[i];
+
+		if (!d->present || i == g->primary)
+			continue;
+		if (unreachable(d, now)) {
+			if (d->led_term > 0 && d->led_term < g->lead.term)
+				continue;
+			word[n++] = (struct lead_word){
+				.asked_at = registry_listed_at(r),
+				.primary = d->listed_primary,
+				.term = g->lead.term,
+			};
+			continue;
+		}
+		word[n++] = (struct lead_word){
+			.asked_at = d->report_at,
+			.primary = d->report.primary,
+			.vouches = now >= d->vouches_at,
+			.term = d->report.term,
+			.held_term = d->report.held_term,
+		};
 	}
-	return g->proof_keeper;
+	lead_unanimous(&g->lead, word, n);
 }
 
-/* Has this VM to ask the group's databases itself? */
-bool proofs_are_own(struct pgroup *g, usec_t now)
+/*
+ * Asks replicas while the primary is in use and its proof ages: one at a time,
+ * in turn, but all of them once the proof has run out. Whoever keeps the proof
+ * for others asks the primary, too, how far its log has come.
+ */
+void proofs_make(struct pgroup *g, usec_t now)
 {
-	return now < g->alone_until || !keeper(g);
+	usec_t guard = g->proxy->policy.guard;
+	bool one = lead_holds(&g->lead, now, guard);
+	struct lead_sample newest;
+	uint32_t i;
+
+	if (g->primary == DB_NONE || !proofs_are_own(g, now))
+		return;
+	if (g->lead.proved_at != INT64_MIN &&
+	    now - g->wanted_at > WANTED_FOR_US)
+		return;
+	lead_newest(&g->lead, &newest);
+	if (one && now - newest.asked_at > guard / PROOF_AGE_PARTS)
+		cluster_probe(&g->db[g->primary], now);
+	if (one && now - g->lead.proved_at < guard / PROOF_AGE_PARTS)
+		return;
+	if (!one) {
+		proofs_weigh(g, now);
+		if (any_unreachable(g, now))
+			registry_hurry(g->proxy->registry, now);
+	}
+	for (i = 0; i < GROUP_DBS_MAX; i++) {
+		uint32_t at = (g->next_probe + i) % GROUP_DBS_MAX;
+		struct pdb *d = &g->db[at];
+
+		if (at == g->primary || now < d->retry_at ||
+		    !cluster_may_probe(d, now))
+			continue;
+		cluster_probe(d, now);
+		if (!one)
+			continue;
+		g->next_probe = at + 1;
+		return;
+	}
+}
+
+/*
+ * A statement for the primary is on its way, or was a moment ago: its answer
+ * counts only with a proof that is still good then.
+ */
+void proofs_refresh(struct pgroup *g, usec_t now)
+{
+	if (g->primary == DB_NONE || now - g->wanted_at > IN_USE_US ||
+	    (g->lead.proved_at != INT64_MIN &&
+	     now - g->lead.proved_at <
+		     g->proxy->policy.guard / PROOF_AGE_PARTS))
+		return;
+	if (proofs_are_own(g, now))
+		proofs_make(g, now);
+	else
+		proofs_ask(g, now);
 }
 
 /* Asks whoever keeps the group's proof, unless that was done just now. */
@@ -139,3 +241,35 @@
 			    at);
 	dispatch_pump(g);
 }
+
+/* The VM that keeps the group's proof; NULL: this one. */
+static const char *keeper(struct pgroup *g)
+{
+	const struct beacon *b = g->proxy->beacon;
+
+	if (g->proof_changes != beacon_changes(b) + 1) {
+		g->proof_keeper = beacon_first(b, g->service);
+		g->proof_changes = beacon_changes(b) + 1;
+	}
+	return g->proof_keeper;
+}
+
+/* Has it answered nothing lately, though it was asked? */
+static bool unreachable(const struct pdb *d, usec_t now)
+{
+	return d->failures > 0 ||
+	       (d->silent_since && now - d->silent_since > UNREACHABLE_US);
+}
+
+/* Is there a database other than the primary that has to be vouched for? */
+static bool any_unreachable(const struct pgroup *g, usec_t now)
+{
+	uint32_t i;
+
+	for (i = 0; i < GROUP_DBS_MAX; i++) {
+		if (g->db[i].present && i != g->primary &&
+		    unreachable(&g->db[i], now))
+			return true;
+	}
+	return false;
+}
--- a/src/proxy/proxy_own.h
+++ b/src/proxy/proxy_own.h
@@ -346,8 +346,6 @@
 struct pgroup *cluster_group(struct proxy *p, const char *service);
 /* Is it known that no statement can go to the primary for a while? */
 bool cluster_hopeless(const struct pgroup *g, usec_t now);
-/* Keeps the proof of a primary in use fresh. */
-void cluster_refresh(struct pgroup *g, usec_t now);
 /* True if there are new services. */
 bool cluster_apply_catalog(struct proxy *p, usec_t now);
 /* Takes in a whole list; when to list again for what is missing, 0: no need. */
@@ -364,6 +362,7 @@
 bool cluster_ask(struct pdb *db, enum control_verb verb, uint64_t term,
 		 control_fn fn, void *ctx);
 /* Asks a database for its status and takes in the answer. */
+bool cluster_may_probe(const struct pdb *db, usec_t now);
 void cluster_probe(struct pdb *db, usec_t now);
 uint32_t cluster_find(const struct pgroup *g, const char *id);
 
@@ -432,7 +431,14 @@
 void limits_take_grant(struct limits *l, struct wire_reader *r);
 
 /* proofs.c */
+/* Does this VM ask the group's databases itself? */
 bool proofs_are_own(struct pgroup *g, usec_t now);
+/* Do the newest words of all databases together prove the primary? */
+void proofs_weigh(struct pgroup *g, usec_t now);
+/* Asks databases, if that is for this VM to do and the proof ages. */
+void proofs_make(struct pgroup *g, usec_t now);
+/* Keeps the proof of a primary in use fresh, from wherever it comes. */
+void proofs_refresh(struct pgroup *g, usec_t now);
 void proofs_ask(struct pgroup *g, usec_t now);
 void proofs_missing(struct pgroup *g, usec_t now);
 void proofs_take_ask(struct proxy *x, struct wire_reader *r,
