Say things once: platform client, beacons, proofs, limits

Cause: a reading of the whole change.

Change: kernel/platform_client carries the calls of both plug-ins, which keep how a call is written and what a reply means; beacon_wire.c has what VMs say, beacon.c who they are; proofs.c alone decides whether to ask a peer or the databases; dispatch.c no longer does; limits.c has one way to decide alone. A set-up of the succession's tests is a function. No check, bound or expectation has changed.

Ruled out: merging the repeated tables of tests and the shapes of counters, which are data; serve.sh and caller.sh, whose set-ups differ in what they test.

--- /dev/null
+++ b/src/kernel/platform_client.c
@@ -0,0 +1,147 @@
+#include "kernel/platform_client.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "kernel/counters.h"
+#include "kernel/kernel.h"
+#include "kernel/log.h"
+
+struct job {
+	struct http_call http;
+	struct platform_call *call;
+	struct platform_client *client;
+	char *body;
+};
+
+static void submit(void *ctx, struct platform_call *c);
+static bool is_up(void *ctx);
+static void job_start(void *ctx);
+static void job_done(struct http_call *h);
+static void refuse(struct platform_call *c, const char *why);
+static void note_up(struct platform_client *p, bool up, const char *why);
+
+int platform_client_start(struct platform_client *p, struct kernel *k,
+			  const struct platform_wire *wire, void *ctx,
+			  struct error *e)
+{
+	memset(p, 0, sizeof(*p));
+	p->wire = wire;
+	p->ctx = ctx;
+	snprintf(p->address, sizeof(p->address), "%s", k->settings.platform);
+	p->timeout = (usec_t)k->settings.platform_timeout_ms * USEC_PER_MSEC;
+	p->iface.submit = submit;
+	p->iface.is_up = is_up;
+	p->iface.ctx = p;
+	p->iface.loop = loop_create("platform", e);
+	if (!p->iface.loop)
+		return -1;
+	loop_set_coarse(p->iface.loop);
+	if (loop_start(p->iface.loop, e)) {
+		loop_destroy(p->iface.loop);
+		return -1;
+	}
+	k->platform = &p->iface;
+	return 0;
+}
+
+void platform_client_stop(struct platform_client *p, struct kernel *k)
+{
+	__atomic_store_n(&p->stopping, true, __ATOMIC_RELEASE);
+	loop_stop(p->iface.loop);
+	k->platform = NULL;
+	loop_destroy(p->iface.loop);
+}
+
+/* Makes the HTTP call of a platform call and hands it to the loop. */
+static void submit(void *ctx, struct platform_call *c)
+{
+	struct platform_client *p = ctx;
+	struct job *j = calloc(1, sizeof(*j));
+
+	error_clear(&c->error);
+	c->reply = NULL;
+	if (!j) {
+		refuse(c, "no memory");
+		return;
+	}
+	j->call = c;
+	j->client = p;
+	j->http.done = job_done;
+	j->http.ctx = j;
+	j->http.timeout = p->timeout;
+	if (p->wire->request(p->ctx, c, &j->http, &j->body)) {
+		free(j->body);
+		free(j);
+		refuse(c, "not a call of the platform");
+		return;
+	}
+	counter_add(CTR_PLATFORM_CALLS, 1);
+	if (c->op == PLATFORM_WATCH)
+		counter_add(CTR_PLATFORM_WATCHES, 1);
+	loop_post(p->iface.loop, job_start, j);
+}
+
+/* Tells whether the newest call that ended was answered. */
+static bool is_up(void *ctx)
+{
+	struct platform_client *p = ctx;
+
+	return __atomic_load_n(&p->up, __ATOMIC_RELAXED);
+}
+
+/* Starts the HTTP call; on the loop's thread. */
+static void job_start(void *ctx)
+{
+	struct job *j = ctx;
+
+	loop_http(j->client->iface.loop, &j->http);
+}
+
+/*
+ * Maps the reply and passes it on; on the loop's thread. Promotions may be
+ * served at another address, and say nothing of the platform's own.
+ */
+static void job_done(struct http_call *h)
+{
+	struct job *j = h->ctx;
+	struct platform_call *c = j->call;
+	struct platform_client *p = j->client;
+
+	if (!__atomic_load_n(&p->stopping, __ATOMIC_ACQUIRE)) {
+		p->wire->result(h, c);
+		if (c->op != PLATFORM_PROMOTE)
+			note_up(p, h->status != 0 && h->status < 500,
+				c->error.message);
+		/* The reply stays the HTTP call's, which frees it later. */
+		c->reply = h->reply;
+		c->done(c);
+	}
+	free(j->body);
+	free(j);
+}
+
+/* Ends a call that never left; on the submitter's thread. */
+static void refuse(struct platform_call *c, const char *why)
+{
+	c->result = PLATFORM_DOWN;
+	error_set(&c->error, ERR_INTERNAL, STEP_CONNECT, NULL, "%s", why);
+	c->done(c);
+}
+
+/* Keeps whether the platform answers, and logs each change. */
+static void note_up(struct platform_client *p, bool up, const char *why)
+{
+	bool changed = up != p->up || !p->ever_answered;
+
+	p->ever_answered = true;
+	__atomic_store_n(&p->up, up, __ATOMIC_RELAXED);
+	if (!changed)
+		return;
+	if (up)
+		log_event(EV_PLATFORM_BACK, "platform=%s", p->address);
+	else
+		log_event(EV_PLATFORM_DOWN, "platform=%s reason=\"%s\"",
+			  p->address, why);
+}
--- /dev/null
+++ b/src/proxy/beacon_wire.c
@@ -0,0 +1,284 @@
+#include <string.h>
+
+#include "kernel/counters.h"
+#include "kernel/wire.h"
+#include "proxy/beacon_own.h"
+
+/* How beacons are written, and how datagrams of all kinds are read. */
+
+/* VMs named in one beacon as not heard. */
+#define SILENT_MAX 64
+/* A change of a group's primary is told for so long, in each beacon. */
+#define NEWS_US (5 * USEC_PER_SEC)
+/*
+ * A primary that has left something unanswered for so long is told of, so that
+ * others say whether they hear it: a quarter of the time after which it is
+ * missed.
+ */
+#define WAITS_US (150 * USEC_PER_MSEC)
+
+static void pack_group(msgpack_packer *p, struct pgroup *g, usec_t now);
+static void pack_silent(const struct beacon *b, msgpack_packer *p);
+static bool to_tell(const struct beacon *b, struct pgroup *g, usec_t now);
+static enum doubt doubt_of(struct pgroup *g, usec_t now);
+static bool hears(struct pgroup *g, usec_t now);
+static bool take_beacon(struct beacon *b, struct wire_reader *r,
+			const struct sockaddr_storage *from,
+			socklen_t from_len);
+static bool names_self(const struct beacon *b, struct wire_reader r);
+static void take_groups(struct beacon *b, struct peer_vm *v,
+			struct wire_reader r);
+static enum doubt doubt_from(uint64_t v);
+
+/* [kind, name, domain, incarnation, draining, news, groups, silent] */
+void beacon_pack(struct beacon *b, msgpack_sbuffer *buf, usec_t now)
+{
+	struct proxy *p = b->proxy;
+	const struct settings *s = &p->kernel->settings;
+	struct registry_news news = registry_news(p->registry, now);
+	struct pgroup *tell[GROUPS_MAX];
+	msgpack_packer packer;
+	uint32_t n = 0;
+	uint32_t i;
+
+	for (i = 0; i < p->n_groups && n < GROUPS_MAX; i++) {
+		if (to_tell(b, p->groups[i], now))
+			tell[n++] = p->groups[i];
+	}
+	msgpack_packer_init(&packer, buf, msgpack_sbuffer_write);
+	msgpack_pack_array(&packer, 8);
+	msgpack_pack_uint32(&packer, PEER_BEACON);
+	wire_put_str(&packer, s->vm);
+	wire_put_str(&packer, s->domain);
+	msgpack_pack_uint64(&packer, p->kernel->incarnation);
+	if (p->draining)
+		msgpack_pack_true(&packer);
+	else
+		msgpack_pack_false(&packer);
+	msgpack_pack_array(&packer, 4);
+	msgpack_pack_uint64(&packer, news.catalog);
+	msgpack_pack_uint64(&packer, news.databases);
+	msgpack_pack_uint64(&packer, news.age_ms);
+	msgpack_pack_uint64(&packer, news.vms);
+	msgpack_pack_array(&packer, n);
+	for (i = 0; i < n; i++)
+		pack_group(&packer, tell[i], now);
+	pack_silent(b, &packer);
+}
+
+/*
+ * A group is told of while this VM or another doubts its primary or is at
+ * work on it, and for a while after its primary has changed.
+ */
+static bool to_tell(const struct beacon *b, struct pgroup *g, usec_t now)
+{
+	struct beacon_opinion o = beacon_opinion(b, g->service);
+
+	return g->succession.phase != SUCCESSION_IDLE || o.doubt || o.at_work ||
+	       now - g->led_at < NEWS_US || doubt_of(g, now) != DOUBT_NONE;
+}
+
+/* What this VM thinks of a group's primary. */
+static enum doubt doubt_of(struct pgroup *g, usec_t now)
+{
+	enum succession_cause cause = failover_cause(g, now);
+	const struct pdb *d;
+
+	if (g->primary == DB_NONE)
+		return DOUBT_NONE;
+	if (cause == SUCCESSION_SILENT || cause == SUCCESSION_REFUSED)
+		return DOUBT_MISS;
+	d = &g->db[g->primary];
+	return d->silent_since && now - d->silent_since > WAITS_US ? DOUBT_WAITS
+								   : DOUBT_NONE;
+}
+
+/* The names of VMs that are listed, but not heard. */
+static void pack_silent(const struct beacon *b, msgpack_packer *p)
+{
+	uint32_t n = 0;
+	uint32_t i;
+
+	for (i = 0; i < b->n && n < SILENT_MAX; i++)
+		n += b->peers[i]->silent && !b->peers[i]->gone;
+	msgpack_pack_array(p, n);
+	for (i = 0; i < b->n && n > 0; i++) {
+		if (!b->peers[i]->silent || b->peers[i]->gone)
+			continue;
+		wire_put_str(p, b->peers[i]->name);
+		n--;
+	}
+}
+
+/* [service, primary, term, hear, doubt, at work] */
+static void pack_group(msgpack_packer *p, struct pgroup *g, usec_t now)
+{
+	bool known = g->primary != DB_NONE;
+	bool hear = known && hears(g, now);
+
+	msgpack_pack_array(p, 6);
+	wire_put_str(p, g->service);
+	wire_put_str(p, known ? g->db[g->primary].id : "");
+	msgpack_pack_uint64(p, g->lead.term);
+	msgpack_pack_uint32(p, hear);
+	msgpack_pack_uint32(p, doubt_of(g, now));
+	msgpack_pack_uint32(p, g->succession.phase != SUCCESSION_IDLE);
+}
+
+/* Has the primary answered lately? */
+static bool hears(struct pgroup *g, usec_t now)
+{
+	const struct pdb *d = &g->db[g->primary];
+
+	return d->heard_at && now - d->heard_at < g->proxy->policy.silence &&
+	       !(d->silent_since &&
+		 now - d->silent_since > g->proxy->policy.silence);
+}
+
+/* Takes in one datagram; its first field tells its kind. */
+void beacon_take(struct beacon *b, const char *data, size_t len,
+		 const struct sockaddr_storage *from, socklen_t from_len)
+{
+	struct wire_reader r = { .bad = true };
+	msgpack_unpacked u;
+
+	counter_add(CTR_PEER_RECEIVED, 1);
+	counter_add(CTR_PEER_RECEIVED_BYTES, len);
+	msgpack_unpacked_init(&u);
+	if (wire_unpack(&u, data, len))
+		r = wire_array(&u.data, 3);
+	switch (wire_u64(&r)) {
+	case PEER_BEACON:
+		r.bad |= !take_beacon(b, &r, from, from_len);
+		break;
+	case PEER_ASK:
+		limits_take_ask(b->proxy->limits, &r,
+				(const struct sockaddr *)from, from_len);
+		break;
+	case PEER_GRANT:
+		limits_take_grant(b->proxy->limits, &r);
+		break;
+	case PEER_PROVE:
+		proofs_take_ask(b->proxy, &r, (const struct sockaddr *)from,
+				from_len);
+		break;
+	case PEER_PROOF:
+		proofs_take_answer(b->proxy, &r);
+		break;
+	default:
+		r.bad = true;
+		break;
+	}
+	if (r.bad)
+		counter_add(CTR_PEER_BAD, 1);
+	msgpack_unpacked_destroy(&u);
+}
+
+/* Takes in one beacon; false for one of an earlier incarnation, or a bad one.
+ */
+static bool take_beacon(struct beacon *b, struct wire_reader *r,
+			const struct sockaddr_storage *from, socklen_t from_len)
+{
+	struct wire_reader groups;
+	struct wire_reader silent;
+	struct wire_reader told;
+	struct registry_news news;
+	char name[NAME_MAX_BYTES];
+	char domain[NAME_MAX_BYTES];
+	uint64_t incarnation;
+	struct peer_vm *v;
+	usec_t before;
+	bool draining;
+	bool deaf;
+
+	wire_str(r, name, sizeof(name));
+	wire_str(r, domain, sizeof(domain));
+	incarnation = wire_u64(r);
+	draining = wire_bool(r);
+	told = wire_sub(r, 4);
+	news.catalog = wire_u64(&told);
+	news.databases = wire_u64(&told);
+	news.age_ms = wire_u64(&told);
+	news.vms = wire_u64(&told);
+	groups = wire_sub(r, GROUPS_MAX);
+	silent = wire_sub(r, SILENT_MAX);
+	if (r->bad || told.bad || name[0] == '\0' ||
+	    strcmp(name, b->proxy->kernel->settings.vm) == 0)
+		return false;
+	v = beacon_find(b, name, true);
+	if (!v || incarnation < v->incarnation)
+		return false;
+	before = v->heard_at;
+	v->incarnation = incarnation;
+	v->heard_at = proxy_now();
+	deaf = names_self(b, silent);
+	b->changes += draining != v->draining || deaf != v->deaf;
+	v->draining = draining;
+	v->deaf = deaf;
+	v->to = *from;
+	v->to_len = from_len;
+	snprintf(v->domain, sizeof(v->domain), "%s", domain);
+	take_groups(b, v, groups);
+	beacon_heard(b, v, before);
+	registry_peer_news(b->proxy->registry, &news, v->heard_at);
+	return true;
+}
+
+/* Is this VM among those that the peer does not hear? */
+static bool names_self(const struct beacon *b, struct wire_reader r)
+{
+	char name[NAME_MAX_BYTES];
+
+	while (r.left > 0 && !r.bad) {
+		wire_str(&r, name, sizeof(name));
+		if (strcmp(name, b->proxy->kernel->settings.vm) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* What the peer says of each group; a later primary is taken over. */
+static void take_groups(struct beacon *b, struct peer_vm *v,
+			struct wire_reader r)
+{
+	char primary[NAME_MAX_BYTES];
+	uint64_t term;
+
+	v->n_groups = 0;
+	while (r.left > 0 && v->n_groups < GROUPS_MAX) {
+		struct wire_reader e = wire_sub(&r, 6);
+		struct heard_group *h = &v->groups[v->n_groups];
+		struct pgroup *g;
+		uint32_t db;
+
+		wire_str(&e, h->service, sizeof(h->service));
+		wire_str(&e, primary, sizeof(primary));
+		term = wire_u64(&e);
+		h->hear = wire_u64(&e) != 0;
+		h->doubt = doubt_from(wire_u64(&e));
+		h->at_work = wire_u64(&e) != 0;
+		if (e.bad || r.bad)
+			return;
+		v->n_groups++;
+		g = cluster_group(b->proxy, h->service);
+		if (!g || primary[0] == '\0')
+			continue;
+		db = cluster_find(g, primary);
+		if (term > g->lead.term && db != DB_NONE)
+			cluster_lead(g, db, term, v->name);
+		else if (term > g->lead.term)
+			registry_hurry(b->proxy->registry, proxy_now());
+		/* An opinion counts for the primary that this VM means. */
+		if (term != g->lead.term) {
+			h->hear = false;
+			h->doubt = DOUBT_NONE;
+		}
+	}
+}
+
+static enum doubt doubt_from(uint64_t v)
+{
+	return v == DOUBT_MISS	  ? DOUBT_MISS
+	       : v == DOUBT_WAITS ? DOUBT_WAITS
+				  : DOUBT_NONE;
+}
--- a/src/proxy/cluster.c
+++ b/src/proxy/cluster.c
@@ -141,7 +141,6 @@
 
 		for (j = 0; j < GROUP_DBS_MAX; j++)
 			tick_db(&g->db[j], now);
-		proofs_make(g, now);
 		proofs_refresh(g, now);
 		failover_tick(g, now);
 		if (g->n_waiting > 0)
@@ -190,7 +189,7 @@
 	g->db[db].says_primary = true;
 	g->db[db].led_term = term;
 	succession_superseded(&g->succession, now);
-	proofs_make(g, now);
+	proofs_refresh(g, now);
 	dispatch_pump(g);
 }
 
@@ -216,7 +215,6 @@
 {
 	if (g->primary != DB_NONE &&
 	    lead_holds(&g->lead, now, g->proxy->policy.guard)) {
-		g->unproved_since = 0;
 		g->unusable_since = 0;
 		return true;
 	}
@@ -225,9 +223,7 @@
 	g->unusable_at = now;
 	if (g->primary == DB_NONE)
 		return false;
-	g->wanted_at = now;
 	proofs_missing(g, now);
-	proofs_make(g, now);
 	return false;
 }
 
--- a/src/proxy/dispatch.c
+++ b/src/proxy/dispatch.c
@@ -6,18 +6,13 @@
 
 /* A position older than this says little about a replica now. */
 #define POSITION_FRESH_US (50 * USEC_PER_MSEC)
-/*
- * While reads come, a new position is asked for when the newest is this old:
- * half the least age that routes usually allow.
- */
-#define SAMPLE_AGE_US (700 * USEC_PER_MSEC)
 /* Pause before databases that refused a statement are asked again. */
 #define ROUND_PAUSE_US (20 * USEC_PER_MSEC)
 
 static bool place(struct session *s, usec_t now);
 static bool place_at(struct session *s, uint32_t db);
 static uint32_t choose(struct session *s, usec_t now);
-static bool want_position(struct session *s, usec_t now);
+static bool want_position(struct session *s);
 static bool usable(const struct pdb *db, usec_t now);
 static void enqueue(struct session *s);
 static bool before(const struct session *a, const struct session *b);
@@ -157,7 +152,8 @@
 			return false;
 		return place_at(s, g->primary);
 	}
-	if (!want_position(s, now)) {
+	proofs_position(g, now);
+	if (!want_position(s)) {
 		/* Only the primary surely has what the session may ask for. */
 		if (g->held || !cluster_primary_usable(g, now) ||
 		    !usable(&g->db[g->primary], now))
@@ -228,19 +224,11 @@
  * Works out the position that a read must see at the least, by the age that
  * its route allows and the session's own commits. False if none is known.
  */
-static bool want_position(struct session *s, usec_t now)
+static bool want_position(struct session *s)
 {
 	struct task *t = &s->task;
 	usec_t age = (usec_t)s->staleness_ms * USEC_PER_MSEC;
-	struct lead_sample newest;
 
-	lead_newest(&s->group->lead, &newest);
-	if (now - newest.asked_at > SAMPLE_AGE_US) {
-		if (proofs_are_own(s->group, now))
-			s->group->wanted_at = now;
-		else
-			proofs_ask(s->group, now);
-	}
 	if (s->freshness == READ_PRIMARY ||
 	    !lead_position(&s->group->lead, t->began_at - age, &t->after))
 		return false;
--- a/src/proxy/limits.c
+++ b/src/proxy/limits.c
@@ -37,6 +37,8 @@
 
 static void send_ask(struct limits *l, struct ask *a, usec_t now);
 static void decide_alone(struct limits *l, struct ask *a, usec_t now);
+static bool grant_here(struct limits *l, const char *team, usec_t now,
+		       usec_t *retry_after);
 static void end_ask(struct limits *l, struct ask *a);
 
 /* Makes the client of limits; NULL if memory is short. */
@@ -52,21 +54,6 @@
 	return l;
 }
 
-/* Frees it with the questions under way. */
-void limits_destroy(struct limits *l)
-{
-	struct ask *next;
-	struct ask *a;
-
-	if (!l)
-		return;
-	for (a = TAILQ_FIRST(&l->asks); a; a = next) {
-		next = TAILQ_NEXT(a, link);
-		free(a);
-	}
-	free(l);
-}
-
 /*
  * Takes a token for the session's operation. PENDING: session_admitted() is
  * called later, once. If refused, "retry_after" is when to come back.
@@ -74,9 +61,7 @@
 enum limits_answer limits_take(struct limits *l, struct session *s,
 			       usec_t *retry_after)
 {
-	struct quota *q = l->proxy->quota;
 	usec_t now = proxy_now();
-	enum quota_answer answer;
 	struct ask *a;
 
 	if (!l->proxy->vms_known) {
@@ -84,16 +69,10 @@
 		*retry_after = USEC_PER_SEC;
 		return LIMITS_REFUSED;
 	}
-	if (!quota_keeper(q, s->team)) {
-		answer = quota_grant(q, s->team, now, retry_after);
-		if (answer != QUOTA_NOT_KEPT)
-			return answer == QUOTA_GRANTED ? LIMITS_GRANTED
-						       : LIMITS_REFUSED;
-		return quota_reserve(q, s->team, now, proxy_draw(l->proxy),
-				     retry_after)
+	if (!quota_keeper(l->proxy->quota, s->team))
+		return grant_here(l, s->team, now, retry_after)
 			       ? LIMITS_GRANTED
 			       : LIMITS_REFUSED;
-	}
 	a = calloc(1, sizeof(*a));
 	if (!a) {
 		*retry_after = USEC_PER_SEC;
@@ -215,20 +194,14 @@
 	msgpack_sbuffer_destroy(&buf);
 }
 
-/* Nobody answered: this VM keeps the team by now, or lets in its even part. */
+/* Nobody answered in time. */
 static void decide_alone(struct limits *l, struct ask *a, usec_t now)
 {
-	struct quota *q = l->proxy->quota;
 	struct session *s = a->session;
-	const char *keeper = quota_keeper(q, s->team);
-	enum quota_answer answer;
+	const char *keeper = quota_keeper(l->proxy->quota, s->team);
 	usec_t later = 0;
-	bool ok;
+	bool ok = grant_here(l, s->team, now, &later);
 
-	answer = quota_grant(q, s->team, now, &later);
-	ok = answer == QUOTA_GRANTED ||
-	     (answer == QUOTA_NOT_KEPT &&
-	      quota_reserve(q, s->team, now, proxy_draw(l->proxy), &later));
 	log_event(EV_LIMIT_ALONE,
 		  "id=%s team=%s keeper=%s waited_us=%lld granted=%d",
 		  s->task.id, s->team, keeper ? keeper : "-",
@@ -237,6 +210,19 @@
 	session_admitted(s, ok, later);
 }
 
+/* As the team's keeper, or from this VM's even part if it is none. */
+static bool grant_here(struct limits *l, const char *team, usec_t now,
+		       usec_t *retry_after)
+{
+	struct quota *q = l->proxy->quota;
+	enum quota_answer answer = quota_grant(q, team, now, retry_after);
+
+	if (answer == QUOTA_NOT_KEPT)
+		return quota_reserve(q, team, now, proxy_draw(l->proxy),
+				     retry_after);
+	return answer == QUOTA_GRANTED;
+}
+
 static void end_ask(struct limits *l, struct ask *a)
 {
 	TAILQ_REMOVE(&l->asks, a, link);
--- a/src/proxy/proofs.c
+++ b/src/proxy/proofs.c
@@ -26,9 +26,14 @@
 /* The proof is kept fresh for so long after a statement for the primary: the
  * longest that one usually takes. */
 #define IN_USE_US (1 * USEC_PER_SEC)
+/* While reads come, a new position is asked for when the newest is this old:
+ * half the least age that routes usually allow. */
+#define SAMPLE_AGE_US (700 * USEC_PER_MSEC)
 /* A database that was asked and has not answered for half the guard. */
 #define UNREACHABLE_US (300 * USEC_PER_MSEC)
 
+static void make(struct pgroup *g, usec_t now);
+static void ask(struct pgroup *g, usec_t now);
 static const char *keeper(struct pgroup *g);
 static bool unreachable(const struct pdb *d, usec_t now);
 static bool any_unreachable(const struct pgroup *g, usec_t now);
@@ -79,95 +84,51 @@
 }
 
 /*
- * Asks replicas while the primary is in use and its proof ages: one at a time,
- * in turn, but all of them once the proof has run out. Whoever keeps the proof
- * for others asks the primary, too, how far its log has come.
+ * Keeps the proof of a primary that is in use fresh: a statement's answer
+ * counts only with a proof that is still good then.
  */
-void proofs_make(struct pgroup *g, usec_t now)
+void proofs_refresh(struct pgroup *g, usec_t now)
 {
-	usec_t guard = g->proxy->policy.guard;
-	bool one = lead_holds(&g->lead, now, guard);
-	struct lead_sample newest;
-	uint32_t i;
-
-	if (g->primary == DB_NONE || !proofs_are_own(g, now))
-		return;
-	if (g->lead.proved_at != INT64_MIN &&
-	    now - g->wanted_at > WANTED_FOR_US)
-		return;
-	lead_newest(&g->lead, &newest);
-	if (one && now - newest.asked_at > guard / PROOF_AGE_PARTS)
-		cluster_probe(&g->db[g->primary], now);
-	if (one && now - g->lead.proved_at < guard / PROOF_AGE_PARTS)
+	if (g->primary == DB_NONE)
 		return;
-	if (!one) {
-		proofs_weigh(g, now);
-		if (any_unreachable(g, now))
-			registry_hurry(g->proxy->registry, now);
-	}
-	for (i = 0; i < GROUP_DBS_MAX; i++) {
-		uint32_t at = (g->next_probe + i) % GROUP_DBS_MAX;
-		struct pdb *d = &g->db[at];
-
-		if (at == g->primary || now < d->retry_at ||
-		    !cluster_may_probe(d, now))
-			continue;
-		cluster_probe(d, now);
-		if (!one)
-			continue;
-		g->next_probe = at + 1;
+	if (proofs_are_own(g, now)) {
+		make(g, now);
 		return;
 	}
+	if (now - g->wanted_at <= IN_USE_US &&
+	    (g->lead.proved_at == INT64_MIN ||
+	     now - g->lead.proved_at >=
+		     g->proxy->policy.guard / PROOF_AGE_PARTS))
+		ask(g, now);
 }
 
-/*
- * A statement for the primary is on its way, or was a moment ago: its answer
- * counts only with a proof that is still good then.
- */
-void proofs_refresh(struct pgroup *g, usec_t now)
+/* A proof is needed and not there; a VM that gets none makes its own. */
+void proofs_missing(struct pgroup *g, usec_t now)
 {
-	if (g->primary == DB_NONE || now - g->wanted_at > IN_USE_US ||
-	    (g->lead.proved_at != INT64_MIN &&
-	     now - g->lead.proved_at <
-		     g->proxy->policy.guard / PROOF_AGE_PARTS))
-		return;
+	g->wanted_at = now;
+	if (now - g->unusable_since > ALONE_AFTER_US)
+		g->alone_until = now + ALONE_FOR_US;
 	if (proofs_are_own(g, now))
-		proofs_make(g, now);
+		make(g, now);
 	else
-		proofs_ask(g, now);
+		ask(g, now);
 }
 
-/* Asks whoever keeps the group's proof, unless that was done just now. */
-void proofs_ask(struct pgroup *g, usec_t now)
+/*
+ * Reads come. Where the newest position of the primary's log is old, another is
+ * asked for, so that reads need not go to the primary.
+ */
+void proofs_position(struct pgroup *g, usec_t now)
 {
-	struct beacon *b = g->proxy->beacon;
-	const char *to = keeper(g);
-	msgpack_sbuffer buf;
-	msgpack_packer p;
+	struct lead_sample newest;
 
-	if (!to || now - g->proof_asked_at < ASK_AGAIN_US)
+	lead_newest(&g->lead, &newest);
+	if (now - newest.asked_at <= SAMPLE_AGE_US)
 		return;
-	g->proof_asked_at = now;
-	g->proof_number++;
-	msgpack_sbuffer_init(&buf);
-	msgpack_packer_init(&p, &buf, msgpack_sbuffer_write);
-	msgpack_pack_array(&p, 4);
-	msgpack_pack_uint32(&p, PEER_PROVE);
-	msgpack_pack_uint64(&p, g->proof_number);
-	wire_put_str(&p, g->service);
-	msgpack_pack_uint64(&p, g->lead.term);
-	beacon_send(b, to, buf.data, buf.size);
-	msgpack_sbuffer_destroy(&buf);
-}
-
-/* A proof is needed and not there: notes since when. */
-void proofs_missing(struct pgroup *g, usec_t now)
-{
-	if (g->unproved_since == 0)
-		g->unproved_since = now;
-	if (now - g->unproved_since > ALONE_AFTER_US)
-		g->alone_until = now + ALONE_FOR_US;
-	proofs_ask(g, now);
+	if (proofs_are_own(g, now))
+		g->wanted_at = now;
+	else
+		ask(g, now);
 }
 
 /* A peer asks: [number, service, term]. No answer if there is no proof. */
@@ -235,13 +196,75 @@
 	if (!g || number != g->proof_number)
 		return;
 	lead_proved(&g->lead, g->proof_asked_at - (usec_t)age, term);
-	g->unproved_since = 0;
 	if (at.term == g->lead.term && sample_age < USEC_PER_SEC)
 		lead_sample(&g->lead, g->proof_asked_at - (usec_t)sample_age,
 			    at);
 	dispatch_pump(g);
 }
 
+/*
+ * Asks replicas while the primary is in use and its proof ages: one at a time,
+ * in turn, but all of them once the proof has run out. Whoever keeps the proof
+ * for others asks the primary, too, how far its log has come.
+ */
+static void make(struct pgroup *g, usec_t now)
+{
+	usec_t guard = g->proxy->policy.guard;
+	bool one = lead_holds(&g->lead, now, guard);
+	struct lead_sample newest;
+	uint32_t i;
+
+	if (g->lead.proved_at != INT64_MIN &&
+	    now - g->wanted_at > WANTED_FOR_US)
+		return;
+	lead_newest(&g->lead, &newest);
+	if (one && now - newest.asked_at > guard / PROOF_AGE_PARTS)
+		cluster_probe(&g->db[g->primary], now);
+	if (one && now - g->lead.proved_at < guard / PROOF_AGE_PARTS)
+		return;
+	if (!one) {
+		proofs_weigh(g, now);
+		if (any_unreachable(g, now))
+			registry_hurry(g->proxy->registry, now);
+	}
+	for (i = 0; i < GROUP_DBS_MAX; i++) {
+		uint32_t at = (g->next_probe + i) % GROUP_DBS_MAX;
+		struct pdb *d = &g->db[at];
+
+		if (at == g->primary || now < d->retry_at ||
+		    !cluster_may_probe(d, now))
+			continue;
+		cluster_probe(d, now);
+		if (!one)
+			continue;
+		g->next_probe = at + 1;
+		return;
+	}
+}
+
+/* Asks whoever keeps the group's proof, unless that was done just now. */
+static void ask(struct pgroup *g, usec_t now)
+{
+	struct beacon *b = g->proxy->beacon;
+	const char *to = keeper(g);
+	msgpack_sbuffer buf;
+	msgpack_packer p;
+
+	if (!to || now - g->proof_asked_at < ASK_AGAIN_US)
+		return;
+	g->proof_asked_at = now;
+	g->proof_number++;
+	msgpack_sbuffer_init(&buf);
+	msgpack_packer_init(&p, &buf, msgpack_sbuffer_write);
+	msgpack_pack_array(&p, 4);
+	msgpack_pack_uint32(&p, PEER_PROVE);
+	msgpack_pack_uint64(&p, g->proof_number);
+	wire_put_str(&p, g->service);
+	msgpack_pack_uint64(&p, g->lead.term);
+	beacon_send(b, to, buf.data, buf.size);
+	msgpack_sbuffer_destroy(&buf);
+}
+
 /* The VM that keeps the group's proof; NULL: this one. */
 static const char *keeper(struct pgroup *g)
 {
--- a/src/proxy/proxy.c
+++ b/src/proxy/proxy.c
@@ -209,7 +209,7 @@
 	return __atomic_load_n(&proxy.n_sessions, __ATOMIC_RELAXED) == 0;
 }
 
-/* Ends the event loop and frees what it used. */
+/* Ends the event loop; what it used goes with the process. */
 static void stop(struct kernel *k)
 {
 	apr_status_t ignored;
--- a/src/proxy/proxy_own.h
+++ b/src/proxy/proxy_own.h
@@ -95,7 +95,6 @@
 	uint64_t proof_changes;	  /* beacon_changes() then, plus one */
 	uint64_t proof_number;	  /* of the newest question to its keeper */
 	usec_t proof_asked_at;	  /* when that was sent */
-	usec_t unproved_since;	  /* a proof is needed; 0: there is one */
 	usec_t alone_until;	  /* this VM asks the databases itself */
 	usec_t resumed_at;	  /* paused ones were let go last */
 	bool promoted_here;	  /* the primary of this term, by this VM */
@@ -373,7 +372,6 @@
 
 /* beacon.c */
 struct beacon *beacon_create(struct proxy *p, struct error *e);
-void beacon_destroy(struct beacon *b);
 void beacon_tick(struct beacon *b, usec_t now);
 void beacon_peer(struct beacon *b, const struct registry_vm *vm);
 uint32_t beacon_peers(const struct beacon *b);
@@ -421,7 +419,6 @@
 };
 
 struct limits *limits_create(struct proxy *p);
-void limits_destroy(struct limits *l);
 enum limits_answer limits_take(struct limits *l, struct session *s,
 			       usec_t *retry_after);
 void limits_cancel(struct limits *l, const struct session *s);
@@ -435,12 +432,12 @@
 bool proofs_are_own(struct pgroup *g, usec_t now);
 /* Do the newest words of all databases together prove the primary? */
 void proofs_weigh(struct pgroup *g, usec_t now);
-/* Asks databases, if that is for this VM to do and the proof ages. */
-void proofs_make(struct pgroup *g, usec_t now);
 /* Keeps the proof of a primary in use fresh, from wherever it comes. */
 void proofs_refresh(struct pgroup *g, usec_t now);
-void proofs_ask(struct pgroup *g, usec_t now);
+/* There is none, and a statement waits for it. */
 void proofs_missing(struct pgroup *g, usec_t now);
+/* Reads come, that need a position not too old. */
+void proofs_position(struct pgroup *g, usec_t now);
 void proofs_take_ask(struct proxy *x, struct wire_reader *r,
 		     const struct sockaddr *from, socklen_t from_len);
 void proofs_take_answer(struct proxy *x, struct wire_reader *r);
--- a/src/proxy/registry.c
+++ b/src/proxy/registry.c
@@ -135,16 +135,6 @@
 	return r;
 }
 
-/* Frees it; the platform's thread has ended. */
-void registry_destroy(struct registry *r)
-{
-	if (!r)
-		return;
-	free(r->self.call.body);
-	free(r->list);
-	free(r);
-}
-
 /* Makes the first calls. */
 void registry_begin(struct registry *r)
 {
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -87,7 +87,6 @@
 
 /* Begins to follow the platform; all callbacks run on the proxy's thread. */
 struct registry *registry_create(struct proxy *p);
-void registry_destroy(struct registry *r);
 void registry_begin(struct registry *r);
 void registry_tick(struct registry *r, usec_t now);
 /* The databases are wanted sooner than usual. */
--- a/tests/decide/succession_test.cc
+++ b/tests/decide/succession_test.cc
@@ -69,8 +69,8 @@
 		succession_fenced(&s, env.now, db, s.term, false,
 				  env.db[db].received);
 	}
-	// Up to the verified claim, of a primary that is silent.
-	void silent_until_promote()
+	// Up to the pause of both replicas, of a primary that is silent.
+	void silent_until_fenced()
 	{
 		env.cause = SUCCESSION_SILENT;
 		env.db[0].answers = false;
@@ -79,6 +79,11 @@
 		run(20 * kMs);
 		pause(1);
 		pause(2);
+	}
+	// Up to the verified claim.
+	void silent_until_promote()
+	{
+		silent_until_fenced();
 		run(kPolicy.guard + kPolicy.margin + 50 * kMs);
 		succession_verified(&s, env.now, true, 78);
 	}
@@ -209,13 +214,7 @@
 TEST(Succession, PauseLostInTheGuard)
 {
 	Group g;
-	g.env.cause = SUCCESSION_SILENT;
-	g.env.db[0].answers = false;
-	g.run(20 * kMs);
-	g.claim();
-	g.run(20 * kMs);
-	g.pause(1);
-	g.pause(2);
+	g.silent_until_fenced();
 	g.run(300 * kMs);
 	ASSERT_EQ(g.s.phase, SUCCESSION_GUARD);
 	g.env.db[1].said = true;
@@ -263,13 +262,7 @@
 TEST(Succession, PromotesByAListOfAfterTheGuard)
 {
 	Group g;
-	g.env.cause = SUCCESSION_SILENT;
-	g.env.db[0].answers = false;
-	g.run(20 * kMs);
-	g.claim();
-	g.run(20 * kMs);
-	g.pause(1);
-	g.pause(2);
+	g.silent_until_fenced();
 	g.run(300 * kMs);
 	g.lists = false;
 	g.run(kPolicy.guard + kPolicy.margin);
@@ -295,13 +288,7 @@
 TEST(Succession, AnswersInTheGuard)
 {
 	Group g;
-	g.env.cause = SUCCESSION_SILENT;
-	g.env.db[0].answers = false;
-	g.run(20 * kMs);
-	g.claim();
-	g.run(20 * kMs);
-	g.pause(1);
-	g.pause(2);
+	g.silent_until_fenced();
 	g.run(300 * kMs);
 	g.env.db[0].said = true;
 	std::string acts = g.run(20 * kMs);
@@ -421,13 +408,7 @@
 	g.silent_until_promote();
 	EXPECT_EQ(g.run(20 * kMs), "M1 ");
 	Group h;
-	h.env.cause = SUCCESSION_SILENT;
-	h.env.db[0].answers = false;
-	h.run(20 * kMs);
-	h.claim();
-	h.run(20 * kMs);
-	h.pause(1);
-	h.pause(2);
+	h.silent_until_fenced();
 	h.run(kPolicy.guard + kPolicy.margin + 50 * kMs);
 	succession_verified(&h.s, h.env.now, false, 78);
 	EXPECT_EQ(h.run(100 * kMs).find('M'), std::string::npos);
