Let a departing primary's step-down count only if no other leads

Cause: a VM that had not learned of a change of primary stepped the former, departing primary down again. Change: after a step-down every other database that responds has to report, and none as primary, before the promotion; for at most catch_up_max as before. Test: FailoverFsm.DepartingPrimaryWasReplacedBefore, which failed before. Ruled out: the term in the reply, which is the old one until the former primary follows the new one.

--- a/src/decide/failover_fsm.c
+++ b/src/decide/failover_fsm.c
@@ -30,6 +30,8 @@
 			   struct failover_fsm_actions *out);
 static bool pause_was_lost(const struct failover_fsm *s,
 			   const struct failover_fsm_env *env);
+static bool all_reported(const struct failover_fsm *s,
+			 const struct failover_fsm_env *env);
 static bool replica_caught_up(const struct failover_fsm *s,
 			      const struct failover_fsm_env *env);
 static uint32_t choose_target(const struct failover_fsm *s,
@@ -432,7 +434,9 @@
 
 /*
  * Waits until no VM can use the old primary any more. If it stepped down, waits
- * until a replica has its whole log, for at most catch_up; otherwise until
+ * until a replica has its whole log and no other database reports itself as
+ * primary, for at most catch_up: a former primary that had been replaced before
+ * seems to step down too. Otherwise waits until
  * every proof of it has expired. There is no wait for a primary whose address
  * refuses connections.
  */
@@ -452,7 +456,7 @@
 		return;
 	}
 	if (s->stepped_down) {
-		if (replica_caught_up(s, env) ||
+		if ((replica_caught_up(s, env) && all_reported(s, env)) ||
 		    waited >= s->policy.catch_up_max) {
 			s->result_pending = false;
 			enter_phase(s, env->now, FAILOVER_VERIFY);
@@ -504,6 +508,21 @@
 	return false;
 }
 
+/* Returns true if all other databases that respond have reported in this phase.
+ */
+static bool all_reported(const struct failover_fsm *s,
+			 const struct failover_fsm_env *env)
+{
+	uint32_t i;
+
+	for (i = 0; i < env->n; i++) {
+		if (i != s->old_primary && env->db[i].present &&
+		    env->db[i].answers && !env->db[i].has_new_report)
+			return false;
+	}
+	return true;
+}
+
 /*
  * Returns the database to promote, or DB_NONE: of those that respond, do not
  * depart and have not refused a promotion in this attempt, the one with the
--- a/tests/decide/failover_fsm_test.cc
+++ b/tests/decide/failover_fsm_test.cc
@@ -339,6 +339,31 @@
 	}
 }
 
+// A VM that has not learned of a change of primary steps the former primary
+// down again, which proves nothing. It must see that another database leads.
+TEST(FailoverFsm, DepartingPrimaryWasReplacedBefore)
+{
+	Group g;
+	g.env.cause = FAILOVER_CAUSE_DEPARTING;
+	g.env.db[0].departing = true;
+	g.env.db[0].reports_primary = false;
+	g.run(20 * kMs);
+	g.claim();
+	g.run(20 * kMs);
+	failover_fsm_fenced(&g.s, g.env.now, 0, 5, true, { 4, 100 });
+	g.env.db[1].has_new_report = true;
+	g.env.db[1].received = { 4, 100 };
+	std::string acts = g.run(40 * kMs);
+	EXPECT_NE(acts.find("A2"), std::string::npos) << acts;
+	EXPECT_EQ(acts.find('V'), std::string::npos) << acts;
+	g.env.db[2].has_new_report = true;
+	g.env.db[2].reports_primary = true;
+	g.env.db[2].term = 5;
+	acts += g.run(kPolicy.catch_up_max + 100 * kMs);
+	EXPECT_EQ(acts.find('V'), std::string::npos) << acts;
+	EXPECT_EQ(g.s.phase, FAILOVER_IDLE);
+}
+
 // A departing primary that was promoted again is replaced at the second try.
 TEST(FailoverFsm, DepartingPrimaryIsPromotedAgainOnlyOnce)
 {
