--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -59,7 +59,8 @@
 	X(6006, SETTINGS_RELOADED, INFO, "settings file read again")        \
 	X(7001, PEER_BAD_MESSAGE, WARN, "message of a peer refused")        \
 	X(7002, PEER_JOINED, INFO, "VM joined")                             \
-	X(7003, PEER_GONE, WARN, "VM gone")
+	X(7003, PEER_GONE, WARN, "VM gone")                                 \
+	X(7004, LINK_CLOSED, INFO, "connection between VMs closed")
 
 enum event_id {
 #define X(number, id, level, text) EV_##id = (number),
--- a/src/kernel/settings.c
+++ b/src/kernel/settings.c
@@ -22,6 +22,7 @@
 	SETTING_LEVEL,
 	SETTING_FORM,
 	SETTING_NUMBER,
+	SETTING_SHARE, /* a fraction, kept in thousandths */
 };
 
 /*
@@ -112,6 +113,13 @@
 	NUMBER(timeline_events, 16, 1000000, 4096),
 	NUMBER(log_lines_per_s, 0, 1000000, 1000),
 	NUMBER(grace_s, 0, 3600, 0),
+	{ .key = "cpu_share",
+	  .type = SETTING_SHARE,
+	  .offset = offsetof(struct settings, cpu_milli),
+	  .optional = true,
+	  .min = 1,
+	  .max = 1000000,
+	  .default_value = 1000 },
 };
 
 #define SETTINGS (sizeof(table) / sizeof(table[0]))
@@ -140,6 +148,8 @@
 			 const json_t *v);
 static void read_number(const struct parse_ctx *c, const struct setting *t,
 			const json_t *v);
+static void read_share(const struct parse_ctx *c, const struct setting *t,
+		       const json_t *v);
 static void read_text(const struct parse_ctx *c, const struct setting *t,
 		      const json_t *v);
 static void read_level(const struct parse_ctx *c, const struct setting *t,
@@ -287,7 +297,8 @@
 	s->form = FORM_HTTP;
 	s->log_level = LOG_INFO;
 	for (i = 0; i < SETTINGS; i++) {
-		if (table[i].type == SETTING_NUMBER)
+		if (table[i].type == SETTING_NUMBER ||
+		    table[i].type == SETTING_SHARE)
 			memcpy((char *)s + table[i].offset,
 			       &table[i].default_value,
 			       sizeof(table[i].default_value));
@@ -306,6 +317,9 @@
 		return;
 	}
 	switch (t->type) {
+	case SETTING_SHARE:
+		read_share(c, t, v);
+		break;
 	case SETTING_NUMBER:
 		read_number(c, t, v);
 		break;
@@ -341,6 +355,22 @@
 	memcpy((char *)c->settings + t->offset, &value, sizeof(value));
 }
 
+/* Stores a fraction in thousandths. */
+static void read_share(const struct parse_ctx *c, const struct setting *t,
+		       const json_t *v)
+{
+	double milli = json_number_value(v) * 1000;
+	uint32_t value;
+
+	if (!json_is_number(v) || milli < t->min || milli > t->max) {
+		report_failure(c, t->key, v, "must be a number from %g to %g",
+			       t->min / 1000.0, t->max / 1000.0);
+		return;
+	}
+	value = (uint32_t)(milli + 0.5);
+	memcpy((char *)c->settings + t->offset, &value, sizeof(value));
+}
+
 /* Stores a name, an address or a hash. */
 static void read_text(const struct parse_ctx *c, const struct setting *t,
 		      const json_t *v)
--- a/src/kernel/settings.h
+++ b/src/kernel/settings.h
@@ -64,6 +64,7 @@
 	uint32_t timeline_events;     /* "timeline_events" */
 	uint32_t log_lines_per_s;     /* "log_lines_per_s": limit; 0: none */
 	uint32_t grace_s;	      /* "grace_s": from SIGTERM to SIGKILL */
+	uint32_t cpu_milli; /* "cpu_share": of a core, in thousandths */
 };
 
 /* Every failure found, one per line: "file: key: value: bound". */
--- a/src/proxy/backend.c
+++ b/src/proxy/backend.c
@@ -54,7 +54,6 @@
 static void on_prepare_failed(struct backend *b, enum reply_error_code code);
 static void send_control(struct backend *b);
 static void make_idle(struct backend *b);
-static void set_socket_options(evutil_socket_t fd);
 
 /*
  * Starts to open a connection for a team. Returns NULL if no socket is
@@ -271,7 +270,7 @@
 	usec_t now = proxy_now();
 
 	if (what & BEV_EVENT_CONNECTED) {
-		set_socket_options(bufferevent_getfd(bev));
+		backend_set_socket_options(bufferevent_getfd(bev));
 		bufferevent_enable(bev, EV_READ | EV_WRITE);
 		b->state = BACKEND_STARTING;
 		b->proxy->protocol->put_start(bufferevent_get_output(bev),
@@ -650,7 +649,7 @@
 }
 
 /* Disables Nagle's algorithm and detects a dead peer within a few seconds. */
-static void set_socket_options(evutil_socket_t fd)
+void backend_set_socket_options(evutil_socket_t fd)
 {
 	const int on = 1;
 	const int idle = KEEPALIVE_IDLE_S;
--- a/src/proxy/conn_pool.c
+++ b/src/proxy/conn_pool.c
@@ -20,11 +20,32 @@
  * team for this long.
  */
 #define UNUSED_PROTECT_US (300 * USEC_PER_MSEC)
+/*
+ * One in this many of a database's connections is shared by VMs that do not own
+ * them, for statements that can't reach the owner.
+ */
+#define RESERVE_DIVISOR 8
+/*
+ * An owner leaves this many connections for each of the database's slots, so
+ * that its successor can work at once: a database keeps the connections of a VM
+ * that lost power for seconds.
+ */
+#define SUCCESSOR_PER_SLOT 2
+/* It also leaves some for the status requests and failovers of other VMs. */
+#define CONTROL_CONNS 4
+/* A VM that is no longer the owner closes its idle connections after this. */
+#define TRIM_IDLE_US (500 * USEC_PER_MSEC)
+/*
+ * A team that has a connection takes another team's only if that has been idle
+ * for this long, several times what a statement takes.
+ */
+#define EVICT_IDLE_US (200 * USEC_PER_MSEC)
 
 static uint32_t fair_share(const struct db_member *db);
 static struct backend *least_recently_used(struct db_member *db,
 					   const struct session *s);
 static uint32_t count_opening(const struct db_member *db);
+static bool is_served_here(const struct db_member *db);
 
 /*
  * Returns the idle connection of the session's team whose variables need the
@@ -69,7 +90,7 @@
 		db->conn_limit++;
 		db->conn_limit_changed_at += CONN_LIMIT_STEP_US;
 	}
-	if (count_opening(db) >= OPENING_MAX ||
+	if (count_opening(db) >= OPENING_MAX || now < db->open_retry_at ||
 	    !connect_backoff_is_over(&db->connect_backoff, now))
 		return LOAD_BALANCE_CONN_NONE;
 	if (db->n_conns < db->conn_limit)
@@ -112,8 +133,8 @@
 	db->conn_limit_changed_at = now;
 	if (db->full_refusals < FULL_REFUSALS_MAX)
 		db->full_refusals++;
-	db->retry_at = now + (db->group->proxy->policy.full_backoff
-			      << (db->full_refusals - 1));
+	db->open_retry_at = now + (db->group->proxy->policy.full_backoff
+				   << (db->full_refusals - 1));
 }
 
 /*
@@ -122,6 +143,9 @@
  */
 void conn_pool_on_busy(struct db_member *db)
 {
+	/* An owner knows the free slots itself. */
+	if (is_served_here(db))
+		return;
 	connect_backoff_on_busy(&db->connect_backoff, proxy_now(),
 				proxy_random_unit(db->group->proxy));
 }
@@ -133,6 +157,39 @@
 	connect_backoff_on_success(&b->db->connect_backoff);
 }
 
+/*
+ * Returns true if this VM may send one more statement to the database. Its
+ * owner may use all slots, another VM one. A connection that is being opened
+ * occupies a slot too.
+ */
+bool conn_pool_has_free_slot(const struct db_member *db)
+{
+	uint32_t most = is_served_here(db) && db->slots ? db->slots : 1;
+
+	return db->running + count_opening(db) < most;
+}
+
+/*
+ * Closes the connection that has been idle for the longest time if this VM
+ * holds more than its share, because it is no longer the owner.
+ */
+void conn_pool_trim(struct db_member *db, usec_t now)
+{
+	struct backend *oldest = NULL;
+	struct backend *b;
+
+	if (db->n_conns <= fair_share(db))
+		return;
+	TAILQ_FOREACH(b, &db->conns, link)
+	{
+		if (b->state == BACKEND_IDLE &&
+		    (!oldest || b->used_at < oldest->used_at))
+			oldest = b;
+	}
+	if (oldest && now - oldest->used_at > TRIM_IDLE_US)
+		backend_close(oldest, "not the owner");
+}
+
 /* Returns any idle connection, for the proxy's own requests, or NULL. */
 struct backend *conn_pool_any_idle(struct db_member *db)
 {
@@ -147,13 +204,19 @@
 }
 
 /*
- * Returns this VM's even share of the connections that the database accepts, at
- * least one.
+ * Returns how many of the connections that the database accepts this VM may
+ * hold, at least one: all but what a successor needs as owner, else an even
+ * share of the reserve.
  */
 static uint32_t fair_share(const struct db_member *db)
 {
 	const struct proxy *p = db->group->proxy;
-	uint32_t share = db->group->max_connections / proxy_fleet_size(p);
+	uint32_t reserve = db->group->max_connections / RESERVE_DIVISOR + 1;
+	uint32_t left = SUCCESSOR_PER_SLOT * db->slots + CONTROL_CONNS;
+	uint32_t share = reserve / proxy_fleet_size(p);
+
+	if (is_served_here(db) && db->group->max_connections > left)
+		share = db->group->max_connections - left;
 
 	if (!p->vms_known && share > SHARE_FLEET_UNKNOWN_MAX)
 		return SHARE_FLEET_UNKNOWN_MAX;
@@ -169,19 +232,29 @@
 {
 	struct backend *oldest = NULL;
 	usec_t now = proxy_now();
+	bool has_own = false;
 	struct backend *b;
 
 	TAILQ_FOREACH(b, &db->conns, link)
 	{
+		has_own |= strcmp(b->team, s->team) == 0;
 		if (!b->has_served && now - b->opened_at < UNUSED_PROTECT_US)
 			continue;
 		if (b->state == BACKEND_IDLE && strcmp(b->team, s->team) != 0 &&
 		    (!oldest || b->used_at < oldest->used_at))
 			oldest = b;
 	}
+	if (has_own && oldest && now - oldest->used_at < EVICT_IDLE_US)
+		return NULL;
 	return oldest;
 }
 
+/* True if this VM owns the database's connections or works as its owner. */
+static bool is_served_here(const struct db_member *db)
+{
+	return db_member_is_served_here((struct db_member *)db, proxy_now());
+}
+
 /* Returns the number of connections being opened. */
 static uint32_t count_opening(const struct db_member *db)
 {
--- a/src/proxy/db_group.c
+++ b/src/proxy/db_group.c
@@ -26,6 +26,11 @@
 #define TRUST_DELAY_US (5 * USEC_PER_SEC)
 /* Assumed response time of a database that has not responded yet. */
 #define LATENCY_INITIAL_US (20 * USEC_PER_MSEC)
+/*
+ * A VM works as owner of a database for this long after a statement that was
+ * forwarded to it: the VMs agree on the owner within a few heartbeats.
+ */
+#define SERVED_RECENTLY_US (2 * USEC_PER_SEC)
 
 static struct db_group *group_create(struct proxy *p, const char *service);
 static void apply_database(struct db_group *g, const struct registry_db *r);
@@ -228,6 +233,10 @@
 		g->db[g->primary].reports_primary = false;
 	}
 	g->primary = DB_NONE;
+	if (!db_group_proof_is_local(g, now)) {
+		db_group_proof_require(g, now);
+		return;
+	}
 	for (i = 0; i < DB_GROUP_MEMBERS_MAX; i++)
 		db_member_probe(&g->db[i], now);
 	registry_poll_fast(g->proxy->registry, now);
@@ -248,8 +257,6 @@
 	    now - g->primary_unusable_at > UNUSABLE_GAP_US)
 		g->primary_unusable_since = now;
 	g->primary_unusable_at = now;
-	if (g->primary == DB_NONE)
-		return false;
 	db_group_proof_require(g, now);
 	return false;
 }
@@ -287,6 +294,34 @@
 	return true;
 }
 
+/* Returns the VM that owns the database's connections, or NULL: this VM. */
+const char *db_member_owner(struct db_member *db)
+{
+	const struct heartbeat *b = db->group->proxy->heartbeat;
+
+	if (db->owner_version != heartbeat_owners_version(b) + 1) {
+		db->owner = heartbeat_database_owner(b, db->id, db->domain);
+		db->owner_version = heartbeat_owners_version(b) + 1;
+	}
+	return db->owner;
+}
+
+/*
+ * Returns true if this VM owns the database's connections, or if other VMs have
+ * lately taken it for the owner.
+ */
+bool db_member_is_served_here(struct db_member *db, usec_t now)
+{
+	return !db_member_owner(db) ||
+	       (db->served_at && now - db->served_at < SERVED_RECENTLY_US);
+}
+
+/* Returns how many statements run and wait at this VM for the database. */
+uint32_t db_member_load(const struct db_member *db)
+{
+	return db->running + db->n_queued;
+}
+
 /* Returns true if a status request may be sent now. */
 bool db_member_can_probe(const struct db_member *db, usec_t now)
 {
@@ -383,6 +418,7 @@
 		snprintf(d->id, sizeof(d->id), "%s", r->id);
 		snprintf(d->address, sizeof(d->address), "%s", r->address);
 		snprintf(d->domain, sizeof(d->domain), "%s", r->domain);
+		d->joined_at = proxy_now();
 		if (g->proof.term > 0)
 			d->trusted_from = proxy_now() + TRUST_DELAY_US;
 		d->conn_limit = UINT32_MAX;
@@ -480,8 +516,10 @@
 		else
 			backend_tick(b, now);
 	}
+	conn_pool_trim(db, now);
 	if (db->present && db->reports_primary &&
-	    member_index(db) != db->group->primary)
+	    member_index(db) != db->group->primary &&
+	    db_group_proof_is_local(db->group, now))
 		db_member_probe(db, now);
 }
 
--- a/src/proxy/db_group_proof.c
+++ b/src/proxy/db_group_proof.c
@@ -1,5 +1,6 @@
 #include <msgpack.h>
 
+#include "kernel/platform.h"
 #include "kernel/wire.h"
 #include "proxy/proxy_internal.h"
 
@@ -44,12 +45,17 @@
 #define POSITION_REFRESH_US (700 * USEC_PER_MSEC)
 /* A database counts as unreachable after half the guard without a reply. */
 #define UNREACHABLE_US (300 * USEC_PER_MSEC)
+/* Shortest interval between two reads of whether a promotion was claimed. */
+#define CLAIM_CHECK_US USEC_PER_SEC
 
 static void probe_databases(struct db_group *g, usec_t now);
 static void request_proof(struct db_group *g, usec_t now);
+static void check_unclaimed(struct db_group *g, usec_t now);
+static void on_unclaimed(void *ctx, bool ok, uint64_t token);
 static const char *proof_owner(struct db_group *g);
 static bool is_unreachable(const struct db_member *d, usec_t now);
 static bool has_unreachable(const struct db_group *g, usec_t now);
+static bool is_served_here(struct db_group *g, usec_t now);
 
 /*
  * Returns true if this VM probes the group's databases itself, because it owns
@@ -121,13 +127,15 @@
 }
 
 /*
- * Obtains a proof for a statement that needs one. A VM that gets none from the
- * owner for too long probes the databases itself.
+ * Obtains a proof for a statement that needs one. A VM that owns connections to
+ * a database of the group, and gets none from the proof owner for too long,
+ * probes the databases itself.
  */
 void db_group_proof_require(struct db_group *g, usec_t now)
 {
 	g->primary_used_at = now;
-	if (now - g->primary_unusable_since > PROBE_DIRECTLY_AFTER_US)
+	if (now - g->primary_unusable_since > PROBE_DIRECTLY_AFTER_US &&
+	    is_served_here(g, now))
 		g->probe_directly_until = now + PROBE_DIRECTLY_FOR_US;
 	if (db_group_proof_is_local(g, now))
 		probe_databases(g, now);
@@ -153,8 +161,8 @@
 }
 
 /*
- * Handles a peer's request: [id, service, term]. Without a valid proof for that
- * term there is no response.
+ * Handles a peer's request: [id, service, term]. Without a valid proof there is
+ * no response, nor if the peer knows of a later term.
  */
 void db_group_proof_on_request(struct proxy *x, struct wire_reader *r,
 			       const struct sockaddr *from, socklen_t from_len)
@@ -176,28 +184,30 @@
 	if (!g)
 		return;
 	g->primary_used_at = now;
-	if (!db_group_primary_is_usable(g, now) || g->proof.term != term)
+	if (!db_group_primary_is_usable(g, now) || g->proof.term < term)
 		return;
 	primary_proof_newest_sample(&g->proof, &sample);
 	msgpack_sbuffer_init(&buf);
 	msgpack_packer_init(&p, &buf, msgpack_sbuffer_write);
-	msgpack_pack_array(&p, 8);
+	msgpack_pack_array(&p, 9);
 	msgpack_pack_uint32(&p, PEER_MSG_PROOF_RESPONSE);
 	msgpack_pack_uint64(&p, request_id);
 	wire_put_str(&p, service);
-	msgpack_pack_uint64(&p, term);
+	msgpack_pack_uint64(&p, g->proof.term);
 	msgpack_pack_uint64(&p, (uint64_t)(now - g->proof.proved_at));
 	msgpack_pack_uint64(&p, sample.at.term);
 	msgpack_pack_uint64(&p, sample.at.position);
 	msgpack_pack_uint64(&p, (uint64_t)(now - sample.asked_at));
+	wire_put_str(&p, g->db[g->primary].id);
 	heartbeat_send_to(x->heartbeat, from, from_len, buf.data, buf.size);
 	msgpack_sbuffer_destroy(&buf);
 }
 
 /*
  * Handles a response: [id, service, term, age of the proof, newest log position
- * of the primary as term and position, and its age]; ages in microseconds. Only
- * the response to the newest request counts.
+ * of the primary as term and position, its age, primary]; ages in microseconds.
+ * Only the response to the newest request counts. A primary of a later term, or
+ * the one of this term if none is known, is adopted.
  */
 void db_group_proof_on_response(struct proxy *x, struct wire_reader *r)
 {
@@ -206,8 +216,10 @@
 	struct log_pos at;
 	uint64_t sample_age;
 	struct db_group *g;
+	char primary[DB_ID_MAX_BYTES];
 	uint64_t term;
 	uint64_t age;
+	uint32_t db;
 
 	wire_str(r, service, sizeof(service));
 	term = wire_u64(r);
@@ -215,11 +227,16 @@
 	at.term = wire_u64(r);
 	at.position = wire_u64(r);
 	sample_age = wire_u64(r);
+	wire_str(r, primary, sizeof(primary));
 	if (r->bad || age > USEC_PER_SEC)
 		return;
 	g = db_group_find(x, service);
 	if (!g || request_id != g->proof_request_id)
 		return;
+	db = db_group_find_member(g, primary);
+	if (db != DB_NONE && (term > g->proof.term ||
+			      (term == g->proof.term && g->primary == DB_NONE)))
+		db_group_set_primary(g, db, term, "proof owner");
 	primary_proof_add(&g->proof, g->proof_requested_at - (usec_t)age, term);
 	if (at.term == g->proof.term && sample_age < USEC_PER_SEC)
 		primary_proof_sample(&g->proof,
@@ -241,6 +258,8 @@
 	struct primary_proof_sample newest;
 	uint32_t i;
 
+	if (g->primary == DB_NONE)
+		return;
 	if (g->proof.proved_at != INT64_MIN &&
 	    now - g->primary_used_at > PROBE_AFTER_USE_US)
 		return;
@@ -251,6 +270,7 @@
 	    now - g->proof.proved_at < guard / PROOF_REFRESH_DIVISOR)
 		return;
 	if (!is_valid) {
+		check_unclaimed(g, now);
 		db_group_proof_evaluate(g, now);
 		if (has_unreachable(g, now))
 			registry_poll_fast(g->proxy->registry, now);
@@ -270,6 +290,50 @@
 	}
 }
 
+/*
+ * Asks the platform whether a promotion was ever claimed, if a database joined
+ * so lately that it might have missed the PAUSE of one.
+ */
+static void check_unclaimed(struct db_group *g, usec_t now)
+{
+	bool is_needed = false;
+	uint32_t i;
+
+	if (g->was_claimed || g->claim_check_pending ||
+	    now - g->claim_checked_at < CLAIM_CHECK_US)
+		return;
+	for (i = 0; i < DB_GROUP_MEMBERS_MAX; i++)
+		is_needed |= g->db[i].present && now < g->db[i].trusted_from;
+	if (!is_needed)
+		return;
+	g->claim_checked_at = now;
+	g->claim_check_pending = true;
+	registry_check_unclaimed(g->proxy, g, on_unclaimed, g);
+}
+
+/*
+ * Trusts the databases that had joined before the question if no promotion was
+ * claimed: a later one finds them in the registry and pauses them.
+ */
+static void on_unclaimed(void *ctx, bool ok, uint64_t token)
+{
+	struct db_group *g = ctx;
+	uint32_t i;
+
+	(void)token;
+	g->claim_check_pending = false;
+	if (!ok) {
+		g->was_claimed = platform_is_up(g->proxy->kernel);
+		return;
+	}
+	for (i = 0; i < DB_GROUP_MEMBERS_MAX; i++) {
+		if (g->db[i].joined_at < g->claim_checked_at)
+			g->db[i].trusted_from = 0;
+	}
+	db_group_proof_evaluate(g, proxy_now());
+	dispatch_waiting(g);
+}
+
 /* Requests the proof from its owner, unless a request was sent a moment ago. */
 static void request_proof(struct db_group *g, usec_t now)
 {
@@ -330,3 +394,16 @@
 	}
 	return false;
 }
+
+/* True if this VM owns the connections to a database of the group. */
+static bool is_served_here(struct db_group *g, usec_t now)
+{
+	uint32_t i;
+
+	for (i = 0; i < DB_GROUP_MEMBERS_MAX; i++) {
+		if (g->db[i].present &&
+		    db_member_is_served_here(&g->db[i], now))
+			return true;
+	}
+	return false;
+}
--- a/src/proxy/dispatch.c
+++ b/src/proxy/dispatch.c
@@ -6,15 +6,31 @@
 
 /* A log position older than this says little about how far a replica is now. */
 #define POSITION_AGE_MAX_US (50 * USEC_PER_MSEC)
+/* A forwarded read waits this long for a position that it may be read at. */
+#define POSITION_WAIT_US (50 * USEC_PER_MSEC)
+/* Replicas usually have applied a commit after this time. */
+#define COMMIT_LAG_US (150 * USEC_PER_MSEC)
+/* A read that this many replicas refused as lagging goes to the primary. */
+#define LAGGING_TRIES_MAX 2
+/* What a database's owner reported of its load is ignored after this time. */
+#define REMOTE_LOAD_AGE_MAX_US (300 * USEC_PER_MSEC)
 /* Delay before databases that refused a statement are tried again. */
 #define RETRY_ROUND_DELAY_US (20 * USEC_PER_MSEC)
 
 static bool try_start(struct session *s, usec_t now);
+static bool try_start_served(struct session *s, usec_t now);
+static bool continue_transaction(struct session *s);
+static bool is_lagging_everywhere(const struct stmt_exec *t);
+static bool is_known_behind(const struct db_member *d, struct log_pos after,
+			    usec_t now);
 static bool start_at(struct session *s, uint32_t db);
 static uint32_t choose_database(struct session *s, usec_t now);
 static bool set_min_position(struct session *s);
 static bool is_usable(const struct db_member *db, usec_t now);
+static void view_database(struct session *s, struct db_member *d, usec_t now,
+			  struct load_balance_db *out);
 static void enqueue(struct session *s);
+static void dequeue(struct session *s);
 static bool goes_before(const struct session *a, const struct session *b);
 
 /*
@@ -30,21 +46,24 @@
 		s->group->primary_used_at = now;
 		db_group_proof_refresh(s->group, now);
 	}
-	s->exec.stage = EXEC_QUEUED;
-	if (s->backend && s->tx_at_database) {
-		backend_run(s->backend, s);
+	s->exec.stage = EXEC_STARTING;
+	if (s->remote) {
+		remote_client_continue(s);
 		return;
 	}
 	/* dispatch_waiting() starts queued ones when resources become free. */
 	if (try_start(s, now))
 		return;
-	if (s->exec.needs_primary && db_group_failover_overdue(s->group, now))
+	if (!s->exec.needs_primary || s->tx_at_database ||
+	    !db_group_failover_overdue(s->group, now))
+		enqueue(s);
+	else if (s->stream)
+		remote_server_refuse_unserved(s);
+	else
 		session_send_error(
 			s, s->in_tx ? REPLY_ERR_ABORTED : REPLY_ERR_BUSY,
 			"no primary can be used, not run, retry after "
 			"1000 ms");
-	else
-		enqueue(s);
 }
 
 /*
@@ -62,10 +81,14 @@
 	g->is_dispatching = true;
 	for (s = TAILQ_FIRST(&g->waiting); s; s = next) {
 		next = TAILQ_NEXT(s, queue_entry);
+		if (s->stream && remote_server_is_overdue(s, now)) {
+			dequeue(s);
+			remote_server_refuse(s, s->exec.last_refusal, 0);
+			continue;
+		}
 		if (s->exec.retry_at > now)
 			continue;
-		TAILQ_REMOVE(&g->waiting, s, queue_entry);
-		g->n_waiting--;
+		dequeue(s);
 		if (!try_start(s, now))
 			enqueue(s);
 	}
@@ -82,10 +105,10 @@
 
 	if (s->exec.stage == EXEC_RATE_CHECK)
 		rate_limit_client_cancel(s->proxy->rate_limiter, s);
-	if (s->exec.stage == EXEC_QUEUED) {
-		TAILQ_REMOVE(&s->group->waiting, s, queue_entry);
-		s->group->n_waiting--;
-	}
+	if (s->exec.stage == EXEC_QUEUED)
+		dequeue(s);
+	if (s->remote)
+		remote_client_release(s);
 	if (b &&
 	    (s->exec.stage == EXEC_CONNECTING ||
 	     b->state == BACKEND_CONNECTING || b->state == BACKEND_STARTING)) {
@@ -110,6 +133,10 @@
 	struct stmt_exec *t = &s->exec;
 	usec_t now = proxy_now();
 
+	if (s->stream) {
+		remote_server_on_not_run(s, code);
+		return;
+	}
 	if (code != REPLY_ERR_NONE)
 		t->last_refusal = code;
 	t->attempts++;
@@ -133,7 +160,7 @@
 		db_group_recheck_primary(g, now);
 	if (code == REPLY_ERR_WRONG_DATABASE)
 		registry_poll_fast(s->proxy->registry, now);
-	t->stage = EXEC_QUEUED;
+	t->stage = EXEC_STARTING;
 	if (!try_start(s, now)) {
 		t->tried_mask = 0;
 		t->retry_at = now + RETRY_ROUND_DELAY_US;
@@ -154,6 +181,21 @@
 	backend_release(b);
 }
 
+/* Queues a statement that has to wait for its database. */
+void dispatch_requeue(struct session *s)
+{
+	enqueue(s);
+}
+
+/* Takes the connection or stream from a session. */
+void dispatch_release(struct session *s)
+{
+	if (s->backend)
+		backend_release(s->backend);
+	if (s->remote)
+		remote_client_release(s);
+}
+
 /*
  * Starts the statement if a database and a connection are available. Returns
  * false if it has to wait.
@@ -162,39 +204,118 @@
 {
 	struct db_group *g = s->group;
 	struct stmt_exec *t = &s->exec;
+	struct db_member *d;
+	const char *owner;
 	uint32_t db;
 
+	if (s->backend && s->tx_at_database)
+		return continue_transaction(s);
+	if (s->stream)
+		return try_start_served(s, now);
 	t->has_after = false;
-	if (t->needs_primary) {
-		if (g->in_handover || !db_group_primary_is_usable(g, now) ||
-		    !is_usable(&g->db[g->primary], now) ||
-		    (t->tried_mask & (1U << g->primary)))
-			return false;
-		return start_at(s, g->primary);
+	db = t->needs_primary || s->consistency == READ_PRIMARY ||
+			     is_lagging_everywhere(t)
+		     ? g->primary
+		     : choose_database(s, now);
+	if (db == DB_NONE) {
+		/* Asks for the primary if none is known. */
+		(void)db_group_primary_is_usable(g, now);
+		return false;
 	}
-	db_group_proof_refresh_position(g, now);
-	if (!set_min_position(s)) {
+	d = &g->db[db];
+	if (!is_usable(d, now) || (t->tried_mask & (1U << db)))
+		return false;
+	owner = db_member_owner(d);
+	if (owner && remote_client_start(s, db, owner))
+		return true;
+	if (!t->needs_primary)
+		db_group_proof_refresh_position(g, now);
+	if (t->needs_primary || !set_min_position(s)) {
 		/* Only the primary is known to have what the read may need. */
-		if (g->in_handover || !db_group_primary_is_usable(g, now) ||
+		if (!db_group_primary_is_usable(g, now) ||
 		    !is_usable(&g->db[g->primary], now))
 			return false;
 		return start_at(s, g->primary);
 	}
-	db = choose_database(s, now);
-	if (db == DB_NONE)
-		return false;
 	/* A primary with a valid proof has every position: none is sent. */
 	t->has_after = db != g->primary || !db_group_primary_is_usable(g, now);
 	return start_at(s, db);
 }
 
-/* Executes the statement at this database if a connection is available. */
+/*
+ * Starts a statement of another VM at the database that this VM chose for it,
+ * or gives it back if it can't be executed there.
+ */
+static bool try_start_served(struct session *s, usec_t now)
+{
+	struct db_group *g = s->group;
+	struct stmt_exec *t = &s->exec;
+	struct db_member *d = &g->db[t->db];
+	bool is_primary = t->db == g->primary;
+
+	t->has_after = false;
+	if (!is_usable(d, now)) {
+		remote_server_refuse(s, REPLY_ERR_WRONG_DATABASE, 0);
+		return true;
+	}
+	if (!t->needs_primary) {
+		db_group_proof_refresh_position(g, now);
+		t->has_after = set_min_position(s);
+	}
+	if (t->has_after && is_primary && db_group_primary_is_usable(g, now))
+		t->has_after = false;
+	if (!is_primary && t->needs_primary && g->primary != DB_NONE) {
+		remote_server_refuse_not_primary(s);
+		return true;
+	}
+	if (!is_primary && !t->needs_primary &&
+	    (t->has_after ? is_known_behind(d, t->after, now)
+			  : now - t->arrived_at > POSITION_WAIT_US)) {
+		remote_server_refuse(s, REPLY_ERR_LAGGING, 0);
+		return true;
+	}
+	if (!t->has_after &&
+	    (!is_primary || !db_group_primary_is_usable(g, now)))
+		return false;
+	return start_at(s, t->db);
+}
+
+/* True if several databases lacked the position that the read needs. */
+static bool is_lagging_everywhere(const struct stmt_exec *t)
+{
+	return t->last_refusal == REPLY_ERR_LAGGING &&
+	       t->attempts >= LAGGING_TRIES_MAX;
+}
+
+/* True if the database reported an earlier position a moment ago. */
+static bool is_known_behind(const struct db_member *d, struct log_pos after,
+			    usec_t now)
+{
+	return log_pos_cmp(d->position, after) < 0 &&
+	       now - d->last_seen_at < POSITION_AGE_MAX_US;
+}
+
+/* Executes the next statement of a transaction once a slot is free. */
+static bool continue_transaction(struct session *s)
+{
+	if (!conn_pool_has_free_slot(s->backend->db))
+		return false;
+	backend_run(s->backend, s);
+	return true;
+}
+
+/*
+ * Executes the statement at this database if a slot and a connection are free.
+ */
 static bool start_at(struct session *s, uint32_t db)
 {
 	struct db_member *d = &s->group->db[db];
-	enum load_balance_conn way = conn_pool_availability(d, s);
+	enum load_balance_conn way;
 	struct backend *b;
 
+	if (!conn_pool_has_free_slot(d))
+		return false;
+	way = conn_pool_availability(d, s);
 	if (way == LOAD_BALANCE_CONN_NONE)
 		return false;
 	s->exec.db = db;
@@ -216,31 +337,54 @@
 {
 	struct db_group *g = s->group;
 	struct load_balance_db view[DB_GROUP_MEMBERS_MAX] = { 0 };
-	const char *domain = s->proxy->kernel->settings.domain;
 	uint32_t i;
 
 	for (i = 0; i < DB_GROUP_MEMBERS_MAX; i++) {
 		struct db_member *d = &g->db[i];
 
-		if (!is_usable(d, now) || (s->exec.tried_mask & (1U << i)))
-			continue;
-		view[i] = (struct load_balance_db){
-			.usable = true,
-			.primary = i == g->primary,
-			.local = strcmp(d->domain, domain) == 0,
-			.conn = conn_pool_availability(d, s),
-			.running = d->running,
-			.slots = d->slots,
-			.latency = d->latency,
-			.behind = log_pos_cmp(d->position, s->exec.after) < 0 &&
-				  now - d->last_seen_at < POSITION_AGE_MAX_US,
-		};
+		if (is_usable(d, now) && !(s->exec.tried_mask & (1U << i)))
+			view_database(s, d, now, &view[i]);
 	}
 	return load_balance_pick(view, DB_GROUP_MEMBERS_MAX,
 				 &s->proxy->policy.costs,
 				 proxy_random(s->proxy));
 }
 
+/*
+ * Describes a database for the choice. One whose connections another VM owns is
+ * always available there, and busy as that VM last reported.
+ */
+static void view_database(struct session *s, struct db_member *d, usec_t now,
+			  struct load_balance_db *out)
+{
+	const char *domain = s->proxy->kernel->settings.domain;
+	uint32_t load = d->n_remote;
+
+	*out = (struct load_balance_db){
+		.usable = true,
+		.primary = (uint32_t)(d - s->group->db) == s->group->primary,
+		.local = strcmp(d->domain, domain) == 0,
+		.slots = d->slots,
+		.latency = d->latency,
+		.conn = LOAD_BALANCE_CONN_IDLE,
+		.behind = now < d->behind_until ||
+			  (s->consistency == READ_YOUR_WRITES &&
+			   now - s->last_commit_at < COMMIT_LAG_US &&
+			   log_pos_cmp(d->position, s->last_commit) < 0),
+	};
+	if (!db_member_owner(d)) {
+		out->running = db_member_load(d);
+		out->conn = conn_pool_has_free_slot(d)
+				    ? conn_pool_availability(d, s)
+				    : LOAD_BALANCE_CONN_NONE;
+		return;
+	}
+	if (now - d->remote_load_at < REMOTE_LOAD_AGE_MAX_US &&
+	    d->remote_load > load)
+		load = d->remote_load;
+	out->running = load;
+}
+
 /*
  * Computes the lowest log position that a read has to see, from the staleness
  * bound of its route and the session's own commits. Returns false if no
@@ -274,7 +418,10 @@
 	struct db_group *g = s->group;
 	struct session *at;
 
+	s->exec.stage = EXEC_QUEUED;
 	g->n_waiting++;
+	if (s->stream)
+		g->db[s->exec.db].n_queued++;
 	TAILQ_FOREACH_REVERSE(at, &g->waiting, session_list, queue_entry)
 	{
 		if (!goes_before(s, at)) {
@@ -285,9 +432,26 @@
 	TAILQ_INSERT_HEAD(&g->waiting, s, queue_entry);
 }
 
-/* True if session "a" is served before "b". */
+/* Takes the session from its group's queue. */
+static void dequeue(struct session *s)
+{
+	struct db_group *g = s->group;
+
+	s->exec.stage = EXEC_STARTING;
+	TAILQ_REMOVE(&g->waiting, s, queue_entry);
+	g->n_waiting--;
+	if (s->stream)
+		g->db[s->exec.db].n_queued--;
+}
+
+/*
+ * True if session "a" is served before "b". A transaction that has begun goes
+ * first, since it occupies a connection.
+ */
 static bool goes_before(const struct session *a, const struct session *b)
 {
+	if (a->tx_at_database != b->tx_at_database)
+		return a->tx_at_database;
 	if (a->priority != b->priority)
 		return a->priority < b->priority;
 	return a->exec.began_at < b->exec.began_at;
--- a/src/proxy/heartbeat.c
+++ b/src/proxy/heartbeat.c
@@ -6,6 +6,7 @@
 #include <unistd.h>
 #include <xxhash.h>
 
+#include "decide/db_owner.h"
 #include "kernel/address.h"
 #include "kernel/counters.h"
 #include "kernel/log.h"
@@ -38,6 +39,10 @@
  */
 #define TICK_GAP_MAX_US	   (500 * USEC_PER_MSEC)
 #define DATAGRAM_MAX_BYTES 60000
+/* A VM to which a link failed is not forwarded to for this long. */
+#define LINK_RETRY_US (2 * USEC_PER_SEC)
+/* Ports that the system chooses are tried until one is free for TCP too. */
+#define BIND_TRIES 16
 
 static void send_all(struct heartbeat *b, usec_t now);
 static void send_one(struct heartbeat *b, const struct peer_vm *v, usec_t now);
@@ -46,6 +51,8 @@
 static void update_quota_peer(struct heartbeat *b, const struct peer_vm *v,
 			      usec_t now);
 static void on_readable(evutil_socket_t fd, short what, void *ctx);
+static int bind_ports(struct heartbeat *b, struct sockaddr_storage *at,
+		      socklen_t *len);
 static XXH64_hash_t rank_hash(const char *vm, const char *service);
 static usec_t send_interval(const struct heartbeat *b);
 
@@ -67,13 +74,8 @@
 		return NULL;
 	}
 	b->proxy = p;
-	b->fd = socket(at.ss_family, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC,
-		       0);
-	if (b->fd == -1 || bind(b->fd, (struct sockaddr *)&at, len) == -1 ||
-	    getsockname(b->fd, (struct sockaddr *)&at, &len) == -1) {
+	if (bind_ports(b, &at, &len) == -1) {
 		error_set(e, ERR_SYSTEM, STEP_LISTEN, address, "%m");
-		if (b->fd != -1)
-			close(b->fd);
 		free(b);
 		return NULL;
 	}
@@ -85,6 +87,32 @@
 	return b;
 }
 
+/*
+ * Binds the port of the peers' address for datagrams and for links, and writes
+ * it to "at". Returns -1 with errno set if that fails.
+ */
+static int bind_ports(struct heartbeat *b, struct sockaddr_storage *at,
+		      socklen_t *len)
+{
+	const struct sockaddr_storage wanted = *at;
+	uint32_t i;
+
+	for (i = 0; i < BIND_TRIES; i++) {
+		*at = wanted;
+		b->fd = socket(at->ss_family,
+			       SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+		if (b->fd == -1)
+			return -1;
+		if (bind(b->fd, (struct sockaddr *)at, *len) == 0 &&
+		    getsockname(b->fd, (struct sockaddr *)at, len) == 0 &&
+		    peer_link_listen(b->proxy, (struct sockaddr *)at, *len) ==
+			    0)
+			return 0;
+		close(b->fd);
+	}
+	return -1;
+}
+
 /*
  * Sends heartbeats when they are due, and marks peers as silent or gone. Drops
  * this VM's tokens after too long a gap between two ticks, and leaves the rate
@@ -114,6 +142,10 @@
 			rate_limit_remove_peer(b->proxy->rate_limit, v->name,
 					       now);
 		}
+		if (v->link_retry_at && now >= v->link_retry_at) {
+			v->link_retry_at = 0;
+			b->owners_version++;
+		}
 		if (silent && !v->silent)
 			set_silent(b, v, true, v->last_seen_at, now);
 	}
@@ -195,7 +227,8 @@
 
 /*
  * Counts the live VMs whose hash for the service is above this one's
- * (rendezvous hashing). A draining VM ranks last.
+ * (rendezvous hashing). A draining VM ranks last. One that is not ready does
+ * not count.
  */
 uint32_t heartbeat_rank(const struct heartbeat *b, const char *service)
 {
@@ -206,7 +239,7 @@
 	for (i = 0; i < b->n; i++) {
 		const struct peer_vm *v = b->peers[i];
 
-		if (v->silent || v->draining)
+		if (v->silent || v->draining || !v->ready)
 			continue;
 		if (b->proxy->draining || rank_hash(v->name, service) > own)
 			rank++;
@@ -240,7 +273,7 @@
 		const struct peer_vm *v = b->peers[i];
 		XXH64_hash_t h;
 
-		if (v->silent || v->draining || v->no_return_path)
+		if (v->silent || v->draining || !v->ready || v->no_return_path)
 			continue;
 		h = rank_hash(v->name, service);
 		if (h > best) {
@@ -251,6 +284,69 @@
 	return first ? first->name : NULL;
 }
 
+/*
+ * Returns the VM that owns a database's connections, or NULL if this one does:
+ * see decide/db_owner.h. A draining VM owns none.
+ */
+const char *heartbeat_database_owner(const struct heartbeat *b,
+				     const char *database, const char *domain)
+{
+	const struct settings *s = &b->proxy->kernel->settings;
+	struct db_owner_vm *vm = calloc(b->n + 1, sizeof(*vm));
+	const char *owner = NULL;
+	uint32_t best;
+	uint32_t i;
+
+	if (!vm)
+		return NULL;
+	for (i = 0; i < b->n; i++) {
+		const struct peer_vm *v = b->peers[i];
+
+		vm[i] = (struct db_owner_vm){
+			.name = v->name,
+			.domain = v->domain,
+			.capacity = v->capacity,
+			.usable = v->ready && !v->silent && !v->draining &&
+				  !v->no_return_path && v->link_retry_at == 0,
+		};
+	}
+	vm[b->n] = (struct db_owner_vm){
+		.name = s->vm,
+		.domain = s->domain,
+		.capacity = s->cpu_milli,
+		.usable = !b->proxy->draining,
+	};
+	best = db_owner_pick(vm, b->n + 1, database, domain);
+	if (best < b->n)
+		owner = b->peers[best]->name;
+	free(vm);
+	return owner;
+}
+
+/* Finds a peer's address; returns false if the peer is unknown. */
+bool heartbeat_peer_address(struct heartbeat *b, const char *peer,
+			    struct sockaddr_storage *to, socklen_t *len)
+{
+	const struct peer_vm *v = heartbeat_find_peer(b, peer, false);
+
+	if (!v)
+		return false;
+	*to = v->addr;
+	*len = v->addr_len;
+	return true;
+}
+
+/* Lets a peer own no database for a while, after a link to it failed. */
+void heartbeat_on_link_failed(struct heartbeat *b, const char *peer, usec_t now)
+{
+	struct peer_vm *v = heartbeat_find_peer(b, peer, false);
+
+	if (!v)
+		return;
+	v->link_retry_at = now + LINK_RETRY_US;
+	b->owners_version++;
+}
+
 /* Returns the rendezvous hash of a VM for a service. */
 static XXH64_hash_t rank_hash(const char *vm, const char *service)
 {
--- a/src/proxy/heartbeat_codec.c
+++ b/src/proxy/heartbeat_codec.c
@@ -32,7 +32,8 @@
 static enum primary_suspicion suspicion_from(uint64_t v);
 
 /*
- * Encodes [type, name, domain, incarnation, draining, digest, groups, silent].
+ * Encodes [type, name, domain, incarnation, draining, digest, groups, silent,
+ * share of a core in thousandths, ready].
  */
 void heartbeat_encode(struct heartbeat *b, msgpack_sbuffer *buf, usec_t now)
 {
@@ -49,7 +50,7 @@
 			reported[n++] = p->groups[i];
 	}
 	msgpack_packer_init(&packer, buf, msgpack_sbuffer_write);
-	msgpack_pack_array(&packer, 8);
+	msgpack_pack_array(&packer, 10);
 	msgpack_pack_uint32(&packer, PEER_MSG_HEARTBEAT);
 	wire_put_str(&packer, s->vm);
 	wire_put_str(&packer, s->domain);
@@ -67,6 +68,8 @@
 	for (i = 0; i < n; i++)
 		pack_group(&packer, reported[i], now);
 	pack_silent(b, &packer);
+	msgpack_pack_uint32(&packer, s->cpu_milli);
+	msgpack_pack_uint32(&packer, proxy_can_execute(p));
 }
 
 /*
@@ -201,6 +204,8 @@
 	uint64_t incarnation;
 	struct peer_vm *v;
 	usec_t prev_seen_at;
+	uint64_t capacity;
+	bool ready;
 	bool draining;
 	bool no_return_path;
 
@@ -215,6 +220,8 @@
 	digest.vms = wire_u64(&digest_reader);
 	groups = wire_nested_array(r, HEARTBEAT_GROUPS_MAX);
 	silent_peers = wire_nested_array(r, SILENT_PEERS_MAX);
+	capacity = wire_u64(r);
+	ready = wire_u64(r) != 0;
 	if (r->bad || digest_reader.bad || name[0] == '\0' ||
 	    strcmp(name, b->proxy->kernel->settings.vm) == 0)
 		return false;
@@ -225,8 +232,11 @@
 	v->incarnation = incarnation;
 	v->last_seen_at = proxy_now();
 	no_return_path = lists_self(b, silent_peers);
-	b->owners_version +=
-		draining != v->draining || no_return_path != v->no_return_path;
+	b->owners_version += draining != v->draining ||
+			     no_return_path != v->no_return_path ||
+			     ready != v->ready || capacity != v->capacity;
+	v->ready = ready;
+	v->capacity = (uint32_t)capacity;
 	v->draining = draining;
 	v->no_return_path = no_return_path;
 	v->addr = *from;
--- a/src/proxy/heartbeat_internal.h
+++ b/src/proxy/heartbeat_internal.h
@@ -40,6 +40,11 @@
 	bool no_return_path;
 	bool gone; /* silent for so long that it counts as removed */
 	bool draining;
+	/* it knows the configuration, the databases and the VMs */
+	bool ready;
+	uint32_t capacity; /* share of a core, in thousandths; 0: unknown */
+	/* links to it failed: it owns no database until then; 0: they work */
+	usec_t link_retry_at;
 	uint32_t n_groups;
 	struct peer_group_state groups[HEARTBEAT_GROUPS_MAX];
 };
--- a/src/proxy/proxy.c
+++ b/src/proxy/proxy.c
@@ -149,8 +149,14 @@
 /* Returns true if this VM can serve new callers. */
 bool proxy_is_ready(const struct proxy *p)
 {
-	return !p->draining && p->catalog && p->databases_known &&
-	       p->vms_known && p->limits_known;
+	return !p->draining && proxy_can_execute(p) && p->limits_known;
+}
+
+/* Returns true if this VM knows the configuration, the databases and the VMs.
+ */
+bool proxy_can_execute(const struct proxy *p)
+{
+	return p->catalog && p->databases_known && p->vms_known;
 }
 
 /*
@@ -198,6 +204,9 @@
 	TAILQ_INIT(&p->sessions);
 	TAILQ_INIT(&p->closed_sessions);
 	TAILQ_INIT(&p->closed_backends);
+	TAILQ_INIT(&p->links);
+	TAILQ_INIT(&p->closed_links);
+	p->next_stream_id = 1;
 	if (!p->protocol || !registry_codec())
 		return error_set(e, ERR_INTERNAL, STEP_NONE, NULL,
 				 "built without a protocol for sessions");
@@ -229,11 +238,12 @@
 	(void)k;
 }
 
-/* Returns true if all sessions are closed. */
+/* Returns true if all sessions are closed, and the streams of other VMs. */
 static bool drained(struct kernel *k)
 {
 	(void)k;
-	return __atomic_load_n(&proxy.n_sessions, __ATOMIC_RELAXED) == 0;
+	return __atomic_load_n(&proxy.n_sessions, __ATOMIC_RELAXED) == 0 &&
+	       __atomic_load_n(&proxy.n_served, __ATOMIC_RELAXED) == 0;
 }
 
 /*
@@ -409,11 +419,13 @@
 	heartbeat_tick(p->heartbeat, now);
 	rate_limit_client_tick(p->rate_limiter, now);
 	p->limits_known |= rate_limit_is_warm(p->rate_limit, now);
+	peer_link_tick(p, now);
 	db_group_tick(p, now);
 	if (__atomic_load_n(&p->kernel->draining, __ATOMIC_ACQUIRE))
 		drain_sessions(p, now);
 	session_reap(p);
 	backend_reap(p);
+	peer_link_reap(p);
 }
 
 /*
--- a/src/proxy/proxy_internal.h
+++ b/src/proxy/proxy_internal.h
@@ -35,9 +35,13 @@
 struct session;
 struct backend;
 struct db_group;
+struct peer_link;
+struct remote_stream;
+struct served_stream;
 
 TAILQ_HEAD(session_list, session);
 TAILQ_HEAD(backend_list, backend);
+TAILQ_HEAD(peer_link_list, peer_link);
 
 /* One database of a group. */
 struct db_member {
@@ -51,6 +55,7 @@
 	 * see TRUST_DELAY_US in db_group.c.
 	 */
 	usec_t trusted_from;
+	usec_t joined_at; /* time of the list that first had it */
 	uint32_t slots;
 	bool departing;
 	bool listed; /* in the newest list of the registry */
@@ -68,6 +73,23 @@
 	usec_t conn_limit_changed_at; /* last change of conn_limit */
 	/* number of connections refused as TOOMANY, in a row */
 	uint32_t full_refusals;
+	/* after such a refusal no connection is opened before this time */
+	usec_t open_retry_at;
+	/* statements forwarded to it by other VMs that wait here */
+	uint32_t n_queued;
+	/* time of the last statement that another VM forwarded; 0: none */
+	usec_t served_at;
+	/* reads are better sent elsewhere until this time, as it lagged */
+	usec_t behind_until;
+	/* statements of this VM that its owner executes or queues */
+	uint32_t n_remote;
+	/* statements running and queued at its owner, as last reported */
+	uint32_t remote_load;
+	usec_t remote_load_at;
+	/* the VM that owns the connections to it; NULL: this VM */
+	const char *owner;
+	/* heartbeat_owners_version() when owner was computed, plus 1 */
+	uint64_t owner_version;
 	struct connect_backoff
 		connect_backoff; /* paces the opening of connections */
 	struct log_pos position; /* newest log position it reported */
@@ -127,6 +149,10 @@
 	const char *proof_owner;
 	/* heartbeat_owners_version() when proof_owner was computed, plus 1 */
 	uint64_t proof_owner_version;
+	/* when this VM last asked whether a promotion was ever claimed */
+	usec_t claim_checked_at;
+	bool claim_check_pending;
+	bool was_claimed; /* a promotion was claimed at some time */
 	/* id of the newest request to the proof owner */
 	uint64_t proof_request_id;
 	/* when the newest request to the proof owner was sent */
@@ -160,6 +186,7 @@
 enum exec_stage {
 	EXEC_NONE,
 	EXEC_RATE_CHECK, /* waits for a token of its team's rate limit */
+	EXEC_STARTING,	 /* a database is being chosen for it */
 	EXEC_QUEUED,	 /* waits for a connection, a replica or a primary */
 	EXEC_CONNECTING, /* its connection is being opened */
 	/* the session's state is being sent to the connection */
@@ -171,6 +198,7 @@
 struct stmt_exec {
 	enum exec_stage stage;
 	char *line; /* as received; msg points into it */
+	size_t line_len;
 	struct caller_msg msg;
 	char id[STATEMENT_ID_MAX];
 	bool is_write;	/* may change data */
@@ -179,11 +207,14 @@
 	bool first;
 	bool needs_primary; /* must be executed by the primary */
 	bool has_after;	    /* the database must have the position "after" */
+	bool is_proved;	    /* the owner had a proof of the primary at its reply
+			     */
 	struct log_pos after;
 	uint32_t tried_mask; /* bit mask of the databases that refused it */
 	uint32_t db;	     /* index of the database it was last sent to */
 	uint32_t attempts;
 	usec_t began_at;
+	usec_t arrived_at; /* at this VM; as began_at unless forwarded */
 	usec_t deadline;
 	usec_t sent_at;
 	usec_t retry_at;
@@ -211,6 +242,7 @@
 	struct strmap prepared; /* PREPARE: name to statement shape */
 	/* log position of the session's newest commit */
 	struct log_pos last_commit;
+	usec_t last_commit_at;			  /* time of its reply */
 	char last_commit_service[NAME_MAX_BYTES]; /* service of last_commit */
 	char state;
 	/* State of the transaction: */
@@ -223,6 +255,10 @@
 	bool is_reading;      /* session_read_lines() is running */
 	usec_t tx_idle_until; /* the transaction may be idle until then */
 	struct backend *backend;
+	/* its work at another VM; NULL: none */
+	struct remote_stream *remote;
+	/* the stream of another VM that it stands for; NULL: a caller's */
+	struct served_stream *stream;
 	/* The route in force for the operation: */
 	struct db_group *group;
 	enum read_consistency consistency;
@@ -320,6 +356,11 @@
 	uint32_t n_sessions;
 	struct session_list closed_sessions; /* closed, not yet freed */
 	struct backend_list closed_backends; /* closed, not yet freed */
+	struct peer_link_list links;	     /* connections with other VMs */
+	struct peer_link_list closed_links;  /* closed, not yet freed */
+	uint64_t next_stream_id;
+	uint32_t n_served; /* streams of other VMs */
+	struct evconnlistener *link_listener;
 	struct registry *registry;
 	struct heartbeat *heartbeat;
 	struct rate_limit *rate_limit;
@@ -349,6 +390,8 @@
 double proxy_random_unit(struct proxy *p);
 usec_t proxy_now(void);
 bool proxy_is_ready(const struct proxy *p);
+/* True if this VM knows enough to execute statements of other VMs. */
+bool proxy_can_execute(const struct proxy *p);
 /* Runs fn(ctx) soon on the proxy's thread. May be called from any thread. */
 void proxy_post(struct proxy *p, void (*fn)(void *ctx), void *ctx);
 uint32_t proxy_fleet_size(const struct proxy *p);
@@ -377,6 +420,8 @@
 void session_stop(struct session *s);
 void session_send_error(struct session *s, enum reply_error_code code,
 			const char *reason);
+/* Refuses a statement that was not executed and has too little time left. */
+void session_refuse_overdue(struct session *s);
 
 /* dispatch.c */
 void dispatch_start(struct session *s);
@@ -384,6 +429,10 @@
 void dispatch_cancel(struct session *s);
 void dispatch_retry(struct session *s, enum reply_error_code code);
 void dispatch_on_connected(struct session *s, struct backend *b);
+/* Queues a statement that has to wait for its database. */
+void dispatch_requeue(struct session *s);
+/* Takes the connection or stream from a session. */
+void dispatch_release(struct session *s);
 
 /* backend.c */
 struct backend *backend_open(struct db_member *db, const char *team);
@@ -395,6 +444,8 @@
 		     control_fn fn, void *ctx);
 void backend_tick(struct backend *b, usec_t now);
 void backend_reap(struct proxy *p);
+/* Disables Nagle's algorithm and detects a dead peer within a few seconds. */
+void backend_set_socket_options(evutil_socket_t fd);
 
 /* conn_pool.c */
 struct backend *conn_pool_find_idle(struct db_member *db,
@@ -408,6 +459,10 @@
 void conn_pool_on_busy(struct db_member *db);
 /* Called when a statement got its reply on the connection. */
 void conn_pool_on_reply(struct backend *b);
+/* True if this VM may send one more statement to the database. */
+bool conn_pool_has_free_slot(const struct db_member *db);
+/* Closes a connection that exceeds this VM's share of the database's. */
+void conn_pool_trim(struct db_member *db, usec_t now);
 /* Returns an idle connection for the proxy's own requests, or NULL. */
 struct backend *conn_pool_any_idle(struct db_member *db);
 
@@ -442,6 +497,12 @@
 /* Requests a database's status; the response is handled in db_group.c. */
 void db_member_probe(struct db_member *db, usec_t now);
 uint32_t db_group_find_member(const struct db_group *g, const char *id);
+/* The VM that owns the connections to a database; NULL: this VM. */
+const char *db_member_owner(struct db_member *db);
+/* True if this VM owns the database's connections or works as its owner. */
+bool db_member_is_served_here(struct db_member *db, usec_t now);
+/* Statements that run and wait at this VM for the database. */
+uint32_t db_member_load(const struct db_member *db);
 
 /* failover.c */
 void failover_init(struct db_group *g);
@@ -461,6 +522,15 @@
 /* The live peer that ranks first for a service; NULL if this VM does. */
 const char *heartbeat_service_owner(const struct heartbeat *b,
 				    const char *service);
+/* The VM that owns a database's connections; NULL if this VM does. */
+const char *heartbeat_database_owner(const struct heartbeat *b,
+				     const char *database, const char *domain);
+/* Finds a peer's address; returns false if the peer is unknown. */
+bool heartbeat_peer_address(struct heartbeat *b, const char *peer,
+			    struct sockaddr_storage *to, socklen_t *len);
+/* A link to the peer failed: for a while it owns nothing, as seen from here. */
+void heartbeat_on_link_failed(struct heartbeat *b, const char *peer,
+			      usec_t now);
 uint64_t heartbeat_owners_version(const struct heartbeat *b);
 /* True if this VM has received heartbeats of a majority for a while. */
 bool heartbeat_sees_majority(const struct heartbeat *b, usec_t now);
@@ -513,6 +583,29 @@
 void rate_limit_client_on_response(struct rate_limiter *l,
 				   struct wire_reader *r);
 
+/* peer_link.c */
+int peer_link_listen(struct proxy *p, const struct sockaddr *at, socklen_t len);
+void peer_link_tick(struct proxy *p, usec_t now);
+void peer_link_reap(struct proxy *p);
+
+/* remote_client.c */
+bool remote_client_start(struct session *s, uint32_t db, const char *owner);
+void remote_client_continue(struct session *s);
+void remote_client_release(struct session *s);
+
+/* remote_server.c; a session with a stream stands for one of another VM */
+void remote_server_on_result(struct session *s, enum exec_result result,
+			     enum reply_error_code code, struct evbuffer *reply,
+			     const struct reply_msg *ready);
+void remote_server_on_not_run(struct session *s, enum reply_error_code code);
+/* The flags are those of enum done_flag. */
+void remote_server_refuse(struct session *s, enum reply_error_code code,
+			  uint32_t flags);
+void remote_server_refuse_unserved(struct session *s);
+void remote_server_refuse_not_primary(struct session *s);
+void remote_server_on_lost(struct session *s);
+bool remote_server_is_overdue(const struct session *s, usec_t now);
+
 /* db_group_proof.c */
 /* True if this VM probes the group's databases itself. */
 bool db_group_proof_is_local(struct db_group *g, usec_t now);
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -144,6 +144,12 @@
 			     uint64_t token, registry_claim_done_fn fn,
 			     void *ctx);
 /* Reads the token of the newest claim. */
+/*
+ * Reports true if no claim was ever made for the group. Any promotion then
+ * claims later, and fences all databases that are registered by now.
+ */
+void registry_check_unclaimed(struct proxy *p, struct db_group *g,
+			      registry_claim_done_fn fn, void *ctx);
 void registry_read_claim(struct proxy *p, struct db_group *g,
 			 registry_claim_done_fn fn, void *ctx);
 
--- a/src/proxy/registry_promotion.c
+++ b/src/proxy/registry_promotion.c
@@ -28,6 +28,7 @@
 	registry_promote_done_fn promote_fn;
 	void *ctx;
 	bool is_claim; /* reads a claim in order to replace it next */
+	bool is_check; /* reads whether there is a claim */
 	char *reply;
 };
 
@@ -84,6 +85,21 @@
 	platform_submit(p->kernel, &d->call);
 }
 
+/* Reads whether a claim was ever made. */
+void registry_check_unclaimed(struct proxy *p, struct db_group *g,
+			      registry_claim_done_fn fn, void *ctx)
+{
+	struct promotion_call *d = call_create(p, g, PLATFORM_GET, ctx);
+
+	if (!d) {
+		fn(ctx, false, 0);
+		return;
+	}
+	d->fn = fn;
+	d->is_check = true;
+	platform_submit(p->kernel, &d->call);
+}
+
 /* Requests a promotion under a fencing token. */
 void registry_promote(struct proxy *p, struct db_group *g, const char *id,
 		      uint64_t token, registry_promote_done_fn fn, void *ctx)
@@ -149,6 +165,8 @@
 				      : result == PLATFORM_CONFLICT
 					      ? REGISTRY_PROMOTE_REFUSED
 					      : REGISTRY_PROMOTE_UNKNOWN);
+	} else if (d->is_check) {
+		d->fn(d->ctx, result == PLATFORM_NOT_FOUND, 0);
 	} else if (d->is_claim &&
 		   (result == PLATFORM_OK || result == PLATFORM_NOT_FOUND) &&
 		   replace_claim(d, &duty)) {
--- /dev/null
+++ b/src/proxy/remote_client.c
@@ -0,0 +1,386 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "kernel/counters.h"
+#include "kernel/latency.h"
+#include "kernel/log.h"
+#include "proxy/remote.h"
+
+/*
+ * Forwards statements to the VM that owns the connections to a database. That
+ * VM queues and executes them, and checks the proof of the primary.
+ */
+
+/* Weight of one response in the moving average of the latency: 1/8. */
+#define LATENCY_DIVISOR 8
+/* A statement that was refused this close to its deadline is not tried again.
+ */
+#define RETRY_MIN_US (60 * USEC_PER_MSEC)
+/* A database that its owner could not use is not chosen for this long. */
+#define UNUSABLE_US (100 * USEC_PER_MSEC)
+/* A replica that lacked a position is avoided for this long. */
+#define LAGGING_US (100 * USEC_PER_MSEC)
+
+/* Result of a statement as the owner reports it. */
+struct done_msg {
+	enum exec_result result;
+	enum reply_error_code code;
+	uint64_t flags; /* enum done_flag */
+	struct reply_msg ready;
+	uint64_t load;	    /* statements running and queued there */
+	uint64_t proof_age; /* microseconds; UINT64_MAX: no proof */
+	uint64_t term;
+	char primary[DB_ID_MAX_BYTES]; /* of that term; empty: unknown */
+	const char *reply;
+	size_t reply_len;
+};
+
+static void send_run(struct remote_stream *r);
+static uint32_t run_flags(const struct session *s);
+static void pack_variables(msgpack_packer *p, const struct session *s);
+static void pack_prepared(msgpack_packer *p, const struct session *s);
+static struct remote_stream *find_stream(struct peer_link *l, uint64_t id);
+static bool parse_done(struct wire_reader *r, struct done_msg *m);
+static void note_result(struct remote_stream *r, const struct done_msg *m);
+static void finish(struct session *s, const struct done_msg *m);
+static void set_idle(struct remote_stream *r);
+static void free_stream(struct remote_stream *r);
+
+/*
+ * Sends the session's statement to the owner of a database. Returns false if
+ * no link to it can be opened.
+ */
+bool remote_client_start(struct session *s, uint32_t db, const char *owner)
+{
+	struct peer_link *l = peer_link_get(s->proxy, owner);
+	struct remote_stream *r;
+
+	if (!l)
+		return false;
+	r = calloc(1, sizeof(*r));
+	if (!r)
+		return false;
+	r->link = l;
+	r->session = s;
+	r->id = s->proxy->next_stream_id++;
+	r->db = db;
+	TAILQ_INSERT_TAIL(&l->streams, r, entry);
+	s->remote = r;
+	counter_add(CTR_FORWARDS, 1);
+	send_run(r);
+	return true;
+}
+
+/* Sends the next statement of the session's transaction. */
+void remote_client_continue(struct session *s)
+{
+	send_run(s->remote);
+}
+
+/*
+ * Takes the stream from its session. Its transaction is rolled back, and a
+ * statement that still waits there is not executed.
+ */
+void remote_client_release(struct session *s)
+{
+	struct remote_stream *r = s->remote;
+	msgpack_sbuffer buf;
+	msgpack_packer p;
+
+	msgpack_sbuffer_init(&buf);
+	msgpack_packer_init(&p, &buf, msgpack_sbuffer_write);
+	msgpack_pack_array(&p, 2);
+	msgpack_pack_uint32(&p, LINK_MSG_RELEASE);
+	msgpack_pack_uint64(&p, r->id);
+	peer_link_send(r->link, &buf);
+	msgpack_sbuffer_destroy(&buf);
+	free_stream(r);
+}
+
+/* Handles a result: [stream, ...], see remote_server.c. */
+void remote_client_on_done(struct peer_link *l, struct wire_reader *r)
+{
+	struct remote_stream *stream = find_stream(l, wire_u64(r));
+	struct done_msg m = { 0 };
+	struct session *s;
+
+	if (!parse_done(r, &m) || !stream || !stream->running)
+		return;
+	s = stream->session;
+	set_idle(stream);
+	note_result(stream, &m);
+	if (m.flags & DONE_STREAM_OPEN)
+		s->tx_at_database = true;
+	else
+		free_stream(stream);
+	finish(s, &m);
+}
+
+/* Handles the loss of a transaction that was idle: [stream]. */
+void remote_client_on_lost(struct peer_link *l, struct wire_reader *r)
+{
+	struct remote_stream *stream = find_stream(l, wire_u64(r));
+	struct session *s;
+
+	/* The result of a running statement tells of the loss too. */
+	if (!stream || stream->running)
+		return;
+	s = stream->session;
+	free_stream(stream);
+	session_on_backend_lost(s);
+}
+
+/* Ends all streams of a closed link. */
+void remote_client_on_link_closed(struct peer_link *l)
+{
+	struct remote_stream *r;
+
+	while ((r = TAILQ_FIRST(&l->streams))) {
+		struct session *s = r->session;
+		bool was_running = r->running;
+
+		free_stream(r);
+		if (!was_running)
+			session_on_backend_lost(s);
+		else if (!l->is_open)
+			dispatch_retry(s, REPLY_ERR_NONE);
+		else
+			session_on_result(s, RESULT_UNKNOWN, REPLY_ERR_IN_DOUBT,
+					  NULL, NULL);
+	}
+}
+
+/*
+ * Sends [type, stream, service, database, team, flags, time to the deadline,
+ * age, consistency, staleness bound, priority, last commit (service, term,
+ * position), term if the database is known as primary, variables, prepared
+ * statement, line]; times in microseconds but for the bound, in milliseconds.
+ */
+static void send_run(struct remote_stream *r)
+{
+	struct session *s = r->session;
+	struct stmt_exec *t = &s->exec;
+	struct db_group *g = s->group;
+	usec_t now = proxy_now();
+	msgpack_sbuffer buf;
+	msgpack_packer p;
+
+	msgpack_sbuffer_init(&buf);
+	msgpack_packer_init(&p, &buf, msgpack_sbuffer_write);
+	msgpack_pack_array(&p, 18);
+	msgpack_pack_uint32(&p, LINK_MSG_RUN);
+	msgpack_pack_uint64(&p, r->id);
+	wire_put_str(&p, g->service);
+	wire_put_str(&p, g->db[r->db].id);
+	wire_put_str(&p, s->team);
+	msgpack_pack_uint32(&p, run_flags(s));
+	msgpack_pack_uint64(
+		&p, t->deadline > now ? (uint64_t)(t->deadline - now) : 0);
+	msgpack_pack_uint64(&p, (uint64_t)(now - t->began_at));
+	msgpack_pack_uint32(&p, s->consistency);
+	msgpack_pack_uint32(&p, s->max_staleness_ms);
+	msgpack_pack_uint32(&p, s->priority);
+	wire_put_str(&p, s->last_commit_service);
+	msgpack_pack_uint64(&p, s->last_commit.term);
+	msgpack_pack_uint64(&p, s->last_commit.position);
+	msgpack_pack_uint64(&p, r->db == g->primary ? g->proof.term : 0);
+	pack_variables(&p, s);
+	pack_prepared(&p, s);
+	wire_put_bin(&p, t->line, t->line_len);
+	t->stage = EXEC_RUNNING;
+	t->db = r->db;
+	t->sent_at = now;
+	if (t->is_write && s->in_tx)
+		s->tx_wrote = true;
+	r->running = true;
+	r->sent_at = now;
+	if (r->link->n_running++ == 0)
+		r->link->active_since = now;
+	r->link->used_at = now;
+	g->db[r->db].n_remote++;
+	peer_link_send(r->link, &buf);
+	msgpack_sbuffer_destroy(&buf);
+}
+
+/* Returns the flags of a session's statement. */
+static uint32_t run_flags(const struct session *s)
+{
+	uint32_t flags = 0;
+
+	if (s->in_tx)
+		flags |= RUN_IN_TX;
+	if (s->tx_read_only)
+		flags |= RUN_TX_READ_ONLY;
+	if (s->tx_at_database)
+		flags |= RUN_TX_OPEN;
+	if (s->exec.is_write)
+		flags |= RUN_WRITE;
+	if (s->exec.is_commit)
+		flags |= RUN_COMMIT;
+	if (s->exec.needs_primary)
+		flags |= RUN_NEEDS_PRIMARY;
+	return flags;
+}
+
+/* Encodes the session's variables: [name, value, ...]. */
+static void pack_variables(msgpack_packer *p, const struct session *s)
+{
+	uint32_t i;
+
+	msgpack_pack_array(p, 2 * s->vars.n);
+	for (i = 0; i < s->vars.n; i++) {
+		const struct strmap_entry *v = &s->vars.entries[i];
+
+		wire_put_bin(p, v->name, strlen(v->name));
+		wire_put_bin(p, v->value, strlen(v->value));
+	}
+}
+
+/* Encodes the prepared statement to be executed: [name, writes, shape]. */
+static void pack_prepared(msgpack_packer *p, const struct session *s)
+{
+	const struct statement *st = &s->exec.msg.statement;
+	const struct strmap_entry *e = NULL;
+
+	if (st->verb == VERB_EXECUTE)
+		e = strmap_find(&s->prepared, st->name.ptr, st->name.len);
+	if (!e) {
+		msgpack_pack_array(p, 0);
+		return;
+	}
+	msgpack_pack_array(p, 3);
+	wire_put_bin(p, e->name, strlen(e->name));
+	msgpack_pack_uint32(p, e->flag);
+	wire_put_bin(p, e->value, strlen(e->value));
+}
+
+/* Finds a stream of a link by id; NULL if it was released. */
+static struct remote_stream *find_stream(struct peer_link *l, uint64_t id)
+{
+	struct remote_stream *r;
+
+	TAILQ_FOREACH(r, &l->streams, entry)
+	{
+		if (r->id == id)
+			return r;
+	}
+	return NULL;
+}
+
+/* Decodes a result; returns false if it is malformed. */
+static bool parse_done(struct wire_reader *r, struct done_msg *m)
+{
+	uint64_t result = wire_u64(r);
+	uint64_t code = wire_u64(r);
+
+	m->flags = wire_u64(r);
+	m->ready.type = REPLY_READY;
+	m->ready.state = (char)wire_u64(r);
+	m->ready.has_position = wire_u64(r) != 0;
+	m->ready.at.term = wire_u64(r);
+	m->ready.at.position = wire_u64(r);
+	m->load = wire_u64(r);
+	m->proof_age = wire_u64(r);
+	m->term = wire_u64(r);
+	wire_str(r, m->primary, sizeof(m->primary));
+	m->reply = wire_bin(r, 2 * MESSAGE_MAX_BYTES, &m->reply_len);
+	if (result > RESULT_UNKNOWN || code >= REPLY_ERR_COUNT)
+		r->bad = true;
+	m->result = (enum exec_result)result;
+	m->code = (enum reply_error_code)code;
+	return !r->bad;
+}
+
+/*
+ * Records what the result tells of the database: log position, proof and load.
+ * Ages count from the time at which the statement was sent, as that is the
+ * earliest time at which the owner can have sent the result.
+ */
+static void note_result(struct remote_stream *r, const struct done_msg *m)
+{
+	struct db_group *g = r->session->group;
+	struct db_member *d = &g->db[r->db];
+	usec_t now = proxy_now();
+	uint32_t primary;
+
+	d->remote_load =
+		(uint32_t)(m->load < UINT32_MAX ? m->load : UINT32_MAX);
+	d->remote_load_at = now;
+	primary = db_group_find_member(g, m->primary);
+	if (primary != DB_NONE && m->term > g->proof.term)
+		db_group_set_primary(g, primary, m->term, r->link->peer);
+	if (m->term == g->proof.term && m->proof_age < USEC_PER_SEC)
+		primary_proof_add(&g->proof, r->sent_at - (usec_t)m->proof_age,
+				  m->term);
+	if (m->result != RESULT_REPLY)
+		return;
+	d->latency += (now - r->sent_at - d->latency) / LATENCY_DIVISOR;
+	db_group_note_position(d, r->sent_at,
+			       m->ready.has_position ? &m->ready.at : NULL);
+}
+
+/* Ends the statement as the result says, or tries it again. */
+static void finish(struct session *s, const struct done_msg *m)
+{
+	struct evbuffer *reply;
+
+	if (m->result == RESULT_NOT_RUN && (m->flags & DONE_FINAL)) {
+		session_send_error(
+			s, s->in_tx ? REPLY_ERR_ABORTED : REPLY_ERR_BUSY,
+			"no primary can be used, not run, retry after "
+			"1000 ms");
+		return;
+	}
+	if (m->result == RESULT_NOT_RUN) {
+		if (m->code == REPLY_ERR_LAGGING)
+			s->group->db[s->exec.db].behind_until =
+				proxy_now() + LAGGING_US;
+		if (m->code == REPLY_ERR_NONE ||
+		    m->code == REPLY_ERR_WRONG_DATABASE)
+			s->group->db[s->exec.db].retry_at =
+				proxy_now() + UNUSABLE_US;
+		if (s->exec.deadline - proxy_now() < RETRY_MIN_US &&
+		    !(s->in_tx && s->tx_answered))
+			session_refuse_overdue(s);
+		else
+			dispatch_retry(s, m->flags & DONE_NOT_PRIMARY
+						  ? REPLY_ERR_NONE
+						  : m->code);
+		return;
+	}
+	reply = evbuffer_new();
+	if (!reply || evbuffer_add(reply, m->reply, m->reply_len) == -1) {
+		log_event(EV_VM_FAIL, "reason=\"no memory for a reply\"");
+		if (reply)
+			evbuffer_free(reply);
+		session_on_result(s, RESULT_UNKNOWN, REPLY_ERR_IN_DOUBT, NULL,
+				  NULL);
+		return;
+	}
+	latency_add(LATENCY_DATABASE, proxy_now() - s->exec.sent_at);
+	s->exec.is_proved = (m->flags & DONE_PROVED) != 0;
+	session_on_result(s, m->result, m->code, reply, &m->ready);
+	evbuffer_free(reply);
+}
+
+/* Records that the stream's statement has its result. */
+static void set_idle(struct remote_stream *r)
+{
+	struct db_member *d = &r->session->group->db[r->db];
+
+	if (!r->running)
+		return;
+	r->running = false;
+	r->link->n_running--;
+	if (d->n_remote > 0)
+		d->n_remote--;
+}
+
+/* Detaches a stream from its session and frees it. */
+static void free_stream(struct remote_stream *r)
+{
+	set_idle(r);
+	r->session->remote = NULL;
+	TAILQ_REMOVE(&r->link->streams, r, entry);
+	free(r);
+}
--- /dev/null
+++ b/src/proxy/remote_server.c
@@ -0,0 +1,404 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "kernel/counters.h"
+#include "kernel/log.h"
+#include "proxy/remote.h"
+
+/*
+ * Executes the statements that other VMs forward, on this VM's connections. A
+ * stream has a session of its own, which goes through the same queue as the
+ * sessions of this VM's callers.
+ */
+
+/*
+ * A statement that was not sent to the database is given back this long before
+ * its deadline, so that its caller is told that it was not run.
+ */
+#define GIVE_BACK_US (30 * USEC_PER_MSEC)
+/* Delay before a statement is sent again that found the database busy. */
+#define BUSY_RETRY_US (5 * USEC_PER_MSEC)
+
+/* The fields of a LINK_MSG_RUN. */
+struct run_msg {
+	uint64_t stream;
+	char service[NAME_MAX_BYTES];
+	char database[DB_ID_MAX_BYTES];
+	char team[NAME_MAX_BYTES];
+	uint64_t flags; /* enum run_flag */
+	uint64_t time_left;
+	uint64_t age;
+	uint64_t consistency;
+	uint64_t max_staleness_ms;
+	uint64_t priority;
+	char commit_service[NAME_MAX_BYTES];
+	struct log_pos commit;
+	uint64_t term; /* the database is primary of this term; 0: is not */
+	struct wire_reader variables;
+	struct wire_reader prepared;
+	const char *line;
+	size_t line_len;
+};
+
+static void parse_run(struct wire_reader *r, struct run_msg *m);
+static struct served_stream *open_stream(struct peer_link *l, uint64_t id);
+static struct served_stream *find_stream(struct peer_link *l, uint64_t id);
+static bool load_statement(struct session *s, const struct run_msg *m);
+static bool load_names(struct session *s, const struct run_msg *m);
+static void send_done(struct served_stream *v, enum exec_result result,
+		      enum reply_error_code code, uint32_t flags,
+		      struct evbuffer *reply, const struct reply_msg *ready);
+static void requeue(struct session *s);
+static void free_stream(struct served_stream *v);
+
+/* Handles a forwarded statement; remote_client.c lists its fields. */
+void remote_server_on_run(struct peer_link *l, struct wire_reader *r)
+{
+	struct run_msg m;
+	struct served_stream *v;
+	struct db_group *g;
+	uint32_t db;
+
+	parse_run(r, &m);
+	if (r->bad)
+		return;
+	v = find_stream(l, m.stream);
+	if (v && v->session.exec.stage != EXEC_NONE) {
+		r->bad = true;
+		return;
+	}
+	if (!v)
+		v = open_stream(l, m.stream);
+	if (!v) {
+		log_event(EV_VM_FAIL, "reason=\"no memory for a statement\"");
+		return;
+	}
+	g = db_group_find(l->proxy, m.service);
+	db = g ? db_group_find_member(g, m.database) : DB_NONE;
+	if (!g || db == DB_NONE || !load_statement(&v->session, &m)) {
+		remote_server_refuse(&v->session, REPLY_ERR_WRONG_DATABASE, 0);
+		return;
+	}
+	if ((m.flags & RUN_TX_OPEN) && !v->session.backend) {
+		remote_server_refuse(&v->session, REPLY_ERR_ABORTED, 0);
+		return;
+	}
+	v->session.group = g;
+	v->session.exec.db = db;
+	g->db[db].served_at = proxy_now();
+	if (m.term > g->proof.term)
+		db_group_set_primary(g, db, m.term, "forwarded statement");
+	dispatch_start(&v->session);
+}
+
+/* Handles the release of a stream: [stream]. */
+void remote_server_on_release(struct peer_link *l, struct wire_reader *r)
+{
+	struct served_stream *v = find_stream(l, wire_u64(r));
+
+	if (v)
+		free_stream(v);
+}
+
+/* Cancels the statements of a closed link. */
+void remote_server_on_link_closed(struct peer_link *l)
+{
+	struct served_stream *v;
+
+	while ((v = TAILQ_FIRST(&l->served)))
+		free_stream(v);
+}
+
+/* Ends the statement of a stream; see session_on_result(). */
+void remote_server_on_result(struct session *s, enum exec_result result,
+			     enum reply_error_code code, struct evbuffer *reply,
+			     const struct reply_msg *ready)
+{
+	struct stmt_exec *t = &s->exec;
+	bool is_usable = db_group_primary_is_usable(s->group, proxy_now());
+	uint32_t flags = 0;
+
+	if (result == RESULT_NOT_RUN && code == REPLY_ERR_BUSY && s->backend &&
+	    (!s->in_tx || ready->state == STATE_OPEN)) {
+		conn_pool_on_busy(&s->group->db[t->db]);
+		if (!s->in_tx)
+			backend_release(s->backend);
+		requeue(s);
+		return;
+	}
+	if (s->backend && result == RESULT_REPLY)
+		conn_pool_on_reply(s->backend);
+	if (is_usable)
+		flags |= DONE_PROVED;
+	if (result == RESULT_NOT_RUN && code == REPLY_ERR_READ_ONLY) {
+		if (t->db == s->group->primary)
+			db_group_recheck_primary(s->group, proxy_now());
+		flags |= DONE_NOT_PRIMARY;
+	}
+	if (result == RESULT_REPLY && s->in_tx && !t->is_commit &&
+	    ready->state == STATE_OPEN) {
+		s->tx_answered = true;
+		send_done(s->stream, result, code, flags | DONE_STREAM_OPEN,
+			  reply, ready);
+		t->stage = EXEC_NONE;
+		return;
+	}
+	send_done(s->stream, result, code, flags, reply, ready);
+	free_stream(s->stream);
+}
+
+/*
+ * Handles a statement that was certainly not executed, because its connection
+ * failed or was refused. One that found the database full waits for it; any
+ * other goes back to its VM, which may choose another database.
+ */
+void remote_server_on_not_run(struct session *s, enum reply_error_code code)
+{
+	struct db_member *d = &s->group->db[s->exec.db];
+
+	if (code != REPLY_ERR_NONE)
+		s->exec.last_refusal = code;
+	if (code == REPLY_ERR_BUSY)
+		conn_pool_on_busy(d);
+	s->tx_at_database = false;
+	if (!s->tx_answered &&
+	    (code == REPLY_ERR_BUSY || code == REPLY_ERR_TOO_MANY)) {
+		requeue(s);
+		return;
+	}
+	remote_server_refuse(s, s->tx_answered ? REPLY_ERR_ABORTED : code, 0);
+}
+
+/* Gives a statement back that was not executed. */
+void remote_server_refuse(struct session *s, enum reply_error_code code,
+			  uint32_t flags)
+{
+	send_done(s->stream, RESULT_NOT_RUN, code, flags, NULL, NULL);
+	free_stream(s->stream);
+}
+
+/* Gives a statement back that no database can execute now. */
+void remote_server_refuse_unserved(struct session *s)
+{
+	remote_server_refuse(s, REPLY_ERR_BUSY, DONE_FINAL);
+}
+
+/* Gives a statement back whose database is not the primary. */
+void remote_server_refuse_not_primary(struct session *s)
+{
+	remote_server_refuse(s, REPLY_ERR_READ_ONLY, DONE_NOT_PRIMARY);
+}
+
+/* Tells the stream's VM that its transaction was lost while it was idle. */
+void remote_server_on_lost(struct session *s)
+{
+	struct served_stream *v = s->stream;
+	msgpack_sbuffer buf;
+	msgpack_packer p;
+
+	msgpack_sbuffer_init(&buf);
+	msgpack_packer_init(&p, &buf, msgpack_sbuffer_write);
+	msgpack_pack_array(&p, 2);
+	msgpack_pack_uint32(&p, LINK_MSG_LOST);
+	msgpack_pack_uint64(&p, v->id);
+	peer_link_send(v->link, &buf);
+	msgpack_sbuffer_destroy(&buf);
+	free_stream(v);
+}
+
+/* Returns true if the statement has to be given back now. */
+bool remote_server_is_overdue(const struct session *s, usec_t now)
+{
+	return now >= s->exec.deadline - GIVE_BACK_US;
+}
+
+/* Decodes a LINK_MSG_RUN. */
+static void parse_run(struct wire_reader *r, struct run_msg *m)
+{
+	m->stream = wire_u64(r);
+	wire_str(r, m->service, sizeof(m->service));
+	wire_str(r, m->database, sizeof(m->database));
+	wire_str(r, m->team, sizeof(m->team));
+	m->flags = wire_u64(r);
+	m->time_left = wire_u64(r);
+	m->age = wire_u64(r);
+	m->consistency = wire_u64(r);
+	m->max_staleness_ms = wire_u64(r);
+	m->priority = wire_u64(r);
+	wire_str(r, m->commit_service, sizeof(m->commit_service));
+	m->commit.term = wire_u64(r);
+	m->commit.position = wire_u64(r);
+	m->term = wire_u64(r);
+	m->variables = wire_nested_array(r, 2 * STRMAP_ENTRIES_MAX);
+	m->prepared = wire_nested_array(r, 3);
+	m->line = wire_bin(r, MESSAGE_MAX_BYTES, &m->line_len);
+	if (m->consistency > READ_YOUR_WRITES || !m->line)
+		r->bad = true;
+}
+
+/* Opens a stream of a link. Returns NULL if memory is short. */
+static struct served_stream *open_stream(struct peer_link *l, uint64_t id)
+{
+	struct served_stream *v = calloc(1, sizeof(*v));
+
+	if (!v)
+		return NULL;
+	v->link = l;
+	v->id = id;
+	v->session.proxy = l->proxy;
+	v->session.stream = v;
+	TAILQ_INSERT_TAIL(&l->served, v, entry);
+	l->proxy->n_served++;
+	return v;
+}
+
+/* Finds a stream by id; NULL if it is not open. */
+static struct served_stream *find_stream(struct peer_link *l, uint64_t id)
+{
+	struct served_stream *v;
+
+	TAILQ_FOREACH(v, &l->served, entry)
+	{
+		if (v->id == id)
+			return v;
+	}
+	return NULL;
+}
+
+/* Fills in the stream's session. Returns false if the line is no statement. */
+static bool load_statement(struct session *s, const struct run_msg *m)
+{
+	struct stmt_exec *t = &s->exec;
+	usec_t now = proxy_now();
+
+	free(t->line);
+	t->line = strndup(m->line, m->line_len);
+	if (!t->line || strlen(t->line) != m->line_len)
+		return false;
+	t->line_len = m->line_len;
+	s->proxy->protocol->parse_caller(t->line, t->line_len, &t->msg);
+	if (t->msg.type != CALLER_QUERY || !load_names(s, m))
+		return false;
+	memcpy(t->id, t->msg.id.ptr, t->msg.id.len);
+	t->id[t->msg.id.len] = '\0';
+	snprintf(s->team, sizeof(s->team), "%s", m->team);
+	s->consistency = (enum read_consistency)m->consistency;
+	s->max_staleness_ms = (uint32_t)m->max_staleness_ms;
+	s->priority = (uint32_t)m->priority;
+	s->last_commit = m->commit;
+	snprintf(s->last_commit_service, sizeof(s->last_commit_service), "%s",
+		 m->commit_service);
+	s->in_tx = (m->flags & RUN_IN_TX) != 0;
+	s->tx_read_only = (m->flags & RUN_TX_READ_ONLY) != 0;
+	t->is_write = (m->flags & RUN_WRITE) != 0;
+	t->is_commit = (m->flags & RUN_COMMIT) != 0;
+	t->needs_primary = (m->flags & RUN_NEEDS_PRIMARY) != 0;
+	t->has_after = false;
+	t->tried_mask = 0;
+	t->attempts = 0;
+	t->retry_at = 0;
+	t->last_refusal = REPLY_ERR_BUSY;
+	t->began_at = now - (usec_t)m->age;
+	t->arrived_at = now;
+	t->deadline = now + (usec_t)m->time_left;
+	return true;
+}
+
+/* Replaces the session's variables and prepared statement. */
+static bool load_names(struct session *s, const struct run_msg *m)
+{
+	struct wire_reader variables = m->variables;
+	struct wire_reader prepared = m->prepared;
+	const char *value;
+	const char *name;
+	size_t value_len;
+	size_t name_len;
+	bool ok = true;
+	bool writes;
+
+	strmap_clear(&s->vars);
+	strmap_clear(&s->prepared);
+	while (variables.left > 0 && !variables.bad && ok) {
+		name = wire_bin(&variables, MESSAGE_MAX_BYTES, &name_len);
+		value = wire_bin(&variables, MESSAGE_MAX_BYTES, &value_len);
+		ok = name && value &&
+		     strmap_set(&s->vars, name, name_len, value, value_len,
+				false);
+	}
+	if (prepared.left > 0 && ok) {
+		name = wire_bin(&prepared, MESSAGE_MAX_BYTES, &name_len);
+		writes = wire_u64(&prepared) != 0;
+		value = wire_bin(&prepared, MESSAGE_MAX_BYTES, &value_len);
+		ok = name && value &&
+		     strmap_set(&s->prepared, name, name_len, value, value_len,
+				writes);
+	}
+	return ok && !variables.bad && !prepared.bad;
+}
+
+/*
+ * Sends [type, stream, result, code, flags, state, has position, term,
+ * position, load, age of the proof, term, primary, reply].
+ */
+static void send_done(struct served_stream *v, enum exec_result result,
+		      enum reply_error_code code, uint32_t flags,
+		      struct evbuffer *reply, const struct reply_msg *ready)
+{
+	const struct session *s = &v->session;
+	const struct db_group *g = s->group;
+	size_t len = reply ? evbuffer_get_length(reply) : 0;
+	uint64_t proof_age = UINT64_MAX;
+	msgpack_sbuffer buf;
+	msgpack_packer p;
+
+	if (g && g->proof.proved_at != INT64_MIN)
+		proof_age = (uint64_t)(proxy_now() - g->proof.proved_at);
+	msgpack_sbuffer_init(&buf);
+	msgpack_packer_init(&p, &buf, msgpack_sbuffer_write);
+	msgpack_pack_array(&p, 14);
+	msgpack_pack_uint32(&p, LINK_MSG_DONE);
+	msgpack_pack_uint64(&p, v->id);
+	msgpack_pack_uint32(&p, result);
+	msgpack_pack_uint32(&p, code);
+	msgpack_pack_uint32(&p, flags);
+	msgpack_pack_uint32(&p, ready ? (uint8_t)ready->state : STATE_IDLE);
+	msgpack_pack_uint32(&p, ready && ready->has_position);
+	msgpack_pack_uint64(&p, ready ? ready->at.term : 0);
+	msgpack_pack_uint64(&p, ready ? ready->at.position : 0);
+	msgpack_pack_uint32(&p, g ? db_member_load(&g->db[s->exec.db]) : 0);
+	msgpack_pack_uint64(&p, proof_age);
+	msgpack_pack_uint64(&p, g ? g->proof.term : 0);
+	wire_put_str(&p,
+		     g && g->primary != DB_NONE ? g->db[g->primary].id : "");
+	wire_put_bin(&p, len ? evbuffer_pullup(reply, -1) : NULL, len);
+	peer_link_send(v->link, &buf);
+	if (reply)
+		evbuffer_drain(reply, len);
+	msgpack_sbuffer_destroy(&buf);
+}
+
+/* Queues the statement again after a short delay. */
+static void requeue(struct session *s)
+{
+	s->exec.retry_at = proxy_now() + BUSY_RETRY_US;
+	dispatch_requeue(s);
+}
+
+/* Closes a stream; a transaction that is open on it is rolled back. */
+static void free_stream(struct served_stream *v)
+{
+	struct session *s = &v->session;
+
+	if (s->backend && s->exec.stage == EXEC_RUNNING)
+		s->backend->must_close |=
+			s->backend->n_expected > 0 && s->in_tx;
+	if (s->exec.stage != EXEC_NONE || s->backend)
+		dispatch_cancel(s);
+	strmap_clear(&s->vars);
+	strmap_clear(&s->prepared);
+	free(s->exec.line);
+	TAILQ_REMOVE(&v->link->served, v, entry);
+	v->link->proxy->n_served--;
+	free(v);
+}
--- a/src/proxy/session.c
+++ b/src/proxy/session.c
@@ -76,7 +76,7 @@
 	if (s->closed)
 		return;
 	s->closed = true;
-	if (s->exec.stage != EXEC_NONE || s->backend)
+	if (s->exec.stage != EXEC_NONE || s->backend || s->remote)
 		dispatch_cancel(s);
 	event_del(s->timer);
 	bufferevent_disable(s->bev, EV_READ | EV_WRITE);
@@ -206,6 +206,7 @@
 
 	free(t->line);
 	t->line = line;
+	t->line_len = len;
 	s->proxy->protocol->parse_caller(line, len, &t->msg);
 	switch (t->msg.type) {
 	case CALLER_START:
@@ -267,6 +268,7 @@
 	memcpy(t->id, t->msg.id.ptr, t->msg.id.len);
 	t->id[t->msg.id.len] = '\0';
 	t->began_at = proxy_now();
+	t->arrived_at = t->began_at;
 	t->attempts = 0;
 	t->tried_mask = 0;
 	t->retry_at = 0;
@@ -274,6 +276,7 @@
 	t->last_refusal = REPLY_ERR_BUSY;
 	t->is_commit = false;
 	t->is_write = false;
+	t->is_proved = false;
 	if (s->state == STATE_FAILED) {
 		handle_in_failed(s);
 		return;
@@ -410,8 +413,6 @@
 		s->proxy->protocol->put_error(out, REPLY_ERR_MALFORMED,
 					      "no transaction");
 	} else {
-		if (s->backend)
-			backend_release(s->backend);
 		session_end_operation(s);
 		s->proxy->protocol->put_complete(out);
 	}
--- a/src/proxy/session_outcome.c
+++ b/src/proxy/session_outcome.c
@@ -25,12 +25,17 @@
 	struct db_group *g = s->group;
 	usec_t now = proxy_now();
 
+	if (s->stream) {
+		remote_server_on_result(s, end, code, reply, ready);
+		return;
+	}
 	if (end == RESULT_REPLY) {
 		if (s->backend)
 			conn_pool_on_reply(s->backend);
 		if ((t->is_write && !s->in_tx) ||
 		    (t->is_commit && s->tx_wrote)) {
-			if (!db_group_primary_is_usable(g, now)) {
+			if (!t->is_proved &&
+			    !db_group_primary_is_usable(g, now)) {
 				/*
 				 * There may already be another primary, and
 				 * whether this commit is in its log is unknown.
@@ -51,6 +56,7 @@
 			}
 			if (ready->has_position) {
 				s->last_commit = ready->at;
+				s->last_commit_at = now;
 				snprintf(s->last_commit_service,
 					 sizeof(s->last_commit_service), "%s",
 					 g->service);
@@ -75,7 +81,7 @@
 	}
 	if (end == RESULT_FAILED) {
 		if (!s->in_tx && !t->is_write && t->attempts == 0) {
-			backend_release(s->backend);
+			dispatch_release(s);
 			dispatch_retry(s, code);
 			return;
 		}
@@ -110,6 +116,10 @@
  */
 void session_on_backend_lost(struct session *s)
 {
+	if (s->stream) {
+		remote_server_on_lost(s);
+		return;
+	}
 	if (!s->in_tx || !s->tx_at_database)
 		return;
 	s->state = STATE_FAILED;
@@ -141,8 +151,8 @@
 			s->backend->must_close |=
 				s->exec.stage == EXEC_RUNNING &&
 				s->backend->n_expected > 0;
-			backend_release(s->backend);
 		}
+		dispatch_release(s);
 		s->tx_at_database = false;
 		s->state = STATE_FAILED;
 	} else {
@@ -175,11 +185,11 @@
 		session_set_timer(s, s->tx_idle_until + USEC_PER_MSEC);
 		return;
 	}
-	if (!s->backend)
+	if (!s->backend && !s->remote)
 		return;
 	log_event(EV_TRANSACTION_IDLE, "service=%s team=%s idle_ms=%u",
 		  s->group->service, s->team, s->tx_idle_ms);
-	backend_release(s->backend);
+	dispatch_release(s);
 	s->tx_at_database = false;
 	s->state = STATE_FAILED;
 }
@@ -196,7 +206,7 @@
 
 	if (t->stage != EXEC_RUNNING) {
 		dispatch_cancel(s);
-		t->stage = EXEC_QUEUED;
+		t->stage = EXEC_STARTING;
 		session_send_error(
 			s, s->in_tx ? REPLY_ERR_ABORTED : REPLY_ERR_BUSY,
 			unsent);
@@ -206,13 +216,20 @@
 		code = REPLY_ERR_IN_DOUBT;
 	else if (s->in_tx)
 		code = REPLY_ERR_ABORTED;
-	if (s->backend) {
+	if (s->backend)
 		s->backend->must_close = true;
-		backend_release(s->backend);
-	}
+	dispatch_release(s);
 	session_send_error(s, code, sent);
 }
 
+/* Refuses a statement that was not executed and has too little time left. */
+void session_refuse_overdue(struct session *s)
+{
+	s->exec.stage = EXEC_STARTING;
+	session_abort_statement(s, "no database could take it in time, not run",
+				"no answer of the database in time");
+}
+
 /* Sends a complete reply to the caller. */
 static void send_reply(struct session *s, struct evbuffer *reply,
 		       const struct reply_msg *ready)
@@ -257,8 +274,7 @@
 /* Ends the operation: the session holds no connection afterwards. */
 void session_end_operation(struct session *s)
 {
-	if (s->backend)
-		backend_release(s->backend);
+	dispatch_release(s);
 	s->in_tx = false;
 	s->tx_at_database = false;
 	s->tx_wrote = false;
