Spread heartbeats by gossip in fleets of more than 17 VMs

Cause: every VM sent every other its heartbeats, 167 a second each way and VM, at an interval that grew with the fleet (1.2 s at 195 VMs). Change: gossip-style failure detection (decide/peer_gossip): four targets a round of 250 ms, three of them in the failure domain; a heartbeat passes on the age of the news of each VM, its flags and its capacity in 8 bytes. VMs that take part in a failover hear of it directly. Fleets of up to 17 VMs do as before. The rank for a group, the hash of the members and the table of reports are kept, not computed at each tick.

--- a/src/decide/db_owner.h
+++ b/src/decide/db_owner.h
@@ -17,7 +17,7 @@
 struct db_owner_vm {
 	const char *name;
 	const char *domain;
-	uint32_t capacity; /* share of a core, in thousandths; 0 counts as 1 */
+	uint32_t capacity; /* share of a core, in any unit; 0 counts as 1 */
 	bool usable;	   /* live, reachable from here and not draining */
 };
 
--- a/src/proxy/failover.c
+++ b/src/proxy/failover.c
@@ -66,6 +66,7 @@
 
 static void collect_state(struct db_group *g, usec_t now,
 			  struct failover_fsm_env *env);
+static uint32_t own_rank(struct db_group *g);
 static void run_action(struct db_group *g, const struct failover_fsm_action *a);
 static void resume_paused(struct db_group *g,
 			  const struct failover_fsm_env *env);
@@ -186,7 +187,7 @@
 	env->peers_hearing = o.n_reachable;
 	env->peers_missing = o.n_unreachable;
 	env->peer_is_acting = o.in_failover;
-	env->rank = heartbeat_rank(g->proxy->heartbeat, g->service);
+	env->rank = own_rank(g);
 	env->platform_up = platform_is_up(g->proxy->kernel);
 	env->hears_most_vms = heartbeat_sees_majority(g->proxy->heartbeat, now);
 	env->knows_all_dbs = registry_is_settled(g->proxy->registry, now);
@@ -210,6 +211,18 @@
 	}
 }
 
+/* Returns this VM's rank for the group; it changes with the live VMs. */
+static uint32_t own_rank(struct db_group *g)
+{
+	const struct heartbeat *b = g->proxy->heartbeat;
+
+	if (g->rank_version != heartbeat_owners_version(b) + 1) {
+		g->rank = heartbeat_rank(b, g->service);
+		g->rank_version = heartbeat_owners_version(b) + 1;
+	}
+	return g->rank;
+}
+
 /* Carries out one action of the failover. */
 static void run_action(struct db_group *g, const struct failover_fsm_action *a)
 {
--- a/src/proxy/heartbeat.c
+++ b/src/proxy/heartbeat.c
@@ -7,27 +7,25 @@
 #include <xxhash.h>
 
 #include "decide/db_owner.h"
+#include "decide/peer_gossip.h"
 #include "kernel/address.h"
 #include "kernel/counters.h"
 #include "kernel/log.h"
 #include "proxy/heartbeat_internal.h"
 
 /*
- * Every VM sends every other a heartbeat several times a second, one datagram
- * each. It shows that the VM is alive, and tells which VMs it receives nothing
- * from and the state of groups whose primary is suspected. Nothing is
- * acknowledged; the next heartbeat replaces a lost one. The same socket carries
- * the requests of rate_limit_client.c and db_group_proof.c.
+ * VMs send each other heartbeats several times a second, one datagram each: in
+ * a small fleet every VM to every other, in a larger one to a few (see
+ * decide/peer_gossip.h). A heartbeat shows that the VM is alive, passes on how
+ * old its news of the other VMs is, and tells the state of groups whose primary
+ * is suspected. Nothing is acknowledged; the next heartbeat replaces a lost
+ * one. The same socket carries the requests of rate_limit_client.c and
+ * db_group_proof.c.
  */
 
-/*
- * The send interval grows by this much for each peer, so that the rate at which
- * one VM sends and receives does not grow with the fleet.
- */
-#define SEND_INTERVAL_PER_PEER_US (6 * USEC_PER_MSEC)
-/* heartbeats missed in a row before a VM counts as silent */
-#define MISSED_HEARTBEATS_MAX 4
-#define PEERS_MAX	      RATE_LIMIT_PEERS_MAX
+/* VMs that take part in a failover of a group by their rank. */
+#define FAILOVER_RANKS 3
+#define PEERS_MAX      RATE_LIMIT_PEERS_MAX
 /*
  * A VM that has been silent for this long was removed; a pause or a network
  * fault lasts seconds.
@@ -44,7 +42,13 @@
 /* Ports that the system chooses are tried until one is free for TCP too. */
 #define BIND_TRIES 16
 
-static void send_all(struct heartbeat *b, usec_t now);
+static void send_round(struct heartbeat *b, usec_t now);
+static void add_failover_peers(struct heartbeat *b, struct db_group *g,
+			       bool *targets);
+static uint64_t draw_random(void *ctx);
+static bool is_silent(const struct heartbeat *b, const struct peer_vm *v,
+		      usec_t now);
+static bool add_peer(struct heartbeat *b, struct peer_vm *v);
 static void send_one(struct heartbeat *b, const struct peer_vm *v, usec_t now);
 static void set_silent(struct heartbeat *b, struct peer_vm *v, bool silent,
 		       usec_t last_seen_at, usec_t now);
@@ -54,7 +58,6 @@
 static int bind_ports(struct heartbeat *b, struct sockaddr_storage *at,
 		      socklen_t *len);
 static XXH64_hash_t rank_hash(const char *vm, const char *service);
-static usec_t send_interval(const struct heartbeat *b);
 
 /*
  * Opens the socket on the VM's address for peers. Returns NULL if that fails.
@@ -74,6 +77,8 @@
 		return NULL;
 	}
 	b->proxy = p;
+	b->members_hash = XXH3_64bits(p->kernel->settings.vm,
+				      strlen(p->kernel->settings.vm));
 	if (bind_ports(b, &at, &len) == -1) {
 		error_set(e, ERR_SYSTEM, STEP_LISTEN, address, "%m");
 		free(b);
@@ -132,9 +137,7 @@
 	}
 	for (i = 0; i < b->n; i++) {
 		struct peer_vm *v = b->peers[i];
-		bool silent = v->last_seen_at == 0 ||
-			      now - v->last_seen_at >
-				      MISSED_HEARTBEATS_MAX * send_interval(b);
+		bool silent = is_silent(b, v, now);
 
 		if (v->silent && !v->gone && v->last_seen_at &&
 		    now - v->last_seen_at > REMOVED_AFTER_US) {
@@ -153,8 +156,8 @@
 		b->minority_at = now;
 	if (now < b->next_send_at)
 		return;
-	b->next_send_at = now + send_interval(b);
-	send_all(b, now);
+	b->next_send_at = now + peer_gossip_interval(b->n);
+	send_round(b, now);
 }
 
 /*
@@ -187,7 +190,7 @@
 	v = heartbeat_find_peer(b, vm->name, true);
 	if (!v || vm->incarnation < v->incarnation)
 		return;
-	if (v->incarnation != vm->incarnation || v->last_seen_at == 0) {
+	if (v->incarnation != vm->incarnation || v->direct_seen_at == 0) {
 		v->incarnation = vm->incarnation;
 		v->addr = to;
 		v->addr_len = len;
@@ -199,13 +202,7 @@
 /* Returns a hash of the names of all known VMs, in any order. */
 uint64_t heartbeat_members_hash(const struct heartbeat *b)
 {
-	const char *own = b->proxy->kernel->settings.vm;
-	uint64_t h = XXH3_64bits(own, strlen(own));
-	uint32_t i;
-
-	for (i = 0; i < b->n; i++)
-		h ^= XXH3_64bits(b->peers[i]->name, strlen(b->peers[i]->name));
-	return h;
+	return b->members_hash;
 }
 
 /* Returns the number of known VMs besides this one. */
@@ -313,7 +310,7 @@
 	vm[b->n] = (struct db_owner_vm){
 		.name = s->vm,
 		.domain = s->domain,
-		.capacity = s->cpu_milli,
+		.capacity = heartbeat_own_capacity(b),
 		.usable = !b->proxy->draining,
 	};
 	best = db_owner_pick(vm, b->n + 1, database, domain);
@@ -323,6 +320,14 @@
 	return owner;
 }
 
+/* Returns this VM's share of a core, in hundredths, at most 2.55 cores. */
+uint8_t heartbeat_own_capacity(const struct heartbeat *b)
+{
+	uint32_t hundredths = b->proxy->kernel->settings.cpu_milli / 10;
+
+	return hundredths < UINT8_MAX ? (uint8_t)hundredths : UINT8_MAX;
+}
+
 /* Finds a peer's address; returns false if the peer is unknown. */
 bool heartbeat_peer_address(struct heartbeat *b, const char *peer,
 			    struct sockaddr_storage *to, socklen_t *len)
@@ -359,13 +364,17 @@
 						     const char *service)
 {
 	struct heartbeat_peer_reports o = { 0 };
+	usec_t now = proxy_now();
 	uint32_t i;
 	uint32_t j;
 
-	for (i = 0; i < b->n; i++) {
+	for (i = 0; i < b->n && b->n_reporting > 0; i++) {
 		const struct peer_vm *v = b->peers[i];
 
-		for (j = 0; j < v->n_groups && !v->silent; j++) {
+		if (v->n_groups == 0 || v->silent ||
+		    now - v->direct_seen_at > peer_gossip_timeout(0))
+			continue;
+		for (j = 0; j < v->n_groups; j++) {
 			const struct peer_group_state *g = &v->groups[j];
 
 			if (strcmp(g->service, service) != 0)
@@ -380,20 +389,129 @@
 }
 
 /*
- * Sends a heartbeat to each peer. Those that a full socket does not take are
- * lost.
+ * Sends a heartbeat to the targets of this round, and to the VMs that take part
+ * in a failover. Those that a full socket does not take are lost.
  */
-static void send_all(struct heartbeat *b, usec_t now)
+static void send_round(struct heartbeat *b, usec_t now)
 {
+	const char *domain = b->proxy->kernel->settings.domain;
+	uint32_t *picked = calloc(b->n + 1, sizeof(*picked));
+	bool *is_local = calloc(b->n + 1, sizeof(*is_local));
+	bool *targets = calloc(b->n + 1, sizeof(*targets));
 	msgpack_sbuffer buf;
+	uint32_t n;
 	uint32_t i;
 
 	msgpack_sbuffer_init(&buf);
+	if (!picked || !is_local || !targets)
+		goto done;
+	for (i = 0; i < b->n; i++)
+		is_local[i] = strcmp(b->peers[i]->domain, domain) == 0;
+	n = peer_gossip_pick(is_local, b->n, draw_random, b->proxy, picked);
+	for (i = 0; i < n; i++)
+		targets[picked[i]] = true;
+	for (i = 0; i < b->proxy->n_groups && !heartbeat_is_full_mesh(b); i++) {
+		if (heartbeat_is_urgent(b, b->proxy->groups[i], now))
+			add_failover_peers(b, b->proxy->groups[i], targets);
+	}
 	heartbeat_encode(b, &buf, now);
-	for (i = 0; i < b->n && buf.size <= DATAGRAM_MAX_BYTES; i++)
-		heartbeat_send_to(b, (struct sockaddr *)&b->peers[i]->addr,
-				  b->peers[i]->addr_len, buf.data, buf.size);
+	for (i = 0; i < b->n && buf.size <= DATAGRAM_MAX_BYTES; i++) {
+		const struct peer_vm *v = b->peers[i];
+
+		if (targets[i])
+			heartbeat_send_to(b, (const struct sockaddr *)&v->addr,
+					  v->addr_len, buf.data, buf.size);
+	}
+done:
 	msgpack_sbuffer_destroy(&buf);
+	free(picked);
+	free(is_local);
+	free(targets);
+}
+
+/*
+ * Adds the VMs that can judge or replace the group's primary: the first by rank
+ * and the owners of its databases.
+ */
+static void add_failover_peers(struct heartbeat *b, struct db_group *g,
+			       bool *targets)
+{
+	XXH64_hash_t limit = UINT64_MAX;
+	uint32_t rank;
+	uint32_t i;
+
+	for (rank = 0; rank < FAILOVER_RANKS; rank++) {
+		uint32_t next = b->n;
+		XXH64_hash_t best = 0;
+
+		for (i = 0; i < b->n; i++) {
+			XXH64_hash_t h =
+				rank_hash(b->peers[i]->name, g->service);
+
+			if (!b->peers[i]->silent && h < limit && h >= best) {
+				best = h;
+				next = i;
+			}
+		}
+		if (next == b->n)
+			break;
+		targets[next] = true;
+		limit = best;
+	}
+	for (i = 0; i < DB_GROUP_MEMBERS_MAX; i++) {
+		const char *owner =
+			g->db[i].present ? db_member_owner(&g->db[i]) : NULL;
+		uint32_t j;
+
+		for (j = 0; owner && j < b->n; j++)
+			targets[j] |= strcmp(b->peers[j]->name, owner) == 0;
+	}
+}
+
+/* Draws a random number, for peer_gossip_pick(). */
+static uint64_t draw_random(void *ctx)
+{
+	return proxy_random(ctx);
+}
+
+/*
+ * True if there is no recent news of a peer. In a small fleet only its own
+ * heartbeats count.
+ */
+static bool is_silent(const struct heartbeat *b, const struct peer_vm *v,
+		      usec_t now)
+{
+	usec_t seen_at =
+		heartbeat_is_full_mesh(b) ? v->direct_seen_at : v->last_seen_at;
+
+	return seen_at == 0 || now - seen_at > peer_gossip_timeout(b->n);
+}
+
+/* True if all VMs of the fleet send each other every heartbeat. */
+bool heartbeat_is_full_mesh(const struct heartbeat *b)
+{
+	return b->n <= PEER_GOSSIP_ALL_MAX;
+}
+
+/* Applies newer news of a peer that another one passed on. */
+void heartbeat_on_news(struct heartbeat *b, struct peer_vm *v, usec_t seen_at,
+		       bool ready, bool draining, uint8_t capacity, usec_t now)
+{
+	usec_t prev_seen_at = v->last_seen_at;
+
+	if (seen_at <= v->last_seen_at)
+		return;
+	v->last_seen_at = seen_at;
+	if (ready != v->ready || draining != v->draining ||
+	    capacity != v->capacity) {
+		v->ready = ready;
+		v->draining = draining;
+		v->capacity = capacity;
+		b->owners_version++;
+		update_quota_peer(b, v, now);
+	}
+	if (v->silent && !is_silent(b, v, now))
+		set_silent(b, v, false, prev_seen_at, now);
 }
 
 /* Sends a heartbeat to one peer. */
@@ -431,11 +549,11 @@
 			   usec_t prev_seen_at)
 {
 	if (!v->silent) {
-		update_quota_peer(b, v, v->last_seen_at);
+		update_quota_peer(b, v, v->direct_seen_at);
 		return;
 	}
-	set_silent(b, v, false, prev_seen_at, v->last_seen_at);
-	send_one(b, v, v->last_seen_at);
+	set_silent(b, v, false, prev_seen_at, v->direct_seen_at);
+	send_one(b, v, v->direct_seen_at);
 }
 
 /*
@@ -494,36 +612,71 @@
 struct peer_vm *heartbeat_find_peer(struct heartbeat *b, const char *name,
 				    bool make)
 {
-	struct peer_vm **grown;
-	struct peer_vm *v;
-	uint32_t i;
+	uint32_t hash = heartbeat_name_hash(name);
+	struct peer_vm *v = heartbeat_find_hash(b, hash);
 
-	for (i = 0; i < b->n; i++) {
-		if (strcmp(b->peers[i]->name, name) == 0)
-			return b->peers[i];
-	}
+	if (v)
+		return strcmp(v->name, name) == 0 ? v : NULL;
 	if (!make || b->n == PEERS_MAX)
 		return NULL;
-	grown = realloc(b->peers, (b->n + 1) * sizeof(struct peer_vm *));
-	if (!grown)
-		return NULL;
-	b->peers = grown;
 	v = calloc(1, sizeof(*v));
 	if (!v)
 		return NULL;
 	snprintf(v->name, sizeof(v->name), "%s", name);
+	v->name_hash = hash;
 	v->silent = true;
-	b->peers[b->n++] = v;
+	if (!add_peer(b, v)) {
+		free(v);
+		return NULL;
+	}
+	b->members_hash ^= XXH3_64bits(name, strlen(name));
 	update_quota_peer(b, v, proxy_now());
 	return v;
 }
 
-/* Returns the interval between two heartbeats. */
-static usec_t send_interval(const struct heartbeat *b)
+/* Adds a peer to both tables. Returns false if memory is short. */
+static bool add_peer(struct heartbeat *b, struct peer_vm *v)
 {
-	usec_t interval = (usec_t)b->n * SEND_INTERVAL_PER_PEER_US;
+	const size_t size = (b->n + 1) * sizeof(struct peer_vm *);
+	struct peer_vm **peers = realloc(b->peers, size);
+	struct peer_vm **by_hash;
+	uint32_t i = b->n;
 
-	return interval > b->proxy->policy.heartbeat_interval
-		       ? interval
-		       : b->proxy->policy.heartbeat_interval;
+	if (!peers)
+		return false;
+	b->peers = peers;
+	by_hash = realloc(b->by_hash, size);
+	if (!by_hash)
+		return false;
+	b->by_hash = by_hash;
+	b->peers[b->n++] = v;
+	for (; i > 0 && by_hash[i - 1]->name_hash > v->name_hash; i--)
+		by_hash[i] = by_hash[i - 1];
+	by_hash[i] = v;
+	return true;
+}
+
+/* Finds a peer by the hash of its name, by binary search; NULL if unknown. */
+struct peer_vm *heartbeat_find_hash(const struct heartbeat *b, uint32_t hash)
+{
+	uint32_t low = 0;
+	uint32_t high = b->n;
+
+	while (low < high) {
+		uint32_t middle = low + (high - low) / 2;
+
+		if (b->by_hash[middle]->name_hash < hash)
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	return low < b->n && b->by_hash[low]->name_hash == hash
+		       ? b->by_hash[low]
+		       : NULL;
+}
+
+/* Returns the hash that stands for a VM's name in heartbeats. */
+uint32_t heartbeat_name_hash(const char *name)
+{
+	return (uint32_t)XXH3_64bits(name, strlen(name));
 }
--- a/src/proxy/heartbeat_codec.c
+++ b/src/proxy/heartbeat_codec.c
@@ -1,13 +1,24 @@
 #include <string.h>
 
+#include "decide/peer_gossip.h"
 #include "kernel/counters.h"
 #include "kernel/wire.h"
 #include "proxy/heartbeat_internal.h"
 
 /* Encodes heartbeats, and decodes datagrams of all types. */
 
-/* silent VMs named in one heartbeat */
-#define SILENT_PEERS_MAX 64
+/* Live VMs of which one heartbeat passes on the news. */
+#define NEWS_MAX 256
+/*
+ * One of them: the hash of its name (4 bytes), the age of the news in units of
+ * 10 ms (2 bytes), flags, and its share of a core in hundredths; all with the
+ * most significant byte first.
+ */
+#define NEWS_BYTES    8
+#define NEWS_AGE_UNIT (10 * USEC_PER_MSEC)
+#define NEWS_READY    1 /* flags: ready */
+#define NEWS_DRAINING 2 /* draining */
+#define NEWS_DIRECT   4 /* from its own heartbeat, lately */
 /* A change of a group's primary is included in heartbeats for this long. */
 #define PRIMARY_CHANGE_NEWS_US (5 * USEC_PER_SEC)
 /*
@@ -18,7 +29,8 @@
 #define PRIMARY_SLOW_US (150 * USEC_PER_MSEC)
 
 static void pack_group(msgpack_packer *p, struct db_group *g, usec_t now);
-static void pack_silent(const struct heartbeat *b, msgpack_packer *p);
+static void pack_news(const struct heartbeat *b, msgpack_packer *p, usec_t now);
+static void pack_one_news(const struct peer_vm *v, uint8_t *out, usec_t now);
 static bool should_report(const struct heartbeat *b, struct db_group *g,
 			  usec_t now);
 static enum primary_suspicion suspicion_of(struct db_group *g, usec_t now);
@@ -26,14 +38,15 @@
 static bool decode_heartbeat(struct heartbeat *b, struct wire_reader *r,
 			     const struct sockaddr_storage *from,
 			     socklen_t from_len);
-static bool lists_self(const struct heartbeat *b, struct wire_reader r);
+static bool decode_news(struct heartbeat *b, const uint8_t *news, size_t len,
+			usec_t now);
 static void decode_groups(struct heartbeat *b, struct peer_vm *v,
 			  struct wire_reader r);
 static enum primary_suspicion suspicion_from(uint64_t v);
 
 /*
- * Encodes [type, name, domain, incarnation, draining, digest, groups, silent,
- * share of a core in thousandths, ready].
+ * Encodes [type, name, domain, incarnation, draining, digest, groups, news,
+ * share of a core in hundredths, ready].
  */
 void heartbeat_encode(struct heartbeat *b, msgpack_sbuffer *buf, usec_t now)
 {
@@ -67,8 +80,8 @@
 	msgpack_pack_array(&packer, n);
 	for (i = 0; i < n; i++)
 		pack_group(&packer, reported[i], now);
-	pack_silent(b, &packer);
-	msgpack_pack_uint32(&packer, s->cpu_milli);
+	pack_news(b, &packer, now);
+	msgpack_pack_uint32(&packer, heartbeat_own_capacity(b));
 	msgpack_pack_uint32(&packer, proxy_can_execute(p));
 }
 
@@ -78,13 +91,22 @@
  */
 static bool should_report(const struct heartbeat *b, struct db_group *g,
 			  usec_t now)
+{
+	return now - g->primary_changed_at < PRIMARY_CHANGE_NEWS_US ||
+	       heartbeat_is_urgent(b, g, now);
+}
+
+/*
+ * Returns true while this VM or a peer suspects the group's primary or performs
+ * a failover.
+ */
+bool heartbeat_is_urgent(const struct heartbeat *b, struct db_group *g,
+			 usec_t now)
 {
 	struct heartbeat_peer_reports o = heartbeat_peer_reports(b, g->service);
 
 	return g->succession.phase != FAILOVER_IDLE || o.is_suspected ||
-	       o.in_failover ||
-	       now - g->primary_changed_at < PRIMARY_CHANGE_NEWS_US ||
-	       suspicion_of(g, now) != SUSPICION_NONE;
+	       o.in_failover || suspicion_of(g, now) != SUSPICION_NONE;
 }
 
 /* Returns how this VM rates the responsiveness of a group's primary. */
@@ -104,21 +126,47 @@
 		       : SUSPICION_NONE;
 }
 
-/* Encodes the names of VMs that are listed but silent. */
-static void pack_silent(const struct heartbeat *b, msgpack_packer *p)
+/*
+ * Encodes the news of live VMs. If there are more than fit, it begins with a
+ * random one.
+ */
+static void pack_news(const struct heartbeat *b, msgpack_packer *p, usec_t now)
 {
+	uint8_t news[NEWS_MAX * NEWS_BYTES];
+	uint32_t start =
+		b->n > NEWS_MAX ? (uint32_t)(proxy_random(b->proxy) % b->n) : 0;
 	uint32_t n = 0;
 	uint32_t i;
 
-	for (i = 0; i < b->n && n < SILENT_PEERS_MAX; i++)
-		n += b->peers[i]->silent && !b->peers[i]->gone;
-	msgpack_pack_array(p, n);
-	for (i = 0; i < b->n && n > 0; i++) {
-		if (!b->peers[i]->silent || b->peers[i]->gone)
-			continue;
-		wire_put_str(p, b->peers[i]->name);
-		n--;
+	for (i = 0; i < b->n && n < NEWS_MAX; i++) {
+		const struct peer_vm *v = b->peers[(start + i) % b->n];
+
+		if (!v->silent)
+			pack_one_news(v, news + NEWS_BYTES * n++, now);
 	}
+	wire_put_bin(p, news, n * NEWS_BYTES);
+}
+
+/* Encodes the news of one VM. */
+static void pack_one_news(const struct peer_vm *v, uint8_t *out, usec_t now)
+{
+	usec_t age = (now - v->last_seen_at) / NEWS_AGE_UNIT;
+
+	if (age > UINT16_MAX)
+		age = UINT16_MAX;
+	out[0] = (uint8_t)(v->name_hash >> 24);
+	out[1] = (uint8_t)(v->name_hash >> 16);
+	out[2] = (uint8_t)(v->name_hash >> 8);
+	out[3] = (uint8_t)v->name_hash;
+	out[4] = (uint8_t)(age >> 8);
+	out[5] = (uint8_t)age;
+	out[6] = (v->ready ? NEWS_READY : 0) |
+		 (v->draining ? NEWS_DRAINING : 0) |
+		 (v->direct_seen_at && now - v->direct_seen_at <=
+					       peer_gossip_timeout(0)
+			  ? NEWS_DIRECT
+			  : 0);
+	out[7] = v->capacity;
 }
 
 /* Encodes [service, primary, term, reachable, suspicion, in failover]. */
@@ -196,7 +244,6 @@
 			     socklen_t from_len)
 {
 	struct wire_reader groups;
-	struct wire_reader silent_peers;
 	struct wire_reader digest_reader;
 	struct registry_digest digest;
 	char name[NAME_MAX_BYTES];
@@ -206,6 +253,8 @@
 	usec_t prev_seen_at;
 	uint64_t capacity;
 	bool ready;
+	const char *news;
+	size_t news_len;
 	bool draining;
 	bool no_return_path;
 
@@ -219,10 +268,11 @@
 	digest.databases_age_ms = wire_u64(&digest_reader);
 	digest.vms = wire_u64(&digest_reader);
 	groups = wire_nested_array(r, HEARTBEAT_GROUPS_MAX);
-	silent_peers = wire_nested_array(r, SILENT_PEERS_MAX);
+	news = wire_bin(r, NEWS_MAX * NEWS_BYTES, &news_len);
 	capacity = wire_u64(r);
 	ready = wire_u64(r) != 0;
 	if (r->bad || digest_reader.bad || name[0] == '\0' ||
+	    capacity > UINT8_MAX ||
 	    strcmp(name, b->proxy->kernel->settings.vm) == 0)
 		return false;
 	v = heartbeat_find_peer(b, name, true);
@@ -231,34 +281,58 @@
 	prev_seen_at = v->last_seen_at;
 	v->incarnation = incarnation;
 	v->last_seen_at = proxy_now();
-	no_return_path = lists_self(b, silent_peers);
+	v->direct_seen_at = v->last_seen_at;
+	no_return_path = !decode_news(b, (const uint8_t *)news, news_len,
+				      v->last_seen_at);
 	b->owners_version += draining != v->draining ||
 			     no_return_path != v->no_return_path ||
 			     ready != v->ready || capacity != v->capacity;
 	v->ready = ready;
-	v->capacity = (uint32_t)capacity;
+	v->capacity = (uint8_t)capacity;
 	v->draining = draining;
 	v->no_return_path = no_return_path;
 	v->addr = *from;
 	v->addr_len = from_len;
 	snprintf(v->domain, sizeof(v->domain), "%s", domain);
+	b->n_reporting -= v->n_groups > 0;
 	decode_groups(b, v, groups);
+	b->n_reporting += v->n_groups > 0;
 	heartbeat_on_received(b, v, prev_seen_at);
 	registry_on_peer_digest(b->proxy->registry, &digest, v->last_seen_at);
 	return true;
 }
 
-/* True if this VM is in the peer's list of silent VMs. */
-static bool lists_self(const struct heartbeat *b, struct wire_reader r)
+/*
+ * Takes the newer news of other VMs from a heartbeat. Returns true if its
+ * sender receives this VM's heartbeats, as far as that is known: in a large
+ * fleet they are not sent to all VMs.
+ */
+static bool decode_news(struct heartbeat *b, const uint8_t *news, size_t len,
+			usec_t now)
 {
-	char name[NAME_MAX_BYTES];
+	uint32_t own = heartbeat_name_hash(b->proxy->kernel->settings.vm);
+	bool is_mesh = heartbeat_is_full_mesh(b);
+	bool is_heard = !is_mesh;
+	const uint8_t *e;
+
+	for (e = news; e && len >= NEWS_BYTES;
+	     e += NEWS_BYTES, len -= NEWS_BYTES) {
+		uint32_t hash = (uint32_t)e[0] << 24 | (uint32_t)e[1] << 16 |
+				(uint32_t)e[2] << 8 | e[3];
+		usec_t age = ((usec_t)e[4] << 8 | e[5]) * NEWS_AGE_UNIT;
+		struct peer_vm *v;
 
-	while (r.left > 0 && !r.bad) {
-		wire_str(&r, name, sizeof(name));
-		if (strcmp(name, b->proxy->kernel->settings.vm) == 0)
-			return true;
+		if (hash == own) {
+			is_heard |= (e[6] & NEWS_DIRECT) != 0;
+			continue;
+		}
+		v = is_mesh ? NULL : heartbeat_find_hash(b, hash);
+		if (v)
+			heartbeat_on_news(
+				b, v, now - age, (e[6] & NEWS_READY) != 0,
+				(e[6] & NEWS_DRAINING) != 0, e[7], now);
 	}
-	return false;
+	return is_heard;
 }
 
 /*
@@ -272,7 +346,9 @@
 	uint64_t term;
 
 	v->n_groups = 0;
-	while (r.left > 0 && v->n_groups < HEARTBEAT_GROUPS_MAX) {
+	if (r.left > 0 && !v->groups)
+		v->groups = calloc(HEARTBEAT_GROUPS_MAX, sizeof(*v->groups));
+	while (r.left > 0 && v->groups && v->n_groups < HEARTBEAT_GROUPS_MAX) {
 		struct wire_reader e = wire_nested_array(&r, 6);
 		struct peer_group_state *h = &v->groups[v->n_groups];
 		struct db_group *g;
--- a/src/proxy/heartbeat_internal.h
+++ b/src/proxy/heartbeat_internal.h
@@ -30,11 +30,13 @@
 
 struct peer_vm {
 	char name[NAME_MAX_BYTES];
+	uint32_t name_hash; /* stands for the name in heartbeats */
 	char domain[NAME_MAX_BYTES];
 	struct sockaddr_storage addr;
 	socklen_t addr_len;
 	uint64_t incarnation;
-	usec_t last_seen_at; /* time of its last heartbeat; 0: never */
+	usec_t last_seen_at;   /* time of the newest news of it; 0: never */
+	usec_t direct_seen_at; /* time of its last heartbeat; 0: never */
 	bool silent;
 	/* it reports that it does not receive this VM's heartbeats */
 	bool no_return_path;
@@ -42,11 +44,12 @@
 	bool draining;
 	/* it knows the configuration, the databases and the VMs */
 	bool ready;
-	uint32_t capacity; /* share of a core, in thousandths; 0: unknown */
+	uint8_t capacity; /* share of a core, in hundredths; 0: unknown */
 	/* links to it failed: it owns no database until then; 0: they work */
 	usec_t link_retry_at;
+	/* states of groups in its last heartbeat; NULL: none */
 	uint32_t n_groups;
-	struct peer_group_state groups[HEARTBEAT_GROUPS_MAX];
+	struct peer_group_state *groups;
 };
 
 struct heartbeat {
@@ -55,6 +58,9 @@
 	struct event *readable;
 	uint32_t n;
 	struct peer_vm **peers;
+	struct peer_vm **by_hash; /* ordered by name_hash */
+	uint64_t members_hash;	  /* of the names of all VMs, in any order */
+	uint32_t n_reporting;	  /* peers that report states of groups */
 	usec_t next_send_at;
 	/* last time when fewer than half of the peers were live; 0: never */
 	usec_t minority_at;
@@ -66,6 +72,22 @@
 
 /* Encodes this VM's current heartbeat. */
 void heartbeat_encode(struct heartbeat *b, msgpack_sbuffer *buf, usec_t now);
+/*
+ * True if a failover of the group may be needed or in progress, so that the VMs
+ * that take part in it have to hear of it at once.
+ */
+bool heartbeat_is_urgent(const struct heartbeat *b, struct db_group *g,
+			 usec_t now);
+/* Finds a peer by the hash of its name, or NULL. */
+struct peer_vm *heartbeat_find_hash(const struct heartbeat *b, uint32_t hash);
+uint32_t heartbeat_name_hash(const char *name);
+/* True if all VMs of the fleet send each other every heartbeat. */
+bool heartbeat_is_full_mesh(const struct heartbeat *b);
+/* Applies newer news of a peer that another one passed on. */
+void heartbeat_on_news(struct heartbeat *b, struct peer_vm *v, usec_t seen_at,
+		       bool ready, bool draining, uint8_t capacity, usec_t now);
+/* This VM's share of a core, in hundredths. */
+uint8_t heartbeat_own_capacity(const struct heartbeat *b);
 /* Handles one datagram of any type. */
 void heartbeat_receive(struct heartbeat *b, const char *data, size_t len,
 		       const struct sockaddr_storage *from, socklen_t from_len);
--- a/src/proxy/proxy.c
+++ b/src/proxy/proxy.c
@@ -105,7 +105,6 @@
 	 */
 	.registry_interval = USEC_PER_SEC,
 	.registry_fast_interval = 200 * USEC_PER_MSEC,
-	.heartbeat_interval = 150 * USEC_PER_MSEC,
 	.costs = {
 		/* The handshake in a slot, and three one-way network delays. */
 		.open = 16 * USEC_PER_MSEC,
--- a/src/proxy/proxy_internal.h
+++ b/src/proxy/proxy_internal.h
@@ -149,6 +149,9 @@
 	const char *proof_owner;
 	/* heartbeat_owners_version() when proof_owner was computed, plus 1 */
 	uint64_t proof_owner_version;
+	/* rank of this VM for the group, computed at rank_version */
+	uint32_t rank;
+	uint64_t rank_version; /* heartbeat_owners_version() then, plus 1 */
 	/* when this VM last asked whether a promotion was ever claimed */
 	usec_t claim_checked_at;
 	bool claim_check_pending;
@@ -340,7 +343,6 @@
 	usec_t silence_timeout;
 	usec_t registry_interval;
 	usec_t registry_fast_interval;
-	usec_t heartbeat_interval;
 	struct load_balance_costs costs;
 };
 
