--- a/src/kernel/platform.h
+++ b/src/kernel/platform.h
@@ -46,6 +46,7 @@
 	uint64_t version; /* in: expected (0: must not exist); out: current */
 	uint64_t after;	  /* WATCH: return changes after this revision */
 	uint32_t wait_ms; /* WATCH: longest wait for a change */
+	bool stale_ok;	  /* LIST: may be some seconds old, and costs less */
 	void (*done)(struct platform_call *c);
 	void *ctx;
 	enum platform_result result;
--- a/src/proxy/heartbeat.c
+++ b/src/proxy/heartbeat.c
@@ -25,6 +25,7 @@
 
 /* VMs that take part in a failover of a group by their rank. */
 #define FAILOVER_RANKS 3
+#define DOMAINS_MAX    64 /* failure domains of the fleet */
 #define PEERS_MAX      RATE_LIMIT_PEERS_MAX
 /*
  * A VM that has been silent for this long was removed; a pause or a network
@@ -45,6 +46,11 @@
 static void send_round(struct heartbeat *b, usec_t now);
 static void add_failover_peers(struct heartbeat *b, struct db_group *g,
 			       bool *targets);
+static void update_readers(struct heartbeat *b);
+static void add_domain(const char **domains, uint32_t *n, const char *domain);
+static void add_reader(struct heartbeat *b, const struct peer_vm *v);
+static bool is_better_reader(const struct heartbeat *b, const struct peer_vm *v,
+			     const struct peer_vm *w);
 static uint64_t draw_random(void *ctx);
 static bool is_silent(const struct heartbeat *b, const struct peer_vm *v,
 		      usec_t now);
@@ -410,6 +416,9 @@
 	n = peer_gossip_pick(is_local, b->n, draw_random, b->proxy, picked);
 	for (i = 0; i < n; i++)
 		targets[picked[i]] = true;
+	for (i = 0; i < b->n; i++)
+		targets[i] |= b->tell_domain && is_local[i];
+	b->tell_domain = false;
 	for (i = 0; i < b->proxy->n_groups && !heartbeat_is_full_mesh(b); i++) {
 		if (heartbeat_is_urgent(b, b->proxy->groups[i], now))
 			add_failover_peers(b, b->proxy->groups[i], targets);
@@ -468,6 +477,123 @@
 	}
 }
 
+/*
+ * Returns true if this VM reads the platform's data itself: all VMs of a small
+ * fleet, else the strongest of each failure domain.
+ */
+bool heartbeat_is_reader(const struct heartbeat *b)
+{
+	uint32_t i;
+
+	if (heartbeat_is_full_mesh(b))
+		return true;
+	update_readers((struct heartbeat *)b);
+	for (i = 0; i < b->n_domain_readers; i++) {
+		if (!b->domain_readers[i])
+			return true;
+	}
+	return false;
+}
+
+/* Returns the number of VMs in the fleet that read the platform's data. */
+uint32_t heartbeat_n_readers(const struct heartbeat *b)
+{
+	if (heartbeat_is_full_mesh(b))
+		return heartbeat_n_live(b) + 1;
+	update_readers((struct heartbeat *)b);
+	return b->n_readers;
+}
+
+/* Returns one of the VMs that read for this failure domain, or NULL. */
+const char *heartbeat_domain_reader(const struct heartbeat *b, uint64_t random)
+{
+	const struct peer_vm *v;
+
+	update_readers((struct heartbeat *)b);
+	if (b->n_domain_readers == 0)
+		return NULL;
+	v = b->domain_readers[random % b->n_domain_readers];
+	return v ? v->name : NULL;
+}
+
+/* Sends the next heartbeat at once, also to all VMs of the failure domain. */
+void heartbeat_tell_domain(struct heartbeat *b)
+{
+	b->tell_domain = true;
+	b->next_send_at = 0;
+}
+
+/* Chooses the readers anew if the live VMs have changed. */
+static void update_readers(struct heartbeat *b)
+{
+	const char *domains[DOMAINS_MAX];
+	uint32_t n_domains = 0;
+	uint32_t i;
+
+	if (b->readers_version == b->owners_version + 1)
+		return;
+	b->readers_version = b->owners_version + 1;
+	b->n_domain_readers = 0;
+	add_reader(b, NULL);
+	add_domain(domains, &n_domains, b->proxy->kernel->settings.domain);
+	for (i = 0; i < b->n; i++) {
+		const struct peer_vm *v = b->peers[i];
+
+		if (v->silent || v->draining)
+			continue;
+		add_domain(domains, &n_domains, v->domain);
+		if (strcmp(v->domain, domains[0]) == 0)
+			add_reader(b, v);
+	}
+	b->n_readers = n_domains * DOMAIN_READERS;
+}
+
+/* Adds a failure domain to a list without repetition. */
+static void add_domain(const char **domains, uint32_t *n, const char *domain)
+{
+	uint32_t i;
+
+	for (i = 0; i < *n; i++) {
+		if (strcmp(domains[i], domain) == 0)
+			return;
+	}
+	if (*n < DOMAINS_MAX)
+		domains[(*n)++] = domain;
+}
+
+/* Inserts a VM of this domain among its readers if it ranks high enough. */
+static void add_reader(struct heartbeat *b, const struct peer_vm *v)
+{
+	uint32_t i = b->n_domain_readers;
+
+	if (!v && b->proxy->draining)
+		return;
+	if (i == DOMAIN_READERS) {
+		if (!is_better_reader(b, v, b->domain_readers[i - 1]))
+			return;
+		i--;
+	} else {
+		b->n_domain_readers++;
+	}
+	for (; i > 0 && is_better_reader(b, v, b->domain_readers[i - 1]); i--)
+		b->domain_readers[i] = b->domain_readers[i - 1];
+	b->domain_readers[i] = v;
+}
+
+/* Compares two VMs as readers; NULL is this one. The stronger one is better. */
+static bool is_better_reader(const struct heartbeat *b, const struct peer_vm *v,
+			     const struct peer_vm *w)
+{
+	uint8_t v_capacity = v ? v->capacity : heartbeat_own_capacity(b);
+	uint8_t w_capacity = w ? w->capacity : heartbeat_own_capacity(b);
+	const char *own = b->proxy->kernel->settings.vm;
+
+	if (v_capacity != w_capacity)
+		return v_capacity > w_capacity;
+	return rank_hash(v ? v->name : own, REGISTRY_CATALOG) >
+	       rank_hash(w ? w->name : own, REGISTRY_CATALOG);
+}
+
 /* Draws a random number, for peer_gossip_pick(). */
 static uint64_t draw_random(void *ctx)
 {
--- a/src/proxy/heartbeat_codec.c
+++ b/src/proxy/heartbeat_codec.c
@@ -370,7 +370,8 @@
 		if (term > g->proof.term && db != DB_NONE)
 			db_group_set_primary(g, db, term, v->name);
 		else if (term > g->proof.term)
-			registry_poll_fast(b->proxy->registry, proxy_now());
+			registry_refresh_databases(b->proxy->registry,
+						   proxy_now());
 		/*
 		 * The report counts only if it is about the primary of the term
 		 * that this VM knows.
--- a/src/proxy/heartbeat_internal.h
+++ b/src/proxy/heartbeat_internal.h
@@ -12,6 +12,8 @@
  * heartbeat_codec.c, which encodes and decodes the datagrams.
  */
 
+/* VMs that read the platform's data for their failure domain */
+#define DOMAIN_READERS 2
 /* groups reported in one heartbeat */
 #define HEARTBEAT_GROUPS_MAX 64
 /* What a VM reports of a primary that it finds unresponsive. */
@@ -67,6 +69,12 @@
 	usec_t ticked_at;
 	uint64_t owners_version; /* changes with the result of
 				    heartbeat_service_owner() */
+	bool tell_domain; /* the next heartbeat goes to the whole domain */
+	/* the readers of this domain, first the strongest; NULL: this VM */
+	uint32_t n_domain_readers;
+	const struct peer_vm *domain_readers[DOMAIN_READERS];
+	uint32_t n_readers;	  /* in the fleet */
+	uint64_t readers_version; /* owners_version + 1 when computed */
 	bool left; /* has left the rate limits, as this VM is draining */
 };
 
@@ -81,8 +89,6 @@
 /* Finds a peer by the hash of its name, or NULL. */
 struct peer_vm *heartbeat_find_hash(const struct heartbeat *b, uint32_t hash);
 uint32_t heartbeat_name_hash(const char *name);
-/* True if all VMs of the fleet send each other every heartbeat. */
-bool heartbeat_is_full_mesh(const struct heartbeat *b);
 /* Applies newer news of a peer that another one passed on. */
 void heartbeat_on_news(struct heartbeat *b, struct peer_vm *v, usec_t seen_at,
 		       bool ready, bool draining, uint8_t capacity, usec_t now);
--- a/src/proxy/peer_link.c
+++ b/src/proxy/peer_link.c
@@ -279,6 +279,12 @@
 		break;
 	case LINK_MSG_PONG:
 		break;
+	case LINK_MSG_COPY_REQUEST:
+		registry_copy_on_request(l, &r);
+		break;
+	case LINK_MSG_COPY:
+		registry_copy_on_copy(l, &r);
+		break;
 	default:
 		r.bad = true;
 		break;
--- a/src/proxy/proxy_internal.h
+++ b/src/proxy/proxy_internal.h
@@ -536,6 +536,16 @@
 uint64_t heartbeat_owners_version(const struct heartbeat *b);
 /* True if this VM has received heartbeats of a majority for a while. */
 bool heartbeat_sees_majority(const struct heartbeat *b, usec_t now);
+/* True if this VM reads the platform's data for its failure domain. */
+bool heartbeat_is_reader(const struct heartbeat *b);
+/* True if all VMs of the fleet send each other every heartbeat. */
+bool heartbeat_is_full_mesh(const struct heartbeat *b);
+/* Number of VMs in the fleet that read the platform's data. */
+uint32_t heartbeat_n_readers(const struct heartbeat *b);
+/* One of the VMs that read for this failure domain; NULL: none but this one. */
+const char *heartbeat_domain_reader(const struct heartbeat *b, uint64_t random);
+/* Sends the next heartbeat at once, also to all VMs of the failure domain. */
+void heartbeat_tell_domain(struct heartbeat *b);
 /* Sends the next heartbeat at once. */
 void heartbeat_send_now(struct heartbeat *b);
 /*
@@ -585,6 +595,9 @@
 void rate_limit_client_on_response(struct rate_limiter *l,
 				   struct wire_reader *r);
 
+/* registry_copy.c */
+void registry_copy_request(struct proxy *x, enum registry_copy kind);
+
 /* peer_link.c */
 int peer_link_listen(struct proxy *p, const struct sockaddr *at, socklen_t len);
 void peer_link_tick(struct proxy *p, usec_t now);
--- a/src/proxy/registry.c
+++ b/src/proxy/registry.c
@@ -46,9 +46,26 @@
 #define OUTAGE_EXPIRY_US (3 * USEC_PER_SEC)
 /* Databases taken from one complete list. */
 #define DATABASES_MAX 4096
+/*
+ * In a large fleet only some VMs of a failure domain read the configuration and
+ * the databases from the platform; the others copy them from these. A VM that
+ * knows of newer data, but gets no copy, reads from the platform after this
+ * time: a fifth of the time within which a configuration has to be in force.
+ */
+#define COPY_MAX_US USEC_PER_SEC
+/* Shortest interval between two requests for a copy. */
+#define COPY_RETRY_US (100 * USEC_PER_MSEC)
+/* A VM that starts knows its peers after this time. */
+#define FIRST_WATCH_US USEC_PER_SEC
 
 static const struct registry_codec *codec;
 
+/* What this VM knows to be outdated, and how it obtains a copy. */
+struct outdated {
+	usec_t since;	 /* 0: it is up to date as far as known */
+	usec_t asked_at; /* time of the last request for a copy */
+};
+
 /* One kind of request that is sent repeatedly. */
 struct poll {
 	struct registry *registry;
@@ -84,6 +101,10 @@
 	struct registry_db *list;
 	uint32_t n_list;
 	uint64_t list_hash; /* hash_list() of the newest complete list */
+	bool was_reader;    /* this VM read for its domain at the last tick */
+	struct outdated old_catalog;
+	struct outdated old_databases;
+	char *catalog_reply; /* of the newest catalogue, kept by readers */
 	struct registry_page page;
 };
 
@@ -94,7 +115,12 @@
 static void handle_reply(void *ctx);
 static void handle_catalog_list(struct registry *r, struct poll *p);
 static void handle_catalog_watch(struct registry *r, struct poll *p);
-static bool apply_catalog(struct registry *r, const struct poll *p);
+static bool apply_catalog(struct registry *r, const char *reply, bool is_whole);
+static void apply_list(struct registry *r, usec_t listed_at, usec_t now);
+static void become_reader(struct registry *r, usec_t now);
+static void refresh(struct registry *r, struct outdated *o,
+		    enum registry_copy kind, struct poll *p, usec_t now);
+static void check_outdated(struct outdated *o, struct poll *p, usec_t now);
 static usec_t retry_backoff(const struct registry *r, struct poll *p);
 static void track_outage(struct registry *r, enum platform_result result,
 			 usec_t now);
@@ -162,18 +188,33 @@
 {
 	struct kernel *k = r->proxy->kernel;
 	struct registry_vm self = { .incarnation = k->incarnation };
+	bool is_reader = heartbeat_is_reader(r->proxy->heartbeat);
+
+	if (is_reader && !r->was_reader)
+		become_reader(r, now);
+	r->was_reader = is_reader;
+	check_outdated(&r->old_catalog, &r->read, now);
+	check_outdated(&r->old_databases, &r->databases, now);
 
 	if (is_due(&r->read, now))
 		poll_send(&r->read, PLATFORM_LIST, now);
-	if (is_due(&r->watch, now)) {
+	if (is_due(&r->watch, now) && is_reader) {
 		r->watch.call.after = r->revision;
 		r->watch.call.wait_ms = watch_ms(r);
 		poll_send(&r->watch, PLATFORM_WATCH, now);
 	}
 	if (is_due(&r->databases, now))
 		request_databases(r, "", now);
-	if (is_due(&r->vms, now))
+	if (is_due(&r->vms, now)) {
+		/*
+		 * The first list has to be complete, since the limits of teams
+		 * depend on it; so has any list of a small fleet.
+		 */
+		r->vms.call.stale_ok =
+			r->proxy->vms_known &&
+			!heartbeat_is_full_mesh(r->proxy->heartbeat);
 		poll_send(&r->vms, PLATFORM_LIST, now);
+	}
 	if (is_due(&r->self, now)) {
 		snprintf(self.name, sizeof(self.name), "%s", k->settings.vm);
 		snprintf(self.domain, sizeof(self.domain), "%s",
@@ -214,9 +255,9 @@
 }
 
 /*
- * Compares a peer's digest with this VM's. Requests from the platform the
- * catalogue if the peer's is newer, the databases if the peer's list differs
- * and is newer, and the VMs if the peer knows others.
+ * Compares a peer's digest with this VM's. Obtains the catalogue if the peer's
+ * is newer, the databases if the peer's list differs and is newer, and the VMs
+ * if the peer knows others.
  */
 void registry_on_peer_digest(struct registry *r,
 			     const struct registry_digest *n, usec_t now)
@@ -224,11 +265,11 @@
 	struct registry_digest known = registry_digest(r, now);
 
 	if (n->catalog > known.catalog && r->read.due_at == 0)
-		r->read.due_at = now;
+		refresh(r, &r->old_catalog, REGISTRY_COPY_CATALOG, &r->read,
+			now);
 	if (n->databases != known.databases &&
-	    n->databases_age_ms < known.databases_age_ms &&
-	    r->databases.due_at > now)
-		r->databases.due_at = now;
+	    n->databases_age_ms < known.databases_age_ms)
+		registry_refresh_databases(r, now);
 	if (n->vms != known.vms && r->proxy->vms_known &&
 	    r->vms.due_at > r->vms.requested_at + VMS_LIST_INTERVAL_MIN_US)
 		r->vms.due_at = r->vms.requested_at + VMS_LIST_INTERVAL_MIN_US;
@@ -365,7 +406,7 @@
 static uint32_t watch_ms(const struct registry *r)
 {
 	uint32_t ms =
-		WATCH_PER_VM_MS * (heartbeat_n_live(r->proxy->heartbeat) + 1);
+		WATCH_PER_VM_MS * heartbeat_n_readers(r->proxy->heartbeat);
 
 	if (ms > WATCH_MAX_MS)
 		ms = WATCH_MAX_MS;
@@ -377,11 +418,12 @@
 {
 	const struct proxy_policy *policy = &r->proxy->policy;
 	usec_t delay = policy->registry_interval *
-		       (heartbeat_n_live(r->proxy->heartbeat) + 1);
+		       heartbeat_n_readers(r->proxy->heartbeat);
 
 	if (now < r->fast_until)
 		return policy->registry_fast_interval;
-	if (delay > LIST_INTERVAL_MAX_US)
+	if (delay > LIST_INTERVAL_MAX_US ||
+	    !heartbeat_is_reader(r->proxy->heartbeat))
 		delay = LIST_INTERVAL_MAX_US;
 	return (usec_t)random_delay(r, (uint64_t)delay);
 }
@@ -389,11 +431,11 @@
 /* Handles the reply with the whole catalogue and starts the first watch. */
 static void handle_catalog_list(struct registry *r, struct poll *p)
 {
-	if (!apply_catalog(r, p))
+	if (p->call.result != PLATFORM_OK || !apply_catalog(r, p->reply, true))
 		return;
 	p->due_at = 0;
 	if (r->watch.due_at == 0)
-		r->watch.due_at = proxy_now();
+		r->watch.due_at = proxy_now() + FIRST_WATCH_US;
 }
 
 /*
@@ -413,33 +455,38 @@
 			r->read.due_at = proxy_now();
 		return;
 	}
-	if (apply_catalog(r, p))
+	if (p->call.result == PLATFORM_OK && apply_catalog(r, p->reply, false))
 		p->due_at = proxy_now();
 }
 
 /*
- * Brings a newer configuration into force; an older one is ignored. Returns
- * false if the request failed or its reply is malformed.
+ * Brings a newer configuration into force; an older one is ignored. "is_whole":
+ * the reply tells the present state, not only changes of it. Returns false if
+ * the reply is missing or malformed.
  */
-static bool apply_catalog(struct registry *r, const struct poll *p)
+static bool apply_catalog(struct registry *r, const char *reply, bool is_whole)
 {
 	struct proxy *x = r->proxy;
 	struct catalog *c;
 	struct error e;
 	uint64_t revision = 0;
 
-	if (p->call.result != PLATFORM_OK || !p->reply)
+	if (!reply)
 		return false;
 	error_clear(&e);
-	c = codec->catalog(p->reply, &revision, &e);
+	c = codec->catalog(reply, &revision, &e);
 	if (e.code != ERR_NONE) {
 		log_error(EV_CONFIG_REFUSED, &e);
 		return false;
 	}
-	if (c || p == &r->read)
+	if ((c || is_whole) && revision > r->revision)
 		r->revision = revision;
 	if (!c)
 		return true;
+	if (!x->catalog || c->revision >= x->catalog->revision) {
+		free(r->catalog_reply);
+		r->catalog_reply = r->was_reader ? strdup(reply) : NULL;
+	}
 	if (x->catalog && c->revision <= x->catalog->revision) {
 		catalog_destroy(c);
 		return true;
@@ -451,9 +498,14 @@
 		  c->n_keys);
 	catalog_destroy(x->catalog);
 	x->catalog = c;
+	r->old_catalog.since = 0;
+	if (r->was_reader)
+		heartbeat_tell_domain(x->heartbeat);
 	/* Lists again, as databases of unknown services were skipped. */
-	if (db_group_apply_catalog(x, proxy_now()))
-		r->databases.due_at = proxy_now();
+	if (db_group_apply_catalog(x, proxy_now())) {
+		r->listed_at = 0;
+		registry_refresh_databases(r, proxy_now());
+	}
 	return true;
 }
 
@@ -471,10 +523,8 @@
 /* Handles one page, and the complete list with the last one. */
 static void handle_databases(struct registry *r, struct poll *p)
 {
-	struct proxy *x = r->proxy;
 	usec_t now = proxy_now();
 	struct error e;
-	usec_t relist_at;
 
 	if (p->call.result != PLATFORM_OK || !p->reply)
 		return;
@@ -491,19 +541,118 @@
 		request_databases(r, r->page.last, now);
 		return;
 	}
+	apply_list(r, p->requested_at, now);
+	if (r->list_again_now)
+		p->due_at = now;
+	r->list_again_now = false;
+}
+
+/* Applies the complete list in r->list, requested at "listed_at". */
+static void apply_list(struct registry *r, usec_t listed_at, usec_t now)
+{
+	struct proxy *x = r->proxy;
+	uint64_t old_hash = r->list_hash;
+	usec_t relist_at;
+
 	if (r->complete_from == 0)
 		r->complete_from = now + REREGISTER_MAX_US;
-	r->listed_at = p->requested_at;
+	r->listed_at = listed_at;
 	r->list_hash = hash_list(r);
-	p->due_at = now + list_interval(r, now);
+	r->old_databases.since = 0;
+	r->databases.due_at = now + list_interval(r, now);
 	x->databases_known = r->n_list > 0;
-	relist_at = db_group_apply_databases(x, r->list, r->n_list,
-					     p->requested_at);
-	if (relist_at && relist_at < p->due_at)
-		p->due_at = relist_at > now ? relist_at : now;
-	if (r->list_again_now)
+	relist_at = db_group_apply_databases(x, r->list, r->n_list, listed_at);
+	if (relist_at && relist_at < r->databases.due_at)
+		r->databases.due_at = relist_at > now ? relist_at : now;
+	if (r->list_hash != old_hash && r->was_reader)
+		heartbeat_tell_domain(x->heartbeat);
+}
+
+/* Starts to read for the failure domain. */
+static void become_reader(struct registry *r, usec_t now)
+{
+	if (!r->proxy->catalog)
+		return;
+	if (r->watch.due_at == 0 || r->watch.due_at > now)
+		r->watch.due_at = now;
+	if (!r->catalog_reply && r->read.due_at == 0)
+		r->read.due_at = now;
+	if (r->databases.due_at > now + list_interval(r, now))
+		r->databases.due_at = now + list_interval(r, now);
+}
+
+/* Obtains the newest list of databases, from a peer if possible. */
+void registry_refresh_databases(struct registry *r, usec_t now)
+{
+	if (r->databases.due_at > now)
+		refresh(r, &r->old_databases, REGISTRY_COPY_DATABASES,
+			&r->databases, now);
+}
+
+/*
+ * Requests a copy of what is outdated, from a VM that reads for this failure
+ * domain. A reader requests it from the platform.
+ */
+static void refresh(struct registry *r, struct outdated *o,
+		    enum registry_copy kind, struct poll *p, usec_t now)
+{
+	if (heartbeat_is_reader(r->proxy->heartbeat)) {
 		p->due_at = now;
-	r->list_again_now = false;
+		return;
+	}
+	if (o->since == 0)
+		o->since = now;
+	if (now - o->asked_at < COPY_RETRY_US)
+		return;
+	o->asked_at = now;
+	registry_copy_request(r->proxy, kind);
+}
+
+/* Reads from the platform what no peer has sent a copy of in time. */
+static void check_outdated(struct outdated *o, struct poll *p, usec_t now)
+{
+	if (o->since == 0 || now - o->since < COPY_MAX_US)
+		return;
+	o->since = 0;
+	p->due_at = now;
+}
+
+/* Returns the platform's reply with the newest catalogue, NULL if not kept. */
+const char *registry_catalog_reply(const struct registry *r)
+{
+	return r->catalog_reply;
+}
+
+/* Returns the newest complete list of databases; 0 while one is being read. */
+const struct registry_db *registry_list(const struct registry *r, uint32_t *n)
+{
+	*n = r->databases.busy ? 0 : r->n_list;
+	return r->list;
+}
+
+/* Applies a peer's copy of the catalogue. */
+void registry_apply_catalog_copy(struct registry *r, const char *reply)
+{
+	(void)apply_catalog(r, reply, false);
+}
+
+/*
+ * Applies a peer's copy of the list of databases, unless this VM has a newer
+ * one or is reading one.
+ */
+void registry_apply_list_copy(struct registry *r, const struct registry_db *db,
+			      uint32_t n, usec_t listed_at, bool is_settled)
+{
+	usec_t now = proxy_now();
+
+	if (r->databases.busy || listed_at <= r->listed_at ||
+	    n > DATABASES_MAX || n == 0)
+		return;
+	memcpy(r->list, db, n * sizeof(*db));
+	r->n_list = n;
+	if (!is_settled)
+		r->complete_from = now + REREGISTER_MAX_US;
+	apply_list(r, listed_at, now);
 }
 
 /*
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -96,12 +96,37 @@
  */
 #define REREGISTER_MAX_US (2500 * USEC_PER_MSEC)
 
+/* What VMs copy from each other. */
+enum registry_copy {
+	REGISTRY_COPY_CATALOG = 1,
+	REGISTRY_COPY_DATABASES = 2,
+};
+
+/*
+ * A copy that is under way for longer than this counts as younger than it is.
+ * Links fail sooner.
+ */
+#define REGISTRY_COPY_DELAY_MAX_US (500 * USEC_PER_MSEC)
+
 /* Starts to follow the platform. All callbacks run on the proxy's thread. */
 struct registry *registry_create(struct proxy *p);
 void registry_start(struct registry *r);
 void registry_tick(struct registry *r, usec_t now);
 /* Lists the databases more often for a while. */
 void registry_poll_fast(struct registry *r, usec_t now);
+/*
+ * This VM's copies, for other VMs of its failure domain: the reply of the
+ * platform that holds the newest configuration (NULL if it is not kept), and
+ * the newest list of databases.
+ */
+const char *registry_catalog_reply(const struct registry *r);
+const struct registry_db *registry_list(const struct registry *r, uint32_t *n);
+/* Applies a copy of a peer: a reply of the platform, or a list of databases. */
+void registry_apply_catalog_copy(struct registry *r, const char *reply);
+void registry_apply_list_copy(struct registry *r, const struct registry_db *db,
+			      uint32_t n, usec_t listed_at, bool is_settled);
+/* Obtains the newest list of databases, from a peer if possible. */
+void registry_refresh_databases(struct registry *r, usec_t now);
 /* Lists the databases now, or right after the list in progress. */
 void registry_list_now(struct registry *r, usec_t now);
 /*
--- a/src/proxy/remote.h
+++ b/src/proxy/remote.h
@@ -21,6 +21,8 @@
 	LINK_MSG_LOST = 4, /* the stream's transaction was lost while idle */
 	LINK_MSG_PING = 5,
 	LINK_MSG_PONG = 6,
+	LINK_MSG_COPY_REQUEST = 7, /* of the platform's data */
+	LINK_MSG_COPY = 8,
 };
 
 /* Bits of the flags of LINK_MSG_RUN. */
@@ -93,6 +95,10 @@
 void remote_client_on_lost(struct peer_link *l, struct wire_reader *r);
 void remote_client_on_link_closed(struct peer_link *l);
 
+/* registry_copy.c */
+void registry_copy_on_request(struct peer_link *l, struct wire_reader *r);
+void registry_copy_on_copy(struct peer_link *l, struct wire_reader *r);
+
 /* remote_server.c */
 void remote_server_on_run(struct peer_link *l, struct wire_reader *r);
 void remote_server_on_release(struct peer_link *l, struct wire_reader *r);
--- a/src/proxy/remote_client.c
+++ b/src/proxy/remote_client.c
@@ -43,6 +43,7 @@
 static bool parse_done(struct wire_reader *r, struct done_msg *m);
 static void note_result(struct remote_stream *r, const struct done_msg *m);
 static void finish(struct session *s, const struct done_msg *m);
+static bool is_owners_reason(const struct done_msg *m);
 static void set_idle(struct remote_stream *r);
 static void free_stream(struct remote_stream *r);
 
@@ -343,9 +344,8 @@
 		    !(s->in_tx && s->tx_answered))
 			session_refuse_overdue(s);
 		else
-			dispatch_retry(s, m->flags & DONE_NOT_PRIMARY
-						  ? REPLY_ERR_NONE
-						  : m->code);
+			dispatch_retry(s, is_owners_reason(m) ? REPLY_ERR_NONE
+							      : m->code);
 		return;
 	}
 	reply = evbuffer_new();
@@ -363,6 +363,16 @@
 	evbuffer_free(reply);
 }
 
+/*
+ * True if the refusal concerns the owner's view of the group, of which it has
+ * taken care itself.
+ */
+static bool is_owners_reason(const struct done_msg *m)
+{
+	return (m->flags & DONE_NOT_PRIMARY) ||
+	       m->code == REPLY_ERR_WRONG_DATABASE;
+}
+
 /* Records that the stream's statement has its result. */
 static void set_idle(struct remote_stream *r)
 {
--- a/src/proxy/remote_server.c
+++ b/src/proxy/remote_server.c
@@ -161,6 +161,8 @@
 		s->exec.last_refusal = code;
 	if (code == REPLY_ERR_BUSY)
 		conn_pool_on_busy(d);
+	if (code == REPLY_ERR_WRONG_DATABASE)
+		registry_poll_fast(s->proxy->registry, proxy_now());
 	s->tx_at_database = false;
 	if (!s->tx_answered &&
 	    (code == REPLY_ERR_BUSY || code == REPLY_ERR_TOO_MANY)) {
