Raise a lowered connection limit every 250 ms

Cause: after a database had refused a connection, the limit rose by one in 2 s. Change: a step of 250 ms.

--- a/src/proxy/conn_pool.c
+++ b/src/proxy/conn_pool.c
@@ -5,7 +5,7 @@
 /*
  * A connection limit that was lowered by a refusal rises by one per interval.
  */
-#define CONN_LIMIT_STEP_US (2 * USEC_PER_SEC)
+#define CONN_LIMIT_STEP_US (250 * USEC_PER_MSEC)
 /*
  * The back-off doubles with each refusal in a row up to this many. A database
  * drops connections whose peer has died only after 3 s.
