Serve statements that are on time first, refuse what can't end in time

Cause: in an overload the queue of a database served statements by age, so that each waited nearly to its deadline: all were late, and the rest was held to the deadline before it was refused. Change: queued statements that can still meet their route's latency target go before those that can't, then by priority and age; an owner refuses a statement at once that is not expected to end before its deadline (decide/queue_wait), with the time after which the queue is done. A read is tried at another database before. Tests: QueueWait, an overload of three times the capacity, simulated.

--- a/src/proxy/dispatch.c
+++ b/src/proxy/dispatch.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "decide/queue_wait.h"
 #include "kernel/counters.h"
 #include "kernel/log.h"
 #include "proxy/proxy_internal.h"
@@ -29,6 +30,9 @@
 static bool is_usable(const struct db_member *db, usec_t now);
 static void view_database(struct session *s, struct db_member *d, usec_t now,
 			  struct load_balance_db *out);
+static void start_waiting(struct db_group *g, bool is_on_time, usec_t now);
+static bool meets_target(const struct session *s, usec_t now);
+static bool is_too_late(const struct session *s, usec_t now);
 static void enqueue(struct session *s);
 static void dequeue(struct session *s);
 static bool goes_before(const struct session *a, const struct session *b);
@@ -54,8 +58,10 @@
 	/* dispatch_waiting() starts queued ones when resources become free. */
 	if (try_start(s, now))
 		return;
-	if (!s->exec.needs_primary || s->tx_at_database ||
-	    !db_group_failover_overdue(s->group, now))
+	if (s->stream && !s->tx_at_database && is_too_late(s, now))
+		remote_server_refuse_overloaded(s);
+	else if (!s->exec.needs_primary || s->tx_at_database ||
+		 !db_group_failover_overdue(s->group, now))
 		enqueue(s);
 	else if (s->stream)
 		remote_server_refuse_unserved(s);
@@ -67,18 +73,31 @@
 }
 
 /*
- * Starts queued statements in order of priority and age, as far as databases
- * and connections are available.
+ * Starts queued statements as far as databases and connections are available:
+ * first those that can still meet their latency target, so that an overload
+ * does not make all of them late; then by priority and age.
  */
 void dispatch_waiting(struct db_group *g)
 {
 	usec_t now = proxy_now();
-	struct session *next;
-	struct session *s;
 
 	if (g->is_dispatching)
 		return;
 	g->is_dispatching = true;
+	start_waiting(g, true, now);
+	start_waiting(g, false, now);
+	g->is_dispatching = false;
+}
+
+/*
+ * Starts queued statements that can still meet the latency target of their
+ * route, or the others. Gives those back that are overdue.
+ */
+static void start_waiting(struct db_group *g, bool is_on_time, usec_t now)
+{
+	struct session *next;
+	struct session *s;
+
 	for (s = TAILQ_FIRST(&g->waiting); s; s = next) {
 		next = TAILQ_NEXT(s, queue_entry);
 		if (s->stream && remote_server_is_overdue(s, now)) {
@@ -86,13 +105,13 @@
 			remote_server_refuse(s, s->exec.last_refusal, 0);
 			continue;
 		}
-		if (s->exec.retry_at > now)
+		if (s->exec.retry_at > now ||
+		    meets_target(s, now) != is_on_time)
 			continue;
 		dequeue(s);
 		if (!try_start(s, now))
 			enqueue(s);
 	}
-	g->is_dispatching = false;
 }
 
 /*
@@ -181,6 +200,26 @@
 	backend_release(b);
 }
 
+/*
+ * Returns true if a database is left that has not refused the statement, the
+ * one that it was last sent to included.
+ */
+bool dispatch_has_choice(const struct session *s)
+{
+	const struct db_group *g = s->group;
+	uint32_t refused = s->exec.tried_mask;
+	usec_t now = proxy_now();
+	uint32_t i;
+
+	if (s->exec.db < DB_GROUP_MEMBERS_MAX)
+		refused |= 1U << s->exec.db;
+	for (i = 0; i < DB_GROUP_MEMBERS_MAX; i++) {
+		if (is_usable(&g->db[i], now) && !(refused & (1U << i)))
+			return true;
+	}
+	return false;
+}
+
 /* Queues a statement that has to wait for its database. */
 void dispatch_requeue(struct session *s)
 {
@@ -280,6 +319,44 @@
 	return start_at(s, t->db);
 }
 
+/*
+ * True if the statement waits for a slot of the database chosen for it, and is
+ * not expected to get one before it is given back.
+ */
+static bool is_too_late(const struct session *s, usec_t now)
+{
+	const struct db_group *g = s->group;
+	const struct db_member *d = &g->db[s->exec.db];
+	struct queue_wait q = {
+		.slots = d->slots,
+		.running = d->running,
+		.service = d->latency,
+	};
+	const struct session *at;
+
+	if (conn_pool_has_free_slot(d))
+		return false;
+	TAILQ_FOREACH(at, &g->waiting, queue_entry)
+	{
+		if (goes_before(s, at))
+			break;
+		q.ahead += at->stream && at->exec.db == s->exec.db &&
+			   meets_target(at, now);
+	}
+	return queue_wait_is_too_long(&q, s->exec.deadline - now);
+}
+
+/*
+ * True if the statement began less than its route's latency target ago, or has
+ * begun a transaction, which occupies a connection.
+ */
+static bool meets_target(const struct session *s, usec_t now)
+{
+	return s->tx_at_database || s->latency_target_ms == 0 ||
+	       now - s->exec.began_at <
+		       (usec_t)s->latency_target_ms * USEC_PER_MSEC;
+}
+
 /* True if several databases lacked the position that the read needs. */
 static bool is_lagging_everywhere(const struct stmt_exec *t)
 {
--- a/src/proxy/proxy_internal.h
+++ b/src/proxy/proxy_internal.h
@@ -268,6 +268,7 @@
 	uint32_t timeout_ms;
 	uint32_t priority;
 	uint32_t max_staleness_ms;
+	uint32_t latency_target_ms; /* of an operation; 0: none */
 	uint32_t tx_idle_ms;
 	struct stmt_exec exec;
 };
@@ -424,6 +425,8 @@
 			const char *reason);
 /* Refuses a statement that was not executed and has too little time left. */
 void session_refuse_overdue(struct session *s);
+/* Refuses a statement whose database has too many others. */
+void session_refuse_overloaded(struct session *s, usec_t retry_after);
 
 /* dispatch.c */
 void dispatch_start(struct session *s);
@@ -431,6 +434,8 @@
 void dispatch_cancel(struct session *s);
 void dispatch_retry(struct session *s, enum reply_error_code code);
 void dispatch_on_connected(struct session *s, struct backend *b);
+/* True if a database is left that has not refused the statement. */
+bool dispatch_has_choice(const struct session *s);
 /* Queues a statement that has to wait for its database. */
 void dispatch_requeue(struct session *s);
 /* Takes the connection or stream from a session. */
@@ -617,6 +622,7 @@
 void remote_server_refuse(struct session *s, enum reply_error_code code,
 			  uint32_t flags);
 void remote_server_refuse_unserved(struct session *s);
+void remote_server_refuse_overloaded(struct session *s);
 void remote_server_refuse_not_primary(struct session *s);
 void remote_server_on_lost(struct session *s);
 bool remote_server_is_overdue(const struct session *s, usec_t now);
--- a/src/proxy/remote.h
+++ b/src/proxy/remote.h
@@ -44,6 +44,8 @@
 	DONE_FINAL = 4,
 	/* the owner knows another primary, or none */
 	DONE_NOT_PRIMARY = 8,
+	/* it could not start before its deadline */
+	DONE_OVERLOADED = 16,
 };
 
 /* One end of a link. */
--- a/src/proxy/remote_client.c
+++ b/src/proxy/remote_client.c
@@ -153,9 +153,10 @@
 
 /*
  * Sends [type, stream, service, database, team, flags, time to the deadline,
- * age, consistency, staleness bound, priority, last commit (service, term,
- * position), term if the database is known as primary, variables, prepared
- * statement, line]; times in microseconds but for the bound, in milliseconds.
+ * age, consistency, staleness bound, priority, latency target, last commit
+ * (service, term, position), term if the database is known as primary,
+ * variables, prepared statement, line]; times in microseconds, but the bound
+ * and the target in milliseconds.
  */
 static void send_run(struct remote_stream *r)
 {
@@ -168,7 +169,7 @@
 
 	msgpack_sbuffer_init(&buf);
 	msgpack_packer_init(&p, &buf, msgpack_sbuffer_write);
-	msgpack_pack_array(&p, 18);
+	msgpack_pack_array(&p, 19);
 	msgpack_pack_uint32(&p, LINK_MSG_RUN);
 	msgpack_pack_uint64(&p, r->id);
 	wire_put_str(&p, g->service);
@@ -181,6 +182,7 @@
 	msgpack_pack_uint32(&p, s->consistency);
 	msgpack_pack_uint32(&p, s->max_staleness_ms);
 	msgpack_pack_uint32(&p, s->priority);
+	msgpack_pack_uint32(&p, s->latency_target_ms);
 	wire_put_str(&p, s->last_commit_service);
 	msgpack_pack_uint64(&p, s->last_commit.term);
 	msgpack_pack_uint64(&p, s->last_commit.position);
@@ -325,6 +327,15 @@
 {
 	struct evbuffer *reply;
 
+	if (m->result == RESULT_NOT_RUN && (m->flags & DONE_OVERLOADED) &&
+	    (s->exec.needs_primary || !dispatch_has_choice(s))) {
+		const struct db_member *d = &s->group->db[s->exec.db];
+
+		session_refuse_overloaded(
+			s, d->latency * (usec_t)d->remote_load /
+				   (usec_t)(d->slots ? d->slots : 1));
+		return;
+	}
 	if (m->result == RESULT_NOT_RUN && (m->flags & DONE_FINAL)) {
 		session_send_error(
 			s, s->in_tx ? REPLY_ERR_ABORTED : REPLY_ERR_BUSY,
--- a/src/proxy/remote_server.c
+++ b/src/proxy/remote_server.c
@@ -32,6 +32,7 @@
 	uint64_t consistency;
 	uint64_t max_staleness_ms;
 	uint64_t priority;
+	uint64_t latency_target_ms;
 	char commit_service[NAME_MAX_BYTES];
 	struct log_pos commit;
 	uint64_t term; /* the database is primary of this term; 0: is not */
@@ -186,6 +187,12 @@
 	remote_server_refuse(s, REPLY_ERR_BUSY, DONE_FINAL);
 }
 
+/* Gives a statement back that could not start before its deadline. */
+void remote_server_refuse_overloaded(struct session *s)
+{
+	remote_server_refuse(s, REPLY_ERR_BUSY, DONE_OVERLOADED);
+}
+
 /* Gives a statement back whose database is not the primary. */
 void remote_server_refuse_not_primary(struct session *s)
 {
@@ -228,6 +235,7 @@
 	m->consistency = wire_u64(r);
 	m->max_staleness_ms = wire_u64(r);
 	m->priority = wire_u64(r);
+	m->latency_target_ms = wire_u64(r);
 	wire_str(r, m->commit_service, sizeof(m->commit_service));
 	m->commit.term = wire_u64(r);
 	m->commit.position = wire_u64(r);
@@ -288,6 +296,7 @@
 	s->consistency = (enum read_consistency)m->consistency;
 	s->max_staleness_ms = (uint32_t)m->max_staleness_ms;
 	s->priority = (uint32_t)m->priority;
+	s->latency_target_ms = (uint32_t)m->latency_target_ms;
 	s->last_commit = m->commit;
 	snprintf(s->last_commit_service, sizeof(s->last_commit_service), "%s",
 		 m->commit_service);
--- a/src/proxy/session.c
+++ b/src/proxy/session.c
@@ -553,6 +553,7 @@
 	s->timeout_ms = r->timeout_ms;
 	s->priority = r->priority;
 	s->max_staleness_ms = r->max_staleness_ms;
+	s->latency_target_ms = r->latency_target_ms;
 	s->tx_idle_ms = c->transaction_idle_ms;
 	return true;
 }
--- a/src/proxy/session_outcome.c
+++ b/src/proxy/session_outcome.c
@@ -222,6 +222,18 @@
 	session_send_error(s, code, sent);
 }
 
+/* Refuses a statement whose database has more work than it can do in time. */
+void session_refuse_overloaded(struct session *s, usec_t retry_after)
+{
+	char reason[96];
+
+	snprintf(reason, sizeof(reason),
+		 "database overloaded, not run, retry after %lld ms",
+		 (long long)(retry_after / USEC_PER_MSEC) + 1);
+	session_send_error(s, s->in_tx ? REPLY_ERR_ABORTED : REPLY_ERR_BUSY,
+			   reason);
+}
+
 /* Refuses a statement that was not executed and has too little time left. */
 void session_refuse_overdue(struct session *s)
 {
