--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -31,6 +31,8 @@
 	X(2005, STATEMENT_AGAIN, INFO, "statement tried elsewhere")         \
 	X(2006, TRANSACTION_IDLE, INFO, "idle transaction ended")           \
 	X(2007, TRANSACTION_LOST, WARN, "transaction lost its connection")  \
+	X(2008, STATEMENT_SERVED, INFO, "statement of another VM executed") \
+	X(2009, STATEMENT_RETURNED, INFO, "statement given back to its VM") \
 	X(3001, DB_LOST, WARN, "database does not answer")                  \
 	X(3002, DB_BACK, INFO, "database answers again")                    \
 	X(3003, DB_SUSPECT, WARN, "connection closed after overdue reply")  \
--- a/src/proxy/dispatch.c
+++ b/src/proxy/dispatch.c
@@ -160,10 +160,11 @@
 		t->last_refusal = code;
 	t->attempts++;
 	log_event(EV_STATEMENT_AGAIN,
-		  "id=%s service=%s database=%s code=%s attempts=%u", t->id,
-		  g->service,
+		  "id=%s service=%s database=%s via=%s code=%s attempts=%u",
+		  t->id, g->service,
 		  t->db < DB_GROUP_MEMBERS_MAX ? g->db[t->db].id : "-",
-		  s->proxy->protocol->code_name(code), t->attempts);
+		  t->via ? t->via : "-", s->proxy->protocol->code_name(code),
+		  t->attempts);
 	counter_add(CTR_RETRIES, 1);
 	if (s->in_tx && s->tx_answered) {
 		session_on_result(s, RESULT_NOT_RUN, REPLY_ERR_ABORTED, NULL,
@@ -396,6 +397,8 @@
 	if (way == LOAD_BALANCE_CONN_NONE)
 		return false;
 	s->exec.db = db;
+	if (!s->stream)
+		s->exec.via = NULL;
 	b = conn_pool_acquire(d, s, way);
 	if (!b)
 		return false;
--- a/src/proxy/peer_link.c
+++ b/src/proxy/peer_link.c
@@ -147,7 +147,8 @@
 		return;
 	l->closed = true;
 	log_event(EV_LINK_CLOSED, "peer=%s open=%d running=%u reason=\"%s\"",
-		  l->peer[0] ? l->peer : "-", l->is_open, l->n_running, reason);
+		  l->peer[0] ? l->peer : l->address, l->is_open, l->n_running,
+		  reason);
 	bufferevent_disable(l->bev, EV_READ | EV_WRITE);
 	bufferevent_setcb(l->bev, NULL, NULL, NULL, NULL);
 	TAILQ_REMOVE(&l->proxy->links, l, entry);
@@ -198,13 +199,13 @@
 	struct peer_link *l = link_create(ctx, fd);
 
 	(void)listener;
-	(void)from;
 	(void)len;
 	if (!l) {
 		evutil_closesocket(fd);
 		return;
 	}
 	l->is_open = true;
+	address_format(from, l->address);
 	backend_set_socket_options(fd);
 }
 
--- a/src/proxy/proxy_internal.h
+++ b/src/proxy/proxy_internal.h
@@ -215,6 +215,7 @@
 	struct log_pos after;
 	uint32_t tried_mask; /* bit mask of the databases that refused it */
 	uint32_t db;	     /* index of the database it was last sent to */
+	const char *via;     /* VM that it was forwarded to; NULL: none */
 	uint32_t attempts;
 	usec_t began_at;
 	usec_t arrived_at; /* at this VM; as began_at unless forwarded */
--- a/src/proxy/remote.h
+++ b/src/proxy/remote.h
@@ -55,6 +55,7 @@
 	struct bufferevent *bev;
 	/* name of the VM that the link was opened to; empty if accepted */
 	char peer[NAME_MAX_BYTES];
+	char address[ADDR_MAX_BYTES]; /* of the peer, if accepted */
 	bool is_open;
 	bool closed; /* waits for peer_link_reap() */
 	usec_t opened_at;
--- a/src/proxy/remote_client.c
+++ b/src/proxy/remote_client.c
@@ -67,6 +67,7 @@
 	r->db = db;
 	TAILQ_INSERT_TAIL(&l->streams, r, entry);
 	s->remote = r;
+	s->exec.via = owner;
 	counter_add(CTR_FORWARDS, 1);
 	send_run(r);
 	return true;
--- a/src/proxy/remote_server.c
+++ b/src/proxy/remote_server.c
@@ -50,6 +50,8 @@
 static void send_done(struct served_stream *v, enum exec_result result,
 		      enum reply_error_code code, uint32_t flags,
 		      struct evbuffer *reply, const struct reply_msg *ready);
+static void log_served(const struct session *s, enum exec_result result,
+		       enum reply_error_code code);
 static void requeue(struct session *s);
 static void free_stream(struct served_stream *v);
 
@@ -140,11 +142,13 @@
 	if (result == RESULT_REPLY && s->in_tx && !t->is_commit &&
 	    ready->state == STATE_OPEN) {
 		s->tx_answered = true;
+		log_served(s, result, code);
 		send_done(s->stream, result, code, flags | DONE_STREAM_OPEN,
 			  reply, ready);
 		t->stage = EXEC_NONE;
 		return;
 	}
+	log_served(s, result, code);
 	send_done(s->stream, result, code, flags, reply, ready);
 	free_stream(s->stream);
 }
@@ -177,6 +181,16 @@
 void remote_server_refuse(struct session *s, enum reply_error_code code,
 			  uint32_t flags)
 {
+	const struct db_group *g = s->group;
+
+	log_event(EV_STATEMENT_RETURNED,
+		  "id=%s service=%s database=%s from=%s code=%s flags=%u "
+		  "waited_us=%lld load=%u",
+		  s->exec.id, g ? g->service : "-",
+		  g ? g->db[s->exec.db].id : "-", s->stream->link->address,
+		  s->proxy->protocol->code_name(code), flags,
+		  (long long)(proxy_now() - s->exec.arrived_at),
+		  g ? db_member_load(&g->db[s->exec.db]) : 0);
 	send_done(s->stream, RESULT_NOT_RUN, code, flags, NULL, NULL);
 	free_stream(s->stream);
 }
@@ -389,6 +403,25 @@
 	msgpack_sbuffer_destroy(&buf);
 }
 
+/* Logs a statement that was sent to the database. */
+static void log_served(const struct session *s, enum exec_result result,
+		       enum reply_error_code code)
+{
+	const struct stmt_exec *t = &s->exec;
+	usec_t proved_at = s->group->proof.proved_at;
+	usec_t now = proxy_now();
+
+	log_event(EV_STATEMENT_SERVED,
+		  "id=%s service=%s database=%s from=%s result=%d code=%s "
+		  "waited_us=%lld took_us=%lld proof_age_us=%lld",
+		  t->id, s->group->service, s->group->db[t->db].id,
+		  s->stream->link->address, (int)result,
+		  s->proxy->protocol->code_name(code),
+		  (long long)(t->sent_at - t->arrived_at),
+		  (long long)(now - t->sent_at),
+		  (long long)(proved_at == INT64_MIN ? -1 : now - proved_at));
+}
+
 /* Queues the statement again after a short delay. */
 static void requeue(struct session *s)
 {
--- a/src/proxy/session.c
+++ b/src/proxy/session.c
@@ -277,6 +277,7 @@
 	t->is_commit = false;
 	t->is_write = false;
 	t->is_proved = false;
+	t->via = NULL;
 	if (s->state == STATE_FAILED) {
 		handle_in_failed(s);
 		return;
--- a/src/proxy/session_outcome.c
+++ b/src/proxy/session_outcome.c
@@ -136,12 +136,14 @@
 
 	log_event(code == REPLY_ERR_IN_DOUBT ? EV_CALLER_UNKNOWN
 					     : EV_STATEMENT_REFUSED,
-		  "id=%s team=%s service=%s database=%s code=%s attempts=%u "
+		  "id=%s team=%s service=%s database=%s via=%s code=%s "
+		  "attempts=%u "
 		  "waited_us=%lld reason=\"%s\"",
 		  s->exec.id, s->team, s->group ? s->group->service : "-",
 		  s->group && s->exec.db < DB_GROUP_MEMBERS_MAX
 			  ? s->group->db[s->exec.db].id
 			  : "-",
+		  s->exec.via ? s->exec.via : "-",
 		  s->proxy->protocol->code_name(code), s->exec.attempts,
 		  (long long)(proxy_now() - s->exec.began_at), reason);
 	counter_add(code == REPLY_ERR_IN_DOUBT ? CTR_UNKNOWN : CTR_NOT_RUN, 1);
@@ -249,10 +251,11 @@
 	struct stmt_exec *t = &s->exec;
 
 	log_event(EV_STATEMENT_DONE,
-		  "id=%s team=%s tx=%d service=%s database=%s took_us=%lld "
+		  "id=%s team=%s tx=%d service=%s database=%s via=%s "
+		  "took_us=%lld "
 		  "attempts=%u after=%llu.%llu at=%llu.%llu",
 		  t->id, s->team, s->in_tx, s->group->service,
-		  s->group->db[t->db].id,
+		  s->group->db[t->db].id, t->via ? t->via : "-",
 		  (long long)(proxy_now() - t->began_at), t->attempts,
 		  (unsigned long long)(t->has_after ? t->after.term : 0),
 		  (unsigned long long)(t->has_after ? t->after.position : 0),
--- a/tests/process/sessions.sh
+++ b/tests/process/sessions.sh
@@ -12,6 +12,16 @@
 	return 0
 }
 
+# Each statement that one VM reports as executed via the other is found there.
+forwarded_under_id() {
+	for id in $(sed -n 's/.*statement_done vm=s1 id=\([^ ]*\) .* via=s2 .*/\1/p' "$T/s1.out"); do
+		grep -q "statement_served vm=s2 id=$id " "$T/s2.out" || return 1
+	done
+	for id in $(sed -n 's/.*statement_done vm=s2 id=\([^ ]*\) .* via=s1 .*/\1/p' "$T/s2.out"); do
+		grep -q "statement_served vm=s1 id=$id " "$T/s1.out" || return 1
+	done
+}
+
 settings() { # number
 	cat >"$T/s$1.json" <<END
 { "form": "sessions", "vm": "s$1", "domain": "z-$1", "region": "r",
@@ -48,4 +58,7 @@
 metrics=$(curl -s "http://$(address 1 metrics)/")
 ok "latencies are served" sh -c 'echo "$1" | grep -q "^gypsumcleat_statement_seconds_count [1-9]"' sh "$metrics"
 ok "each answered statement is logged" grep -q "statement_done vm=s1 id=id0" "$T/s1.out"
+# The databases stand in neither VM's domain, so either VM may own one.
+ok "a VM executes statements of the other" grep -q "statement_served vm=s[12] id=" "$T/s1.out" "$T/s2.out"
+ok "a forwarded statement is executed under its id" forwarded_under_id
 finish
