Try reads elsewhere when their database is silent

Cause: a read that had been sent to a database that stopped answering stayed there up to its timeout, kept a slot, and others queued behind it until the registry or a failover removed the database. Change: a database that sends nothing for 400 ms while requests are outstanding gets no more reads; those outside transactions are given up and tried at another one. It is probed until it answers. Streams of other VMs are bounded (8,192).

--- a/src/proxy/db_group.c
+++ b/src/proxy/db_group.c
@@ -31,6 +31,11 @@
  * forwarded to it: the VMs agree on the owner within a few heartbeats.
  */
 #define SERVED_RECENTLY_US (2 * USEC_PER_SEC)
+/*
+ * A database that leaves requests unanswered for this long gets no more reads:
+ * half the time in which statements have to end at the users' sites.
+ */
+#define SILENT_US (400 * USEC_PER_MSEC)
 
 static struct db_group *group_create(struct proxy *p, const char *service);
 static void apply_database(struct db_group *g, const struct registry_db *r);
@@ -41,6 +46,8 @@
 		      const struct db_status_report *report,
 		      usec_t requested_at);
 static void tick_db(struct db_member *db, usec_t now);
+static void give_up_reads(struct db_member *db);
+static struct backend *find_running_read(struct db_member *db);
 static uint32_t member_index(const struct db_member *db);
 
 /* Finds a service's group; NULL if the configuration has none. */
@@ -316,6 +323,15 @@
 	       (db->served_at && now - db->served_at < SERVED_RECENTLY_US);
 }
 
+/*
+ * Returns true if nothing came from the database for a while although requests
+ * are outstanding. Reads then go to other databases.
+ */
+bool db_member_is_silent(const struct db_member *db, usec_t now)
+{
+	return db->unanswered_since && now - db->unanswered_since > SILENT_US;
+}
+
 /* Returns how many statements run and wait at this VM for the database. */
 uint32_t db_member_load(const struct db_member *db)
 {
@@ -502,7 +518,7 @@
 
 /*
  * Closes connections whose replies are overdue or that are no longer needed,
- * and probes a database that reports itself as another primary.
+ * and probes a database that is silent or reports itself as another primary.
  */
 static void tick_db(struct db_member *db, usec_t now)
 {
@@ -516,6 +532,10 @@
 		else
 			backend_tick(b, now);
 	}
+	if (db->present && db_member_is_silent(db, now)) {
+		give_up_reads(db);
+		db_member_probe(db, now);
+	}
 	conn_pool_trim(db, now);
 	if (db->present && db->reports_primary &&
 	    member_index(db) != db->group->primary &&
@@ -523,6 +543,41 @@
 		db_member_probe(db, now);
 }
 
+/*
+ * Ends the reads that a silent database has not answered, so that they are
+ * tried at another one. Their connections are closed when they answer at last.
+ */
+static void give_up_reads(struct db_member *db)
+{
+	struct backend *b;
+
+	/* The list may change whenever a session goes on. */
+	while ((b = find_running_read(db))) {
+		struct session *s = b->session;
+
+		b->must_close = true;
+		backend_release(b);
+		session_on_result(s, RESULT_UNKNOWN, REPLY_ERR_IN_DOUBT, NULL,
+				  NULL);
+	}
+}
+
+/* Returns a connection on which a read outside transactions runs, or NULL. */
+static struct backend *find_running_read(struct db_member *db)
+{
+	struct backend *b;
+
+	TAILQ_FOREACH(b, &db->conns, link)
+	{
+		const struct session *s = b->session;
+
+		if (s && s->exec.stage == EXEC_RUNNING && !s->in_tx &&
+		    !s->exec.is_write)
+			return b;
+	}
+	return NULL;
+}
+
 /* Returns the database's index in its group. */
 static uint32_t member_index(const struct db_member *db)
 {
--- a/src/proxy/dispatch.c
+++ b/src/proxy/dispatch.c
@@ -298,6 +298,10 @@
 		remote_server_refuse(s, REPLY_ERR_WRONG_DATABASE, 0);
 		return true;
 	}
+	if (!t->needs_primary && db_member_is_silent(d, now)) {
+		remote_server_refuse(s, REPLY_ERR_NONE, 0);
+		return true;
+	}
 	if (!t->needs_primary) {
 		db_group_proof_refresh_position(g, now);
 		t->has_after = set_min_position(s);
@@ -422,7 +426,8 @@
 	for (i = 0; i < DB_GROUP_MEMBERS_MAX; i++) {
 		struct db_member *d = &g->db[i];
 
-		if (is_usable(d, now) && !(s->exec.tried_mask & (1U << i)))
+		if (is_usable(d, now) && !db_member_is_silent(d, now) &&
+		    !(s->exec.tried_mask & (1U << i)))
 			view_database(s, d, now, &view[i]);
 	}
 	return load_balance_pick(view, DB_GROUP_MEMBERS_MAX,
--- a/src/proxy/proxy_internal.h
+++ b/src/proxy/proxy_internal.h
@@ -509,6 +509,8 @@
 const char *db_member_owner(struct db_member *db);
 /* True if this VM owns the database's connections or works as its owner. */
 bool db_member_is_served_here(struct db_member *db, usec_t now);
+/* True if the database has left requests unanswered for too long for reads. */
+bool db_member_is_silent(const struct db_member *db, usec_t now);
 /* Statements that run and wait at this VM for the database. */
 uint32_t db_member_load(const struct db_member *db);
 
--- a/src/proxy/remote_server.c
+++ b/src/proxy/remote_server.c
@@ -19,6 +19,8 @@
 #define GIVE_BACK_US (30 * USEC_PER_MSEC)
 /* Delay before a statement is sent again that found the database busy. */
 #define BUSY_RETRY_US (5 * USEC_PER_MSEC)
+/* Streams of all links; one more is dropped, and times out at its VM. */
+#define SERVED_MAX 8192
 
 /* The fields of a LINK_MSG_RUN. */
 struct run_msg {
@@ -74,7 +76,9 @@
 	if (!v)
 		v = open_stream(l, m.stream);
 	if (!v) {
-		log_event(EV_VM_FAIL, "reason=\"no memory for a statement\"");
+		log_event(EV_VM_FAIL,
+			  "reason=\"no room for a statement\" streams=%u",
+			  l->proxy->n_served);
 		return;
 	}
 	g = db_group_find(l->proxy, m.service);
@@ -261,11 +265,17 @@
 		r->bad = true;
 }
 
-/* Opens a stream of a link. Returns NULL if memory is short. */
+/*
+ * Opens a stream of a link. Returns NULL if memory is short or too many are
+ * open.
+ */
 static struct served_stream *open_stream(struct peer_link *l, uint64_t id)
 {
-	struct served_stream *v = calloc(1, sizeof(*v));
+	struct served_stream *v;
 
+	if (l->proxy->n_served >= SERVED_MAX)
+		return NULL;
+	v = calloc(1, sizeof(*v));
 	if (!v)
 		return NULL;
 	v->link = l;
--- a/tests/process/sessions.pl
+++ b/tests/process/sessions.pl
@@ -255,6 +255,19 @@
 control("do=rate&n=1000");
 select(undef, undef, undef, 2.5);
 
+# A database that no longer answers: a read goes elsewhere within its timeout.
+$c = start("b-db", "key-1");
+value($c, "tx") for 1 .. 10;
+my $leader = counter("primary");
+my ($muted) = $c->{end} =~ /mac\.(db-\d)/;
+control("do=mute_open&db=$muted");
+value($c, "tx");
+ok("a read is served although its database is silent", done($c), $c->{end});
+ok("by another one", $c->{end} !~ /mac\.$muted\./, $c->{end});
+ok("before a failover would end", counter("primary") eq $leader, counter("primary"));
+control("do=mute&n=0&db=$muted");
+select(undef, undef, undef, 4);
+
 # A primary stops: another is promoted, and acknowledged writes are kept.
 $c = write_until_done("before", "stop", 50);
 ok("a write before the primary stops", defined $c);
--- a/tests/sessions/database.cc
+++ b/tests/sessions/database.cc
@@ -94,7 +94,7 @@
 	auto *c = static_cast<Connection *>(ctx);
 	auto *db = c->db;
 	size_t len;
-	while (db->connections.count(c)) {
+	while (!db->mute && db->connections.count(c)) {
 		char *s = evbuffer_readln(bufferevent_get_input(bev), &len,
 					  EVBUFFER_EOL_CRLF);
 		if (!s)
--- a/tests/sessions/fake_platform.cc
+++ b/tests/sessions/fake_platform.cc
@@ -429,6 +429,11 @@
 		db->lag_ms = n;
 	} else if (what == "cut_off") {
 		db->cut_off = n != 0;
+	} else if (what == "mute") {
+		db->mute = n != 0;
+		db->close_all();
+	} else if (what == "mute_open") {
+		db->mute = true;
 	} else if (what == "reset") {
 		db->close_all();
 	} else if (what == "store_down") {
--- a/tests/sessions/fake_platform.h
+++ b/tests/sessions/fake_platform.h
@@ -76,6 +76,7 @@
 	int lose_replies = 0;
 	int refuse_busy = 0; // number of statements to refuse as BUSY
 	size_t max_connections = 40;
+	bool mute = false; // takes requests and answers none of them
 
 	void accept(evutil_socket_t fd);
 	void close_all();
