Split the view of the fleet from the heartbeats, begin link messages in one place

Change: heartbeat_view answers questions about the fleet; peer_link_begin(); read_claim(). No change in behaviour is meant.

--- a/src/proxy/heartbeat.c
+++ b/src/proxy/heartbeat.c
@@ -6,7 +6,6 @@
 #include <unistd.h>
 #include <xxhash.h>
 
-#include "decide/db_owner.h"
 #include "decide/peer_gossip.h"
 #include "kernel/address.h"
 #include "kernel/counters.h"
@@ -25,7 +24,6 @@
 
 /* VMs that take part in a failover of a group by their rank. */
 #define FAILOVER_RANKS 3
-#define DOMAINS_MAX    64 /* failure domains of the fleet */
 #define PEERS_MAX      RATE_LIMIT_PEERS_MAX
 /*
  * A VM that has been silent for this long was removed; a pause or a network
@@ -46,11 +44,6 @@
 static void send_round(struct heartbeat *b, usec_t now);
 static void add_failover_peers(struct heartbeat *b, struct db_group *g,
 			       bool *targets);
-static void update_readers(struct heartbeat *b);
-static void add_domain(const char **domains, uint32_t *n, const char *domain);
-static void add_reader(struct heartbeat *b, const struct peer_vm *v);
-static bool is_better_reader(const struct heartbeat *b, const struct peer_vm *v,
-			     const struct peer_vm *w);
 static uint64_t draw_random(void *ctx);
 static bool is_silent(const struct heartbeat *b, const struct peer_vm *v,
 		      usec_t now);
@@ -63,7 +56,6 @@
 static void on_readable(evutil_socket_t fd, short what, void *ctx);
 static int bind_ports(struct heartbeat *b, struct sockaddr_storage *at,
 		      socklen_t *len);
-static XXH64_hash_t rank_hash(const char *vm, const char *service);
 
 /*
  * Opens the socket on the VM's address for peers. Returns NULL if that fails.
@@ -166,16 +158,6 @@
 	send_round(b, now);
 }
 
-/*
- * Returns true if at least half of the peers have been live for as long as the
- * silence timeout.
- */
-bool heartbeat_sees_majority(const struct heartbeat *b, usec_t now)
-{
-	return b->minority_at == 0 ||
-	       now - b->minority_at > b->proxy->policy.silence_timeout;
-}
-
 /* Sends the next heartbeat at once. */
 void heartbeat_send_now(struct heartbeat *b)
 {
@@ -211,129 +193,6 @@
 	return b->members_hash;
 }
 
-/* Returns the number of known VMs besides this one. */
-uint32_t heartbeat_n_peers(const struct heartbeat *b)
-{
-	return b->n;
-}
-
-/* Returns the number of live VMs besides this one. */
-uint32_t heartbeat_n_live(const struct heartbeat *b)
-{
-	uint32_t n = 0;
-	uint32_t i;
-
-	for (i = 0; i < b->n; i++)
-		n += !b->peers[i]->silent;
-	return n;
-}
-
-/*
- * Counts the live VMs whose hash for the service is above this one's
- * (rendezvous hashing). A draining VM ranks last. One that is not ready does
- * not count.
- */
-uint32_t heartbeat_rank(const struct heartbeat *b, const char *service)
-{
-	XXH64_hash_t own = rank_hash(b->proxy->kernel->settings.vm, service);
-	uint32_t rank = 0;
-	uint32_t i;
-
-	for (i = 0; i < b->n; i++) {
-		const struct peer_vm *v = b->peers[i];
-
-		if (v->silent || v->draining || !v->ready)
-			continue;
-		if (b->proxy->draining || rank_hash(v->name, service) > own)
-			rank++;
-	}
-	return rank;
-}
-
-/*
- * Returns a number that changes whenever heartbeat_service_owner() may return
- * another VM.
- */
-uint64_t heartbeat_owners_version(const struct heartbeat *b)
-{
-	return b->owners_version;
-}
-
-/*
- * Returns the live peer with the highest hash for the service, or NULL if this
- * VM's is higher.
- */
-const char *heartbeat_service_owner(const struct heartbeat *b,
-				    const char *service)
-{
-	const struct peer_vm *first = NULL;
-	XXH64_hash_t best = 0;
-	uint32_t i;
-
-	if (!b->proxy->draining)
-		best = rank_hash(b->proxy->kernel->settings.vm, service);
-	for (i = 0; i < b->n; i++) {
-		const struct peer_vm *v = b->peers[i];
-		XXH64_hash_t h;
-
-		if (v->silent || v->draining || !v->ready || v->no_return_path)
-			continue;
-		h = rank_hash(v->name, service);
-		if (h > best) {
-			best = h;
-			first = v;
-		}
-	}
-	return first ? first->name : NULL;
-}
-
-/*
- * Returns the VM that owns a database's connections, or NULL if this one does:
- * see decide/db_owner.h. A draining VM owns none.
- */
-const char *heartbeat_database_owner(const struct heartbeat *b,
-				     const char *database, const char *domain)
-{
-	const struct settings *s = &b->proxy->kernel->settings;
-	struct db_owner_vm *vm = calloc(b->n + 1, sizeof(*vm));
-	const char *owner = NULL;
-	uint32_t best;
-	uint32_t i;
-
-	if (!vm)
-		return NULL;
-	for (i = 0; i < b->n; i++) {
-		const struct peer_vm *v = b->peers[i];
-
-		vm[i] = (struct db_owner_vm){
-			.name = v->name,
-			.domain = v->domain,
-			.capacity = v->capacity,
-			.usable = v->ready && !v->silent && !v->draining &&
-				  !v->no_return_path && v->link_retry_at == 0,
-		};
-	}
-	vm[b->n] = (struct db_owner_vm){
-		.name = s->vm,
-		.domain = s->domain,
-		.capacity = heartbeat_own_capacity(b),
-		.usable = !b->proxy->draining,
-	};
-	best = db_owner_pick(vm, b->n + 1, database, domain);
-	if (best < b->n)
-		owner = b->peers[best]->name;
-	free(vm);
-	return owner;
-}
-
-/* Returns this VM's share of a core, in hundredths, at most 2.55 cores. */
-uint8_t heartbeat_own_capacity(const struct heartbeat *b)
-{
-	uint32_t hundredths = b->proxy->kernel->settings.cpu_milli / 10;
-
-	return hundredths < UINT8_MAX ? (uint8_t)hundredths : UINT8_MAX;
-}
-
 /* Finds a peer's address; returns false if the peer is unknown. */
 bool heartbeat_peer_address(struct heartbeat *b, const char *peer,
 			    struct sockaddr_storage *to, socklen_t *len)
@@ -358,42 +217,6 @@
 	b->owners_version++;
 }
 
-/* Returns the rendezvous hash of a VM for a service. */
-static XXH64_hash_t rank_hash(const char *vm, const char *service)
-{
-	return XXH3_64bits_withSeed(vm, strlen(vm),
-				    XXH3_64bits(service, strlen(service)));
-}
-
-/* Sums up what the live peers report about a service's primary. */
-struct heartbeat_peer_reports heartbeat_peer_reports(const struct heartbeat *b,
-						     const char *service)
-{
-	struct heartbeat_peer_reports o = { 0 };
-	usec_t now = proxy_now();
-	uint32_t i;
-	uint32_t j;
-
-	for (i = 0; i < b->n && b->n_reporting > 0; i++) {
-		const struct peer_vm *v = b->peers[i];
-
-		if (v->n_groups == 0 || v->silent ||
-		    now - v->direct_seen_at > peer_gossip_timeout(0))
-			continue;
-		for (j = 0; j < v->n_groups; j++) {
-			const struct peer_group_state *g = &v->groups[j];
-
-			if (strcmp(g->service, service) != 0)
-				continue;
-			o.n_reachable += g->is_reachable;
-			o.n_unreachable += g->suspicion == SUSPICION_DOWN;
-			o.is_suspected |= g->suspicion != SUSPICION_NONE;
-			o.in_failover |= g->in_failover;
-		}
-	}
-	return o;
-}
-
 /*
  * Sends a heartbeat to the targets of this round, and to the VMs that take part
  * in a failover. Those that a full socket does not take are lost.
@@ -454,8 +277,8 @@
 		XXH64_hash_t best = 0;
 
 		for (i = 0; i < b->n; i++) {
-			XXH64_hash_t h =
-				rank_hash(b->peers[i]->name, g->service);
+			XXH64_hash_t h = heartbeat_rank_hash(b->peers[i]->name,
+							     g->service);
 
 			if (!b->peers[i]->silent && h < limit && h >= best) {
 				best = h;
@@ -477,45 +300,6 @@
 	}
 }
 
-/*
- * Returns true if this VM reads the platform's data itself: all VMs of a small
- * fleet, else the strongest of each failure domain.
- */
-bool heartbeat_is_reader(const struct heartbeat *b)
-{
-	uint32_t i;
-
-	if (heartbeat_is_full_mesh(b))
-		return true;
-	update_readers((struct heartbeat *)b);
-	for (i = 0; i < b->n_domain_readers; i++) {
-		if (!b->domain_readers[i])
-			return true;
-	}
-	return false;
-}
-
-/* Returns the number of VMs in the fleet that read the platform's data. */
-uint32_t heartbeat_n_readers(const struct heartbeat *b)
-{
-	if (heartbeat_is_full_mesh(b))
-		return heartbeat_n_live(b) + 1;
-	update_readers((struct heartbeat *)b);
-	return b->n_readers;
-}
-
-/* Returns one of the VMs that read for this failure domain, or NULL. */
-const char *heartbeat_domain_reader(const struct heartbeat *b, uint64_t random)
-{
-	const struct peer_vm *v;
-
-	update_readers((struct heartbeat *)b);
-	if (b->n_domain_readers == 0)
-		return NULL;
-	v = b->domain_readers[random % b->n_domain_readers];
-	return v ? v->name : NULL;
-}
-
 /* Sends the next heartbeat at once, also to all VMs of the failure domain. */
 void heartbeat_tell_domain(struct heartbeat *b)
 {
@@ -523,77 +307,6 @@
 	b->next_send_at = 0;
 }
 
-/* Chooses the readers anew if the live VMs have changed. */
-static void update_readers(struct heartbeat *b)
-{
-	const char *domains[DOMAINS_MAX];
-	uint32_t n_domains = 0;
-	uint32_t i;
-
-	if (b->readers_version == b->owners_version + 1)
-		return;
-	b->readers_version = b->owners_version + 1;
-	b->n_domain_readers = 0;
-	add_reader(b, NULL);
-	add_domain(domains, &n_domains, b->proxy->kernel->settings.domain);
-	for (i = 0; i < b->n; i++) {
-		const struct peer_vm *v = b->peers[i];
-
-		if (v->silent || v->draining)
-			continue;
-		add_domain(domains, &n_domains, v->domain);
-		if (strcmp(v->domain, domains[0]) == 0)
-			add_reader(b, v);
-	}
-	b->n_readers = n_domains * DOMAIN_READERS;
-}
-
-/* Adds a failure domain to a list without repetition. */
-static void add_domain(const char **domains, uint32_t *n, const char *domain)
-{
-	uint32_t i;
-
-	for (i = 0; i < *n; i++) {
-		if (strcmp(domains[i], domain) == 0)
-			return;
-	}
-	if (*n < DOMAINS_MAX)
-		domains[(*n)++] = domain;
-}
-
-/* Inserts a VM of this domain among its readers if it ranks high enough. */
-static void add_reader(struct heartbeat *b, const struct peer_vm *v)
-{
-	uint32_t i = b->n_domain_readers;
-
-	if (!v && b->proxy->draining)
-		return;
-	if (i == DOMAIN_READERS) {
-		if (!is_better_reader(b, v, b->domain_readers[i - 1]))
-			return;
-		i--;
-	} else {
-		b->n_domain_readers++;
-	}
-	for (; i > 0 && is_better_reader(b, v, b->domain_readers[i - 1]); i--)
-		b->domain_readers[i] = b->domain_readers[i - 1];
-	b->domain_readers[i] = v;
-}
-
-/* Compares two VMs as readers; NULL is this one. The stronger one is better. */
-static bool is_better_reader(const struct heartbeat *b, const struct peer_vm *v,
-			     const struct peer_vm *w)
-{
-	uint8_t v_capacity = v ? v->capacity : heartbeat_own_capacity(b);
-	uint8_t w_capacity = w ? w->capacity : heartbeat_own_capacity(b);
-	const char *own = b->proxy->kernel->settings.vm;
-
-	if (v_capacity != w_capacity)
-		return v_capacity > w_capacity;
-	return rank_hash(v ? v->name : own, REGISTRY_CATALOG) >
-	       rank_hash(w ? w->name : own, REGISTRY_CATALOG);
-}
-
 /* Draws a random number, for peer_gossip_pick(). */
 static uint64_t draw_random(void *ctx)
 {
--- a/src/proxy/heartbeat_codec.c
+++ b/src/proxy/heartbeat_codec.c
@@ -8,13 +8,13 @@
 /* Encodes heartbeats, and decodes datagrams of all types. */
 
 /* Live VMs of which one heartbeat passes on the news. */
-#define NEWS_MAX 256
+#define NEWS_MAX 256UL
 /*
  * One of them: the hash of its name (4 bytes), the age of the news in units of
  * 10 ms (2 bytes), flags, and its share of a core in hundredths; all with the
  * most significant byte first.
  */
-#define NEWS_BYTES    8
+#define NEWS_BYTES    8UL
 #define NEWS_AGE_UNIT (10 * USEC_PER_MSEC)
 #define NEWS_READY    1 /* flags: ready */
 #define NEWS_DRAINING 2 /* draining */
--- a/src/proxy/heartbeat_internal.h
+++ b/src/proxy/heartbeat_internal.h
@@ -8,8 +8,9 @@
 #include "proxy/proxy_internal.h"
 
 /*
- * Shared by heartbeat.c, which tracks the peers and sends, and
- * heartbeat_codec.c, which encodes and decodes the datagrams.
+ * Shared by heartbeat.c, which tracks the peers and sends, heartbeat_codec.c,
+ * which encodes and decodes the datagrams, and heartbeat_view.c, which answers
+ * questions about the fleet.
  */
 
 /* VMs that read the platform's data for their failure domain */
@@ -89,6 +90,8 @@
 /* Finds a peer by the hash of its name, or NULL. */
 struct peer_vm *heartbeat_find_hash(const struct heartbeat *b, uint32_t hash);
 uint32_t heartbeat_name_hash(const char *name);
+/* The rendezvous hash of a VM for a service. */
+uint64_t heartbeat_rank_hash(const char *vm, const char *service);
 /* Applies newer news of a peer that another one passed on. */
 void heartbeat_on_news(struct heartbeat *b, struct peer_vm *v, usec_t seen_at,
 		       bool ready, bool draining, uint8_t capacity, usec_t now);
--- a/src/proxy/peer_link.c
+++ b/src/proxy/peer_link.c
@@ -74,18 +74,29 @@
 	return NULL;
 }
 
-/* Sends one message. */
-void peer_link_send(struct peer_link *l, const msgpack_sbuffer *buf)
+/* Begins a message with this number of fields, its type included. */
+void peer_link_begin(msgpack_sbuffer *buf, msgpack_packer *p, uint32_t fields,
+		     enum link_msg_type type)
+{
+	msgpack_sbuffer_init(buf);
+	msgpack_packer_init(p, buf, msgpack_sbuffer_write);
+	msgpack_pack_array(p, fields);
+	msgpack_pack_uint32(p, type);
+}
+
+/* Sends one message and frees its buffer. */
+void peer_link_send(struct peer_link *l, msgpack_sbuffer *buf)
 {
 	struct evbuffer *out = bufferevent_get_output(l->bev);
 	uint32_t size = htonl((uint32_t)buf->size);
 
-	if (l->closed)
-		return;
-	evbuffer_add(out, &size, sizeof(size));
-	evbuffer_add(out, buf->data, buf->size);
-	counter_add(CTR_PEER_SENT, 1);
-	counter_add(CTR_PEER_SENT_BYTES, buf->size + FRAME_HEADER_SIZE);
+	if (!l->closed) {
+		evbuffer_add(out, &size, sizeof(size));
+		evbuffer_add(out, buf->data, buf->size);
+		counter_add(CTR_PEER_SENT, 1);
+		counter_add(CTR_PEER_SENT_BYTES, buf->size + FRAME_HEADER_SIZE);
+	}
+	msgpack_sbuffer_destroy(buf);
 }
 
 /* Pings links that keep statements waiting, and closes dead and idle ones. */
@@ -184,12 +195,8 @@
 	msgpack_sbuffer buf;
 	msgpack_packer p;
 
-	msgpack_sbuffer_init(&buf);
-	msgpack_packer_init(&p, &buf, msgpack_sbuffer_write);
-	msgpack_pack_array(&p, 1);
-	msgpack_pack_uint32(&p, type);
+	peer_link_begin(&buf, &p, 1, type);
 	peer_link_send(l, &buf);
-	msgpack_sbuffer_destroy(&buf);
 }
 
 /* Accepts a link of another VM. */
--- a/src/proxy/registry_copy.c
+++ b/src/proxy/registry_copy.c
@@ -19,8 +19,6 @@
 static void send_databases(struct peer_link *l);
 static void read_databases(struct peer_link *l, struct wire_reader *r);
 static void read_database(struct wire_reader *r, struct registry_db *out);
-static void pack_header(msgpack_packer *p, uint32_t fields,
-			enum registry_copy kind);
 
 /* Requests a copy from a VM that reads for this failure domain. */
 void registry_copy_request(struct proxy *x, enum registry_copy kind)
@@ -34,13 +32,9 @@
 	if (!l)
 		return;
 	l->used_at = proxy_now();
-	msgpack_sbuffer_init(&buf);
-	msgpack_packer_init(&p, &buf, msgpack_sbuffer_write);
-	msgpack_pack_array(&p, 2);
-	msgpack_pack_uint32(&p, LINK_MSG_COPY_REQUEST);
+	peer_link_begin(&buf, &p, 2, LINK_MSG_COPY_REQUEST);
 	msgpack_pack_uint32(&p, kind);
 	peer_link_send(l, &buf);
-	msgpack_sbuffer_destroy(&buf);
 }
 
 /* Answers a peer's request: [kind]. There is no answer without data. */
@@ -88,12 +82,10 @@
 
 	if (!reply)
 		return;
-	msgpack_sbuffer_init(&buf);
-	msgpack_packer_init(&p, &buf, msgpack_sbuffer_write);
-	pack_header(&p, 3, REGISTRY_COPY_CATALOG);
+	peer_link_begin(&buf, &p, 3, LINK_MSG_COPY);
+	msgpack_pack_uint32(&p, REGISTRY_COPY_CATALOG);
 	wire_put_bin(&p, reply, strlen(reply));
 	peer_link_send(l, &buf);
-	msgpack_sbuffer_destroy(&buf);
 }
 
 /*
@@ -113,9 +105,8 @@
 	db = registry_list(r, &n);
 	if (n == 0 || registry_listed_at(r) == 0)
 		return;
-	msgpack_sbuffer_init(&buf);
-	msgpack_packer_init(&p, &buf, msgpack_sbuffer_write);
-	pack_header(&p, 5, REGISTRY_COPY_DATABASES);
+	peer_link_begin(&buf, &p, 5, LINK_MSG_COPY);
+	msgpack_pack_uint32(&p, REGISTRY_COPY_DATABASES);
 	msgpack_pack_uint64(&p, (uint64_t)(now - registry_listed_at(r)));
 	msgpack_pack_uint32(&p, registry_is_settled(r, now));
 	msgpack_pack_array(&p, n);
@@ -132,7 +123,6 @@
 		msgpack_pack_uint64(&p, db[i].sequence);
 	}
 	peer_link_send(l, &buf);
-	msgpack_sbuffer_destroy(&buf);
 }
 
 /*
@@ -184,12 +174,3 @@
 	out->sequence = wire_u64(&e);
 	r->bad |= e.bad;
 }
-
-/* Begins a message with a copy; "fields" counts its type and kind. */
-static void pack_header(msgpack_packer *p, uint32_t fields,
-			enum registry_copy kind)
-{
-	msgpack_pack_array(p, fields);
-	msgpack_pack_uint32(p, LINK_MSG_COPY);
-	msgpack_pack_uint32(p, kind);
-}
--- a/src/proxy/registry_promotion.c
+++ b/src/proxy/registry_promotion.c
@@ -34,6 +34,8 @@
 
 static struct promotion_call *call_create(struct proxy *p, struct db_group *g,
 					  enum platform_op op, void *ctx);
+static void read_claim(struct proxy *p, struct db_group *g,
+		       registry_claim_done_fn fn, void *ctx, bool is_check);
 static void on_platform_reply(struct platform_call *c);
 static void handle_reply(void *ctx);
 static bool replace_claim(struct promotion_call *d,
@@ -75,19 +77,19 @@
 void registry_read_claim(struct proxy *p, struct db_group *g,
 			 registry_claim_done_fn fn, void *ctx)
 {
-	struct promotion_call *d = call_create(p, g, PLATFORM_GET, ctx);
-
-	if (!d) {
-		fn(ctx, false, 0);
-		return;
-	}
-	d->fn = fn;
-	platform_submit(p->kernel, &d->call);
+	read_claim(p, g, fn, ctx, false);
 }
 
 /* Reads whether a claim was ever made. */
 void registry_check_unclaimed(struct proxy *p, struct db_group *g,
 			      registry_claim_done_fn fn, void *ctx)
+{
+	read_claim(p, g, fn, ctx, true);
+}
+
+/* Reads the claim, or only whether there is one. */
+static void read_claim(struct proxy *p, struct db_group *g,
+		       registry_claim_done_fn fn, void *ctx, bool is_check)
 {
 	struct promotion_call *d = call_create(p, g, PLATFORM_GET, ctx);
 
@@ -96,7 +98,7 @@
 		return;
 	}
 	d->fn = fn;
-	d->is_check = true;
+	d->is_check = is_check;
 	platform_submit(p->kernel, &d->call);
 }
 
--- a/src/proxy/remote.h
+++ b/src/proxy/remote.h
@@ -91,7 +91,11 @@
 /* peer_link.c */
 /* Returns a link to the peer, opened if there is none; NULL if that fails. */
 struct peer_link *peer_link_get(struct proxy *p, const char *peer);
-void peer_link_send(struct peer_link *l, const msgpack_sbuffer *buf);
+/* Begins a message with this number of fields, its type included. */
+void peer_link_begin(msgpack_sbuffer *buf, msgpack_packer *p, uint32_t fields,
+		     enum link_msg_type type);
+/* Sends one message and frees its buffer. */
+void peer_link_send(struct peer_link *l, msgpack_sbuffer *buf);
 
 /* remote_client.c */
 void remote_client_on_done(struct peer_link *l, struct wire_reader *r);
--- a/src/proxy/remote_client.c
+++ b/src/proxy/remote_client.c
@@ -89,13 +89,9 @@
 	msgpack_sbuffer buf;
 	msgpack_packer p;
 
-	msgpack_sbuffer_init(&buf);
-	msgpack_packer_init(&p, &buf, msgpack_sbuffer_write);
-	msgpack_pack_array(&p, 2);
-	msgpack_pack_uint32(&p, LINK_MSG_RELEASE);
+	peer_link_begin(&buf, &p, 2, LINK_MSG_RELEASE);
 	msgpack_pack_uint64(&p, r->id);
 	peer_link_send(r->link, &buf);
-	msgpack_sbuffer_destroy(&buf);
 	free_stream(r);
 }
 
@@ -135,12 +131,14 @@
 /* Ends all streams of a closed link. */
 void remote_client_on_link_closed(struct peer_link *l)
 {
+	struct remote_stream *next;
 	struct remote_stream *r;
 
-	while ((r = TAILQ_FIRST(&l->streams))) {
+	for (r = TAILQ_FIRST(&l->streams); r; r = next) {
 		struct session *s = r->session;
 		bool was_running = r->running;
 
+		next = TAILQ_NEXT(r, entry);
 		free_stream(r);
 		if (!was_running)
 			session_on_backend_lost(s);
@@ -168,10 +166,7 @@
 	msgpack_sbuffer buf;
 	msgpack_packer p;
 
-	msgpack_sbuffer_init(&buf);
-	msgpack_packer_init(&p, &buf, msgpack_sbuffer_write);
-	msgpack_pack_array(&p, 19);
-	msgpack_pack_uint32(&p, LINK_MSG_RUN);
+	peer_link_begin(&buf, &p, 19, LINK_MSG_RUN);
 	msgpack_pack_uint64(&p, r->id);
 	wire_put_str(&p, g->service);
 	wire_put_str(&p, g->db[r->db].id);
@@ -203,7 +198,6 @@
 	r->link->used_at = now;
 	g->db[r->db].n_remote++;
 	peer_link_send(r->link, &buf);
-	msgpack_sbuffer_destroy(&buf);
 }
 
 /* Returns the flags of a session's statement. */
@@ -231,7 +225,7 @@
 {
 	uint32_t i;
 
-	msgpack_pack_array(p, 2 * s->vars.n);
+	msgpack_pack_array(p, (size_t)2 * s->vars.n);
 	for (i = 0; i < s->vars.n; i++) {
 		const struct strmap_entry *v = &s->vars.entries[i];
 
--- a/src/proxy/remote_server.c
+++ b/src/proxy/remote_server.c
@@ -111,10 +111,13 @@
 /* Cancels the statements of a closed link. */
 void remote_server_on_link_closed(struct peer_link *l)
 {
+	struct served_stream *next;
 	struct served_stream *v;
 
-	while ((v = TAILQ_FIRST(&l->served)))
+	for (v = TAILQ_FIRST(&l->served); v; v = next) {
+		next = TAILQ_NEXT(v, entry);
 		free_stream(v);
+	}
 }
 
 /* Ends the statement of a stream; see session_on_result(). */
@@ -224,13 +227,9 @@
 	msgpack_sbuffer buf;
 	msgpack_packer p;
 
-	msgpack_sbuffer_init(&buf);
-	msgpack_packer_init(&p, &buf, msgpack_sbuffer_write);
-	msgpack_pack_array(&p, 2);
-	msgpack_pack_uint32(&p, LINK_MSG_LOST);
+	peer_link_begin(&buf, &p, 2, LINK_MSG_LOST);
 	msgpack_pack_uint64(&p, v->id);
 	peer_link_send(v->link, &buf);
-	msgpack_sbuffer_destroy(&buf);
 	free_stream(v);
 }
 
@@ -389,10 +388,7 @@
 
 	if (g && g->proof.proved_at != INT64_MIN)
 		proof_age = (uint64_t)(proxy_now() - g->proof.proved_at);
-	msgpack_sbuffer_init(&buf);
-	msgpack_packer_init(&p, &buf, msgpack_sbuffer_write);
-	msgpack_pack_array(&p, 14);
-	msgpack_pack_uint32(&p, LINK_MSG_DONE);
+	peer_link_begin(&buf, &p, 14, LINK_MSG_DONE);
 	msgpack_pack_uint64(&p, v->id);
 	msgpack_pack_uint32(&p, result);
 	msgpack_pack_uint32(&p, code);
@@ -410,7 +406,6 @@
 	peer_link_send(v->link, &buf);
 	if (reply)
 		evbuffer_drain(reply, len);
-	msgpack_sbuffer_destroy(&buf);
 }
 
 /* Logs a statement that was sent to the database. */
