Give the new heartbeats a type of their own

Cause: they kept the type of the former ones, whose fields differ, so that VMs of both builds would count each other's as malformed during a rolling update. Change: type 7; a heartbeat of another format is refused as unknown.

--- a/src/proxy/proxy_internal.h
+++ b/src/proxy/proxy_internal.h
@@ -577,7 +577,7 @@
 /* rate_limit_client.c */
 /* Types of the datagrams between VMs; the first field of each. */
 enum peer_msg_type {
-	PEER_MSG_HEARTBEAT = 2, /* 1 was an older format */
+	PEER_MSG_HEARTBEAT = 7, /* 1 and 2 were older formats */
 	PEER_MSG_TOKEN_REQUEST = 3,
 	PEER_MSG_TOKEN_RESPONSE = 4,
 	PEER_MSG_PROOF_REQUEST = 5,
