Take a transaction that lost its connection out of the queue

Cause: since a transaction's statements wait for a slot, its connection can be lost while one is queued. Change: dispatch_retry() takes the statement out of the queue first.

--- a/src/proxy/dispatch.c
+++ b/src/proxy/dispatch.c
@@ -152,6 +152,9 @@
 	struct stmt_exec *t = &s->exec;
 	usec_t now = proxy_now();
 
+	/* A transaction that waits for a slot may lose its connection. */
+	if (t->stage == EXEC_QUEUED)
+		dequeue(s);
 	if (s->stream) {
 		remote_server_on_not_run(s, code);
 		return;
--- a/tests/process/sessions.pl
+++ b/tests/process/sessions.pl
@@ -255,10 +255,48 @@
 control("do=rate&n=1000");
 select(undef, undef, undef, 2.5);
 
+# A statement of a transaction waits for one of five slots when its connection is
+# lost: it gets one answer, and is not executed later. Tested at both VMs, one of
+# which owns the connections to the primary.
+my $leader;
+for my $vm ($vm1, $vm2) {
+	my @busy = map { start("p-db", "key-1", $vm) } 1 .. 5;
+	for my $b (@busy) {
+		query($b, "BEGIN");
+		value($b, "tx");
+	}
+	$c = start("p-db", "key-1", $vm);
+	query($c, "BEGIN");
+	query($c, "WRITE tx five");
+	$leader = counter("primary");
+	control("do=mute_open&db=$leader");
+	for my $n (0 .. $#busy) {
+		my $s = $busy[$n]{s};
+		print $s "QUERY busy$n READ tx\r\n";
+	}
+	select(undef, undef, undef, 0.1);
+	my $waiting = $c->{s};
+	print $waiting "QUERY waits READ tx\r\n";
+	select(undef, undef, undef, 0.1);
+	control("do=mute&n=0&db=$leader");
+	read_reply($c);
+	ok("a waiting transaction that lost its connection is aborted",
+	    $c->{end} =~ /^ERROR ABORTED/, $c->{end});
+	query($c, "ROLLBACK");
+	ok("and rolled back", $c->{end} =~ /^COMPLETE -/, $c->{end});
+	my $other = 0;
+	for (1 .. 5) {
+		value($c, "tx");
+		$other++ unless done($c);
+	}
+	ok("it gets no second answer", $other == 0, "$other of 5: $c->{end}");
+	select(undef, undef, undef, 1);
+}
+
 # A database that no longer answers: a read goes elsewhere within its timeout.
 $c = start("b-db", "key-1");
 value($c, "tx") for 1 .. 10;
-my $leader = counter("primary");
+$leader = counter("primary");
 my ($muted) = $c->{end} =~ /mac\.(db-\d)/;
 control("do=mute_open&db=$muted");
 value($c, "tx");
