--- a/src/decide/primary_proof.c
+++ b/src/decide/primary_proof.c
@@ -14,6 +14,7 @@
 {
 	l->term = term;
 	l->proved_at = INT64_MIN;
+	l->basis = PRIMARY_PROOF_NONE;
 }
 
 /*
@@ -69,15 +70,34 @@
 
 		if (s->at.term == l->term && s->at.position < at.position &&
 		    s->asked_at > l->proved_at)
-			l->proved_at = s->asked_at;
+			primary_proof_add(l, s->asked_at, at.term,
+					  PRIMARY_PROOF_POSITION);
 	}
 }
 
 /* Records a proof as of time "at" if it is for the current term. */
-void primary_proof_add(struct primary_proof *l, usec_t at, uint64_t term)
+void primary_proof_add(struct primary_proof *l, usec_t at, uint64_t term,
+		       enum primary_proof_basis basis)
 {
-	if (term == l->term && at > l->proved_at)
-		l->proved_at = at;
+	if (term != l->term || at <= l->proved_at)
+		return;
+	l->proved_at = at;
+	l->basis = basis;
+}
+
+/* Returns the name of a proof's basis for logs. */
+const char *primary_proof_basis_name(enum primary_proof_basis basis)
+{
+	static const char *const names[] = {
+		[PRIMARY_PROOF_NONE] = "none",
+		[PRIMARY_PROOF_POSITION] = "position",
+		[PRIMARY_PROOF_UNPAUSED] = "unpaused",
+		[PRIMARY_PROOF_UNANIMOUS] = "unanimous",
+		[PRIMARY_PROOF_PEER] = "peer",
+		[PRIMARY_PROOF_PROMOTION] = "promotion",
+	};
+
+	return names[basis];
 }
 
 /*
@@ -90,7 +110,7 @@
 				    uint64_t term, usec_t guard)
 {
 	if (l->proved_at != INT64_MIN && asked_at - l->proved_at < guard)
-		primary_proof_add(l, asked_at, term);
+		primary_proof_add(l, asked_at, term, PRIMARY_PROOF_UNPAUSED);
 }
 
 /*
@@ -121,7 +141,7 @@
 			first = r->asked_at;
 	}
 	if (proved)
-		primary_proof_add(l, first, l->term);
+		primary_proof_add(l, first, l->term, PRIMARY_PROOF_UNANIMOUS);
 }
 
 /* Returns true if the newest proof of the term is younger than the guard. */
--- a/src/decide/primary_proof.h
+++ b/src/decide/primary_proof.h
@@ -28,11 +28,23 @@
 	struct log_pos at;
 };
 
+/* What a proof rests on. */
+enum primary_proof_basis {
+	PRIMARY_PROOF_NONE,
+	PRIMARY_PROOF_POSITION,	 /* a replica applied a newer commit */
+	PRIMARY_PROOF_UNPAUSED,	 /* a replica is not paused, soon after another
+				    proof */
+	PRIMARY_PROOF_UNANIMOUS, /* no other database is promoted or paused */
+	PRIMARY_PROOF_PEER,	 /* the VM that keeps the proof told it */
+	PRIMARY_PROOF_PROMOTION, /* this VM promoted it */
+};
+
 struct primary_proof {
 	uint64_t term;	  /* term of the primary; 0: no primary known */
 	usec_t proved_at; /* time of the newest proof; INT64_MIN: none */
-	uint32_t n;	  /* number of samples in the ring */
-	uint32_t next;	  /* slot of the next sample */
+	enum primary_proof_basis basis; /* of the newest proof */
+	uint32_t n;			/* number of samples in the ring */
+	uint32_t next;			/* slot of the next sample */
 	struct primary_proof_sample samples[PRIMARY_PROOF_SAMPLES_MAX];
 };
 
@@ -45,7 +57,8 @@
 /* Records that a replica holds the log up to "at". */
 void primary_proof_replica_position(struct primary_proof *l, struct log_pos at);
 /* Records a proof: no promotion takes effect before "at" plus the guard. */
-void primary_proof_add(struct primary_proof *l, usec_t at, uint64_t term);
+void primary_proof_add(struct primary_proof *l, usec_t at, uint64_t term,
+		       enum primary_proof_basis basis);
 /* Records that a replica of "term", asked at "asked_at", was not paused. */
 void primary_proof_replica_unpaused(struct primary_proof *l, usec_t asked_at,
 				    uint64_t term, usec_t guard);
@@ -64,6 +77,7 @@
 void primary_proof_check_unanimous(struct primary_proof *l,
 				   const struct primary_proof_report *report,
 				   uint32_t n);
+const char *primary_proof_basis_name(enum primary_proof_basis basis);
 /* Returns true if the newest proof is still within the guard. */
 bool primary_proof_is_valid(const struct primary_proof *l, usec_t now,
 			    usec_t guard);
--- a/src/kernel/counters.h
+++ b/src/kernel/counters.h
@@ -25,6 +25,10 @@
 	X(PLATFORM_CALLS, "platform_calls_total", "calls to the platform")    \
 	X(PLATFORM_WATCHES, "platform_watches_total",                         \
 	  "watches at the platform")                                          \
+	X(STORE_RESTORED, "platform_restored_total",                          \
+	  "new eras of the platform's store heard of")                        \
+	X(STORE_PAST, "platform_past_replies_total",                          \
+	  "replies of an earlier era of the platform's store")                \
 	X(PEER_SENT, "peer_messages_sent_total", "messages sent to peers")    \
 	X(PEER_SENT_BYTES, "peer_sent_bytes_total", "bytes sent to peers")    \
 	X(PEER_RECEIVED, "peer_messages_received_total",                      \
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -50,6 +50,7 @@
 	X(4007, PROMOTE_VIEW, INFO, "new primary known")                    \
 	X(4008, HANDOVER_START, INFO, "planned hand-over begins")           \
 	X(4009, SUCCESSION, INFO, "change of primary moves on")             \
+	X(4010, PRIMARY_PROVED, INFO, "primary proved again")               \
 	X(5001, ESCROW_RECOUNT, INFO, "recount of a team limit")            \
 	X(5002, TEAM_REFUSED, DEBUG, "request over the team's rate")        \
 	X(5003, LIMIT_ALONE, INFO, "team limit decided without its keeper") \
@@ -59,6 +60,8 @@
 	X(6004, PLATFORM_BACK, INFO, "platform answers again")              \
 	X(6005, AUDIT, INFO, "administrative change")                       \
 	X(6006, SETTINGS_RELOADED, INFO, "settings file read again")        \
+	X(6007, STORE_RESTORED, WARN, "platform restored an older copy")    \
+	X(6008, STORE_PAST, WARN, "reply of an earlier era")                \
 	X(7001, PEER_BAD_MESSAGE, WARN, "message of a peer refused")        \
 	X(7002, PEER_JOINED, INFO, "VM joined")                             \
 	X(7003, PEER_GONE, WARN, "VM gone")                                 \
--- a/src/kernel/loop.h
+++ b/src/kernel/loop.h
@@ -37,8 +37,10 @@
 	char extra_headers[HTTP_EXTRA_HEADERS_MAX]
 			  [HTTP_AUTH_BYTES]; /* further header lines */
 	usec_t timeout;			     /* of the whole call */
-	size_t reply_max;    /* bytes; a larger reply fails the call */
-	bool new_connection; /* use a new connection */
+	size_t reply_max;	   /* bytes; a larger reply fails the call */
+	bool new_connection;	   /* use a new connection */
+	const char *number_header; /* reply header to take a number from; NULL:
+				      none */
 	void (*done)(struct http_call *call);
 	void *ctx;
 	/* Filled in before done(): */
@@ -48,6 +50,7 @@
 	char *reply; /* NUL-terminated; freed after done(); NULL if none */
 	size_t reply_len;
 	char etag[HTTP_ETAG_BYTES]; /* without quotes */
+	uint64_t header_number;	    /* of number_header; 0: none or malformed */
 	char error_text[128];	    /* why there is no status */
 	/* Private to the loop: */
 	void *easy;
--- a/src/kernel/loop_http.c
+++ b/src/kernel/loop_http.c
@@ -20,6 +20,7 @@
 static void on_timer(void *ctx);
 static size_t on_reply(char *data, size_t size, size_t n, void *ctx);
 static size_t on_header(char *data, size_t size, size_t n, void *ctx);
+static void read_number(struct http_call *c, const char *data, size_t len);
 static size_t on_body_read(char *buf, size_t size, size_t n, void *ctx);
 static int on_socket_created(void *ctx, curl_socket_t fd, curlsocktype purpose);
 static CURL *acquire_handle(struct loop *l);
@@ -94,6 +95,7 @@
 	c->headers = NULL;
 	c->easy = NULL;
 	c->etag[0] = '\0';
+	c->header_number = 0;
 	c->error_text[0] = '\0';
 	c->next = l->calls;
 	c->pprev = &l->calls;
@@ -364,12 +366,14 @@
 	return len;
 }
 
-/* Extracts the entity tag from the headers. */
+/* Extracts the entity tag and the requested number from the headers. */
 static size_t on_header(char *data, size_t size, size_t n, void *ctx)
 {
 	struct http_call *c = ctx;
 	size_t len = size * n, i, k = 0;
 
+	if (c->number_header)
+		read_number(c, data, len);
 	if (len < 5 || strncasecmp(data, "etag:", 5) != 0)
 		return len;
 	for (i = 5; i < len && k + 1 < sizeof(c->etag); i++) {
@@ -380,6 +384,33 @@
 	return len;
 }
 
+/*
+ * Takes the number of the header line "data" if it is the requested header. A
+ * value that is no decimal number, or too large, is taken as 0.
+ */
+static void read_number(struct http_call *c, const char *data, size_t len)
+{
+	size_t i = strlen(c->number_header);
+	uint64_t number = 0;
+
+	if (len <= i || data[i] != ':' ||
+	    strncasecmp(data, c->number_header, i) != 0)
+		return;
+	for (i++; i < len && (data[i] == ' ' || data[i] == '\t'); i++)
+		;
+	for (; i < len && data[i] >= '0' && data[i] <= '9'; i++) {
+		if (number > (UINT64_MAX - 9) / 10)
+			return;
+		number = number * 10 + (uint64_t)(data[i] - '0');
+	}
+	for (; i < len; i++) {
+		if (data[i] != ' ' && data[i] != '\t' && data[i] != '\r' &&
+		    data[i] != '\n')
+			return;
+	}
+	c->header_number = number;
+}
+
 /* Completes the calls that curl has finished. */
 static void complete_calls(struct loop *l)
 {
--- a/src/kernel/platform.h
+++ b/src/kernel/platform.h
@@ -47,9 +47,14 @@
 	uint64_t after;	  /* WATCH: return changes after this revision */
 	uint32_t wait_ms; /* WATCH: longest wait for a change */
 	bool stale_ok;	  /* LIST: may be some seconds old, and costs less */
+	uint64_t object_era; /* GET, PUT: the era of the store that the object
+				belongs to; 0: any. One of another era is a
+				different object. */
 	void (*done)(struct platform_call *c);
 	void *ctx;
 	enum platform_result result;
+	bool replied; /* out: the platform replied, if only with an error */
+	uint64_t era; /* out: era of the store that replied; 0: not told */
 	struct error error;
 	char *reply; /* JSON; freed after done() */
 	void *own;   /* private to the plug-in */
--- a/src/kernel/platform_client.c
+++ b/src/kernel/platform_client.c
@@ -66,6 +66,8 @@
 
 	error_clear(&c->error);
 	c->reply = NULL;
+	c->replied = false;
+	c->era = 0;
 	if (!j) {
 		fail_call(c, "out of memory");
 		return;
--- a/src/proxy/db_group.c
+++ b/src/proxy/db_group.c
@@ -257,6 +257,8 @@
 {
 	if (g->primary != DB_NONE &&
 	    primary_proof_is_valid(&g->proof, now, g->proxy->policy.guard)) {
+		if (g->primary_unusable_since)
+			db_group_proof_log(g, now);
 		g->primary_unusable_since = 0;
 		return true;
 	}
--- a/src/proxy/db_group_proof.c
+++ b/src/proxy/db_group_proof.c
@@ -1,5 +1,7 @@
 #include <msgpack.h>
+#include <stdio.h>
 
+#include "kernel/log.h"
 #include "kernel/platform.h"
 #include "kernel/wire.h"
 #include "proxy/proxy_internal.h"
@@ -107,6 +109,33 @@
 	primary_proof_check_unanimous(&g->proof, status, n);
 }
 
+/* Logs the basis of the newest proof, and which databases are unreachable. */
+void db_group_proof_log(const struct db_group *g, usec_t now)
+{
+	char unreachable[DB_GROUP_MEMBERS_MAX * (DB_ID_MAX_BYTES + 1)] = "";
+	size_t len = 0;
+	uint32_t i;
+
+	for (i = 0; i < DB_GROUP_MEMBERS_MAX; i++) {
+		const struct db_member *d = &g->db[i];
+
+		if (!d->present || i == g->primary || !is_unreachable(d, now))
+			continue;
+		len += (size_t)snprintf(unreachable + len,
+					sizeof(unreachable) - len, "%s%s",
+					len ? "," : "", d->id);
+	}
+	log_event(EV_PRIMARY_PROVED,
+		  "service=%s database=%s term=%llu basis=%s age_us=%lld "
+		  "unusable_us=%lld unreachable=%s",
+		  g->service, g->db[g->primary].id,
+		  (unsigned long long)g->proof.term,
+		  primary_proof_basis_name(g->proof.basis),
+		  (long long)(now - g->proof.proved_at),
+		  (long long)(now - g->primary_unusable_since),
+		  len ? unreachable : "none");
+}
+
 /*
  * Renews the proof of a primary in use before it expires. The result of a write
  * counts only if the proof is still valid when it arrives.
@@ -237,7 +266,8 @@
 	if (db != DB_NONE && (term > g->proof.term ||
 			      (term == g->proof.term && g->primary == DB_NONE)))
 		db_group_set_primary(g, db, term, "proof owner");
-	primary_proof_add(&g->proof, g->proof_requested_at - (usec_t)age, term);
+	primary_proof_add(&g->proof, g->proof_requested_at - (usec_t)age, term,
+			  PRIMARY_PROOF_PEER);
 	if (at.term == g->proof.term && sample_age < USEC_PER_SEC)
 		primary_proof_sample(&g->proof,
 				     g->proof_requested_at - (usec_t)sample_age,
--- a/src/proxy/failover.c
+++ b/src/proxy/failover.c
@@ -96,6 +96,7 @@
 {
 	struct failover_fsm *s = &g->succession;
 	enum failover_fsm_phase old_phase = s->phase;
+	usec_t old_phase_at = s->phase_at;
 	struct failover_fsm_actions out;
 	struct failover_fsm_env env;
 	uint32_t i;
@@ -105,11 +106,15 @@
 	if (s->phase != old_phase)
 		log_event(EV_SUCCESSION,
 			  "service=%s phase=%s cause=%s token=%llu term=%llu "
+			  "base=%llu stepped_down=%d before=%s lasted_us=%lld "
 			  "hear=%u miss=%u rank=%u",
 			  g->service, failover_fsm_phase_name(s->phase),
 			  failover_fsm_cause_name(s->cause),
 			  (unsigned long long)s->token,
-			  (unsigned long long)s->term, env.peers_hearing,
+			  (unsigned long long)s->term,
+			  (unsigned long long)s->base_term, s->stepped_down,
+			  failover_fsm_phase_name(old_phase),
+			  (long long)(now - old_phase_at), env.peers_hearing,
 			  env.peers_missing, env.rank);
 	for (i = 0; i < out.n; i++)
 		run_action(g, &out.a[i]);
@@ -282,7 +287,8 @@
 		 * the guard has passed since then: this is a proof dated
 		 * claim_verified_at.
 		 */
-		primary_proof_add(&g->proof, g->claim_verified_at, a->term);
+		primary_proof_add(&g->proof, g->claim_verified_at, a->term,
+				  PRIMARY_PROOF_PROMOTION);
 		g->promoted_here = true;
 		dispatch_waiting(g);
 		break;
--- a/src/proxy/proxy_internal.h
+++ b/src/proxy/proxy_internal.h
@@ -7,12 +7,14 @@
 
 #include "decide/member_expiry.h"
 #include "decide/promotion_claim.h"
+#include "decide/store_position.h"
 #include "decide/primary_proof.h"
 #include "decide/connect_backoff.h"
 #include "decide/load_balance.h"
 #include "decide/rate_limit.h"
 #include "decide/failover_fsm.h"
 #include "kernel/kernel.h"
+#include "kernel/platform.h"
 #include "kernel/wire.h"
 #include "proxy/catalog.h"
 #include "proxy/strmap.h"
@@ -366,6 +368,7 @@
 	uint32_t n_served; /* streams of other VMs */
 	struct evconnlistener *link_listener;
 	struct registry *registry;
+	struct store_era store_era;
 	struct heartbeat *heartbeat;
 	struct rate_limit *rate_limit;
 	struct rate_limiter *rate_limiter;
@@ -603,6 +606,10 @@
 void rate_limit_client_on_response(struct rate_limiter *l,
 				   struct wire_reader *r);
 
+/* registry_era.c */
+/* Takes note of the era of the platform's store that a reply tells. */
+void registry_note_era(struct proxy *p, const struct platform_call *c);
+
 /* registry_copy.c */
 void registry_copy_request(struct proxy *x, enum registry_copy kind);
 
@@ -638,6 +645,8 @@
  * primary.
  */
 void db_group_proof_evaluate(struct db_group *g, usec_t now);
+/* Logs what the proof of the primary rests on. */
+void db_group_proof_log(const struct db_group *g, usec_t now);
 /* Renews the proof of a primary in use, by probes or from the proof owner. */
 void db_group_proof_refresh(struct db_group *g, usec_t now);
 /* Obtains a proof for a statement that needs one. */
--- a/src/proxy/registry.c
+++ b/src/proxy/registry.c
@@ -341,6 +341,8 @@
 	if (p->call.op != PLATFORM_WATCH)
 		latency_add(LATENCY_PLATFORM, proxy_now() - p->requested_at);
 	track_outage(r, p->call.result, proxy_now());
+	if (p->call.replied)
+		registry_note_era(r->proxy, &p->call);
 	p->handle(r, p);
 	free(p->reply);
 	p->reply = NULL;
--- a/src/proxy/remote_client.c
+++ b/src/proxy/remote_client.c
@@ -309,7 +309,7 @@
 		db_group_set_primary(g, primary, m->term, r->link->peer);
 	if (m->term == g->proof.term && m->proof_age < USEC_PER_SEC)
 		primary_proof_add(&g->proof, r->sent_at - (usec_t)m->proof_age,
-				  m->term);
+				  m->term, PRIMARY_PROOF_PEER);
 	if (m->result != RESULT_REPLY)
 		return;
 	d->latency += (now - r->sent_at - d->latency) / LATENCY_DIVISOR;
--- a/tests/decide/primary_proof_test.cc
+++ b/tests/decide/primary_proof_test.cc
@@ -54,7 +54,7 @@
 		struct primary_proof l;
 		primary_proof_init(&l);
 		primary_proof_begin_term(&l, 1);
-		primary_proof_add(&l, kNow, 1);
+		primary_proof_add(&l, kNow, 1, PRIMARY_PROOF_PEER);
 		EXPECT_EQ(primary_proof_is_valid(&l, kNow + c.after, kGuard),
 			  c.holds)
 			<< c.name;
@@ -67,13 +67,13 @@
 	primary_proof_init(&l);
 	EXPECT_FALSE(primary_proof_is_valid(&l, kNow, kGuard));
 	primary_proof_begin_term(&l, 1);
-	primary_proof_add(&l, kNow, 1);
+	primary_proof_add(&l, kNow, 1, PRIMARY_PROOF_PEER);
 	ASSERT_TRUE(primary_proof_is_valid(&l, kNow, kGuard));
 	primary_proof_begin_term(&l, 2);
 	EXPECT_FALSE(primary_proof_is_valid(&l, kNow, kGuard));
-	primary_proof_add(&l, kNow, 1);
+	primary_proof_add(&l, kNow, 1, PRIMARY_PROOF_PEER);
 	EXPECT_FALSE(primary_proof_is_valid(&l, kNow, kGuard));
-	primary_proof_add(&l, kNow, 2);
+	primary_proof_add(&l, kNow, 2, PRIMARY_PROOF_PEER);
 	EXPECT_TRUE(primary_proof_is_valid(&l, kNow, kGuard));
 }
 
@@ -98,7 +98,8 @@
 		primary_proof_init(&l);
 		primary_proof_begin_term(&l, 1);
 		if (c.proof)
-			primary_proof_add(&l, kNow + c.proof, 1);
+			primary_proof_add(&l, kNow + c.proof, 1,
+					  PRIMARY_PROOF_PEER);
 		primary_proof_replica_unpaused(&l, kNow + c.asked, c.term,
 					       kGuard);
 		EXPECT_EQ(l.proved_at == kNow + c.asked, c.proved) << c.name;
--- a/tests/process/sessions.sh
+++ b/tests/process/sessions.sh
@@ -7,7 +7,7 @@
 
 # Names of the platform's interface are allowed only in platform/ and its tests.
 no_platform_names_in_src() {
-	grep -rlE 'GYPSUMCLEAT_CONFIG|dbRole|Gypsumcleat-(Fencing|Duty)|maxStalenessMs|syncReplicas|STEPDOWN|gypsumcleat/objects' \
+	grep -rlE 'GYPSUMCLEAT_CONFIG|dbRole|Gypsumcleat-(Fencing|Duty)|Store-Era|maxStalenessMs|syncReplicas|STEPDOWN|gypsumcleat/objects' \
 	    src && return 1
 	return 0
 }
