Wait for the guard also if the old primary refuses connections

Cause: a failover that began because the primary's address refused connections went on to the promotion at once, without waiting until the proofs of other VMs had expired. To a VM behind a cut that resets connections a primary that others use refuses connections too, as does one that restarts within the guard. Class: a safety wait left out on the word of one observer. Change: no exception from the guard for a refused address. Test: FailoverFsm.RefusedPrimaryIsReplacedOnlyAfterGuard, which failed before. Ruled out: counting the peers that see the address refuse, since those that do not answer are the ones that matter.

--- a/src/decide/failover_fsm.c
+++ b/src/decide/failover_fsm.c
@@ -436,9 +436,9 @@
  * Waits until no VM can use the old primary any more. If it stepped down, waits
  * until a replica has its whole log and no other database reports itself as
  * primary, for at most catch_up: a former primary that had been replaced before
- * seems to step down too. Otherwise waits until
- * every proof of it has expired. There is no wait for a primary whose address
- * refuses connections.
+ * seems to step down too. Otherwise waits until every proof of it has expired,
+ * also if its address refuses connections: that may be so for this VM alone, or
+ * for a moment.
  */
 static void wait_for_guard(struct failover_fsm *s,
 			   const struct failover_fsm_env *env,
@@ -463,8 +463,7 @@
 			failover_fsm_tick(s, env, out);
 			return;
 		}
-	} else if (s->cause == FAILOVER_CAUSE_REFUSED ||
-		   waited >= s->policy.guard + s->policy.margin) {
+	} else if (waited >= s->policy.guard + s->policy.margin) {
 		s->result_pending = false;
 		enter_phase(s, env->now, FAILOVER_VERIFY);
 		failover_fsm_tick(s, env, out);
--- a/tests/decide/failover_fsm_test.cc
+++ b/tests/decide/failover_fsm_test.cc
@@ -196,6 +196,25 @@
 	EXPECT_EQ(g.s.phase, FAILOVER_IDLE);
 }
 
+// Guards against a write that another VM acknowledges at the old primary after
+// the promotion: to a VM that is cut off by resets, a primary in use refuses
+// connections, too.
+TEST(FailoverFsm, RefusedPrimaryIsReplacedOnlyAfterGuard)
+{
+	Group g;
+	g.env.cause = FAILOVER_CAUSE_REFUSED;
+	g.env.db[0].answers = false;
+	g.run(20 * kMs);
+	g.claim();
+	g.run(20 * kMs);
+	g.pause(1);
+	g.pause(2);
+	std::string acts = g.run(kPolicy.guard);
+	EXPECT_EQ(acts.find('V'), std::string::npos) << "within the guard";
+	acts = g.run(kPolicy.margin + 60 * kMs);
+	EXPECT_NE(acts.find('V'), std::string::npos) << "after the guard";
+}
+
 // A primary that this VM did not know of is discovered during the fence.
 TEST(FailoverFsm, UnknownPrimaryIsDiscovered)
 {
