Keep a record of claims per era, close it after a promotion, order tokens by era

Cause: the token was the claim's revision, which falls then and is given out again; the mark that a promotion is in progress is lost with the copy; a conditional write of before meets another record with the same revision. Class: a safety condition that rests on what the store may take back. Change: the claim is kept under a kind of its era, so no write can meet a record of another era; a reply of another era than the claim's is a failure; the token is the era above the revision. The first record of an era is written 5 s after the era was first heard of, when every promotion that was marked before has taken effect or never will; a record tells later VMs that this is so. After a promotion, and when a proved primary has no closed record, the record is closed with the term and the primary. A claim over a record closed at a later term than known is refused, and the later primary adopted. A platform that tells no era has era 0 throughout: names and tokens are as before. Ruled out: the era inside the record, which a late write of the former era can still overwrite.

--- a/src/decide/failover_fsm.c
+++ b/src/decide/failover_fsm.c
@@ -129,12 +129,13 @@
 
 /* Takes the result of the claim. If it failed, the attempt ends. */
 void failover_fsm_claimed(struct failover_fsm *s, usec_t now, bool ok,
-			  uint64_t token)
+			  uint64_t token, bool is_base_certain)
 {
 	if (s->phase != FAILOVER_CLAIM || !s->result_pending)
 		return;
 	s->result_pending = false;
 	s->token = ok ? token : 0;
+	s->is_base_certain = ok && is_base_certain;
 	if (ok)
 		return;
 	enter_phase(s, now, FAILOVER_IDLE);
@@ -160,7 +161,11 @@
 	s->quiet_until = now + s->policy.back_off;
 }
 
-/* Records that one database is fenced: paused, or stepped down. */
+/*
+ * Records that one database is fenced: paused, or stepped down. The step-down
+ * of a database that may have been replaced before says nothing of the primary
+ * in use, so all replicas have to be paused then.
+ */
 void failover_fsm_fenced(struct failover_fsm *s, usec_t now, uint32_t db,
 			 uint64_t term, bool stepped_down,
 			 struct log_pos received)
--- a/src/decide/failover_fsm.h
+++ b/src/decide/failover_fsm.h
@@ -10,8 +10,8 @@
  *
  *   claim     obtain a fencing token by a conditional write at the platform
  *   fence     step the old primary down, or pause all replicas
- *   guard     unless it stepped down, wait until every VM's proof of the old
- *             primary has expired
+ *   guard     unless it stepped down, and is certainly the only primary, wait
+ *             until every VM's proof of the old primary has expired
  *   verify    check that the claim is still the newest, and that no replica
  *             that is not paused has joined the group
  *   promote   promote the replica with the most complete log
@@ -126,6 +126,8 @@
 	uint64_t base_term;	/* the group's term when the attempt began */
 	uint32_t old_primary;	/* the primary that is replaced, or DB_NONE */
 	bool stepped_down;	/* the old primary reported its step-down */
+	bool is_base_certain;	/* base_term was the group's newest at the claim
+				 */
 	bool old_primary_kept;	/* the last failover promoted it again */
 	struct log_pos old_primary_end; /* end of its log at the step-down */
 	uint32_t paused_mask;		/* replicas paused by this attempt */
@@ -140,8 +142,9 @@
 void failover_fsm_tick(struct failover_fsm *s,
 		       const struct failover_fsm_env *env,
 		       struct failover_fsm_actions *out);
+/* "is_base_certain": nobody had promoted since the known term began. */
 void failover_fsm_claimed(struct failover_fsm *s, usec_t now, bool ok,
-			  uint64_t token);
+			  uint64_t token, bool is_base_certain);
 /* "ok": the claim is still the newest; marking it gave it a higher token. */
 void failover_fsm_verified(struct failover_fsm *s, usec_t now, bool ok,
 			   uint64_t token);
--- a/src/decide/primary_proof.c
+++ b/src/decide/primary_proof.c
@@ -95,6 +95,7 @@
 		[PRIMARY_PROOF_UNANIMOUS] = "unanimous",
 		[PRIMARY_PROOF_PEER] = "peer",
 		[PRIMARY_PROOF_PROMOTION] = "promotion",
+		[PRIMARY_PROOF_CLAIM] = "claim",
 	};
 
 	return names[basis];
--- a/src/decide/primary_proof.h
+++ b/src/decide/primary_proof.h
@@ -37,6 +37,7 @@
 	PRIMARY_PROOF_UNANIMOUS, /* no other database is promoted or paused */
 	PRIMARY_PROOF_PEER,	 /* the VM that keeps the proof told it */
 	PRIMARY_PROOF_PROMOTION, /* this VM promoted it */
+	PRIMARY_PROOF_CLAIM,	 /* no promotion is claimed at the platform */
 };
 
 struct primary_proof {
--- a/src/proxy/db_group_proof.c
+++ b/src/proxy/db_group_proof.c
@@ -47,13 +47,15 @@
 #define POSITION_REFRESH_US (700 * USEC_PER_MSEC)
 /* A database counts as unreachable after half the guard without a reply. */
 #define UNREACHABLE_US (300 * USEC_PER_MSEC)
-/* Shortest interval between two reads of whether a promotion was claimed. */
+/* Shortest interval between two reads of the claim. */
 #define CLAIM_CHECK_US USEC_PER_SEC
 
 static void probe_databases(struct db_group *g, usec_t now);
 static void request_proof(struct db_group *g, usec_t now);
-static void check_unclaimed(struct db_group *g, usec_t now);
-static void on_unclaimed(void *ctx, bool ok, uint64_t token);
+static void check_claim(struct db_group *g, usec_t now);
+static void on_claim_read(void *ctx, const struct registry_claim_outcome *o);
+static void close_claim(struct db_group *g, usec_t now);
+static void on_claim_closed(void *ctx, const struct registry_claim_outcome *o);
 static const char *proof_owner(struct db_group *g);
 static bool is_unreachable(const struct db_member *d, usec_t now);
 static bool has_unreachable(const struct db_group *g, usec_t now);
@@ -109,6 +111,48 @@
 	primary_proof_check_unanimous(&g->proof, status, n);
 }
 
+/*
+ * A closed claim proves the primary of its term as of the request, since a
+ * later promotion has to replace it and wait for the guard. It also tells of a
+ * later term than the known one. So does the lack of a claim at a platform that
+ * never loses one: then nobody has promoted at all.
+ */
+void db_group_on_claim(struct db_group *g,
+		       const struct registry_claim_outcome *o)
+{
+	const struct promotion_claim *c = &o->record.claim;
+	uint32_t db;
+
+	if (!o->ok)
+		return;
+	if (c->state == PROMOTION_CLAIM_NONE && c->at.era == 0 &&
+	    g->primary != DB_NONE)
+		primary_proof_add(&g->proof, o->asked_at, g->proof.term,
+				  PRIMARY_PROOF_CLAIM);
+	if (c->state != PROMOTION_CLAIM_CLOSED || c->term < g->proof.term)
+		return;
+	db = db_group_find_member(g, o->record.primary);
+	if (c->term > g->proof.term) {
+		if (db != DB_NONE) {
+			db_group_set_primary(g, db, c->term, "claim");
+		} else {
+			log_event(EV_PROMOTE_VIEW,
+				  "service=%s database=%s term=%llu "
+				  "former_term=%llu source=claim listed=0",
+				  g->service, o->record.primary,
+				  (unsigned long long)c->term,
+				  (unsigned long long)g->proof.term);
+			primary_proof_begin_term(&g->proof, c->term);
+			g->primary = DB_NONE;
+		}
+	}
+	g->closed_at = c->at;
+	g->closed_term = c->term;
+	if (db != DB_NONE && db == g->primary)
+		primary_proof_add(&g->proof, o->asked_at, c->term,
+				  PRIMARY_PROOF_CLAIM);
+}
+
 /* Logs the basis of the newest proof, and which databases are unreachable. */
 void db_group_proof_log(const struct db_group *g, usec_t now)
 {
@@ -146,6 +190,7 @@
 		return;
 	if (db_group_proof_is_local(g, now)) {
 		probe_databases(g, now);
+		close_claim(g, now);
 		return;
 	}
 	if (now - g->primary_used_at <= REQUEST_AFTER_USE_US &&
@@ -300,7 +345,7 @@
 	    now - g->proof.proved_at < guard / PROOF_REFRESH_DIVISOR)
 		return;
 	if (!is_valid) {
-		check_unclaimed(g, now);
+		check_claim(g, now);
 		db_group_proof_evaluate(g, now);
 		if (has_unreachable(g, now))
 			registry_poll_fast(g->proxy->registry, now);
@@ -321,16 +366,16 @@
 }
 
 /*
- * Asks the platform whether a promotion was ever claimed, if a database joined
- * so lately that it might have missed the PAUSE of one.
+ * Reads the claim, if a database joined so lately that it might have missed the
+ * PAUSE of a promotion, or can't be asked whether it was promoted.
  */
-static void check_unclaimed(struct db_group *g, usec_t now)
+static void check_claim(struct db_group *g, usec_t now)
 {
+	usec_t interval = CLAIM_CHECK_US;
 	bool is_needed = false;
 	uint32_t i;
 
-	if (g->was_claimed || g->claim_check_pending ||
-	    now - g->claim_checked_at < CLAIM_CHECK_US)
+	if (g->claim_check_pending || now - g->claim_checked_at < interval)
 		return;
 	for (i = 0; i < DB_GROUP_MEMBERS_MAX; i++)
 		is_needed |= g->db[i].present && now < g->db[i].trusted_from;
@@ -338,32 +383,66 @@
 		return;
 	g->claim_checked_at = now;
 	g->claim_check_pending = true;
-	registry_check_unclaimed(g->proxy, g, on_unclaimed, g);
+	registry_read_claim(g->proxy, g, on_claim_read, g);
 }
 
 /*
- * Trusts the databases that had joined before the question if no promotion was
- * claimed: a later one finds them in the registry and pauses them.
+ * Trusts the databases that had joined before the claim was requested if no
+ * promotion was claimed then: a later one finds them in the registry and pauses
+ * them.
  */
-static void on_unclaimed(void *ctx, bool ok, uint64_t token)
+static void on_claim_read(void *ctx, const struct registry_claim_outcome *o)
 {
+	const struct promotion_claim *c = &o->record.claim;
 	struct db_group *g = ctx;
+	bool is_unclaimed;
 	uint32_t i;
 
-	(void)token;
 	g->claim_check_pending = false;
-	if (!ok) {
-		g->was_claimed = platform_is_up(g->proxy->kernel);
+	if (!o->ok)
 		return;
-	}
-	for (i = 0; i < DB_GROUP_MEMBERS_MAX; i++) {
-		if (g->db[i].joined_at < g->claim_checked_at)
+	db_group_on_claim(g, o);
+	is_unclaimed =
+		c->state == PROMOTION_CLAIM_NONE
+			? c->at.era == 0 ||
+				  registry_era_is_settled(g->proxy, o->asked_at)
+			: c->state == PROMOTION_CLAIM_CLOSED &&
+				  c->term == g->proof.term;
+	for (i = 0; is_unclaimed && i < DB_GROUP_MEMBERS_MAX; i++) {
+		if (g->db[i].joined_at < o->asked_at)
 			g->db[i].trusted_from = 0;
 	}
 	db_group_proof_evaluate(g, proxy_now());
 	dispatch_waiting(g);
 }
 
+/*
+ * Closes the claim of the proved primary, unless it is known to be closed, so
+ * that the primary can be proved without the other databases later.
+ */
+static void close_claim(struct db_group *g, usec_t now)
+{
+	if (g->claim_check_pending ||
+	    now - g->claim_checked_at < CLAIM_CHECK_US ||
+	    (g->closed_term == g->proof.term &&
+	     g->closed_at.era == g->proxy->store_era.era) ||
+	    !g->proxy->store_era.is_known ||
+	    !primary_proof_is_valid(&g->proof, now, g->proxy->policy.guard))
+		return;
+	g->claim_checked_at = now;
+	g->claim_check_pending = true;
+	registry_close_claim(g->proxy, g, on_claim_closed, g);
+}
+
+/* Notes that the claim was closed, or what it tells instead. */
+static void on_claim_closed(void *ctx, const struct registry_claim_outcome *o)
+{
+	struct db_group *g = ctx;
+
+	g->claim_check_pending = false;
+	db_group_on_claim(g, o);
+}
+
 /* Requests the proof from its owner, unless a request was sent a moment ago. */
 static void request_proof(struct db_group *g, usec_t now)
 {
@@ -410,8 +489,8 @@
 }
 
 /*
- * True if a database other than the primary is unreachable, so that the
- * registry has to tell its role.
+ * True if a database other than the primary is unreachable, so that the claim
+ * has to tell whether it may have been promoted.
  */
 static bool has_unreachable(const struct db_group *g, usec_t now)
 {
--- a/src/proxy/failover.c
+++ b/src/proxy/failover.c
@@ -77,9 +77,11 @@
 			   usec_t requested_at);
 static void resume_if_newest(struct db_group *g,
 			     const struct failover_fsm_action *a);
-static void on_resume_verified(void *ctx, bool ok, uint64_t token);
-static void on_claimed(void *ctx, bool ok, uint64_t token);
-static void on_verified(void *ctx, bool ok, uint64_t token);
+static void on_resume_verified(void *ctx,
+			       const struct registry_claim_outcome *o);
+static void on_claimed(void *ctx, const struct registry_claim_outcome *o);
+static void on_verified(void *ctx, const struct registry_claim_outcome *o);
+static void on_closed(void *ctx, const struct registry_claim_outcome *o);
 static void on_promoted(void *ctx, enum registry_promote_result a);
 
 /* Initializes the failover of a group. */
@@ -244,8 +246,7 @@
 		break;
 	case FAILOVER_ACT_VERIFY:
 		g->claim_verified_at = proxy_now();
-		registry_mark_promoting(p, g, g->succession.token, on_verified,
-					g);
+		registry_mark_promoting(p, g, on_verified, g);
 		registry_list_now(p->registry, proxy_now());
 		break;
 	case FAILOVER_ACT_PAUSE:
@@ -290,6 +291,7 @@
 		primary_proof_add(&g->proof, g->claim_verified_at, a->term,
 				  PRIMARY_PROOF_PROMOTION);
 		g->promoted_here = true;
+		registry_close_claim(p, g, on_closed, g);
 		dispatch_waiting(g);
 		break;
 	}
@@ -313,11 +315,12 @@
 }
 
 /* Resumes the replica if no later claim was made, and frees the request. */
-static void on_resume_verified(void *ctx, bool ok, uint64_t token)
+static void on_resume_verified(void *ctx,
+			       const struct registry_claim_outcome *o)
 {
 	struct resume_call *c = ctx;
 
-	if (ok && token == c->token)
+	if (o->ok && o->token && o->token == c->token)
 		send_fence(c->group, c->db, CONTROL_RESUME, 0);
 	free(c);
 }
@@ -368,11 +371,12 @@
 }
 
 /* Passes the result of the claim to the failover. */
-static void on_claimed(void *ctx, bool ok, uint64_t token)
+static void on_claimed(void *ctx, const struct registry_claim_outcome *o)
 {
 	struct db_group *g = ctx;
 
-	failover_fsm_claimed(&g->succession, proxy_now(), ok, token);
+	failover_fsm_claimed(&g->succession, proxy_now(), o->ok, o->token,
+			     o->is_term_certain);
 	failover_tick(g, proxy_now());
 }
 
@@ -380,14 +384,20 @@
  * Tells the failover whether this VM's claim was marked as promoting. That
  * fails if another VM has made a later claim.
  */
-static void on_verified(void *ctx, bool ok, uint64_t token)
+static void on_verified(void *ctx, const struct registry_claim_outcome *o)
 {
 	struct db_group *g = ctx;
 
-	failover_fsm_verified(&g->succession, proxy_now(), ok, token);
+	failover_fsm_verified(&g->succession, proxy_now(), o->ok, o->token);
 	failover_tick(g, proxy_now());
 }
 
+/* Notes that the claim was closed, or what it tells instead. */
+static void on_closed(void *ctx, const struct registry_claim_outcome *o)
+{
+	db_group_on_claim(ctx, o);
+}
+
 /* Passes the result of the promotion to the failover. */
 static void on_promoted(void *ctx, enum registry_promote_result a)
 {
--- a/src/proxy/proxy_internal.h
+++ b/src/proxy/proxy_internal.h
@@ -144,6 +144,10 @@
 	/* when this VM last requested to mark its claim as promoting */
 	usec_t claim_verified_at;
 	struct promotion_claim_sighting claim_seen;
+	struct promotion_claim own_claim; /* that this VM wrote last */
+	/* the claim was closed there at this term, as this VM knows */
+	struct store_position closed_at;
+	uint64_t closed_term;
 	/*
 	 * VM that maintains the proof of the primary; NULL: this VM. Computed
 	 * at proof_owner_version.
@@ -154,10 +158,9 @@
 	/* rank of this VM for the group, computed at rank_version */
 	uint32_t rank;
 	uint64_t rank_version; /* heartbeat_owners_version() then, plus 1 */
-	/* when this VM last asked whether a promotion was ever claimed */
+	/* when this VM last read the claim to judge the databases by it */
 	usec_t claim_checked_at;
 	bool claim_check_pending;
-	bool was_claimed; /* a promotion was claimed at some time */
 	/* id of the newest request to the proof owner */
 	uint64_t proof_request_id;
 	/* when the newest request to the proof owner was sent */
@@ -645,6 +648,9 @@
  * primary.
  */
 void db_group_proof_evaluate(struct db_group *g, usec_t now);
+/* Takes what a claim that was read tells of the primary. */
+void db_group_on_claim(struct db_group *g,
+		       const struct registry_claim_outcome *o);
 /* Logs what the proof of the primary rests on. */
 void db_group_proof_log(const struct db_group *g, usec_t now);
 /* Renews the proof of a primary in use, by probes or from the proof owner. */
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -2,6 +2,7 @@
 #define PROXY_REGISTRY_H
 
 #include "decide/error.h"
+#include "decide/promotion_claim.h"
 #include "proxy/catalog.h"
 
 /*
@@ -40,19 +41,18 @@
 
 /*
  * The claim of a VM to promote a database of a service, as stored at the
- * platform. One per service; replaced by compare-and-swap on its revision.
+ * platform. One per service and era; replaced by compare-and-swap on its
+ * revision.
  */
 struct registry_claim_record {
-	char holder[NAME_MAX_BYTES];
+	char holder[NAME_MAX_BYTES]; /* VM that wrote it */
 	uint64_t incarnation;
 	/* increases with each write by the VM, so no two are equal */
 	uint64_t claim_number;
-	/* the fencing token: unique, increases with each write */
-	uint64_t revision;
-	/* the holder may be promoting now: see decide/promotion_claim.h */
-	bool is_promoting;
-	/* the group's term that the promotion replaces */
-	uint64_t base_term;
+	/* see decide/promotion_claim.h; a decoder leaves the era to its caller
+	 */
+	struct promotion_claim claim;
+	char primary[NAME_MAX_BYTES]; /* closed: the database that leads */
 };
 
 /* One page of a list. */
@@ -154,7 +154,20 @@
 void registry_on_peer_digest(struct registry *r,
 			     const struct registry_digest *n, usec_t now);
 
-typedef void (*registry_claim_done_fn)(void *ctx, bool ok, uint64_t token);
+/* How a request about a claim ended. */
+struct registry_claim_outcome {
+	bool ok;
+	uint64_t token; /* fencing token of the record; 0: none */
+	/* nobody has promoted since the term that the claim would end */
+	bool is_term_certain;
+	/* the record read; its state is PROMOTION_CLAIM_NONE if there is none
+	 */
+	struct registry_claim_record record;
+	usec_t asked_at; /* when the record was requested */
+};
+
+typedef void (*registry_claim_done_fn)(void *ctx,
+				       const struct registry_claim_outcome *o);
 /*
  * Claims the promotion for a group: reads the current claim and replaces it,
  * unless its holder may be promoting. fn is called once, later.
@@ -166,17 +179,20 @@
  * claim. The token increases.
  */
 void registry_mark_promoting(struct proxy *p, struct db_group *g,
-			     uint64_t token, registry_claim_done_fn fn,
-			     void *ctx);
-/* Reads the token of the newest claim. */
-/*
- * Reports true if no claim was ever made for the group. Any promotion then
- * claims later, and fences all databases that are registered by now.
- */
-void registry_check_unclaimed(struct proxy *p, struct db_group *g,
-			      registry_claim_done_fn fn, void *ctx);
+			     registry_claim_done_fn fn, void *ctx);
+/* Reads the newest claim; "ok" tells that the platform has answered. */
 void registry_read_claim(struct proxy *p, struct db_group *g,
 			 registry_claim_done_fn fn, void *ctx);
+/*
+ * Closes the claim with the group's term and primary, if no promotion is in
+ * progress. "ok" tells that it is closed at that term.
+ */
+void registry_close_claim(struct proxy *p, struct db_group *g,
+			  registry_claim_done_fn fn, void *ctx);
+/*
+ * True if every promotion of an earlier era of the store is over at "now".
+ */
+bool registry_era_is_settled(const struct proxy *p, usec_t now);
 
 enum registry_promote_result {
 	REGISTRY_PROMOTE_OK,
--- a/src/proxy/registry_promotion.c
+++ b/src/proxy/registry_promotion.c
@@ -8,8 +8,9 @@
 
 /*
  * Requests to the platform that promote a database. A VM first writes a claim,
- * an object of which there is one per service, then marks it as promoting, and
- * then requests the promotion under the claim's revision as fencing token.
+ * an object of which there is one per service and era of the store, then marks
+ * it as promoting, and then requests the promotion under the claim's fencing
+ * token. Once the new primary leads, the claim is closed.
  */
 
 /*
@@ -19,87 +20,70 @@
  */
 #define PROMOTION_MAX_US (5 * USEC_PER_SEC)
 
+/* What a request about a claim is for. */
+enum claim_purpose {
+	CLAIM_READ,
+	CLAIM_TAKE,  /* read it, then replace it by a claim */
+	CLAIM_MARK,  /* write this VM's claim again, as promoting */
+	CLAIM_CLOSE, /* read it, then close it */
+};
+
 /* One request about a claim, or a promotion. */
 struct promotion_call {
 	struct proxy *proxy;
 	struct platform_call call;
 	struct db_group *group;
+	enum claim_purpose purpose;
+	bool is_written; /* the call in progress is the write */
 	registry_claim_done_fn fn;
 	registry_promote_done_fn promote_fn;
 	void *ctx;
-	bool is_claim; /* reads a claim in order to replace it next */
-	bool is_check; /* reads whether there is a claim */
+	struct registry_claim_outcome outcome;
 	char *reply;
 };
 
 static struct promotion_call *call_create(struct proxy *p, struct db_group *g,
 					  enum platform_op op, void *ctx);
-static void read_claim(struct proxy *p, struct db_group *g,
-		       registry_claim_done_fn fn, void *ctx, bool is_check);
+static void claim_request(struct proxy *p, struct db_group *g,
+			  enum claim_purpose purpose, registry_claim_done_fn fn,
+			  void *ctx);
+static void claim_submit(struct promotion_call *d);
 static void on_platform_reply(struct platform_call *c);
 static void handle_reply(void *ctx);
-static bool replace_claim(struct promotion_call *d,
-			  const struct registry_claim_record *found);
-static void write_claim(struct promotion_call *d, uint64_t revision,
-			bool promotes);
+static void finish_promotion(struct promotion_call *d);
+static bool take_record(struct promotion_call *d);
+static bool replace_claim(struct promotion_call *d);
+static bool close_claim(struct promotion_call *d);
+static void write_claim(struct promotion_call *d,
+			const struct promotion_claim *claim);
+static void call_free(struct promotion_call *d);
 
 /* Reads the current claim; handle_reply() then replaces it if it may. */
 void registry_claim_promotion(struct proxy *p, struct db_group *g,
 			      registry_claim_done_fn fn, void *ctx)
 {
-	struct promotion_call *d = call_create(p, g, PLATFORM_GET, ctx);
-
-	if (!d) {
-		fn(ctx, false, 0);
-		return;
-	}
-	d->fn = fn;
-	d->is_claim = true;
-	platform_submit(p->kernel, &d->call);
+	claim_request(p, g, CLAIM_TAKE, fn, ctx);
 }
 
 /* Replaces this VM's own claim by one that is marked as promoting. */
 void registry_mark_promoting(struct proxy *p, struct db_group *g,
-			     uint64_t token, registry_claim_done_fn fn,
-			     void *ctx)
+			     registry_claim_done_fn fn, void *ctx)
 {
-	struct promotion_call *d = call_create(p, g, PLATFORM_PUT, ctx);
-
-	if (!d) {
-		fn(ctx, false, 0);
-		return;
-	}
-	d->fn = fn;
-	write_claim(d, token, true);
+	claim_request(p, g, CLAIM_MARK, fn, ctx);
 }
 
 /* Reads the current claim. */
 void registry_read_claim(struct proxy *p, struct db_group *g,
 			 registry_claim_done_fn fn, void *ctx)
 {
-	read_claim(p, g, fn, ctx, false);
+	claim_request(p, g, CLAIM_READ, fn, ctx);
 }
 
-/* Reads whether a claim was ever made. */
-void registry_check_unclaimed(struct proxy *p, struct db_group *g,
-			      registry_claim_done_fn fn, void *ctx)
+/* Reads the current claim; handle_reply() then closes it if it may. */
+void registry_close_claim(struct proxy *p, struct db_group *g,
+			  registry_claim_done_fn fn, void *ctx)
 {
-	read_claim(p, g, fn, ctx, true);
-}
-
-/* Reads the claim, or only whether there is one. */
-static void read_claim(struct proxy *p, struct db_group *g,
-		       registry_claim_done_fn fn, void *ctx, bool is_check)
-{
-	struct promotion_call *d = call_create(p, g, PLATFORM_GET, ctx);
-
-	if (!d) {
-		fn(ctx, false, 0);
-		return;
-	}
-	d->fn = fn;
-	d->is_check = is_check;
-	platform_submit(p->kernel, &d->call);
+	claim_request(p, g, CLAIM_CLOSE, fn, ctx);
 }
 
 /* Requests a promotion under a fencing token. */
@@ -119,6 +103,42 @@
 	platform_submit(p->kernel, &d->call);
 }
 
+/* Returns true once every promotion of an earlier era has taken effect. */
+bool registry_era_is_settled(const struct proxy *p, usec_t now)
+{
+	return store_era_is_settled(&p->store_era, now, PROMOTION_MAX_US);
+}
+
+/* Starts a request about the claim of a group. */
+static void claim_request(struct proxy *p, struct db_group *g,
+			  enum claim_purpose purpose, registry_claim_done_fn fn,
+			  void *ctx)
+{
+	static const struct registry_claim_outcome failed;
+	struct promotion_call *d = call_create(p, g, PLATFORM_GET, ctx);
+
+	if (!d) {
+		fn(ctx, &failed);
+		return;
+	}
+	d->fn = fn;
+	d->purpose = purpose;
+	d->call.object_era = p->store_era.era;
+	d->outcome.asked_at = proxy_now();
+	snprintf(d->call.name, sizeof(d->call.name), "%s/%s", REGISTRY_CLAIM,
+		 g->service);
+	if (purpose == CLAIM_MARK) {
+		d->call.object_era = g->own_claim.at.era;
+		write_claim(d, &(struct promotion_claim){
+				       .state = PROMOTION_CLAIM_PROMOTING,
+				       .at = g->own_claim.at,
+				       .term = g->own_claim.term,
+			       });
+		return;
+	}
+	claim_submit(d);
+}
+
 /* Allocates a request; returns NULL if memory is short. */
 static struct promotion_call *call_create(struct proxy *p, struct db_group *g,
 					  enum platform_op op, void *ctx)
@@ -133,11 +153,15 @@
 	d->call.done = on_platform_reply;
 	d->call.ctx = d;
 	d->group = g;
-	snprintf(d->call.name, sizeof(d->call.name), "%s/%s", REGISTRY_CLAIM,
-		 g->service);
 	return d;
 }
 
+/* Sends the call of a request about a claim. */
+static void claim_submit(struct promotion_call *d)
+{
+	platform_submit(d->proxy->kernel, &d->call);
+}
+
 /* Copies the reply; runs on the platform's thread. */
 static void on_platform_reply(struct platform_call *c)
 {
@@ -148,95 +172,183 @@
 }
 
 /*
- * Follows a read by the write that replaces the claim, or reports the outcome
- * and frees the request. A write whose response was lost counts as failed: the
- * next claim reads the record again.
+ * Follows a read by the write that replaces or closes the claim, or reports the
+ * outcome and frees the request. A write whose response was lost counts as
+ * failed: the next claim reads the record again.
  */
 static void handle_reply(void *ctx)
 {
 	struct promotion_call *d = ctx;
-	struct registry_claim_record duty = { 0 };
-	enum platform_result result = d->call.result;
+	struct registry_claim_outcome *o = &d->outcome;
 
-	if (d->call.replied && !d->promote_fn)
-		registry_note_era(d->proxy, &d->call);
-	if (result == PLATFORM_OK && d->reply && !d->promote_fn &&
-	    registry_codec()->claim(d->reply, &duty) != 0)
-		result = PLATFORM_DOWN;
 	if (d->promote_fn) {
-		d->promote_fn(d->ctx, result == PLATFORM_OK
-					      ? REGISTRY_PROMOTE_OK
-				      : result == PLATFORM_CONFLICT
-					      ? REGISTRY_PROMOTE_REFUSED
-					      : REGISTRY_PROMOTE_UNKNOWN);
-	} else if (d->is_check) {
-		d->fn(d->ctx, result == PLATFORM_NOT_FOUND, 0);
-	} else if (d->is_claim &&
-		   (result == PLATFORM_OK || result == PLATFORM_NOT_FOUND) &&
-		   replace_claim(d, &duty)) {
+		finish_promotion(d);
 		return;
-	} else {
-		d->fn(d->ctx,
-		      result == PLATFORM_OK && !d->is_claim &&
-			      duty.revision > 0,
-		      duty.revision);
 	}
-	free(d->call.body);
-	free(d->reply);
-	free(d);
+	o->ok = take_record(d);
+	if (o->ok && !d->is_written &&
+	    ((d->purpose == CLAIM_TAKE && replace_claim(d)) ||
+	     (d->purpose == CLAIM_CLOSE && close_claim(d))))
+		return;
+	if (d->purpose == CLAIM_TAKE)
+		o->ok = o->ok && d->is_written && o->token;
+	else if (d->purpose == CLAIM_MARK)
+		o->ok = o->ok && o->token;
+	else if (d->purpose == CLAIM_CLOSE)
+		o->ok = o->ok &&
+			o->record.claim.state == PROMOTION_CLAIM_CLOSED &&
+			o->record.claim.term == d->group->proof.term;
+	if (o->ok && (d->purpose == CLAIM_TAKE || d->purpose == CLAIM_MARK))
+		d->group->own_claim = o->record.claim;
+	d->fn(d->ctx, o);
+	call_free(d);
+}
+
+/* Reports the outcome of a promotion, and frees the request. */
+static void finish_promotion(struct promotion_call *d)
+{
+	enum platform_result result = d->call.result;
+
+	d->promote_fn(d->ctx, result == PLATFORM_OK ? REGISTRY_PROMOTE_OK
+			      : result == PLATFORM_CONFLICT
+				      ? REGISTRY_PROMOTE_REFUSED
+				      : REGISTRY_PROMOTE_UNKNOWN);
+	call_free(d);
+}
+
+/*
+ * Takes the record from a reply. Returns false if there was none, if a write
+ * failed, or if the reply is of another era of the store than the record: a
+ * claim of an era that has ended is void.
+ */
+static bool take_record(struct promotion_call *d)
+{
+	struct registry_claim_outcome *o = &d->outcome;
+	struct platform_call *c = &d->call;
+	bool is_absent =
+		c->result == PLATFORM_NOT_FOUND && c->op == PLATFORM_GET;
+
+	if (c->replied)
+		registry_note_era(d->proxy, c);
+	memset(&o->record, 0, sizeof(o->record));
+	if (c->result != PLATFORM_OK && !is_absent)
+		return false;
+	if (c->era != c->object_era) {
+		log_event(EV_SUCCESSION,
+			  "service=%s phase=claim era=%llu wanted=%llu "
+			  "reason=\"the store was restored\"",
+			  d->group->service, (unsigned long long)c->era,
+			  (unsigned long long)c->object_era);
+		return false;
+	}
+	if (!is_absent &&
+	    (!d->reply || registry_codec()->claim(d->reply, &o->record) != 0))
+		return false;
+	o->record.claim.at.era = c->object_era;
+	if (!store_position_token(&o->record.claim.at, &o->token))
+		o->token = 0;
+	return true;
 }
 
 /*
  * Replaces the claim that was read, unless its holder may be promoting. Returns
  * false if it was not replaced.
  */
-static bool replace_claim(struct promotion_call *d,
-			  const struct registry_claim_record *found)
+static bool replace_claim(struct promotion_call *d)
 {
+	const struct registry_claim_record *found = &d->outcome.record;
 	struct db_group *g = d->group;
-	const struct promotion_claim record = {
-		.revision = found->revision,
-		.is_promoting = found->is_promoting,
-		.base_term = found->base_term,
-	};
+	usec_t now = proxy_now();
+	enum promotion_claim_verdict v;
 
-	if (!promotion_claim_is_replaceable(&g->claim_seen, &record,
-					    g->proof.term, proxy_now(),
-					    PROMOTION_MAX_US)) {
-		log_event(
-			EV_SUCCESSION,
-			"service=%s phase=claim holder=%s token=%llu "
-			"base=%llu seen_us=%lld reason=\"a promotion may be "
-			"in progress\"",
-			g->service, found->holder,
-			(unsigned long long)found->revision,
-			(unsigned long long)found->base_term,
-			(long long)(proxy_now() - g->claim_seen.first_seen_at));
+	v = promotion_claim_check(&g->claim_seen, &found->claim, g->proof.term,
+				  registry_era_is_settled(d->proxy, now), now,
+				  PROMOTION_MAX_US);
+	if (v != PROMOTION_CLAIM_FREE && v != PROMOTION_CLAIM_FREE_CERTAIN) {
+		log_event(EV_SUCCESSION,
+			  "service=%s phase=claim holder=%s era=%llu "
+			  "token=%llu base=%llu seen_us=%lld reason=\"%s\"",
+			  g->service, found->holder,
+			  (unsigned long long)found->claim.at.era,
+			  (unsigned long long)d->outcome.token,
+			  (unsigned long long)found->claim.term,
+			  (long long)(now - g->claim_seen.first_seen_at),
+			  promotion_claim_verdict_name(v));
+		if (v == PROMOTION_CLAIM_OUTDATED)
+			db_group_on_claim(g, &d->outcome);
 		return false;
 	}
-	d->is_claim = false;
-	free(d->reply);
-	d->reply = NULL;
-	write_claim(d, found->revision, false);
+	d->outcome.is_term_certain = v == PROMOTION_CLAIM_FREE_CERTAIN;
+	write_claim(d, &(struct promotion_claim){
+			       .state = PROMOTION_CLAIM_HELD,
+			       .at = found->claim.at,
+			       .term = g->proof.term,
+			       .is_term_certain = d->outcome.is_term_certain,
+		       });
+	return true;
+}
+
+/*
+ * Closes the claim that was read, if no promotion is in progress and this VM
+ * has a proof of the primary. Returns false if it was not closed.
+ */
+static bool close_claim(struct promotion_call *d)
+{
+	const struct promotion_claim *found = &d->outcome.record.claim;
+	struct db_group *g = d->group;
+	usec_t now = proxy_now();
+
+	if (g->primary == DB_NONE ||
+	    !primary_proof_is_valid(&g->proof, now, d->proxy->policy.guard) ||
+	    !promotion_claim_may_close(
+		    &g->claim_seen, found, g->proof.term,
+		    registry_era_is_settled(d->proxy, g->proof.proved_at), now,
+		    PROMOTION_MAX_US))
+		return false;
+	d->outcome.asked_at = now;
+	write_claim(d, &(struct promotion_claim){
+			       .state = PROMOTION_CLAIM_CLOSED,
+			       .at = found->at,
+			       .term = g->proof.term,
+		       });
 	return true;
 }
 
-/* Writes this VM's claim over the one with this revision; 0 creates it. */
-static void write_claim(struct promotion_call *d, uint64_t revision,
-			bool promotes)
+/*
+ * Writes a claim of this VM over the one at the position claim->at; revision 0
+ * creates it.
+ */
+static void write_claim(struct promotion_call *d,
+			const struct promotion_claim *claim)
 {
 	struct proxy *p = d->proxy;
-	struct registry_claim_record duty = {
+	const struct db_group *g = d->group;
+	struct registry_claim_record record = {
 		.incarnation = p->kernel->incarnation,
 		.claim_number = ++p->n_claims,
-		.is_promoting = promotes,
-		.base_term = d->group->proof.term,
+		.claim = *claim,
 	};
 
-	snprintf(duty.holder, sizeof(duty.holder), "%s",
+	snprintf(record.holder, sizeof(record.holder), "%s",
 		 p->kernel->settings.vm);
+	if (claim->state == PROMOTION_CLAIM_CLOSED)
+		snprintf(record.primary, sizeof(record.primary), "%s",
+			 g->db[g->primary].id);
+	free(d->reply);
+	d->reply = NULL;
+	d->is_written = true;
 	d->call.op = PLATFORM_PUT;
-	d->call.version = revision;
-	d->call.body = registry_codec()->claim_body(&duty);
-	platform_submit(p->kernel, &d->call);
+	d->call.version = claim->at.revision;
+	d->call.body = registry_codec()->claim_body(&record);
+	if (!d->call.body)
+		log_event(EV_VM_FAIL, "reason=\"no memory for a claim\"");
+	claim_submit(d);
+}
+
+/* Frees a request. */
+static void call_free(struct promotion_call *d)
+{
+	free(d->call.body);
+	free(d->reply);
+	free(d);
 }
--- a/tests/decide/failover_fsm_test.cc
+++ b/tests/decide/failover_fsm_test.cc
@@ -62,7 +62,7 @@
 
 	void claim()
 	{
-		failover_fsm_claimed(&s, env.now, true, 77);
+		failover_fsm_claimed(&s, env.now, true, 77, certain);
 	}
 	void pause(uint32_t db)
 	{
@@ -91,7 +91,8 @@
 
 	struct failover_fsm s;
 	struct failover_fsm_env env = {};
-	bool lists = true; // the database list is refreshed at every tick
+	bool lists = true;   // the database list is refreshed at every tick
+	bool certain = true; // no promotion since the known term began
 
       private:
 	static std::string act(const struct failover_fsm_action &a)
@@ -502,7 +503,7 @@
 TEST(FailoverFsm, LateAndUnexpectedResultsAreIgnored)
 {
 	Group g;
-	failover_fsm_claimed(&g.s, g.env.now, true, 1);
+	failover_fsm_claimed(&g.s, g.env.now, true, 1, true);
 	failover_fsm_verified(&g.s, g.env.now, true, 78);
 	failover_fsm_promoted(&g.s, g.env.now, FAILOVER_ANSWER_DONE);
 	failover_fsm_fenced(&g.s, g.env.now, 1, 5, false, { 4, 1 });
--- a/tests/platform/object_codec_test.cc
+++ b/tests/platform/object_codec_test.cc
@@ -163,17 +163,44 @@
 TEST(ObjectCodec, PromotionClaims)
 {
 	const struct registry_codec *codec = registry_codec();
-	struct registry_claim_record duty = { "vm-1", 5, 3, 0, true, 9 };
-	char *body = codec->claim_body(&duty);
-	std::string reply = object("svc", 41, body);
+	const struct {
+		const char *name;
+		enum promotion_claim_state state;
+		bool certain;
+		const char *primary;
+	} cases[] = {
+		{ "held", PROMOTION_CLAIM_HELD, true, "" },
+		{ "promoting", PROMOTION_CLAIM_PROMOTING, false, "" },
+		{ "closed", PROMOTION_CLAIM_CLOSED, false, "db-2" },
+	};
 	struct registry_claim_record got;
-	ASSERT_EQ(codec->claim(reply.c_str(), &got), 0);
-	EXPECT_STREQ(got.holder, "vm-1");
-	EXPECT_EQ(got.revision, 41u);
-	EXPECT_EQ(got.claim_number, 3u);
-	EXPECT_TRUE(got.is_promoting);
-	EXPECT_EQ(got.base_term, 9u);
-	free(body);
+	std::string reply;
+	for (const auto &c : cases) {
+		struct registry_claim_record duty = {};
+		snprintf(duty.holder, sizeof(duty.holder), "vm-1");
+		snprintf(duty.primary, sizeof(duty.primary), "%s", c.primary);
+		duty.incarnation = 5;
+		duty.claim_number = 3;
+		duty.claim = { c.state, { 8, 0 }, 9, c.certain };
+		char *body = codec->claim_body(&duty);
+		reply = object("svc", 41, body);
+		free(body);
+		ASSERT_EQ(codec->claim(reply.c_str(), &got), 0) << c.name;
+		EXPECT_STREQ(got.holder, "vm-1") << c.name;
+		EXPECT_EQ(got.incarnation, 5u) << c.name;
+		EXPECT_EQ(got.claim_number, 3u) << c.name;
+		EXPECT_EQ(got.claim.at.revision, 41u) << c.name;
+		EXPECT_EQ(got.claim.state, c.state) << c.name;
+		EXPECT_EQ(got.claim.term, 9u) << c.name;
+		EXPECT_EQ(got.claim.is_term_certain, c.certain) << c.name;
+		EXPECT_STREQ(got.primary, c.primary) << c.name;
+	}
+	EXPECT_EQ(codec->claim(object("svc", 41,
+				      "{\"holder\":\"v\",\"closed\":true}")
+				       .c_str(),
+			       &got),
+		  -1)
+		<< "closed without a primary";
 	EXPECT_EQ(codec->claim("{}", &got), -1);
 	EXPECT_EQ(codec->claim("", &got), -1);
 	EXPECT_EQ(object_codec_revision(reply.c_str()), 41u);
