Judge a database that can't be reached by the claim, not by its entry

Cause: the proof of a primary took an unreachable database for what its entry in the registry said, as a promoted database registers at once; one that is cut from the store does not, and a store restored from an older copy returns the entry of before. A former primary that this VM can't reach was not judged at all, although another VM may reach and promote it. Class: evidence that holds for one observer. Change: an unreachable database prevents the joint proof. Instead the claim is read from the platform: if it is closed at the known term, no promotion was claimed then, and a later one waits for the guard. The read takes the place of the fast lists. Ruled out: the age of the entry, since entries tell when they change, not that their database lives.

--- a/src/decide/primary_proof.c
+++ b/src/decide/primary_proof.c
@@ -120,7 +120,9 @@
  * was asked, because the promoted database would report it. No promotion was in
  * progress either, because all of them would be paused. A database that
  * reports itself as primary of an earlier term has not learned of the current
- * term yet. It does not prevent the proof but adds nothing to it.
+ * term yet. It does not prevent the proof but adds nothing to it. One that is
+ * unreachable prevents it, whatever it was: another VM may reach and promote
+ * it.
  */
 void primary_proof_check_unanimous(struct primary_proof *l,
 				   const struct primary_proof_report *report,
@@ -134,7 +136,7 @@
 		const struct primary_proof_report *r = &report[i];
 		bool former = r->primary && r->term < l->term;
 
-		if (r->asked_at == 0 || r->term > l->term ||
+		if (r->is_unreachable || r->asked_at == 0 || r->term > l->term ||
 		    (r->primary && !former) || r->held_term > l->term)
 			return;
 		proved |= r->can_prove && !former && r->term == l->term;
--- a/src/decide/primary_proof.h
+++ b/src/decide/primary_proof.h
@@ -71,7 +71,9 @@
 	bool can_prove;	 /* its report may count as a proof: it can't have
 			    missed the pause of a promotion in progress */
 	uint64_t term;
-	uint64_t held_term; /* term that paused it; 0: not paused */
+	uint64_t held_term;  /* term that paused it; 0: not paused */
+	bool is_unreachable; /* it leaves requests unanswered, or can't be
+				connected to */
 };
 
 /* Evaluates the newest reports of all other databases as a joint proof. */
--- a/src/proxy/db_group_proof.c
+++ b/src/proxy/db_group_proof.c
@@ -49,6 +49,11 @@
 #define UNREACHABLE_US (300 * USEC_PER_MSEC)
 /* Shortest interval between two reads of the claim. */
 #define CLAIM_CHECK_US USEC_PER_SEC
+/*
+ * The same while the claim has to prove the primary: a third of the guard, so
+ * that a read may take longer than usual before the proof expires.
+ */
+#define CLAIM_PROOF_US (200 * USEC_PER_MSEC)
 
 static void probe_databases(struct db_group *g, usec_t now);
 static void request_proof(struct db_group *g, usec_t now);
@@ -72,14 +77,10 @@
 
 /*
  * Renews the proof in g->proof if the newest statuses of all other databases
- * together prove the primary. An unreachable database is judged by its entry in
- * the registry instead, as a promoted database registers as primary at once. An
- * unreachable database that was primary in an earlier term is skipped: its
- * entry says nothing, and it can't be promoted before it responds again.
+ * together prove the primary.
  */
 void db_group_proof_evaluate(struct db_group *g, usec_t now)
 {
-	const struct registry *r = g->proxy->registry;
 	struct primary_proof_report status[DB_GROUP_MEMBERS_MAX];
 	uint32_t n = 0;
 	uint32_t i;
@@ -89,18 +90,8 @@
 
 		if (!d->present || i == g->primary)
 			continue;
-		if (is_unreachable(d, now)) {
-			if (d->primary_term > 0 &&
-			    d->primary_term < g->proof.term)
-				continue;
-			status[n++] = (struct primary_proof_report){
-				.asked_at = registry_listed_at(r),
-				.primary = d->listed_primary,
-				.term = g->proof.term,
-			};
-			continue;
-		}
 		status[n++] = (struct primary_proof_report){
+			.is_unreachable = is_unreachable(d, now),
 			.asked_at = d->status_requested_at,
 			.primary = d->status.is_primary,
 			.can_prove = now >= d->trusted_from,
@@ -347,8 +338,6 @@
 	if (!is_valid) {
 		check_claim(g, now);
 		db_group_proof_evaluate(g, now);
-		if (has_unreachable(g, now))
-			registry_poll_fast(g->proxy->registry, now);
 	}
 	for (i = 0; i < DB_GROUP_MEMBERS_MAX; i++) {
 		uint32_t at = (g->next_probe + i) % DB_GROUP_MEMBERS_MAX;
@@ -371,8 +360,9 @@
  */
 static void check_claim(struct db_group *g, usec_t now)
 {
-	usec_t interval = CLAIM_CHECK_US;
-	bool is_needed = false;
+	usec_t interval =
+		has_unreachable(g, now) ? CLAIM_PROOF_US : CLAIM_CHECK_US;
+	bool is_needed = has_unreachable(g, now);
 	uint32_t i;
 
 	if (g->claim_check_pending || now - g->claim_checked_at < interval)
