Count a step-down only if nobody has promoted since the known term

Cause: a former primary reports a step-down too. The check of that no other database leads ends after 400 ms, also if one of them can't be asked, so a VM with an old view that does not reach the present primary promoted another one without the guard. Class: a safety wait left out on the word of one observer. Change: the step-down takes the place of the guard only if the claim replaced a record that was closed at the known term: then nobody has promoted since, and nobody else can while the claim stands. Otherwise all replicas are paused and the guard is waited for. Test: FailoverFsm.StepDownAtUncertainTermDoesNotReplaceGuard, which failed before. Ruled out: a longer time for the check, as no time is enough for a database that can't be asked.

--- a/src/decide/failover_fsm.c
+++ b/src/decide/failover_fsm.c
@@ -176,7 +176,7 @@
 		return;
 	if (!stepped_down) {
 		s->paused_mask |= 1U << db;
-	} else if (db == s->old_primary) {
+	} else if (db == s->old_primary && s->is_base_certain) {
 		s->stepped_down = true;
 		s->old_primary_end = received;
 	}
--- a/tests/decide/failover_fsm_test.cc
+++ b/tests/decide/failover_fsm_test.cc
@@ -384,6 +384,25 @@
 	EXPECT_EQ(g.s.phase, FAILOVER_IDLE);
 }
 
+// Guards against a promotion beside a primary in use: a former primary reports
+// a step-down, too, while the database that replaced it can't be asked.
+TEST(FailoverFsm, StepDownAtUncertainTermDoesNotReplaceGuard)
+{
+	Group g;
+	g.certain = false;
+	g.env.cause = FAILOVER_CAUSE_DEPARTING;
+	g.env.db[0].departing = true;
+	g.env.db[2].answers = false;
+	g.run(20 * kMs);
+	g.claim();
+	g.run(20 * kMs);
+	failover_fsm_fenced(&g.s, g.env.now, 0, 5, true, { 4, 100 });
+	g.env.db[1].has_new_report = true;
+	std::string acts = g.run(kPolicy.catch_up_max + 100 * kMs);
+	EXPECT_EQ(acts.find('V'), std::string::npos) << acts;
+	EXPECT_NE(acts.find("P1 P2"), std::string::npos) << acts;
+}
+
 // A departing primary that was promoted again is replaced at the second try.
 TEST(FailoverFsm, DepartingPrimaryIsPromotedAgainOnlyOnce)
 {
