Promote no second database after a promotion without an answer

Callers would see: two databases promoted by one attempt, the second while VMs already use the first (rule ONE). Cause: after a promotion call without an answer the attempt marked its claim again and chose its target anew; if the first target was silent by then, another one was promoted although the first promotion may have taken effect. Change: after such a call only the same database is asked for again; otherwise the attempt ends, and the marked claim keeps everybody from the next one until the promotion is over. Test: FailoverFsm.LostPromotionIsNotFollowedByOneOfAnotherDatabase, which failed before.

--- a/src/decide/failover_fsm.c
+++ b/src/decide/failover_fsm.c
@@ -49,6 +49,7 @@
 	s->policy = *policy;
 	s->old_primary = DB_NONE;
 	s->target = DB_NONE;
+	s->maybe_promoted = DB_NONE;
 }
 
 /* Advances the failover as far as the current state of the group allows. */
@@ -78,6 +79,7 @@
 		s->base_term = env->term;
 		s->began_at = env->now;
 		s->failed_mask = 0;
+		s->maybe_promoted = DB_NONE;
 		s->attempts = 0;
 		s->result_pending = true;
 		enter_phase(s, env->now, FAILOVER_CLAIM);
@@ -102,6 +104,8 @@
 		s->target = choose_target(s, env);
 		/* Other VMs may resume the replicas after attempt_max. */
 		if (s->target == DB_NONE ||
+		    (s->maybe_promoted != DB_NONE &&
+		     s->target != s->maybe_promoted) ||
 		    env->now - s->began_at > s->policy.attempt_max) {
 			give_up(s, env, out);
 			break;
@@ -185,7 +189,8 @@
 /*
  * Takes the platform's result of the promotion. If it failed, the claim is
  * verified again before the next call; after PROMOTE_ATTEMPTS_MAX calls the
- * attempt ends.
+ * attempt ends. A call without an answer may have taken effect, so no other
+ * database is promoted by this attempt.
  */
 void failover_fsm_promoted(struct failover_fsm *s, usec_t now,
 			   enum failover_fsm_answer a)
@@ -200,6 +205,8 @@
 	}
 	if (a == FAILOVER_ANSWER_REFUSED)
 		s->failed_mask |= 1U << s->target;
+	else
+		s->maybe_promoted = s->target;
 	enter_phase(s, now, FAILOVER_VERIFY);
 	if (s->attempts >= PROMOTE_ATTEMPTS_MAX) {
 		enter_phase(s, now, FAILOVER_IDLE);
--- a/src/decide/failover_fsm.h
+++ b/src/decide/failover_fsm.h
@@ -131,8 +131,9 @@
 	bool old_primary_kept;	/* the last failover promoted it again */
 	struct log_pos old_primary_end; /* end of its log at the step-down */
 	uint32_t paused_mask;		/* replicas paused by this attempt */
-	uint32_t failed_mask; /* databases that refused the promotion */
-	uint32_t target;      /* database to promote, or DB_NONE */
+	uint32_t failed_mask;	 /* databases that refused the promotion */
+	uint32_t maybe_promoted; /* its promotion had no answer; or DB_NONE */
+	uint32_t target;	 /* database to promote, or DB_NONE */
 	bool result_pending; /* result of claim, verify or promote is pending */
 	uint32_t attempts;   /* promotion calls of this attempt */
 };
--- a/tests/decide/failover_fsm_test.cc
+++ b/tests/decide/failover_fsm_test.cc
@@ -505,6 +505,22 @@
 	}
 }
 
+// Guards against two promotions by one attempt: a call without an answer may
+// have taken effect, although its database is silent since.
+TEST(FailoverFsm, LostPromotionIsNotFollowedByOneOfAnotherDatabase)
+{
+	Group g;
+	g.silent_until_promote();
+	ASSERT_EQ(g.run(20 * kMs), "M1 ");
+	failover_fsm_promoted(&g.s, g.env.now, FAILOVER_ANSWER_LOST);
+	g.env.db[1].answers = false;
+	std::string acts = g.run(20 * kMs);
+	failover_fsm_verified(&g.s, g.env.now, true, 78);
+	acts += g.run(200 * kMs);
+	EXPECT_EQ(acts.find('M'), std::string::npos) << acts;
+	EXPECT_EQ(g.s.phase, FAILOVER_IDLE);
+}
+
 TEST(FailoverFsm, ResumesReplicasAfterGivingUp)
 {
 	Group g;
