Keep databases whose entries lapsed while they answer, and fence them

Cause: databases that are cut from the platform lose their entries, though all VMs reach them. VMs dropped them from their list at once, and a failover fenced only what was left; a VM that was cut from the platform with them had the older list, and went on proving the primary by a replica that nobody had paused. Class: evidence that holds for one observer, here a list taken for all there is. Change: a database whose entry lapsed is kept for 5 s as a departing one while it answers. So its group's failover steps it down, or pauses it, like any other. After one that does not answer is dropped, no failover begins for 2 s, within which VMs in touch know the list without it. Tests: UnlistedDb.*, of which the old rule (drop at once) fails the second half of the first table. Ruled out: asking all VMs before a promotion, which a VM behind a cut can't answer. Open: a VM that is cut from the platform still proves by its older list when the database does not answer the VM that promotes.

--- a/src/proxy/db_group.c
+++ b/src/proxy/db_group.c
@@ -41,6 +41,7 @@
 static void apply_database(struct db_group *g, const struct registry_db *r);
 static bool is_listed(const struct db_member *d, const struct registry_db *db,
 		      uint32_t n);
+static void on_unlisted(struct db_member *d, usec_t now);
 static void remove_db(struct db_member *db, const char *reason);
 static void on_status(void *ctx, struct db_member *db, bool ok,
 		      const struct db_status_report *report,
@@ -118,8 +119,8 @@
 			if (!d->present)
 				continue;
 			d->listed = is_listed(d, db, n);
-			known += !d->departing;
-			missing += !d->listed && !d->departing;
+			known += !d->announced_departure;
+			missing += !d->listed && !d->announced_departure;
 		}
 	}
 	left = member_expiry_confirmed(&p->absence, known, missing,
@@ -128,8 +129,9 @@
 		for (j = 0; j < DB_GROUP_MEMBERS_MAX; j++) {
 			struct db_member *d = &p->groups[i]->db[j];
 
-			if (d->present && !d->listed && (left || d->departing))
-				remove_db(d, "left the registry");
+			if (d->present && !d->listed &&
+			    (left || d->announced_departure))
+				on_unlisted(d, proxy_now());
 		}
 	}
 	for (i = 0; i < p->n_groups; i++)
@@ -447,16 +449,51 @@
 			  g->service, d->id, d->address, d->domain, r->primary);
 	}
 	d = &g->db[i];
-	if (d->departing != r->departing)
+	if (d->departing != r->departing || d->unlisted_since)
 		log_event(EV_DB_DEPARTS, "service=%s database=%s departing=%d",
 			  g->service, d->id, r->departing);
 	d->incarnation = r->incarnation;
 	d->slots = r->slots;
 	d->departing = r->departing;
+	d->announced_departure = r->departing;
+	d->unlisted_since = 0;
 	d->reports_primary = r->primary;
 	d->listed_primary = r->primary;
 }
 
+/*
+ * Handles a database without an entry: keeps it as a departing one or drops it.
+ * See decide/unlisted_db.h.
+ */
+static void on_unlisted(struct db_member *d, usec_t now)
+{
+	struct unlisted_db u = {
+		.is_departing = d->announced_departure,
+		.answers = d->failures == 0 && !db_member_is_silent(d, now),
+		.since = d->unlisted_since ? d->unlisted_since : now,
+	};
+
+	switch (unlisted_db_check(&u, now)) {
+	case UNLISTED_DB_KEEP:
+		if (d->unlisted_since)
+			return;
+		d->unlisted_since = now;
+		d->departing = true;
+		log_event(EV_DB_DEPARTS,
+			  "service=%s database=%s departing=1 "
+			  "reason=\"its entry lapsed, it answers\"",
+			  d->group->service, d->id);
+		return;
+	case UNLISTED_DB_DROP_AND_WAIT:
+		d->group->dropped_at = now;
+		remove_db(d, "its entry lapsed");
+		return;
+	case UNLISTED_DB_DROP:
+		remove_db(d, "left the registry");
+		return;
+	}
+}
+
 /*
  * Removes a database that has left or was replaced under the same id. Its busy
  * connections close later.
@@ -538,6 +575,11 @@
 		give_up_reads(db);
 		db_member_probe(db, now);
 	}
+	if (db->present && db->unlisted_since) {
+		if (db_group_proof_is_local(db->group, now))
+			db_member_probe(db, now);
+		on_unlisted(db, now);
+	}
 	conn_pool_trim(db, now);
 	if (db->present && db->reports_primary &&
 	    member_index(db) != db->group->primary &&
--- a/src/proxy/failover.c
+++ b/src/proxy/failover.c
@@ -197,7 +197,8 @@
 	env->rank = own_rank(g);
 	env->platform_up = platform_is_up(g->proxy->kernel);
 	env->hears_most_vms = heartbeat_sees_majority(g->proxy->heartbeat, now);
-	env->knows_all_dbs = registry_is_settled(g->proxy->registry, now);
+	env->knows_all_dbs = registry_is_settled(g->proxy->registry, now) &&
+			     unlisted_db_is_known(g->dropped_at, now);
 	env->listed_at = registry_listed_at(g->proxy->registry);
 	for (i = 0; i < DB_GROUP_MEMBERS_MAX; i++) {
 		const struct db_member *d = &g->db[i];
--- a/src/proxy/proxy_internal.h
+++ b/src/proxy/proxy_internal.h
@@ -13,6 +13,7 @@
 #include "decide/load_balance.h"
 #include "decide/rate_limit.h"
 #include "decide/failover_fsm.h"
+#include "decide/unlisted_db.h"
 #include "kernel/kernel.h"
 #include "kernel/platform.h"
 #include "kernel/wire.h"
@@ -61,6 +62,9 @@
 	uint32_t slots;
 	bool departing;
 	bool listed; /* in the newest list of the registry */
+	/* its entry is missing since this time; 0: it has one */
+	usec_t unlisted_since;
+	bool announced_departure; /* by its last entry */
 	bool reports_primary;
 	bool listed_primary; /* role in the newest list of the registry */
 	/* newest term in which this VM saw it as primary; 0: none */
@@ -141,6 +145,8 @@
 	uint32_t n_waiting;
 	bool is_dispatching; /* dispatch_waiting() is walking the queue */
 	struct failover_fsm succession;
+	/* when a database was last dropped that other VMs may still use */
+	usec_t dropped_at;
 	/* when this VM last requested to mark its claim as promoting */
 	usec_t claim_verified_at;
 	struct promotion_claim_sighting claim_seen;
