Leave the next promotion of a group to the VM that promoted last

Cause: each VM judged by itself whether to begin a failover, also right after another VM's promotion. A departing primary whose replicas lack its log is promoted again, and still departs as seen from all VMs, so the second by rank promoted it again after 250 ms, then the first. Change: a VM that learned of a term from another VM begins no failover for 3 s; the VM that promoted may. Test: FailoverFsm.PromotionByAnotherVmLeavesItTheNextOne, which failed before. Ruled out: a turn counted from the claim's record, whose age a VM that has not read it can't tell.

--- a/src/decide/failover_fsm.c
+++ b/src/decide/failover_fsm.c
@@ -283,7 +283,9 @@
  * hear as miss, counting this VM as one that misses it, is left in place unless
  * it departs. A VM that hears few others may be partitioned itself and does not
  * act. Nor does one that may not know all replicas: it would leave some of them
- * unpaused, and they would continue to prove the primary.
+ * unpaused, and they would continue to prove the primary. A VM that has just
+ * learned of another VM's promotion leaves the next one to that VM for a while,
+ * so that two VMs never promote in turn.
  */
 static bool should_start(struct failover_fsm *s,
 			 const struct failover_fsm_env *env)
@@ -295,6 +297,9 @@
 	    !env->knows_all_dbs || !env->platform_up || !env->hears_most_vms ||
 	    env->peer_is_acting)
 		return false;
+	if (!env->promoted_here && env->term_known_at &&
+	    env->now - env->term_known_at < s->policy.turn)
+		return false;
 	if (env->cause != FAILOVER_CAUSE_DEPARTING &&
 	    env->cause != FAILOVER_CAUSE_NO_PRIMARY &&
 	    env->peers_hearing >= env->peers_missing + 1)
--- a/src/decide/failover_fsm.h
+++ b/src/decide/failover_fsm.h
@@ -91,6 +91,8 @@
 	uint32_t peers_hearing; /* live peers that hear from the primary */
 	uint32_t peers_missing; /* live peers that get no response from it */
 	bool peer_is_acting;	/* a peer is running this failover */
+	bool promoted_here;	/* this VM promoted the primary of "term" */
+	usec_t term_known_at;	/* when this VM learned of "term"; 0: never */
 	uint32_t rank; /* rank of this VM for the group; 0 acts first */
 	bool platform_up;
 	bool hears_most_vms; /* has heard most VMs for some time */
@@ -108,6 +110,8 @@
 	usec_t attempt_max;    /* timeout from the claim to the promotion */
 	usec_t retry_interval; /* retry interval of requests */
 	usec_t back_off;       /* delay from an attempt's end to the next */
+	usec_t turn;	       /* time for which the VM that promoted last is
+				  the only one to promote again */
 	usec_t catch_up_max;   /* time for a replica to reach the last commit */
 };
 
--- a/src/proxy/db_group.c
+++ b/src/proxy/db_group.c
@@ -213,6 +213,8 @@
 		  g->service, g->db[db].id, (unsigned long long)term,
 		  (unsigned long long)g->proof.term, source);
 	if (g->proof.term != term) {
+		if (g->proof.term > 0)
+			g->term_known_at = now;
 		primary_proof_begin_term(&g->proof, term);
 		g->promoted_here = false;
 		for (i = 0; i < DB_GROUP_MEMBERS_MAX; i++)
--- a/src/proxy/db_group_proof.c
+++ b/src/proxy/db_group_proof.c
@@ -134,6 +134,8 @@
 				  (unsigned long long)c->term,
 				  (unsigned long long)g->proof.term);
 			primary_proof_begin_term(&g->proof, c->term);
+			g->term_known_at = proxy_now();
+			g->promoted_here = false;
 			g->primary = DB_NONE;
 		}
 	}
--- a/src/proxy/failover.c
+++ b/src/proxy/failover.c
@@ -29,6 +29,11 @@
  * margin.
  */
 #define PAUSE_MAX_US (ATTEMPT_MAX_US + 2 * USEC_PER_SEC)
+/*
+ * Two VMs must not promote in turn within 3 s at the users' sites. It is
+ * counted from when this VM learned of the promotion, which is later.
+ */
+#define TURN_US (3 * USEC_PER_SEC)
 /* Interval between attempts to resume replicas. */
 #define RESUME_RETRY_US (300 * USEC_PER_MSEC)
 /*
@@ -61,6 +66,7 @@
 	.attempt_max = ATTEMPT_MAX_US,
 	.retry_interval = 60 * USEC_PER_MSEC,
 	.back_off = 700 * USEC_PER_MSEC,
+	.turn = TURN_US,
 	.catch_up_max = 400 * USEC_PER_MSEC,
 };
 
@@ -194,6 +200,8 @@
 	env->peers_hearing = o.n_reachable;
 	env->peers_missing = o.n_unreachable;
 	env->peer_is_acting = o.in_failover;
+	env->promoted_here = g->promoted_here;
+	env->term_known_at = g->term_known_at;
 	env->rank = own_rank(g);
 	env->platform_up = platform_is_up(g->proxy->kernel);
 	env->hears_most_vms = heartbeat_sees_majority(g->proxy->heartbeat, now);
--- a/src/proxy/proxy_internal.h
+++ b/src/proxy/proxy_internal.h
@@ -176,6 +176,9 @@
 	usec_t resumed_at; /* time of the last RESUME to a paused replica */
 	/* this VM promoted the primary of this term */
 	bool promoted_here;
+	/* when this VM learned of the proof's term after another one; 0: it
+	 * knows only one */
+	usec_t term_known_at;
 	/* when this VM last learned of another primary */
 	usec_t primary_changed_at;
 	/*
--- a/tests/decide/failover_fsm_test.cc
+++ b/tests/decide/failover_fsm_test.cc
@@ -16,6 +16,7 @@
 	.attempt_max = 3000 * kMs,
 	.retry_interval = 60 * kMs,
 	.back_off = 700 * kMs,
+	.turn = 3000 * kMs,
 	.catch_up_max = 400 * kMs,
 };
 
@@ -151,6 +152,34 @@
 	}
 }
 
+// Guards against two VMs that promote in turn: a departing primary that was
+// promoted again, since no replica had its log, departs as seen from all VMs.
+TEST(FailoverFsm, PromotionByAnotherVmLeavesItTheNextOne)
+{
+	const struct {
+		const char *name;
+		bool promoted_here;
+		usec_t known_for; // of the term; 0: no promotion is known
+		bool acts;
+	} cases[] = {
+		{ "no promotion is known", false, 0, true },
+		{ "another VM has just promoted", false, 10 * kMs, false },
+		{ "it promoted almost a turn ago", false,
+		  kPolicy.turn - 50 * kMs, false },
+		{ "it promoted a turn ago", false, kPolicy.turn, true },
+		{ "this VM has just promoted", true, 10 * kMs, true },
+	};
+	for (const auto &c : cases) {
+		Group g;
+		g.env.cause = FAILOVER_CAUSE_DEPARTING;
+		g.env.db[0].departing = true;
+		g.env.promoted_here = c.promoted_here;
+		if (c.known_for)
+			g.env.term_known_at = g.env.now - c.known_for;
+		EXPECT_EQ(g.run(20 * kMs), c.acts ? "C " : "") << c.name;
+	}
+}
+
 TEST(FailoverFsm, SilentPrimary)
 {
 	Group g;
