Split registry.c by what it follows

Change: registry_catalog.c follows the configuration, registry_list.c the list of databases; registry.c keeps the requests, the VMs and this VM's entry; registry_internal.h holds what they share. Functions are moved, not changed. Ruled out: a split along polls and copies, since both touch the same state.

--- /dev/null
+++ b/src/proxy/registry_internal.h
@@ -0,0 +1,85 @@
+#ifndef PROXY_REGISTRY_INTERNAL_H
+#define PROXY_REGISTRY_INTERNAL_H
+
+#include "kernel/platform.h"
+#include "proxy/proxy_internal.h"
+
+/*
+ * Shared by registry.c, which sends the requests and registers this VM,
+ * registry_catalog.c, which follows the configuration, and registry_list.c,
+ * which follows the list of databases.
+ */
+
+/* Databases taken from one complete list. */
+#define DATABASES_MAX 4096
+
+/* What this VM knows to be outdated, and how it obtains a copy. */
+struct outdated {
+	usec_t since;	 /* 0: it is up to date as far as known */
+	usec_t asked_at; /* time of the last request for a copy */
+};
+
+/* One kind of request that is sent repeatedly. */
+struct poll {
+	struct registry *registry;
+	struct platform_call call;
+	const char *name;
+	void (*handle)(struct registry *r, struct poll *p);
+	usec_t due_at; /* time of the next request; 0: none is planned */
+	usec_t requested_at;
+	bool busy;
+	uint32_t failures; /* failed requests in a row */
+	char *reply;	   /* copy made on the platform's thread */
+};
+
+struct registry {
+	struct proxy *proxy;
+	struct poll read;  /* reads the whole catalogue */
+	struct poll watch; /* waits for changes, once it was read */
+	struct poll databases;
+	struct poll vms;
+	struct poll self; /* registers this VM */
+	/* revision of the newest catalogue, which the next watch starts from */
+	uint64_t revision;
+	/* the databases are listed at the fast interval until this time */
+	usec_t fast_until;
+	/* when the newest complete list of databases was requested; 0: none */
+	usec_t listed_at;
+	/* the list counts as complete from this time on; 0: none read yet */
+	usec_t complete_from;
+	/* time of the first failed request since the last success; 0: none */
+	usec_t failing_since;
+	/* list the databases again as soon as the list in progress is done */
+	bool list_again_now;
+	struct registry_db *list;
+	uint32_t n_list;
+	uint64_t list_hash; /* hash_list() of the newest complete list */
+	bool was_reader;    /* this VM read for its domain at the last tick */
+	struct outdated old_catalog;
+	struct outdated old_databases;
+	char *catalog_reply; /* of the newest catalogue, kept by readers */
+	struct registry_page page;
+};
+
+/* registry.c */
+/* Returns a random time from a tenth of "max" to "max". */
+uint64_t registry_random_delay(const struct registry *r, uint64_t max);
+/* Sends one request; the reply arrives on the proxy's thread. */
+void registry_poll_send(struct poll *p, enum platform_op op, usec_t now);
+/* Obtains what is outdated, from a VM of this failure domain if possible. */
+void registry_refresh_outdated(struct registry *r, struct outdated *o,
+			       enum registry_copy kind, struct poll *p,
+			       usec_t now);
+
+/* registry_catalog.c */
+void registry_handle_catalog_list(struct registry *r, struct poll *p);
+void registry_handle_catalog_watch(struct registry *r, struct poll *p);
+
+/* registry_list.c */
+void registry_request_databases(struct registry *r, const char *after_id,
+				usec_t now);
+void registry_handle_databases(struct registry *r, struct poll *p);
+/* Returns the interval to the next list of databases. */
+usec_t registry_list_interval(const struct registry *r, usec_t now);
+
+#endif
--- /dev/null
+++ b/src/proxy/registry_list.c
@@ -0,0 +1,207 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "kernel/log.h"
+#include "proxy/registry_internal.h"
+
+/* Follows the list of databases: lists of the platform and copies of peers. */
+
+/*
+ * A change in the list of databases has to be known within 7 s. The VMs share
+ * the polling in the same way: one list each second over the fleet, and each VM
+ * at least this often.
+ */
+#define LIST_INTERVAL_MAX_US (120 * USEC_PER_SEC)
+
+static void apply_list(struct registry *r, usec_t listed_at, usec_t now);
+static uint64_t hash_list(const struct registry *r);
+static int compare_ids(const void *a, const void *b);
+static void add_database(void *ctx, const struct registry_db *db);
+
+/* Lists the databases at the fast interval for one second. */
+void registry_poll_fast(struct registry *r, usec_t now)
+{
+	usec_t fast_due = r->databases.requested_at +
+			  r->proxy->policy.registry_fast_interval;
+
+	r->fast_until = now + USEC_PER_SEC;
+	if (r->databases.due_at > fast_due)
+		r->databases.due_at = fast_due;
+}
+
+/*
+ * Lists the databases now. A list in progress may be older than "now", so
+ * another one follows it.
+ */
+void registry_list_now(struct registry *r, usec_t now)
+{
+	r->list_again_now = r->databases.busy;
+	r->databases.due_at = now;
+	registry_tick(r, now);
+}
+
+/* Returns true if the list of databases counts as complete. */
+bool registry_is_settled(const struct registry *r, usec_t now)
+{
+	return r->complete_from && now >= r->complete_from;
+}
+
+/* Returns when the newest complete list was requested; 0: none yet. */
+usec_t registry_listed_at(const struct registry *r)
+{
+	return r->listed_at;
+}
+
+/* Obtains the newest list of databases, from a peer if possible. */
+void registry_refresh_databases(struct registry *r, usec_t now)
+{
+	if (r->databases.due_at > now)
+		registry_refresh_outdated(r, &r->old_databases,
+					  REGISTRY_COPY_DATABASES,
+					  &r->databases, now);
+}
+
+/* Returns the newest complete list of databases; 0 while one is being read. */
+const struct registry_db *registry_list(const struct registry *r, uint32_t *n)
+{
+	*n = r->databases.busy ? 0 : r->n_list;
+	return r->list;
+}
+
+/*
+ * Applies a peer's copy of the list of databases, unless this VM has a newer
+ * one or is reading one.
+ */
+void registry_apply_list_copy(struct registry *r, const struct registry_db *db,
+			      uint32_t n, usec_t listed_at, bool is_settled)
+{
+	usec_t now = proxy_now();
+
+	if (r->databases.busy || listed_at <= r->listed_at ||
+	    n > DATABASES_MAX || n == 0)
+		return;
+	memcpy(r->list, db, n * sizeof(*db));
+	r->n_list = n;
+	if (!is_settled)
+		r->complete_from = now + REREGISTER_MAX_US;
+	apply_list(r, listed_at, now);
+}
+
+/* Requests one page of the list of databases. */
+void registry_request_databases(struct registry *r, const char *after_id,
+				usec_t now)
+{
+	if (after_id[0] == '\0')
+		r->n_list = 0;
+	snprintf(r->databases.call.from, sizeof(r->databases.call.from), "%s",
+		 after_id);
+	registry_poll_send(&r->databases, PLATFORM_LIST, now);
+}
+
+/* Handles one page, and the complete list with the last one. */
+void registry_handle_databases(struct registry *r, struct poll *p)
+{
+	usec_t now = proxy_now();
+	struct error e;
+
+	if (p->call.result != PLATFORM_OK || !p->reply)
+		return;
+	error_clear(&e);
+	memset(&r->page, 0, sizeof(r->page));
+	if (registry_codec()->databases(p->reply, add_database, r, &r->page,
+					&e)) {
+		log_error(EV_CONFIG_REFUSED, &e);
+		return;
+	}
+	if (r->page.skipped)
+		log_event(EV_CONFIG_REFUSED,
+			  "list=databases entries_skipped=%u", r->page.skipped);
+	if (r->page.more && r->page.last[0] && r->n_list < DATABASES_MAX) {
+		registry_request_databases(r, r->page.last, now);
+		return;
+	}
+	apply_list(r, p->requested_at, now);
+	if (r->list_again_now)
+		p->due_at = now;
+	r->list_again_now = false;
+}
+
+/* Returns the interval to the next list of databases. */
+usec_t registry_list_interval(const struct registry *r, usec_t now)
+{
+	const struct proxy_policy *policy = &r->proxy->policy;
+	usec_t delay = policy->registry_interval *
+		       heartbeat_n_readers(r->proxy->heartbeat);
+
+	if (now < r->fast_until)
+		return policy->registry_fast_interval;
+	if (delay > LIST_INTERVAL_MAX_US ||
+	    !heartbeat_is_reader(r->proxy->heartbeat))
+		delay = LIST_INTERVAL_MAX_US;
+	return (usec_t)registry_random_delay(r, (uint64_t)delay);
+}
+
+/* Applies the complete list in r->list, requested at "listed_at". */
+static void apply_list(struct registry *r, usec_t listed_at, usec_t now)
+{
+	struct proxy *x = r->proxy;
+	uint64_t old_hash = r->list_hash;
+	usec_t relist_at;
+
+	if (r->complete_from == 0)
+		r->complete_from = now + REREGISTER_MAX_US;
+	r->listed_at = listed_at;
+	r->list_hash = hash_list(r);
+	r->old_databases.since = 0;
+	r->databases.due_at = now + registry_list_interval(r, now);
+	x->databases_known = r->n_list > 0;
+	relist_at = db_group_apply_databases(x, r->list, r->n_list, listed_at);
+	if (relist_at && relist_at < r->databases.due_at)
+		r->databases.due_at = relist_at > now ? relist_at : now;
+	if (r->list_hash != old_hash && r->was_reader)
+		heartbeat_tell_domain(x->heartbeat);
+}
+
+/*
+ * Adds a database to the list being read; any beyond DATABASES_MAX is dropped.
+ */
+static void add_database(void *ctx, const struct registry_db *db)
+{
+	struct registry *r = ctx;
+
+	if (r->n_list < DATABASES_MAX)
+		r->list[r->n_list++] = *db;
+}
+
+/*
+ * Returns a hash of what the VMs have to agree on: the databases, their
+ * addresses, incarnations, departures and roles.
+ */
+static uint64_t hash_list(const struct registry *r)
+{
+	XXH64_hash_t h = 0;
+	uint32_t i;
+
+	qsort(r->list, r->n_list, sizeof(*r->list), compare_ids);
+	for (i = 0; i < r->n_list; i++) {
+		const struct registry_db *d = &r->list[i];
+		uint64_t packed_state = d->incarnation << 2 |
+					(uint64_t)d->departing << 1 |
+					(uint64_t)d->primary;
+
+		h = XXH3_64bits_withSeed(d->id, strlen(d->id), h);
+		h = XXH3_64bits_withSeed(d->address, strlen(d->address), h);
+		h = XXH3_64bits_withSeed(&packed_state, sizeof(packed_state),
+					 h);
+	}
+	return h;
+}
+
+/* Orders databases by id, for qsort(). */
+static int compare_ids(const void *a, const void *b)
+{
+	return strcmp(((const struct registry_db *)a)->id,
+		      ((const struct registry_db *)b)->id);
+}
