Test which reply headers the loop takes a number from

Cause: the era of the platform's store comes from a reply header, and no test showed what malformed values give. Change: a table of header lines for number_header; the test's server sends one. Ruled out: a test through the platform's plug-in, which would test curl as well. Result: passes with the code as it is; the kernel's loop did what it should.

--- a/tests/kernel/loop_test.cc
+++ b/tests/kernel/loop_test.cc
@@ -29,12 +29,13 @@
 };
 const auto *const kApr = testing::AddGlobalTestEnvironment(new AprEnvironment);
 
-// Responds to the first request on a connection, then reads the second and
-// closes the connection without a response.
+// Responds to the first request on a connection, with a header line if one is
+// given, then reads the second and closes the connection without a response.
 class OneAnswerServer
 {
       public:
-	OneAnswerServer()
+	explicit OneAnswerServer(const std::string &header = "")
+	    : header_(header)
 	{
 		struct sockaddr_in a = {};
 		socklen_t len = sizeof(a);
@@ -75,11 +76,11 @@
 		while ((c = accept(fd_, nullptr, nullptr)) >= 0) {
 			if (ReadRequest(c)) {
 				requests++;
-				static const char kReply[] =
-					"HTTP/1.1 200 OK\r\nETag: \"17\"\r\n"
-					"Content-Length: 2\r\n\r\n{}";
-				EXPECT_EQ(write(c, kReply, strlen(kReply)),
-					  (ssize_t)strlen(kReply));
+				std::string reply =
+					"HTTP/1.1 200 OK\r\nETag: \"17\"\r\n" +
+					header_ + "Content-Length: 2\r\n\r\n{}";
+				EXPECT_EQ(write(c, reply.data(), reply.size()),
+					  (ssize_t)reply.size());
 				if (ReadRequest(c))
 					requests++;
 			}
@@ -87,6 +88,7 @@
 		}
 	}
 	int fd_;
+	std::string header_;
 	std::thread thread_;
 };
 
@@ -176,6 +178,49 @@
 	}
 }
 
+// A malformed number is no number: it must not look like that of another reply.
+TEST(LoopHttp, TakesTheRequestedNumberFromTheHeaders)
+{
+	const struct {
+		const char *line;
+		uint64_t number;
+	} cases[] = {
+		{ "", 0 },
+		{ "Some-Number: 7\r\n", 7 },
+		{ "some-NUMBER:7\r\n", 7 },
+		{ "Some-Number: \t 7 \t\r\n", 7 },
+		{ "Some-Number: 18446744073709551609\r\n",
+		  UINT64_C(18446744073709551609) },
+		{ "Some-Number: 0\r\n", 0 },
+		{ "Some-Number:\r\n", 0 },
+		{ "Some-Number: -7\r\n", 0 },
+		{ "Some-Number: 7 8\r\n", 0 },
+		{ "Some-Number: 7x\r\n", 0 },
+		{ "Some-Number: 0x7\r\n", 0 },
+		{ "Some-Number: 18446744073709551616\r\n", 0 },
+		{ "Some-Number: 99999999999999999999\r\n", 0 },
+		{ "Some-Number-2: 7\r\n", 0 },
+		{ "X-Some-Number: 7\r\n", 0 },
+		{ "Some-Numbe: 7\r\n", 0 },
+	};
+	for (const auto &c : cases) {
+		OneAnswerServer server(c.line);
+		struct error e;
+		struct loop *loop = loop_create("test", &e);
+		ASSERT_TRUE(loop);
+		ASSERT_EQ(loop_start(loop, &e), 0);
+		{
+			Call call(loop, server.port, true);
+			call.http.number_header = "Some-Number";
+			call.Run();
+			EXPECT_EQ(call.http.status, 200) << c.line;
+			EXPECT_EQ(call.http.header_number, c.number) << c.line;
+		}
+		loop_stop(loop);
+		loop_destroy(loop);
+	}
+}
+
 TEST(LoopHttp, RefusedConnectionSendsNothing)
 {
 	struct error e;
