Order the configuration by its version, and copy a newer one from a peer

Cause: configurations were ordered by the store's revision, which falls back and is given out again when the store is restored from an older copy. A newer configuration would then have been replaced by the older one, and a VM that starts would have stayed with it until the operator writes again. Change: the operator's version, which only rises, orders configurations, here and in the digest of heartbeats, whose type is a new one as the field has another meaning. The position that a watch starts from holds an era and is advanced by this VM's own replies only; a reply of another era than the watch began in makes the whole catalogue be read again. While a watch of an earlier era is in flight the configuration is read once a second. If a read has not brought a version that a peer has, or fails, the VM copies it from that peer; after a second without a copy it reads again. Ruled out: to ask all peers, as each that has it tells in 150 ms; to keep the reply at all VMs of a large fleet, since its readers have it.

--- a/src/proxy/heartbeat_codec.c
+++ b/src/proxy/heartbeat_codec.c
@@ -298,7 +298,8 @@
 	decode_groups(b, v, groups);
 	b->n_reporting += v->n_groups > 0;
 	heartbeat_on_received(b, v, prev_seen_at);
-	registry_on_peer_digest(b->proxy->registry, &digest, v->last_seen_at);
+	registry_on_peer_digest(b->proxy->registry, v->name, &digest,
+				v->last_seen_at);
 	return true;
 }
 
--- a/src/proxy/proxy_internal.h
+++ b/src/proxy/proxy_internal.h
@@ -580,7 +580,7 @@
 /* rate_limit_client.c */
 /* Types of the datagrams between VMs; the first field of each. */
 enum peer_msg_type {
-	PEER_MSG_HEARTBEAT = 7, /* 1 and 2 were older formats */
+	PEER_MSG_HEARTBEAT = 8, /* 1, 2 and 7 were older formats */
 	PEER_MSG_TOKEN_REQUEST = 3,
 	PEER_MSG_TOKEN_RESPONSE = 4,
 	PEER_MSG_PROOF_REQUEST = 5,
@@ -611,7 +611,9 @@
 void registry_note_era(struct proxy *p, const struct platform_call *c);
 
 /* registry_copy.c */
-void registry_copy_request(struct proxy *x, enum registry_copy kind);
+/* Requests a copy of a peer; NULL: of a VM that reads for this domain. */
+void registry_copy_request(struct proxy *x, enum registry_copy kind,
+			   const char *peer);
 
 /* peer_link.c */
 int peer_link_listen(struct proxy *p, const struct sockaddr *at, socklen_t len);
--- a/src/proxy/registry.c
+++ b/src/proxy/registry.c
@@ -41,8 +41,6 @@
  * time: a fifth of the time within which a configuration has to be in force.
  */
 #define COPY_MAX_US USEC_PER_SEC
-/* Shortest interval between two requests for a copy. */
-#define COPY_RETRY_US (100 * USEC_PER_MSEC)
 
 static const struct registry_codec *codec;
 
@@ -124,7 +122,8 @@
 	if (is_due(&r->read, now))
 		registry_poll_send(&r->read, PLATFORM_LIST, now);
 	if (is_due(&r->watch, now) && is_reader) {
-		r->watch.call.after = r->revision;
+		r->watch.call.after = r->position.revision;
+		r->watch_era = r->position.era;
 		r->watch.call.wait_ms = watch_ms(r);
 		registry_poll_send(&r->watch, PLATFORM_WATCH, now);
 	}
@@ -160,7 +159,7 @@
 	const struct catalog *c = r->proxy->catalog;
 
 	return (struct registry_digest){
-		.catalog = c ? c->revision : 0,
+		.catalog = c ? c->version : 0,
 		.databases = r->list_hash,
 		.databases_age_ms =
 			(uint64_t)((now - r->listed_at) / USEC_PER_MSEC),
@@ -173,14 +172,12 @@
  * is newer, the databases if the peer's list differs and is newer, and the VMs
  * if the peer knows others.
  */
-void registry_on_peer_digest(struct registry *r,
+void registry_on_peer_digest(struct registry *r, const char *peer,
 			     const struct registry_digest *n, usec_t now)
 {
 	struct registry_digest known = registry_digest(r, now);
 
-	if (n->catalog > known.catalog && r->read.due_at == 0)
-		registry_refresh_outdated(r, &r->old_catalog,
-					  REGISTRY_COPY_CATALOG, &r->read, now);
+	registry_on_peer_version(r, peer, n->catalog, now);
 	if (n->databases != known.databases &&
 	    n->databases_age_ms < known.databases_age_ms)
 		registry_refresh_databases(r, now);
@@ -337,7 +334,7 @@
 	if (now - o->asked_at < COPY_RETRY_US)
 		return;
 	o->asked_at = now;
-	registry_copy_request(r->proxy, kind);
+	registry_copy_request(r->proxy, kind, NULL);
 }
 
 /* Reads from the platform what no peer has sent a copy of in time. */
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -138,20 +138,20 @@
 /* When the newest list of databases was requested; 0: none yet. */
 usec_t registry_listed_at(const struct registry *r);
 /*
- * Digest of what this VM knows, sent to peers in heartbeats: the revision of
+ * Digest of what this VM knows, sent to peers in heartbeats: the version of
  * the configuration, and hashes of the databases and the VMs. If a peer has a
  * newer configuration, a different and newer list of databases, or knows other
  * VMs, this VM requests these from the platform again.
  */
 struct registry_digest {
-	uint64_t catalog;	   /* revision */
+	uint64_t catalog;	   /* version */
 	uint64_t databases;	   /* hash of the list */
 	uint64_t databases_age_ms; /* age of the list */
 	uint64_t vms;		   /* hash of the names of all known VMs */
 };
 
 struct registry_digest registry_digest(const struct registry *r, usec_t now);
-void registry_on_peer_digest(struct registry *r,
+void registry_on_peer_digest(struct registry *r, const char *peer,
 			     const struct registry_digest *n, usec_t now);
 
 typedef void (*registry_claim_done_fn)(void *ctx, bool ok, uint64_t token);
--- a/src/proxy/registry_catalog.c
+++ b/src/proxy/registry_catalog.c
@@ -1,3 +1,4 @@
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -9,36 +10,64 @@
 /* A VM that starts knows its peers after this time. */
 #define FIRST_WATCH_US USEC_PER_SEC
 
-static bool apply_catalog(struct registry *r, const char *reply, bool is_whole);
+/*
+ * A watch that was sent before a restoration of the store may be held open
+ * without ever telling of a change. The configuration is read this often
+ * meanwhile: a third of the time within which it has to be in force.
+ */
+#define STALE_WATCH_READ_US USEC_PER_SEC
+
+/* Where a reply comes from. */
+enum catalog_source {
+	SOURCE_READ,  /* it tells the present state of the platform */
+	SOURCE_WATCH, /* only changes of it */
+	SOURCE_COPY,  /* of a peer */
+};
+
+static bool apply_catalog(struct registry *r, const char *reply, uint64_t era,
+			  enum catalog_source source);
+static void advance(struct registry *r, uint64_t era, uint64_t revision);
+static void note_older(struct registry *r, const struct catalog *c);
+static void note_lacked(struct registry *r, usec_t now);
+static void request_copy(struct registry *r, usec_t now);
+static uint64_t known_version(const struct registry *r);
 
 /* Handles the reply with the whole catalogue and starts the first watch. */
 void registry_handle_catalog_list(struct registry *r, struct poll *p)
 {
-	if (p->call.result != PLATFORM_OK || !apply_catalog(r, p->reply, true))
+	usec_t now = proxy_now();
+
+	if (p->call.result != PLATFORM_OK ||
+	    !apply_catalog(r, p->reply, p->call.era, SOURCE_READ))
 		return;
 	p->due_at = 0;
+	if (r->watch.busy && r->watch_era != r->proxy->store_era.era)
+		p->due_at = now + STALE_WATCH_READ_US;
+	note_lacked(r, now);
 	if (r->watch.due_at == 0)
-		r->watch.due_at = proxy_now() + FIRST_WATCH_US;
+		r->watch.due_at = now + FIRST_WATCH_US;
 }
 
 /*
- * Starts the next watch. apply_catalog() advances the revision only if the
+ * Starts the next watch. apply_catalog() advances the position only if the
  * reply holds a configuration. After an empty reply the next watch starts from
- * the same revision, in case a change was missed.
+ * the same position, in case a change was missed.
  */
 void registry_handle_catalog_watch(struct registry *r, struct poll *p)
 {
-	if (p->call.result == PLATFORM_NOT_FOUND) {
+	if (p->call.result == PLATFORM_NOT_FOUND ||
+	    (p->call.result == PLATFORM_OK && p->call.era != r->watch_era)) {
 		/*
-		 * The platform no longer has the history since that revision:
-		 * the whole catalogue is read again.
+		 * The platform no longer has the history since that revision,
+		 * or has another one: the whole catalogue is read again.
 		 */
 		p->due_at = 0;
 		if (r->read.due_at == 0)
 			r->read.due_at = proxy_now();
 		return;
 	}
-	if (p->call.result == PLATFORM_OK && apply_catalog(r, p->reply, false))
+	if (p->call.result == PLATFORM_OK &&
+	    apply_catalog(r, p->reply, p->call.era, SOURCE_WATCH))
 		p->due_at = proxy_now();
 }
 
@@ -51,15 +80,36 @@
 /* Applies a peer's copy of the catalogue. */
 void registry_apply_catalog_copy(struct registry *r, const char *reply)
 {
-	(void)apply_catalog(r, reply, false);
+	(void)apply_catalog(r, reply, 0, SOURCE_COPY);
+}
+
+/*
+ * Remembers that a peer has this version of the configuration, and obtains it
+ * if it is newer: from the platform, unless a read has not brought it.
+ */
+void registry_on_peer_version(struct registry *r, const char *peer,
+			      uint64_t version, usec_t now)
+{
+	if (version <= known_version(r))
+		return;
+	if (version >= r->peer_version) {
+		r->peer_version = version;
+		snprintf(r->peer, sizeof(r->peer), "%s", peer);
+	}
+	if (r->lacked_version >= version || r->read.failures > 0)
+		request_copy(r, now);
+	else if (r->read.due_at == 0)
+		registry_refresh_outdated(r, &r->old_catalog,
+					  REGISTRY_COPY_CATALOG, &r->read, now);
 }
 
 /*
- * Brings a newer configuration into force; an older one is ignored. "is_whole":
- * the reply tells the present state, not only changes of it. Returns false if
- * the reply is missing or malformed.
+ * Brings a newer configuration into force; an older one is ignored, also one
+ * that the platform was restored to: the operator writes the newer one again.
+ * Returns false if the reply is missing or malformed.
  */
-static bool apply_catalog(struct registry *r, const char *reply, bool is_whole)
+static bool apply_catalog(struct registry *r, const char *reply, uint64_t era,
+			  enum catalog_source source)
 {
 	struct proxy *x = r->proxy;
 	struct catalog *c;
@@ -74,26 +124,30 @@
 		log_error(EV_CONFIG_REFUSED, &e);
 		return false;
 	}
-	if ((c || is_whole) && revision > r->revision)
-		r->revision = revision;
+	if (source == SOURCE_READ || (source == SOURCE_WATCH && c))
+		advance(r, era, revision);
 	if (!c)
 		return true;
-	if (!x->catalog || c->revision >= x->catalog->revision) {
+	if (!x->catalog || c->version >= x->catalog->version) {
 		free(r->catalog_reply);
 		r->catalog_reply = r->was_reader ? strdup(reply) : NULL;
 	}
-	if (x->catalog && c->revision <= x->catalog->revision) {
+	if (x->catalog && c->version <= x->catalog->version) {
+		if (source == SOURCE_READ)
+			note_older(r, c);
 		catalog_destroy(c);
 		return true;
 	}
 	log_event(EV_CONFIG_APPLIED,
-		  "version=%llu revision=%llu routes=%u teams=%u keys=%u",
+		  "version=%llu revision=%llu routes=%u teams=%u keys=%u "
+		  "from=%s",
 		  (unsigned long long)c->version,
 		  (unsigned long long)c->revision, c->n_routes, c->n_teams,
-		  c->n_keys);
+		  c->n_keys, source == SOURCE_COPY ? "peer" : "platform");
 	catalog_destroy(x->catalog);
 	x->catalog = c;
 	r->old_catalog.since = 0;
+	r->refused_version = 0;
 	if (r->was_reader)
 		heartbeat_tell_domain(x->heartbeat);
 	/* Lists again, as databases of unknown services were skipped. */
@@ -103,3 +157,69 @@
 	}
 	return true;
 }
+
+/* Advances the position that the next watch starts from. */
+static void advance(struct registry *r, uint64_t era, uint64_t revision)
+{
+	struct store_position at = { .era = era, .revision = revision };
+
+	if (store_position_compare(&at, &r->position) > 0)
+		r->position = at;
+}
+
+/* Logs once that the platform holds an older version than the one in force. */
+static void note_older(struct registry *r, const struct catalog *c)
+{
+	if (c->version == known_version(r) || c->version == r->refused_version)
+		return;
+	r->refused_version = c->version;
+	log_event(
+		EV_CONFIG_REFUSED,
+		"version=%llu known=%llu era=%llu reason=\"the platform holds "
+		"an older version\"",
+		(unsigned long long)c->version,
+		(unsigned long long)known_version(r),
+		(unsigned long long)r->proxy->store_era.era);
+}
+
+/*
+ * Requests a copy if a read of the platform has not brought the version that a
+ * peer has: the platform may have been restored to an older one.
+ */
+static void note_lacked(struct registry *r, usec_t now)
+{
+	if (r->peer_version <= known_version(r))
+		return;
+	if (r->lacked_version < r->peer_version)
+		log_event(EV_CONFIG_REFUSED,
+			  "version=%llu known=%llu peer=%s era=%llu "
+			  "reason=\"a peer has a newer version than the "
+			  "platform\"",
+			  (unsigned long long)r->peer_version,
+			  (unsigned long long)known_version(r), r->peer,
+			  (unsigned long long)r->proxy->store_era.era);
+	r->lacked_version = r->peer_version;
+	request_copy(r, now);
+}
+
+/*
+ * Requests a copy of the catalogue: from the peer that has the newest version,
+ * or, in a large fleet, from a VM that reads for this failure domain, since the
+ * others keep none. If none comes in time, the platform is read again.
+ */
+static void request_copy(struct registry *r, usec_t now)
+{
+	if (r->old_catalog.since == 0)
+		r->old_catalog.since = now;
+	if (now - r->old_catalog.asked_at < COPY_RETRY_US)
+		return;
+	r->old_catalog.asked_at = now;
+	registry_copy_request(r->proxy, REGISTRY_COPY_CATALOG,
+			      r->was_reader ? r->peer : NULL);
+}
+
+/* Returns the version of the configuration in force; 0: none. */
+static uint64_t known_version(const struct registry *r)
+{
+	return r->proxy->catalog ? r->proxy->catalog->version : 0;
+}
--- a/src/proxy/registry_copy.c
+++ b/src/proxy/registry_copy.c
@@ -20,15 +20,20 @@
 static void read_databases(struct peer_link *l, struct wire_reader *r);
 static void read_database(struct wire_reader *r, struct registry_db *out);
 
-/* Requests a copy from a VM that reads for this failure domain. */
-void registry_copy_request(struct proxy *x, enum registry_copy kind)
+/*
+ * Requests a copy from a peer; NULL: from a VM that reads for this failure
+ * domain.
+ */
+void registry_copy_request(struct proxy *x, enum registry_copy kind,
+			   const char *peer)
 {
-	const char *reader =
-		heartbeat_domain_reader(x->heartbeat, proxy_random(x));
-	struct peer_link *l = reader ? peer_link_get(x, reader) : NULL;
+	struct peer_link *l;
 	msgpack_sbuffer buf;
 	msgpack_packer p;
 
+	if (!peer)
+		peer = heartbeat_domain_reader(x->heartbeat, proxy_random(x));
+	l = peer ? peer_link_get(x, peer) : NULL;
 	if (!l)
 		return;
 	l->used_at = proxy_now();
--- a/src/proxy/registry_internal.h
+++ b/src/proxy/registry_internal.h
@@ -13,6 +13,9 @@
 /* Databases taken from one complete list. */
 #define DATABASES_MAX 4096
 
+/* Shortest interval between two requests for a copy. */
+#define COPY_RETRY_US (100 * USEC_PER_MSEC)
+
 /* What this VM knows to be outdated, and how it obtains a copy. */
 struct outdated {
 	usec_t since;	 /* 0: it is up to date as far as known */
@@ -39,8 +42,9 @@
 	struct poll databases;
 	struct poll vms;
 	struct poll self; /* registers this VM */
-	/* revision of the newest catalogue, which the next watch starts from */
-	uint64_t revision;
+	/* the next watch starts from here; of this VM's own replies only */
+	struct store_position position;
+	uint64_t watch_era; /* of the position that the watch began at */
 	/* the databases are listed at the fast interval until this time */
 	usec_t fast_until;
 	/* when the newest complete list of databases was requested; 0: none */
@@ -58,6 +62,12 @@
 	struct outdated old_catalog;
 	struct outdated old_databases;
 	char *catalog_reply; /* of the newest catalogue, kept by readers */
+	/* the newest version that a peer has told, and the last to tell it */
+	uint64_t peer_version;
+	char peer[NAME_MAX_BYTES];
+	/* newest version of a peer that a read has not brought */
+	uint64_t lacked_version;
+	uint64_t refused_version; /* last older version logged; 0: none */
 	struct registry_page page;
 };
 
@@ -74,6 +84,9 @@
 /* registry_catalog.c */
 void registry_handle_catalog_list(struct registry *r, struct poll *p);
 void registry_handle_catalog_watch(struct registry *r, struct poll *p);
+/* Obtains the version of the configuration that a peer told, if newer. */
+void registry_on_peer_version(struct registry *r, const char *peer,
+			      uint64_t version, usec_t now);
 
 /* registry_list.c */
 void registry_request_databases(struct registry *r, const char *after_id,
