Drop replies of an earlier era, and spread the era by heartbeats

Cause: the era of the store was only logged. A reply from before a restoration could be taken for the present state, VMs learned of a restoration one by one, and a VM's own entry stayed lost. Change: a reply of an earlier era fails its poll, which is sent again; an error that tells no era says nothing of it. Heartbeats carry the era and for how long it has been known, so that known_since is the earliest time that any VM heard of it. The list of a peer of an earlier era is not compared. After a restoration the VMs that read list the databases and read the configuration within 250 ms, each VM registers again within 1 s and lists the VMs after 2 s. The caller for claims ignores the new result for now. Ruled out: to act on the restoration inside the handler of the reply, since that handler then plans its own next request; registry_tick() does it. No test of its own: the fake platform tells no eras yet.

--- a/src/proxy/heartbeat_codec.c
+++ b/src/proxy/heartbeat_codec.c
@@ -19,6 +19,7 @@
 #define NEWS_READY    1 /* flags: ready */
 #define NEWS_DRAINING 2 /* draining */
 #define NEWS_DIRECT   4 /* from its own heartbeat, lately */
+#define DIGEST_FIELDS 7 /* of the registry's digest */
 /* A change of a group's primary is included in heartbeats for this long. */
 #define PRIMARY_CHANGE_NEWS_US (5 * USEC_PER_SEC)
 /*
@@ -28,6 +29,7 @@
  */
 #define PRIMARY_SLOW_US (150 * USEC_PER_MSEC)
 
+static void pack_digest(msgpack_packer *p, const struct registry_digest *d);
 static void pack_group(msgpack_packer *p, struct db_group *g, usec_t now);
 static void pack_news(const struct heartbeat *b, msgpack_packer *p, usec_t now);
 static void pack_one_news(const struct peer_vm *v, uint8_t *out, usec_t now);
@@ -38,6 +40,7 @@
 static bool decode_heartbeat(struct heartbeat *b, struct wire_reader *r,
 			     const struct sockaddr_storage *from,
 			     socklen_t from_len);
+static void read_digest(struct wire_reader *r, struct registry_digest *out);
 static bool decode_news(struct heartbeat *b, const uint8_t *news, size_t len,
 			usec_t now);
 static void decode_groups(struct heartbeat *b, struct peer_vm *v,
@@ -72,11 +75,7 @@
 		msgpack_pack_true(&packer);
 	else
 		msgpack_pack_false(&packer);
-	msgpack_pack_array(&packer, 4);
-	msgpack_pack_uint64(&packer, digest.catalog);
-	msgpack_pack_uint64(&packer, digest.databases);
-	msgpack_pack_uint64(&packer, digest.databases_age_ms);
-	msgpack_pack_uint64(&packer, digest.vms);
+	pack_digest(&packer, &digest);
 	msgpack_pack_array(&packer, n);
 	for (i = 0; i < n; i++)
 		pack_group(&packer, reported[i], now);
@@ -85,6 +84,22 @@
 	msgpack_pack_uint32(&packer, proxy_can_execute(p));
 }
 
+/*
+ * Encodes [configuration, databases, age of their list, VMs, the era is known,
+ * era, age of the era].
+ */
+static void pack_digest(msgpack_packer *p, const struct registry_digest *d)
+{
+	msgpack_pack_array(p, DIGEST_FIELDS);
+	msgpack_pack_uint64(p, d->catalog);
+	msgpack_pack_uint64(p, d->databases);
+	msgpack_pack_uint64(p, d->databases_age_ms);
+	msgpack_pack_uint64(p, d->vms);
+	msgpack_pack_uint32(p, d->knows_era);
+	msgpack_pack_uint64(p, d->era);
+	msgpack_pack_uint64(p, d->era_age_ms);
+}
+
 /*
  * A group is reported while this VM or a peer suspects its primary or performs
  * a failover, and for a while after its primary has changed.
@@ -244,7 +259,6 @@
 			     socklen_t from_len)
 {
 	struct wire_reader groups;
-	struct wire_reader digest_reader;
 	struct registry_digest digest;
 	char name[NAME_MAX_BYTES];
 	char domain[NAME_MAX_BYTES];
@@ -262,17 +276,12 @@
 	wire_str(r, domain, sizeof(domain));
 	incarnation = wire_u64(r);
 	draining = wire_bool(r);
-	digest_reader = wire_nested_array(r, 4);
-	digest.catalog = wire_u64(&digest_reader);
-	digest.databases = wire_u64(&digest_reader);
-	digest.databases_age_ms = wire_u64(&digest_reader);
-	digest.vms = wire_u64(&digest_reader);
+	read_digest(r, &digest);
 	groups = wire_nested_array(r, HEARTBEAT_GROUPS_MAX);
 	news = wire_bin(r, NEWS_MAX * NEWS_BYTES, &news_len);
 	capacity = wire_u64(r);
 	ready = wire_u64(r) != 0;
-	if (r->bad || digest_reader.bad || name[0] == '\0' ||
-	    capacity > UINT8_MAX ||
+	if (r->bad || name[0] == '\0' || capacity > UINT8_MAX ||
 	    strcmp(name, b->proxy->kernel->settings.vm) == 0)
 		return false;
 	v = heartbeat_find_peer(b, name, true);
@@ -303,6 +312,21 @@
 	return true;
 }
 
+/* Decodes a digest. */
+static void read_digest(struct wire_reader *r, struct registry_digest *out)
+{
+	struct wire_reader d = wire_nested_array(r, DIGEST_FIELDS);
+
+	out->catalog = wire_u64(&d);
+	out->databases = wire_u64(&d);
+	out->databases_age_ms = wire_u64(&d);
+	out->vms = wire_u64(&d);
+	out->knows_era = wire_u64(&d) != 0;
+	out->era = wire_u64(&d);
+	out->era_age_ms = wire_u64(&d);
+	r->bad |= d.bad;
+}
+
 /*
  * Takes the newer news of other VMs from a heartbeat. Returns true if its
  * sender receives this VM's heartbeats, as far as that is known: in a large
--- a/src/proxy/proxy_internal.h
+++ b/src/proxy/proxy_internal.h
@@ -385,6 +385,7 @@
 	bool databases_known;
 	bool vms_known;
 	bool limits_known; /* this VM's share of the team limits is known */
+	bool was_restored; /* the store was, since its era is known here */
 	uint64_t n_claims; /* promotion claims written by this VM */
 	struct proxy_inbox *inbox;
 	uint64_t random[16];
@@ -607,8 +608,16 @@
 				   struct wire_reader *r);
 
 /* registry_era.c */
-/* Takes note of the era of the platform's store that a reply tells. */
-void registry_note_era(struct proxy *p, const struct platform_call *c);
+/*
+ * Takes note of the era of the platform's store that a reply tells. Returns
+ * false if the reply must not be used.
+ */
+bool registry_note_era(struct proxy *p, const struct platform_call *c);
+/* Takes note of the era that a peer has known for "age_ms". */
+void registry_note_peer_era(struct proxy *p, const char *peer, uint64_t era,
+			    uint64_t age_ms);
+/* When this VM or a peer first heard of the newest restoration; 0: none. */
+usec_t registry_restored_at(const struct proxy *p);
 
 /* registry_copy.c */
 /* Requests a copy of a peer; NULL: of a VM that reads for this domain. */
--- a/src/proxy/registry.c
+++ b/src/proxy/registry.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "decide/restored_list.h"
 #include "kernel/latency.h"
 #include "kernel/log.h"
 #include "proxy/registry_internal.h"
@@ -41,13 +42,29 @@
  * time: a fifth of the time within which a configuration has to be in force.
  */
 #define COPY_MAX_US USEC_PER_SEC
+/*
+ * After a restoration of the store all VMs register again at the same moment:
+ * the requests are spread over this time. Only VMs that start need the entries.
+ */
+#define RESTORED_REGISTER_MAX_US USEC_PER_SEC
+/*
+ * Peers have a list from after a restoration of the store this long after it;
+ * a copy sent earlier may count as one from before.
+ */
+#define RESTORED_COPY_US (RESTORED_READ_MAX_US + REGISTRY_COPY_DELAY_MAX_US)
+/* The VMs are listed again once all have had the time to register. */
+#define RESTORED_VMS_US (2 * USEC_PER_SEC)
 
 static const struct registry_codec *codec;
 
+static bool list_counts(const struct registry *r,
+			const struct registry_digest *n, usec_t now);
 static void poll_init(struct registry *r, struct poll *p, const char *name,
 		      void (*handle)(struct registry *, struct poll *));
 static void on_platform_reply(struct platform_call *c);
 static void handle_reply(void *ctx);
+static void check_restored(struct registry *r, usec_t now);
+static void plan_by(struct poll *p, usec_t at);
 static void become_reader(struct registry *r, usec_t now);
 static void check_outdated(struct outdated *o, struct poll *p, usec_t now);
 static usec_t retry_backoff(const struct registry *r, struct poll *p);
@@ -116,6 +133,7 @@
 	if (is_reader && !r->was_reader)
 		become_reader(r, now);
 	r->was_reader = is_reader;
+	check_restored(r, now);
 	check_outdated(&r->old_catalog, &r->read, now);
 	check_outdated(&r->old_databases, &r->databases, now);
 
@@ -157,6 +175,7 @@
 struct registry_digest registry_digest(const struct registry *r, usec_t now)
 {
 	const struct catalog *c = r->proxy->catalog;
+	const struct store_era *s = &r->proxy->store_era;
 
 	return (struct registry_digest){
 		.catalog = c ? c->version : 0,
@@ -164,6 +183,11 @@
 		.databases_age_ms =
 			(uint64_t)((now - r->listed_at) / USEC_PER_MSEC),
 		.vms = heartbeat_members_hash(r->proxy->heartbeat),
+		.knows_era = s->is_known,
+		.era = s->era,
+		.era_age_ms = s->is_known ? (uint64_t)((now - s->known_since) /
+						       USEC_PER_MSEC)
+					  : 0,
 	};
 }
 
@@ -175,10 +199,13 @@
 void registry_on_peer_digest(struct registry *r, const char *peer,
 			     const struct registry_digest *n, usec_t now)
 {
-	struct registry_digest known = registry_digest(r, now);
+	struct registry_digest known;
 
+	if (n->knows_era)
+		registry_note_peer_era(r->proxy, peer, n->era, n->era_age_ms);
+	known = registry_digest(r, now);
 	registry_on_peer_version(r, peer, n->catalog, now);
-	if (n->databases != known.databases &&
+	if (list_counts(r, n, now) && n->databases != known.databases &&
 	    n->databases_age_ms < known.databases_age_ms)
 		registry_refresh_databases(r, now);
 	if (n->vms != known.vms && r->proxy->vms_known &&
@@ -187,6 +214,22 @@
 	registry_tick(r, now);
 }
 
+/*
+ * Returns false if the peer's list of databases may be of an earlier era of the
+ * store, or if no copy of it would be taken yet.
+ */
+static bool list_counts(const struct registry *r,
+			const struct registry_digest *n, usec_t now)
+{
+	const struct store_era *s = &r->proxy->store_era;
+
+	if (s->is_known && (!n->knows_era || n->era < s->era))
+		return false;
+	return r->was_reader ||
+	       !restored_list_is_partial(now, registry_restored_at(r->proxy),
+					 RESTORED_COPY_US);
+}
+
 /* Prepares one kind of request; "handle" is called with its replies. */
 static void poll_init(struct registry *r, struct poll *p, const char *name,
 		      void (*handle)(struct registry *, struct poll *))
@@ -225,12 +268,15 @@
 	struct registry *r = p->registry;
 
 	p->busy = false;
+	/* An object of an earlier era has another revision now, or none. */
+	if (p->call.replied && !registry_note_era(r->proxy, &p->call)) {
+		p->call.result = PLATFORM_DOWN;
+		p->call.version = 0;
+	}
 	p->due_at = proxy_now() + retry_backoff(r, p);
 	if (p->call.op != PLATFORM_WATCH)
 		latency_add(LATENCY_PLATFORM, proxy_now() - p->requested_at);
 	track_outage(r, p->call.result, proxy_now());
-	if (p->call.replied)
-		registry_note_era(r->proxy, &p->call);
 	p->handle(r, p);
 	free(p->reply);
 	p->reply = NULL;
@@ -304,6 +350,39 @@
 	return (uint32_t)registry_random_delay(r, ms);
 }
 
+/*
+ * After a restoration of the store: reads again what this VM reads for its
+ * failure domain, and registers it again, as its entry may be lost. The other
+ * VMs of a large fleet learn of changes from those that read. A request in
+ * progress is sent again if its reply turns out to be of an earlier era.
+ */
+static void check_restored(struct registry *r, usec_t now)
+{
+	const struct proxy *p = r->proxy;
+
+	if (!p->was_restored || r->restored_era == p->store_era.era)
+		return;
+	r->restored_era = p->store_era.era;
+	if (r->was_reader) {
+		plan_by(&r->read, now + (usec_t)registry_random_delay(
+						r, RESTORED_READ_MAX_US));
+		plan_by(&r->databases, now + (usec_t)registry_random_delay(
+						     r, RESTORED_READ_MAX_US));
+	}
+	if (!r->self.busy)
+		r->self.call.version = 0;
+	plan_by(&r->self, now + (usec_t)registry_random_delay(
+					r, RESTORED_REGISTER_MAX_US));
+	plan_by(&r->vms, now + RESTORED_VMS_US);
+}
+
+/* Plans a request for "at", unless it is planned for earlier. */
+static void plan_by(struct poll *p, usec_t at)
+{
+	if (p->due_at == 0 || p->due_at > at)
+		p->due_at = at;
+}
+
 /* Starts to read for the failure domain. */
 static void become_reader(struct registry *r, usec_t now)
 {
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -131,23 +131,28 @@
 void registry_list_now(struct registry *r, usec_t now);
 /*
  * True if all live databases have had the time to register since this VM first
- * listed them and since the platform was last unreachable. The list is complete
- * then.
+ * listed them, since the platform was last unreachable and since its store was
+ * last restored. The list is complete then.
  */
 bool registry_is_settled(const struct registry *r, usec_t now);
 /* When the newest list of databases was requested; 0: none yet. */
 usec_t registry_listed_at(const struct registry *r);
 /*
- * Digest of what this VM knows, sent to peers in heartbeats: the version of
- * the configuration, and hashes of the databases and the VMs. If a peer has a
- * newer configuration, a different and newer list of databases, or knows other
- * VMs, this VM requests these from the platform again.
+ * Digest of what this VM knows, sent to peers in heartbeats: the version of the
+ * configuration, hashes of the databases and the VMs, and the era of the
+ * platform's store. If a peer has a newer configuration, a different and newer
+ * list of databases, or knows other VMs, this VM requests these from the
+ * platform again. What rests on the store does not count if the peer's era is
+ * an earlier one.
  */
 struct registry_digest {
 	uint64_t catalog;	   /* version */
 	uint64_t databases;	   /* hash of the list */
 	uint64_t databases_age_ms; /* age of the list */
 	uint64_t vms;		   /* hash of the names of all known VMs */
+	bool knows_era;		   /* the store has replied */
+	uint64_t era;
+	uint64_t era_age_ms; /* how long the era has been known */
 };
 
 struct registry_digest registry_digest(const struct registry *r, usec_t now);
--- a/src/proxy/registry_internal.h
+++ b/src/proxy/registry_internal.h
@@ -13,6 +13,12 @@
 /* Databases taken from one complete list. */
 #define DATABASES_MAX 4096
 
+/*
+ * After a restoration of the store all VMs that read it do so at the same
+ * moment: their requests are spread over this time, a small part of the 3 s
+ * within which a configuration has to be in force.
+ */
+#define RESTORED_READ_MAX_US (250 * USEC_PER_MSEC)
 /* Shortest interval between two requests for a copy. */
 #define COPY_RETRY_US (100 * USEC_PER_MSEC)
 
@@ -44,7 +50,9 @@
 	struct poll self; /* registers this VM */
 	/* the next watch starts from here; of this VM's own replies only */
 	struct store_position position;
-	uint64_t watch_era; /* of the position that the watch began at */
+	uint64_t watch_era;    /* of the position that the watch began at */
+	uint64_t restored_era; /* of the newest restoration dealt with */
+	uint64_t list_era;     /* of the first page of the list being read */
 	/* the databases are listed at the fast interval until this time */
 	usec_t fast_until;
 	/* when the newest complete list of databases was requested; 0: none */
--- a/src/proxy/registry_promotion.c
+++ b/src/proxy/registry_promotion.c
@@ -159,7 +159,7 @@
 	enum platform_result result = d->call.result;
 
 	if (d->call.replied && !d->promote_fn)
-		registry_note_era(d->proxy, &d->call);
+		(void)registry_note_era(d->proxy, &d->call);
 	if (result == PLATFORM_OK && d->reply && !d->promote_fn &&
 	    registry_codec()->claim(d->reply, &duty) != 0)
 		result = PLATFORM_DOWN;
