Believe nothing that an older copy of the store lacks or has otherwise

Cause: after a restoration a database that had registered since was missing from the list and taken as gone, one that had restarted was replaced by its former entry, and one that departs got new work. Change: until REREGISTER_MAX_US after the restoration, databases that a list lacks are kept, entries older than what is known are ignored, a departing database stays departing; then another list tells. The list counts as incomplete meanwhile. Pages of different eras are never joined. A peer's copy that was requested before the restoration is dropped. Ruled out: to hold the whole list back, since newcomers must be known at once.

--- a/src/proxy/db_group.c
+++ b/src/proxy/db_group.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "decide/restored_list.h"
 #include "kernel/log.h"
 #include "proxy/proxy_internal.h"
 
@@ -37,7 +38,18 @@
  */
 #define SILENT_US (400 * USEC_PER_MSEC)
 
+/* What was kept, while a list is partial, against what it says. */
+struct held_back {
+	uint32_t older;	    /* entries older than what is known */
+	uint32_t departing; /* databases that depart, listed as staying */
+	uint32_t absent;    /* databases that are not listed */
+};
+
 static struct db_group *group_create(struct proxy *p, const char *service);
+static void apply_entries(struct proxy *p, const struct registry_db *db,
+			  uint32_t n, bool is_partial, struct held_back *held);
+static enum restored_entry judge_entry(const struct db_group *g,
+				       const struct registry_db *r);
 static void apply_database(struct db_group *g, const struct registry_db *r);
 static bool is_listed(const struct db_member *d, const struct registry_db *db,
 		      uint32_t n);
@@ -93,24 +105,25 @@
 
 /*
  * Applies the list of databases that was requested at "requested_at". If many
- * databases are missing from it, they are kept for a while. Returns when
- * another list will tell whether they have left, or 0 if none is needed.
+ * databases are missing from it, they are kept for a while; after a restoration
+ * of the platform's store, all that the list lacks or has as it was before is
+ * kept. Returns when another list will tell whether they have left, or 0 if
+ * none is needed.
  */
 usec_t db_group_apply_databases(struct proxy *p, const struct registry_db *db,
 				uint32_t n, usec_t requested_at)
 {
+	usec_t restored_at = registry_restored_at(p);
+	bool is_partial = restored_list_is_partial(requested_at, restored_at,
+						   REREGISTER_MAX_US);
+	struct held_back held = { 0 };
 	uint32_t missing = 0;
 	uint32_t known = 0;
 	uint32_t i;
 	uint32_t j;
 	bool left;
 
-	for (i = 0; i < n; i++) {
-		struct db_group *g = db_group_find(p, db[i].service);
-
-		if (g)
-			apply_database(g, &db[i]);
-	}
+	apply_entries(p, db, n, is_partial, &held);
 	for (i = 0; i < p->n_groups; i++) {
 		for (j = 0; j < DB_GROUP_MEMBERS_MAX; j++) {
 			struct db_member *d = &p->groups[i]->db[j];
@@ -120,6 +133,7 @@
 			d->listed = is_listed(d, db, n);
 			known += !d->departing;
 			missing += !d->listed && !d->departing;
+			held.absent += is_partial && !d->listed;
 		}
 	}
 	left = member_expiry_confirmed(&p->absence, known, missing,
@@ -128,15 +142,69 @@
 		for (j = 0; j < DB_GROUP_MEMBERS_MAX; j++) {
 			struct db_member *d = &p->groups[i]->db[j];
 
-			if (d->present && !d->listed && (left || d->departing))
+			if (d->present && !d->listed && !is_partial &&
+			    (left || d->departing))
 				remove_db(d, "left the registry");
 		}
 	}
 	for (i = 0; i < p->n_groups; i++)
 		dispatch_waiting(p->groups[i]);
+	if (held.absent + held.older + held.departing > 0) {
+		log_event(EV_CONFIG_REFUSED,
+			  "list=databases era=%llu kept_absent=%u "
+			  "kept_newer=%u kept_departing=%u "
+			  "reason=\"the store was restored\"",
+			  (unsigned long long)p->store_era.era, held.absent,
+			  held.older, held.departing);
+		return restored_at + REREGISTER_MAX_US;
+	}
 	return left ? 0 : p->absence.many_missing_since + REREGISTER_MAX_US;
 }
 
+/* Applies the entries of a list; "held" counts what was kept instead. */
+static void apply_entries(struct proxy *p, const struct registry_db *db,
+			  uint32_t n, bool is_partial, struct held_back *held)
+{
+	uint32_t i;
+
+	for (i = 0; i < n; i++) {
+		struct db_group *g = db_group_find(p, db[i].service);
+		enum restored_entry entry = RESTORED_ENTRY_TAKE;
+		struct registry_db e = db[i];
+
+		if (!g)
+			continue;
+		if (is_partial)
+			entry = judge_entry(g, &e);
+		held->older += entry == RESTORED_ENTRY_IGNORE;
+		held->departing += entry == RESTORED_ENTRY_DEPARTS;
+		e.departing |= entry == RESTORED_ENTRY_DEPARTS;
+		if (entry != RESTORED_ENTRY_IGNORE)
+			apply_database(g, &e);
+	}
+}
+
+/* Decides on an entry of a list that may be older than what is known. */
+static enum restored_entry judge_entry(const struct db_group *g,
+				       const struct registry_db *r)
+{
+	uint32_t i = db_group_find_member(g, r->id);
+	const struct db_member *d;
+
+	if (i == DB_NONE)
+		return RESTORED_ENTRY_TAKE;
+	d = &g->db[i];
+	return restored_list_entry(
+		&(struct restored_member){ .incarnation = d->incarnation,
+					   .departing = d->departing,
+					   .has_same_address = true },
+		&(struct restored_member){
+			.incarnation = r->incarnation,
+			.departing = r->departing,
+			.has_same_address =
+				strcmp(d->address, r->address) == 0 });
+}
+
 /* Tells whether a database is in the list. */
 static bool is_listed(const struct db_member *d, const struct registry_db *db,
 		      uint32_t n)
--- a/src/proxy/registry_list.c
+++ b/src/proxy/registry_list.c
@@ -3,6 +3,7 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "decide/restored_list.h"
 #include "kernel/log.h"
 #include "proxy/registry_internal.h"
 
@@ -45,7 +46,9 @@
 /* Returns true if the list of databases counts as complete. */
 bool registry_is_settled(const struct registry *r, usec_t now)
 {
-	return r->complete_from && now >= r->complete_from;
+	return r->complete_from && now >= r->complete_from &&
+	       !restored_list_is_partial(now, registry_restored_at(r->proxy),
+					 REREGISTER_MAX_US);
 }
 
 /* Returns when the newest complete list was requested; 0: none yet. */
@@ -72,7 +75,8 @@
 
 /*
  * Applies a peer's copy of the list of databases, unless this VM has a newer
- * one or is reading one.
+ * one or is reading one. A list from before a restoration of the store is
+ * outdated whatever its age.
  */
 void registry_apply_list_copy(struct registry *r, const struct registry_db *db,
 			      uint32_t n, usec_t listed_at, bool is_settled)
@@ -80,7 +84,8 @@
 	usec_t now = proxy_now();
 
 	if (r->databases.busy || listed_at <= r->listed_at ||
-	    n > DATABASES_MAX || n == 0)
+	    listed_at < registry_restored_at(r->proxy) || n > DATABASES_MAX ||
+	    n == 0)
 		return;
 	memcpy(r->list, db, n * sizeof(*db));
 	r->n_list = n;
@@ -100,7 +105,10 @@
 	registry_poll_send(&r->databases, PLATFORM_LIST, now);
 }
 
-/* Handles one page, and the complete list with the last one. */
+/*
+ * Handles one page, and the complete list with the last one. If the store was
+ * restored between two pages, the list begins again with the first.
+ */
 void registry_handle_databases(struct registry *r, struct poll *p)
 {
 	usec_t now = proxy_now();
@@ -108,6 +116,12 @@
 
 	if (p->call.result != PLATFORM_OK || !p->reply)
 		return;
+	if (p->call.from[0] == '\0')
+		r->list_era = p->call.era;
+	if (p->call.era != r->list_era) {
+		r->n_list = 0;
+		return;
+	}
 	error_clear(&e);
 	memset(&r->page, 0, sizeof(r->page));
 	if (registry_codec()->databases(p->reply, add_database, r, &r->page,
