Let no list from soon after a restoration prove a primary

Cause: the entry of an unreachable database proves that it does not lead, as of the time of the list. An older copy of the store hides a promotion since, and a database kept though it is not listed counted as listed in its former role. Change: registry_listed_at(), which proofs and failovers use, is the time of the newest list that is not partial after a restoration; copies to peers tell the time of the newest list as before. A partial list does not end a listed lead. Ruled out: to forbid proofs for the time: those by a commit or by status do not rest on the store. Result: with no era told, the two times are equal. Not covered by a test of its own: needs an unreachable database and a restoration in one process test.

--- a/src/proxy/db_group.c
+++ b/src/proxy/db_group.c
@@ -50,7 +50,8 @@
 			  uint32_t n, bool is_partial, struct held_back *held);
 static enum restored_entry judge_entry(const struct db_group *g,
 				       const struct registry_db *r);
-static void apply_database(struct db_group *g, const struct registry_db *r);
+static void apply_database(struct db_group *g, const struct registry_db *r,
+			   bool is_partial);
 static bool is_listed(const struct db_member *d, const struct registry_db *db,
 		      uint32_t n);
 static void remove_db(struct db_member *db, const char *reason);
@@ -180,7 +181,7 @@
 		held->departing += entry == RESTORED_ENTRY_DEPARTS;
 		e.departing |= entry == RESTORED_ENTRY_DEPARTS;
 		if (entry != RESTORED_ENTRY_IGNORE)
-			apply_database(g, &e);
+			apply_database(g, &e, is_partial);
 	}
 }
 
@@ -471,9 +472,11 @@
 /*
  * Adds a database of the list, or updates a known one. If the address or the
  * incarnation differs, the known database is removed and the listed one takes
- * over its id.
+ * over its id. A partial list may hide a promotion, so it does not end a listed
+ * lead.
  */
-static void apply_database(struct db_group *g, const struct registry_db *r)
+static void apply_database(struct db_group *g, const struct registry_db *r,
+			   bool is_partial)
 {
 	uint32_t i = db_group_find_member(g, r->id);
 	struct db_member *d;
@@ -522,7 +525,7 @@
 	d->slots = r->slots;
 	d->departing = r->departing;
 	d->reports_primary = r->primary;
-	d->listed_primary = r->primary;
+	d->listed_primary = r->primary || (is_partial && d->listed_primary);
 }
 
 /*
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -135,8 +135,13 @@
  * last restored. The list is complete then.
  */
 bool registry_is_settled(const struct registry *r, usec_t now);
-/* When the newest list of databases was requested; 0: none yet. */
+/*
+ * When the newest list of databases was requested that lacks none, and has none
+ * as it was before the store was restored; 0: none yet.
+ */
 usec_t registry_listed_at(const struct registry *r);
+/* When the newest list of databases was requested; 0: none yet. */
+usec_t registry_list_requested_at(const struct registry *r);
 /*
  * Digest of what this VM knows, sent to peers in heartbeats: the version of the
  * configuration, hashes of the databases and the VMs, and the era of the
--- a/src/proxy/registry_catalog.c
+++ b/src/proxy/registry_catalog.c
@@ -153,6 +153,7 @@
 	/* Lists again, as databases of unknown services were skipped. */
 	if (db_group_apply_catalog(x, proxy_now())) {
 		r->listed_at = 0;
+		r->full_listed_at = 0;
 		registry_refresh_databases(r, proxy_now());
 	}
 	return true;
--- a/src/proxy/registry_copy.c
+++ b/src/proxy/registry_copy.c
@@ -108,11 +108,12 @@
 	uint32_t i;
 
 	db = registry_list(r, &n);
-	if (n == 0 || registry_listed_at(r) == 0)
+	if (n == 0 || registry_list_requested_at(r) == 0)
 		return;
 	peer_link_begin(&buf, &p, 5, LINK_MSG_COPY);
 	msgpack_pack_uint32(&p, REGISTRY_COPY_DATABASES);
-	msgpack_pack_uint64(&p, (uint64_t)(now - registry_listed_at(r)));
+	msgpack_pack_uint64(&p,
+			    (uint64_t)(now - registry_list_requested_at(r)));
 	msgpack_pack_uint32(&p, registry_is_settled(r, now));
 	msgpack_pack_array(&p, n);
 	for (i = 0; i < n; i++) {
--- a/src/proxy/registry_internal.h
+++ b/src/proxy/registry_internal.h
@@ -57,6 +57,8 @@
 	usec_t fast_until;
 	/* when the newest complete list of databases was requested; 0: none */
 	usec_t listed_at;
+	/* the same, of the newest one not partial after a restoration */
+	usec_t full_listed_at;
 	/* the list counts as complete from this time on; 0: none read yet */
 	usec_t complete_from;
 	/* time of the first failed request since the last success; 0: none */
--- a/src/proxy/registry_list.c
+++ b/src/proxy/registry_list.c
@@ -51,8 +51,18 @@
 					 REREGISTER_MAX_US);
 }
 
-/* Returns when the newest complete list was requested; 0: none yet. */
+/*
+ * Returns when the newest list was requested that tells what has registered and
+ * in which role; 0: none yet. A list soon after a restoration of the store does
+ * not: an entry as it was before hides a promotion since.
+ */
 usec_t registry_listed_at(const struct registry *r)
+{
+	return r->full_listed_at;
+}
+
+/* Returns when the newest complete list was requested; 0: none yet. */
+usec_t registry_list_requested_at(const struct registry *r)
 {
 	return r->listed_at;
 }
@@ -167,6 +177,9 @@
 	if (r->complete_from == 0)
 		r->complete_from = now + REREGISTER_MAX_US;
 	r->listed_at = listed_at;
+	if (!restored_list_is_partial(listed_at, registry_restored_at(x),
+				      REREGISTER_MAX_US))
+		r->full_listed_at = listed_at;
 	r->list_hash = hash_list(r);
 	r->old_databases.since = 0;
 	r->databases.due_at = now + registry_list_interval(r, now);
