--- a/src/proxy/proxy_internal.h
+++ b/src/proxy/proxy_internal.h
@@ -66,7 +66,6 @@
 	usec_t unlisted_since;
 	bool announced_departure; /* by its last entry */
 	bool reports_primary;
-	bool listed_primary; /* role in the newest list of the registry */
 	/* newest term in which this VM saw it as primary; 0: none */
 	uint64_t primary_term;
 	struct db_group *group;
@@ -397,6 +396,7 @@
 	bool databases_known;
 	bool vms_known;
 	bool limits_known; /* this VM's share of the team limits is known */
+	bool was_restored; /* the store was, since its era is known here */
 	uint64_t n_claims; /* promotion claims written by this VM */
 	struct proxy_inbox *inbox;
 	uint64_t random[16];
@@ -592,7 +592,7 @@
 /* rate_limit_client.c */
 /* Types of the datagrams between VMs; the first field of each. */
 enum peer_msg_type {
-	PEER_MSG_HEARTBEAT = 7, /* 1 and 2 were older formats */
+	PEER_MSG_HEARTBEAT = 8, /* 1, 2 and 7 were older formats */
 	PEER_MSG_TOKEN_REQUEST = 3,
 	PEER_MSG_TOKEN_RESPONSE = 4,
 	PEER_MSG_PROOF_REQUEST = 5,
@@ -619,11 +619,21 @@
 				   struct wire_reader *r);
 
 /* registry_era.c */
-/* Takes note of the era of the platform's store that a reply tells. */
-void registry_note_era(struct proxy *p, const struct platform_call *c);
+/*
+ * Takes note of the era of the platform's store that a reply tells. Returns
+ * false if the reply must not be used.
+ */
+bool registry_note_era(struct proxy *p, const struct platform_call *c);
+/* Takes note of the era that a peer has known for "age_ms". */
+void registry_note_peer_era(struct proxy *p, const char *peer, uint64_t era,
+			    uint64_t age_ms);
+/* When this VM or a peer first heard of the newest restoration; 0: none. */
+usec_t registry_restored_at(const struct proxy *p);
 
 /* registry_copy.c */
-void registry_copy_request(struct proxy *x, enum registry_copy kind);
+/* Requests a copy of a peer; NULL: of a VM that reads for this domain. */
+void registry_copy_request(struct proxy *x, enum registry_copy kind,
+			   const char *peer);
 
 /* peer_link.c */
 int peer_link_listen(struct proxy *p, const struct sockaddr *at, socklen_t len);
--- a/src/proxy/registry_copy.c
+++ b/src/proxy/registry_copy.c
@@ -20,15 +20,20 @@
 static void read_databases(struct peer_link *l, struct wire_reader *r);
 static void read_database(struct wire_reader *r, struct registry_db *out);
 
-/* Requests a copy from a VM that reads for this failure domain. */
-void registry_copy_request(struct proxy *x, enum registry_copy kind)
+/*
+ * Requests a copy from a peer; NULL: from a VM that reads for this failure
+ * domain.
+ */
+void registry_copy_request(struct proxy *x, enum registry_copy kind,
+			   const char *peer)
 {
-	const char *reader =
-		heartbeat_domain_reader(x->heartbeat, proxy_random(x));
-	struct peer_link *l = reader ? peer_link_get(x, reader) : NULL;
+	struct peer_link *l;
 	msgpack_sbuffer buf;
 	msgpack_packer p;
 
+	if (!peer)
+		peer = heartbeat_domain_reader(x->heartbeat, proxy_random(x));
+	l = peer ? peer_link_get(x, peer) : NULL;
 	if (!l)
 		return;
 	l->used_at = proxy_now();
@@ -103,11 +108,12 @@
 	uint32_t i;
 
 	db = registry_list(r, &n);
-	if (n == 0 || registry_listed_at(r) == 0)
+	if (n == 0 || registry_list_requested_at(r) == 0)
 		return;
 	peer_link_begin(&buf, &p, 5, LINK_MSG_COPY);
 	msgpack_pack_uint32(&p, REGISTRY_COPY_DATABASES);
-	msgpack_pack_uint64(&p, (uint64_t)(now - registry_listed_at(r)));
+	msgpack_pack_uint64(&p,
+			    (uint64_t)(now - registry_list_requested_at(r)));
 	msgpack_pack_uint32(&p, registry_is_settled(r, now));
 	msgpack_pack_array(&p, n);
 	for (i = 0; i < n; i++) {
--- a/src/proxy/registry_promotion.c
+++ b/src/proxy/registry_promotion.c
@@ -228,8 +228,8 @@
 	bool is_absent =
 		c->result == PLATFORM_NOT_FOUND && c->op == PLATFORM_GET;
 
-	if (c->replied)
-		registry_note_era(d->proxy, c);
+	if (c->replied && !registry_note_era(d->proxy, c))
+		return false;
 	memset(&o->record, 0, sizeof(o->record));
 	if (c->result != PLATFORM_OK && !is_absent)
 		return false;
