Prove a primary only by databases of a current list

A VM that is cut from the platform keeps an older list for as long as it is cut, and proves the primary by databases that the others have dropped. Change: the databases of the list prove a primary only if no peer is known to have had a newer list for a second, and if either most VMs are heard, one of which would have told of a newer list, or the list was confirmed within 2 s, by the platform or by a peer with the same. A VM that the platform does not answer copies a newer list from the peer that told of it, and does so while its own request is still out. The VM that promotes waits 2 s after it has dropped a database that it could not ask, so both ends fit. Test: DbList.ProvesOnlyWhileOthersCanHaveNoNewerOne; the old code has no such rule. Ruled out: no proofs without the platform, which would stop all writes while it is down.

--- a/src/decide/unlisted_db.c
+++ b/src/decide/unlisted_db.c
@@ -16,3 +16,16 @@
 {
 	return dropped_at == 0 || now - dropped_at >= UNLISTED_DB_KNOWN_US;
 }
+
+/*
+ * While the platform is down for all VMs, nobody has a newer list, and a VM
+ * that hears most of the others would know of one.
+ */
+bool db_list_is_current(const struct db_list_view *v, usec_t now)
+{
+	if (v->outdated_since && now - v->outdated_since >= DB_LIST_COPY_MAX_US)
+		return false;
+	return v->hears_most_vms ||
+	       (v->confirmed_at &&
+		now - v->confirmed_at < UNLISTED_DB_KNOWN_US);
+}
--- a/src/decide/unlisted_db.h
+++ b/src/decide/unlisted_db.h
@@ -24,6 +24,12 @@
  */
 #define UNLISTED_DB_KNOWN_US (2 * USEC_PER_SEC)
 
+/*
+ * A VM that knows that its list is outdated gets a copy within this time, half
+ * of the above, or stops using it.
+ */
+#define DB_LIST_COPY_MAX_US (1 * USEC_PER_SEC)
+
 struct unlisted_db {
 	bool is_departing; /* its last entry announced its departure */
 	bool answers;	   /* it leaves no request unanswered */
@@ -36,6 +42,23 @@
 	UNLISTED_DB_DROP_AND_WAIT, /* other VMs may still use it */
 };
 
+/* What a VM knows about its own list of databases. */
+struct db_list_view {
+	/* newest time as of which the platform, or a peer, had the same list */
+	usec_t confirmed_at;
+	/* it knows that a peer has a newer and different list since then; 0: no
+	 */
+	usec_t outdated_since;
+	bool hears_most_vms;
+};
+
+/*
+ * Returns true if the databases of the list may prove a primary: no other VM
+ * can have known a list without one of them for long enough to begin a
+ * failover.
+ */
+bool db_list_is_current(const struct db_list_view *v, usec_t now);
+
 enum unlisted_db_step unlisted_db_check(const struct unlisted_db *d,
 					usec_t now);
 /* Returns true if a failover may begin although a database was dropped then. */
--- a/src/proxy/db_group.c
+++ b/src/proxy/db_group.c
@@ -256,7 +256,8 @@
 		return;
 	db->position = *at;
 	if (member_index(db) != g->primary) {
-		if (proxy_now() >= db->trusted_from)
+		if (proxy_now() >= db->trusted_from &&
+		    registry_list_is_current(g->proxy->registry, proxy_now()))
 			primary_proof_replica_position(&g->proof, *at);
 		return;
 	}
@@ -614,9 +615,10 @@
 	if (proxy_now() < db->trusted_from)
 		return;
 	if (report->paused_term <= g->proof.term) {
-		primary_proof_replica_unpaused(&g->proof, requested_at,
-					       report->term,
-					       g->proxy->policy.guard);
+		if (registry_list_is_current(g->proxy->registry, proxy_now()))
+			primary_proof_replica_unpaused(&g->proof, requested_at,
+						       report->term,
+						       g->proxy->policy.guard);
 		db->paused_since = 0;
 	} else if (db->paused_since == 0) {
 		db->paused_since = proxy_now();
--- a/src/proxy/db_group_proof.c
+++ b/src/proxy/db_group_proof.c
@@ -77,7 +77,8 @@
 
 /*
  * Renews the proof in g->proof if the newest statuses of all other databases
- * together prove the primary.
+ * together prove the primary. "All" are those of the list, so it has to be
+ * current.
  */
 void db_group_proof_evaluate(struct db_group *g, usec_t now)
 {
@@ -85,6 +86,8 @@
 	uint32_t n = 0;
 	uint32_t i;
 
+	if (!registry_list_is_current(g->proxy->registry, now))
+		return;
 	for (i = 0; i < DB_GROUP_MEMBERS_MAX; i++) {
 		const struct db_member *d = &g->db[i];
 
--- a/src/proxy/registry.c
+++ b/src/proxy/registry.c
@@ -205,9 +205,8 @@
 		registry_note_peer_era(r->proxy, peer, n->era, n->era_age_ms);
 	known = registry_digest(r, now);
 	registry_on_peer_version(r, peer, n->catalog, now);
-	if (list_counts(r, n, now) && n->databases != known.databases &&
-	    n->databases_age_ms < known.databases_age_ms)
-		registry_refresh_databases(r, now);
+	if (list_counts(r, n, now))
+		registry_on_peer_list(r, peer, n, now);
 	if (n->vms != known.vms && r->proxy->vms_known &&
 	    r->vms.due_at > r->vms.requested_at + VMS_LIST_INTERVAL_MIN_US)
 		r->vms.due_at = r->vms.requested_at + VMS_LIST_INTERVAL_MIN_US;
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -135,6 +135,8 @@
  * last restored. The list is complete then.
  */
 bool registry_is_settled(const struct registry *r, usec_t now);
+/* True if the databases of the list may prove a primary. */
+bool registry_list_is_current(struct registry *r, usec_t now);
 /*
  * When the newest list of databases was requested that lacks none, and has none
  * as it was before the store was restored; 0: none yet.
--- a/src/proxy/registry_internal.h
+++ b/src/proxy/registry_internal.h
@@ -68,7 +68,12 @@
 	struct registry_db *list;
 	uint32_t n_list;
 	uint64_t list_hash; /* hash_list() of the newest complete list */
-	bool was_reader;    /* this VM read for its domain at the last tick */
+	/* newest time as of which the platform or a peer had this list */
+	usec_t list_confirmed_at;
+	/* a peer has had a newer and different list since then; 0: none */
+	usec_t newer_list_since;
+	usec_t newer_listed_at; /* when that list was requested */
+	bool was_reader; /* this VM read for its domain at the last tick */
 	struct outdated old_catalog;
 	struct outdated old_databases;
 	char *catalog_reply; /* of the newest catalogue, kept by readers */
@@ -102,6 +107,9 @@
 void registry_request_databases(struct registry *r, const char *after_id,
 				usec_t now);
 void registry_handle_databases(struct registry *r, struct poll *p);
+/* Compares a peer's list of databases with this VM's. */
+void registry_on_peer_list(struct registry *r, const char *peer,
+			   const struct registry_digest *n, usec_t now);
 /* Returns the interval to the next list of databases. */
 usec_t registry_list_interval(const struct registry *r, usec_t now);
 
--- a/src/proxy/registry_list.c
+++ b/src/proxy/registry_list.c
@@ -15,6 +15,8 @@
  * at least this often.
  */
 #define LIST_INTERVAL_MAX_US (120 * USEC_PER_SEC)
+/* A peer's list that is older than this tells nothing. */
+#define LIST_AGE_MAX_MS (2 * LIST_INTERVAL_MAX_US / USEC_PER_MSEC)
 
 static void apply_list(struct registry *r, usec_t listed_at, usec_t now);
 static uint64_t hash_list(const struct registry *r);
@@ -67,6 +69,56 @@
 	return r->listed_at;
 }
 
+/*
+ * Returns true if the databases of this VM's list may prove a primary. If not,
+ * the platform is asked for the list.
+ */
+bool registry_list_is_current(struct registry *r, usec_t now)
+{
+	struct db_list_view v = {
+		.confirmed_at = r->list_confirmed_at,
+		.outdated_since = r->newer_list_since,
+		.hears_most_vms =
+			heartbeat_sees_majority(r->proxy->heartbeat, now),
+	};
+
+	if (db_list_is_current(&v, now))
+		return true;
+	registry_poll_fast(r, now);
+	return false;
+}
+
+/*
+ * Takes note of whether a peer's list is the same, and obtains it if it is
+ * newer and another one: from the peer if the platform does not answer this VM.
+ */
+void registry_on_peer_list(struct registry *r, const char *peer,
+			   const struct registry_digest *n, usec_t now)
+{
+	usec_t listed_at = now - REGISTRY_COPY_DELAY_MAX_US;
+
+	if (n->databases_age_ms > LIST_AGE_MAX_MS)
+		return;
+	listed_at -= (usec_t)n->databases_age_ms * USEC_PER_MSEC;
+	if (n->databases == r->list_hash) {
+		if (listed_at > r->list_confirmed_at)
+			r->list_confirmed_at = listed_at;
+		return;
+	}
+	if (listed_at <= r->listed_at)
+		return;
+	if (r->newer_list_since == 0)
+		r->newer_list_since = now;
+	if (listed_at > r->newer_listed_at)
+		r->newer_listed_at = listed_at;
+	if (r->databases.failures > 0 &&
+	    now - r->old_databases.asked_at >= COPY_RETRY_US) {
+		r->old_databases.asked_at = now;
+		registry_copy_request(r->proxy, REGISTRY_COPY_DATABASES, peer);
+	}
+	registry_refresh_databases(r, now);
+}
+
 /* Obtains the newest list of databases, from a peer if possible. */
 void registry_refresh_databases(struct registry *r, usec_t now)
 {
@@ -85,15 +137,16 @@
 
 /*
  * Applies a peer's copy of the list of databases, unless this VM has a newer
- * one or is reading one. A list from before a restoration of the store is
- * outdated whatever its age.
+ * one or is reading the second page of one. A list from before a restoration of
+ * the store is outdated whatever its age.
  */
 void registry_apply_list_copy(struct registry *r, const struct registry_db *db,
 			      uint32_t n, usec_t listed_at, bool is_settled)
 {
 	usec_t now = proxy_now();
 
-	if (r->databases.busy || listed_at <= r->listed_at ||
+	if ((r->databases.busy && r->databases.call.from[0] != '\0') ||
+	    listed_at <= r->listed_at ||
 	    listed_at < registry_restored_at(r->proxy) || n > DATABASES_MAX ||
 	    n == 0)
 		return;
@@ -108,8 +161,6 @@
 void registry_request_databases(struct registry *r, const char *after_id,
 				usec_t now)
 {
-	if (after_id[0] == '\0')
-		r->n_list = 0;
 	snprintf(r->databases.call.from, sizeof(r->databases.call.from), "%s",
 		 after_id);
 	registry_poll_send(&r->databases, PLATFORM_LIST, now);
@@ -126,8 +177,10 @@
 
 	if (p->call.result != PLATFORM_OK || !p->reply)
 		return;
-	if (p->call.from[0] == '\0')
+	if (p->call.from[0] == '\0') {
 		r->list_era = p->call.era;
+		r->n_list = 0;
+	}
 	if (p->call.era != r->list_era) {
 		r->n_list = 0;
 		return;
@@ -182,6 +235,10 @@
 		r->full_listed_at = listed_at;
 	r->list_hash = hash_list(r);
 	r->old_databases.since = 0;
+	if (listed_at > r->list_confirmed_at)
+		r->list_confirmed_at = listed_at;
+	if (listed_at >= r->newer_listed_at)
+		r->newer_list_since = 0;
 	r->databases.due_at = now + registry_list_interval(r, now);
 	x->databases_known = r->n_list > 0;
 	relist_at = db_group_apply_databases(x, r->list, r->n_list, listed_at);
--- a/tests/decide/unlisted_db_test.cc
+++ b/tests/decide/unlisted_db_test.cc
@@ -57,4 +57,34 @@
 		EXPECT_EQ(unlisted_db_is_known(c.dropped_at, kNow), c.known)
 			<< c.name;
 }
+
+// Guards against a proof by databases that other VMs no longer know, and so did
+// not pause.
+TEST(DbList, ProvesOnlyWhileOthersCanHaveNoNewerOne)
+{
+	const struct {
+		const char *name;
+		struct db_list_view v;
+		bool current;
+	} cases[] = {
+		{ "hears most VMs, the platform is down for all",
+		  { kNow - 60 * USEC_PER_SEC, 0, true },
+		  true },
+		{ "a peer has just told of a newer list",
+		  { kNow - USEC_PER_SEC, kNow, true },
+		  true },
+		{ "it got no copy of the newer list",
+		  { kNow, kNow - DB_LIST_COPY_MAX_US, true },
+		  false },
+		{ "alone, with the platform",
+		  { kNow - UNLISTED_DB_KNOWN_US + 1, 0, false },
+		  true },
+		{ "alone, without the platform",
+		  { kNow - UNLISTED_DB_KNOWN_US, 0, false },
+		  false },
+		{ "alone, without any list", { 0, 0, false }, false },
+	};
+	for (const auto &c : cases)
+		EXPECT_EQ(db_list_is_current(&c.v, kNow), c.current) << c.name;
+}
 } // namespace
