--- a/spec/claim.pml
+++ b/spec/claim.pml
@@ -16,12 +16,13 @@
  * Time is abstracted: "pending" holds the VMs whose claim is marked, from the
  * execution of the mark to the effect of the promotion, or to the point from
  * which it can't take effect any more. A wait of PROMOTION_MAX_US that starts now
- * ends when every VM that is pending now has become inactive once.
+ * ends when none of the promotions that are pending now is pending any more.
  *
  * Assumed: a promotion takes effect within PROMOTION_MAX_US of its mark or
- * never. The fence of a VM that does not know the newest term fails, since the
- * newest primary can't be paused, unless that database is lost and has left the
- * list of databases.
+ * never, and is called once for a mark. The fence of a VM that does not know the
+ * newest term fails, since the newest primary can't be paused, unless that
+ * database is lost and has left the list of databases (spec/lease.pml models the
+ * fence).
  *
  * Proved: at most one claim is marked for a promotion that may still take
  * effect; the tokens of promotions, in the order in which these take effect,
@@ -38,7 +39,7 @@
 
 typedef record {
 	byte revision;	/* 0: there is no record */
-	bool promotes;	/* marked: the holder's promotion may be in progress */
+	bool promotes;	/* marked: a promotion may be in progress */
 	bool closed;	/* the primary of "term" is confirmed */
 	bool sure;	/* "term" was the newest one when this was claimed */
 	byte term;	/* closed: the newest term; else the one to be ended */
@@ -50,17 +51,17 @@
 byte copy_revision;
 byte copies;
 
-record late[VMS];	/* write of a VM that gave up; revision: NO_WRITE: none */
+record late[VMS];	/* write of a VM that gave up; revision 0: none */
 byte late_revision[VMS]; /* its condition */
 byte late_era[VMS];	/* its object */
 #define HAS_LATE(v) (late[v].revision)
 
-byte known_era[VMS];
+byte known_era[VMS];	/* NO_ERA: none since the VM started */
 byte settles[VMS];	/* pending VMs that the era at this VM waits for */
 byte seen[VMS];		/* revision of the record that was seen last */
-byte seen_pending[VMS];	/* VMs that were pending at its first sight, and still */
+byte seen_pending[VMS];	/* VMs pending since its first sight */
 byte known_term[VMS];
-byte pending;		/* VMs whose marked promotion may still take effect */
+byte pending;		/* VMs whose promotion may still take effect */
 bool called[VMS];	/* promotion is under way */
 byte token[VMS];
 byte effect[VMS];	/* term that the VM's promotion began; 0: none */
@@ -98,7 +99,7 @@
 	set_record(r, 0, 0, 0, 0, 0)
 }
 
-/* Nothing of this VM's promotion can take effect any more. */
+/* The VM's promotion has taken effect, or can't any more. */
 inline end_pending(v) {
 	pending = pending & ~BIT(v);
 	settles[0] = settles[0] & ~BIT(v);
@@ -113,7 +114,7 @@
 	:: known_era[v] != era ->
 #ifdef SINCE_RESTART
 		if
-		:: known_era[v] == NO_ERA
+		:: known_era[v] == NO_ERA /* counted from the restart */
 		:: else -> settles[v] = pending
 		fi;
 #else
@@ -126,7 +127,7 @@
 	fi
 }
 
-/* A reply counts if it is of the claim's era: store_era_note(). */
+/* A reply counts if it is of the claim's era: handle_reply(). */
 #ifdef REPLY_OF_ERA
 #define REPLY_COUNTS(e) true
 #else
@@ -228,7 +229,7 @@
 		settles[me] = 0;
 		seen[me] = 0;
 		seen_pending[me] = 0 }
-	/* Reads the claim. */
+	/* Reads the claim: registry_claim_promotion(). */
 	:: d_step { attempts && known_era[me] != NO_ERA ->
 		at_era = known_era[me];
 		read_claim();
@@ -242,10 +243,11 @@
 		fi
 	od;
 
-	/* Claims. */
+	/* Claims: replace_claim(). */
 	if
 	:: d_step { OBJECT(at_era).revision == held ->
-		assert(!REPLY_COUNTS(at_era) || !sure || OBJECT(at_era).term == term);
+		assert(!REPLY_COUNTS(at_era) || !sure ||
+		    OBJECT(at_era).term == term);
 		execute(at_era, false, false, sure, known_term[me]);
 		held = revision;
 		note_era(me) };
@@ -265,7 +267,7 @@
 	:: true -> goto idle
 	fi;
 
-	/* Marks the claim. */
+	/* Marks the claim: registry_mark_promoting(). */
 	if
 	:: d_step { OBJECT(at_era).revision == held ->
 		execute(at_era, true, false, sure, known_term[me]);
@@ -291,7 +293,7 @@
 	:: goto idle
 	fi;
 
-	/* Promotes. */
+	/* Promotes: registry_promote(). */
 	if
 	:: d_step { true ->
 		called[me] = true;
@@ -391,7 +393,9 @@
 	:: d_step { called[1] -> called[1] = false; token[1] = 0; end_pending(1) }
 	:: d_step { copies <= era && era < RESTORES -> save_copy() }
 	:: d_step { era < RESTORES -> restore() }
-	:: d_step { losses < LOSSES && term > 1 && !is_lost -> losses++; is_lost = true }
+	:: d_step { losses < LOSSES && term > 1 && !is_lost ->
+		losses++;
+		is_lost = true }
 	od
 }
 
