Take a promotion for over only if the later term is certainly its own

Callers would see: two databases promoted one after the other, the first while VMs begin to use it (rule ONE). Cause: a record marked as promoting counted as over once a later term than the one it ends was known. That term may be of a promotion before, of which the holder did not know: its promotion may still be in progress. Found by spec/claim.pml, mutant TERM_UNSURE: the first promoted database has left the list, the holder knows only the term before it.

--- a/src/decide/promotion_claim.c
+++ b/src/decide/promotion_claim.c
@@ -2,9 +2,10 @@
 
 static usec_t seen_for(struct promotion_claim_sighting *s,
 		       const struct promotion_claim *r, usec_t now);
+static bool is_over(const struct promotion_claim *r, uint64_t term);
 
 /*
- * A promotion is over once a later term is known, or its longest duration has
+ * A promotion is over once its term is known, or its longest duration has
  * passed. The record has no timestamp because the clocks of VMs differ; its age
  * is counted from when this VM first saw its position, which is recorded in
  * "s".
@@ -25,8 +26,8 @@
 			       ? PROMOTION_CLAIM_FREE_CERTAIN
 			       : PROMOTION_CLAIM_FREE;
 	case PROMOTION_CLAIM_PROMOTING:
-		return term > r->term || seen >= lasts ? PROMOTION_CLAIM_FREE
-						       : PROMOTION_CLAIM_BUSY;
+		return is_over(r, term) || seen >= lasts ? PROMOTION_CLAIM_FREE
+							 : PROMOTION_CLAIM_BUSY;
 	case PROMOTION_CLAIM_CLOSED:
 		if (r->term > term)
 			return PROMOTION_CLAIM_OUTDATED;
@@ -52,7 +53,7 @@
 	case PROMOTION_CLAIM_HELD:
 		return seen >= lasts;
 	case PROMOTION_CLAIM_PROMOTING:
-		return term > r->term || seen >= lasts;
+		return is_over(r, term) || seen >= lasts;
 	case PROMOTION_CLAIM_CLOSED:
 		return term > r->term;
 	}
@@ -85,3 +86,12 @@
 	}
 	return now - s->first_seen_at;
 }
+
+/*
+ * Returns true if the promotion of the record has taken effect. A later term
+ * may be of a promotion before it, unless its holder knew the newest one.
+ */
+static bool is_over(const struct promotion_claim *r, uint64_t term)
+{
+	return r->is_term_certain && term > r->term;
+}
--- a/src/decide/promotion_claim.h
+++ b/src/decide/promotion_claim.h
@@ -35,7 +35,7 @@
 	struct store_position at;
 	/* the group's term that the promotion ends; closed: that leads */
 	uint64_t term;
-	/* the claim replaced a record that was closed at this term */
+	/* held, promoting: the claim replaced a record closed at this term */
 	bool is_term_certain;
 };
 
--- a/src/proxy/registry_promotion.c
+++ b/src/proxy/registry_promotion.c
@@ -133,6 +133,8 @@
 				       .state = PROMOTION_CLAIM_PROMOTING,
 				       .at = g->own_claim.at,
 				       .term = g->own_claim.term,
+				       .is_term_certain =
+					       g->own_claim.is_term_certain,
 			       });
 		return;
 	}
