Let a report of no pause renew a proof only while that is valid

Cause: a report that a replica is not paused counted if it was requested within the guard of the last proof. If its request is slow, the replica may be paused and resumed by a promotion before it answers, and not know the new term yet. Found by spec/lease.pml, mutant UNPAUSED_LATE. Change: the last proof has to be valid when the report arrives.

--- a/src/decide/primary_proof.c
+++ b/src/decide/primary_proof.c
@@ -102,15 +102,15 @@
 }
 
 /*
- * Uses the report of a replica that was not paused as a proof, if it was
- * requested within the guard of the last proof. Later than that it proves
- * nothing: a promotion resumes the replicas, and one that is slow or
+ * Uses the report of a replica that was not paused as a proof, if the last proof
+ * is still valid when it arrives. Later than that it proves nothing, whenever it
+ * was requested: a promotion resumes the replicas, and one that is slow or
  * partitioned does not know the new term yet.
  */
 void primary_proof_replica_unpaused(struct primary_proof *l, usec_t asked_at,
-				    uint64_t term, usec_t guard)
+				    uint64_t term, usec_t now, usec_t guard)
 {
-	if (l->proved_at != INT64_MIN && asked_at - l->proved_at < guard)
+	if (primary_proof_is_valid(l, now, guard))
 		primary_proof_add(l, asked_at, term, PRIMARY_PROOF_UNPAUSED);
 }
 
--- a/src/decide/primary_proof.h
+++ b/src/decide/primary_proof.h
@@ -14,9 +14,9 @@
  * A replica that applied a commit after time T therefore proves that no
  * promotion can take effect before T plus the guard. A replica that reports
  * that it is not paused is weaker evidence: a promotion may have resumed it
- * before it learned of the new term. Such a report counts only within the guard
- * of an earlier proof, because no promotion fits in between, or if no other
- * database reports that it was promoted.
+ * before it learned of the new term. Such a report counts only while an earlier
+ * proof is valid, because no promotion fits in between, or if no other database
+ * reports that it was promoted.
  */
 
 #define PRIMARY_PROOF_SAMPLES_MAX 64
@@ -60,9 +60,12 @@
 /* Records a proof: no promotion takes effect before "at" plus the guard. */
 void primary_proof_add(struct primary_proof *l, usec_t at, uint64_t term,
 		       enum primary_proof_basis basis);
-/* Records that a replica of "term", asked at "asked_at", was not paused. */
+/*
+ * Records that a replica of "term", asked at "asked_at", was not paused, as it
+ * reports "now".
+ */
 void primary_proof_replica_unpaused(struct primary_proof *l, usec_t asked_at,
-				    uint64_t term, usec_t guard);
+				    uint64_t term, usec_t now, usec_t guard);
 
 /* The newest report of a database other than the group's primary. */
 struct primary_proof_report {
--- a/src/proxy/db_group.c
+++ b/src/proxy/db_group.c
@@ -616,9 +616,9 @@
 		return;
 	if (report->paused_term <= g->proof.term) {
 		if (registry_list_is_current(g->proxy->registry, proxy_now()))
-			primary_proof_replica_unpaused(&g->proof, requested_at,
-						       report->term,
-						       g->proxy->policy.guard);
+			primary_proof_replica_unpaused(
+				&g->proof, requested_at, report->term,
+				proxy_now(), g->proxy->policy.guard);
 		db->paused_since = 0;
 	} else if (db->paused_since == 0) {
 		db->paused_since = proxy_now();
--- a/tests/decide/primary_proof_test.cc
+++ b/tests/decide/primary_proof_test.cc
@@ -84,14 +84,18 @@
 	const struct {
 		const char *name;
 		usec_t proof, asked; // after kNow; proof 0: none
+		usec_t took;	     // the report
 		uint64_t term;
 		bool proved; // at "asked"
 	} cases[] = {
-		{ "without any proof", 0, kMs, 1, false },
-		{ "soon after a proof", kMs, 500 * kMs, 1, true },
-		{ "just within the guard", kMs, kGuard, 1, true },
-		{ "when the proof has run out", kMs, kGuard + kMs, 1, false },
-		{ "for another term", kMs, 500 * kMs, 2, false },
+		{ "without any proof", 0, kMs, kMs, 1, false },
+		{ "soon after a proof", kMs, 500 * kMs, kMs, 1, true },
+		{ "just within the guard", kMs, kGuard - kMs, kMs, 1, true },
+		{ "when the proof has run out", kMs, kGuard + kMs, 0, 1,
+		  false },
+		{ "the proof ran out on the way", kMs, 500 * kMs, 101 * kMs, 1,
+		  false },
+		{ "for another term", kMs, 500 * kMs, kMs, 2, false },
 	};
 	for (const auto &c : cases) {
 		struct primary_proof l;
@@ -101,7 +105,7 @@
 			primary_proof_add(&l, kNow + c.proof, 1,
 					  PRIMARY_PROOF_PEER);
 		primary_proof_replica_unpaused(&l, kNow + c.asked, c.term,
-					       kGuard);
+					       kNow + c.asked + c.took, kGuard);
 		EXPECT_EQ(l.proved_at == kNow + c.asked, c.proved) << c.name;
 	}
 }
