Count the time of a pause anew when a replica is paused for a later term

Callers would see: a write acknowledged by the old primary after another database had taken over (rule ONE). Cause: a replica that stays paused for 5 s is resumed, as any promotion that relies on the pause is over by then. The time was counted from the first report of a pause, so a second failover that paused the replica again for a later term could lose its fence. Found in the review of the models. Change: the time begins anew when the term of the pause changes. Test: none of its own; the rule lies in the proxy's handling of a status, which no unit test reaches. spec/lease.pml has the broken rule as mutant RESUME_LATE.

--- a/src/proxy/db_group.c
+++ b/src/proxy/db_group.c
@@ -620,8 +620,10 @@
 				&g->proof, requested_at, report->term,
 				proxy_now(), g->proxy->policy.guard);
 		db->paused_since = 0;
-	} else if (db->paused_since == 0) {
+	} else if (db->paused_since == 0 ||
+		   db->paused_for != report->paused_term) {
 		db->paused_since = proxy_now();
+		db->paused_for = report->paused_term;
 	}
 	if (report->term > g->proof.term && g->proof.term > 0)
 		registry_poll_fast(g->proxy->registry, proxy_now());
--- a/src/proxy/proxy_internal.h
+++ b/src/proxy/proxy_internal.h
@@ -120,6 +120,7 @@
 	usec_t status_requested_at;
 	/* it reports a pause for a later term since this time; 0: none */
 	usec_t paused_since;
+	uint64_t paused_for; /* that term */
 };
 
 /*
