Let the fake platform restore its store from an older copy

All replies of the store carry Store-Era. A control request takes the store away and brings it back as it was some time before, in the next era; the operator and the databases write again after a delay. Restorations can be planned to follow a claim, a mark, a promotion's answer or its effect.

Accepted promotions are recorded; with no_fence their tokens are counted, not checked. A database can be made unreachable: it goes on as primary after the promotion of another one. The fake platform is split into several files.

--- /dev/null
+++ b/tests/sessions/control.cc
@@ -0,0 +1,146 @@
+#include <cstdlib>
+
+#include "fake_platform.h"
+#include "http_request.h"
+
+// Control of the fake platform:
+//	/control?do=ACTION[&db=ID][&n=NUMBER][&key=KEY]
+// injects a fault or changes the configuration; the reply holds the counters.
+
+void FakePlatform::on_control(evhttp_request *req, void *ctx)
+{
+	static_cast<FakePlatform *>(ctx)->control(req);
+}
+
+void FakePlatform::control(evhttp_request *req)
+{
+	std::string what = request_query(req, "do");
+	int n = atoi(request_query(req, "n").c_str());
+	bool known =
+		control_database(req, what, n) || control_store(req, what, n);
+	if (what == "withdraw") {
+		keys.erase(request_query(req, "key"));
+		write_config();
+	} else if (what == "add_key") {
+		keys.insert(request_query(req, "key"));
+		write_config();
+	} else if (what == "rate") {
+		rate = (uint32_t)n;
+		write_config();
+	} else if (what == "no_fence") {
+		checks_token = n == 0;
+	} else if (what == "effect_ms") {
+		effect_ms = n;
+	} else if (!known && what != "count") {
+		request_reply(req, 400, "unknown action " + what + "\n");
+		return;
+	}
+	request_reply(req, 200, counters());
+}
+
+// Faults of a database. Returns false if the action is none of these.
+bool FakePlatform::control_database(evhttp_request *req,
+				    const std::string &what, int n)
+{
+	std::string id = request_query(req, "db");
+	Database *db = id == "primary" ? newest_primary() : nullptr;
+	for (auto *d : databases) {
+		if (d->id == id)
+			db = d;
+	}
+	if (!db)
+		db = databases[0];
+	if (what == "stop") {
+		db->running = false;
+		db->close_all();
+		register_db(db);
+	} else if (what == "start") {
+		db->running = true;
+		db->born++;
+		db->primary = false;
+		register_db(db);
+	} else if (what == "depart") {
+		db->departing = true;
+		register_db(db);
+	} else if (what == "lose_replies") {
+		db->lose_replies = n;
+	} else if (what == "busy") {
+		db->refuse_busy = n;
+	} else if (what == "lag") {
+		db->lag_ms = n;
+	} else if (what == "cut_off") {
+		db->cut_off = n != 0;
+	} else if (what == "mute") {
+		db->mute = n != 0;
+		db->close_all();
+	} else if (what == "mute_open") {
+		db->mute = true;
+	} else if (what == "reset") {
+		db->close_all();
+	} else if (what == "unreachable") {
+		set_unreachable(db, n != 0);
+	} else {
+		return false;
+	}
+	return true;
+}
+
+// Faults of the store. Returns false if the action is none of these.
+bool FakePlatform::control_store(evhttp_request *req, const std::string &what,
+				 int n)
+{
+	if (what == "store_down") {
+		store_down = n != 0;
+	} else if (what == "store_lose_replies") {
+		store_lose_replies = n;
+	} else if (what == "drop_history") {
+		history_from = ++revision;
+	} else if (what == "era") {
+		era = (uint64_t)n;
+		tells_era = n != 0;
+	} else if (what == "old_replies") {
+		old_replies = n;
+	} else if (what == "restore" || what == "restore_at") {
+		Restoration r;
+		r.event = request_query(req, "event");
+		r.age = atoll(request_query(req, "age").c_str());
+		r.down = atoi(request_query(req, "down").c_str());
+		r.rewrite = atoi(request_query(req, "rewrite").c_str());
+		if (what == "restore_at")
+			armed = r;
+		else
+			restore(r);
+	} else {
+		return false;
+	}
+	return true;
+}
+
+std::string FakePlatform::counters() const
+{
+	int n_twice = 0;
+	for (const auto &w : write_counts)
+		n_twice += w.second > 1;
+	const Database *primary = newest_primary();
+	std::string out;
+	auto add = [&out](const char *name, uint64_t n) {
+		out += std::string(name) + " " + std::to_string(n) + "\n";
+	};
+	add("runs", statements_run);
+	add("twice", (uint64_t)n_twice);
+	out += "primary " + (primary ? primary->id : "") + "\n";
+	add("term", databases[0]->term);
+	add("repeated", n_repeated);
+	add("fell", n_fell);
+	add("promotions", promotions.size());
+	add("effects", n_effects);
+	add("token", last_token);
+	add("era", era);
+	add("revision", revision);
+	add("restored", n_restored);
+	add("away", away);
+	add("to_write_again", waiting_databases.size() + config_waits);
+	add("old_commits", old_commits);
+	add("config", config_version - 1);
+	return out;
+}
--- a/tests/sessions/database.cc
+++ b/tests/sessions/database.cc
@@ -300,6 +300,8 @@
 		refuse(c, "READONLY");
 		return;
 	}
+	if (!c->writes.empty() && platform->newest_primary() != this)
+		platform->old_commits++;
 	for (auto &w : c->writes) {
 		w.at = { term, log.size() + 1 };
 		log.push_back(w);
--- a/tests/sessions/fake_platform.cc
+++ b/tests/sessions/fake_platform.cc
@@ -3,38 +3,26 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
-#include <event2/keyvalq_struct.h>
 #include <jansson.h>
 
 #include "fake_platform.h"
+#include "http_request.h"
 
 namespace
 {
 const char *const kObjects = "/gypsumcleat/objects/";
+const char *const kDuties = "proxy-duties";
 
-std::string body(evhttp_request *req)
+// Returns what a write does to a promotion claim: "claim" if it makes one,
+// "mark" if it marks it as promoting, else "none". The kind may be one of an
+// era.
+const char *duty_event(const std::string &kind, const json_t *spec)
 {
-	evbuffer *in = evhttp_request_get_input_buffer(req);
-	size_t len = evbuffer_get_length(in);
-	return std::string((const char *)evbuffer_pullup(in, -1), len);
-}
-
-void reply(evhttp_request *req, int code, const std::string &text)
-{
-	evbuffer_add(evhttp_request_get_output_buffer(req), text.data(),
-		     text.size());
-	evhttp_send_reply(req, code, "", nullptr);
-}
-
-std::string query(evhttp_request *req, const char *key)
-{
-	struct evkeyvalq q;
-	evhttp_parse_query_str(
-		evhttp_uri_get_query(evhttp_request_get_evhttp_uri(req)), &q);
-	const char *v = evhttp_find_header(&q, key);
-	std::string out = v ? v : "";
-	evhttp_clear_headers(&q);
-	return out;
+	if (kind != kDuties && kind.rfind(kDuties + std::string("-"), 0) != 0)
+		return "none";
+	if (json_is_true(json_object_get(spec, "promotes")))
+		return "mark";
+	return json_is_true(json_object_get(spec, "closed")) ? "none" : "claim";
 }
 } // namespace
 
@@ -60,6 +48,7 @@
 	write_config();
 	for (auto *db : databases)
 		register_db(db);
+	history.end_initial_state();
 }
 
 FakePlatform::~FakePlatform()
@@ -94,6 +83,11 @@
 // stopped.
 void FakePlatform::register_db(Database *db)
 {
+	if (away) {
+		waiting_databases.insert(db->id);
+		return;
+	}
+	waiting_databases.erase(db->id);
 	auto &o = kinds["servers"];
 	if (!db->running) {
 		if (o.erase(db->id))
@@ -134,15 +128,25 @@
 			   service +
 			   "\",\"maxStalenessMs\":1500,\"public\":false}");
 	}
-	kinds["config"]["main"].spec =
-		"{\"version\":" + std::to_string(config_version++) +
-		",\"routes\":[" + routes + "],\"services\":[{\"name\":\"" +
-		service +
-		"\",\"maxConns\":40,\"syncReplicas\":0}],"
-		"\"limits\":{\"txIdleMs\":1000},\"tenants\":[{\"name\":"
-		"\"team\",\"apiKeys\":[" +
-		list + "],\"ratePerS\":" + std::to_string(rate) +
-		",\"burst\":" + std::to_string(rate) + "}]}";
+	config_spec = "{\"version\":" + std::to_string(config_version++) +
+		      ",\"routes\":[" + routes +
+		      "],\"services\":[{\"name\":\"" + service +
+		      "\",\"maxConns\":40,\"syncReplicas\":0}],"
+		      "\"limits\":{\"txIdleMs\":1000},\"tenants\":[{\"name\":"
+		      "\"team\",\"apiKeys\":[" +
+		      list + "],\"ratePerS\":" + std::to_string(rate) +
+		      ",\"burst\":" + std::to_string(rate) + "}]}";
+	put_config();
+}
+
+// Writes the operator's newest configuration, or keeps it until the store is
+// back.
+void FakePlatform::put_config()
+{
+	config_waits = away;
+	if (away)
+		return;
+	kinds["config"]["main"].spec = config_spec;
 	notify_watches("config", "main");
 }
 
@@ -154,7 +158,8 @@
 		return;
 	for (auto *to : databases) {
 		if (to == from || !to->running || to->cut_off ||
-		    to->paused_term > from->term)
+		    to->unreachable || from->unreachable ||
+		    to->term > from->term || to->paused_term > from->term)
 			continue;
 		to->term = from->term;
 		size_t same = 0;
@@ -184,6 +189,16 @@
 	       o.spec + ",\"status\":null}";
 }
 
+// Replies to a call to the store, with its era.
+void FakePlatform::store_reply(evhttp_request *req, int code,
+			       const std::string &text)
+{
+	if (tells_era)
+		evhttp_add_header(evhttp_request_get_output_headers(req),
+				  "Store-Era", std::to_string(era).c_str());
+	request_reply(req, code, text);
+}
+
 void FakePlatform::on_store(evhttp_request *req, void *ctx)
 {
 	static_cast<FakePlatform *>(ctx)->store(req);
@@ -193,12 +208,17 @@
 {
 	std::string path =
 		evhttp_uri_get_path(evhttp_request_get_evhttp_uri(req));
+	keep_store_connection(req);
+	if (away) {
+		refuse_while_away(req);
+		return;
+	}
 	if (store_down) {
-		reply(req, 503, "");
+		store_reply(req, 503, "");
 		return;
 	}
 	if (path.rfind(kObjects, 0) != 0) {
-		reply(req, 404, "");
+		store_reply(req, 404, "");
 		return;
 	}
 	path = path.substr(strlen(kObjects));
@@ -219,28 +239,30 @@
 	if (!name.empty()) {
 		auto o = kinds[kind].find(name);
 		if (o == kinds[kind].end())
-			reply(req, 404, "{}");
+			store_reply(req, 404, "{}");
 		else
-			reply(req, 200, object(name, o->second));
+			store_reply(req, 200, object(name, o->second));
 		return;
 	}
-	std::string from = query(req, "watch");
+	std::string from = request_query(req, "watch");
 	if (from.empty())
 		list(req, kind);
 	else
 		watch(req, kind, strtoull(from.c_str(), nullptr, 10),
-		      atoi(query(req, "waitMs").c_str()));
+		      atoi(request_query(req, "waitMs").c_str()));
 }
 
 // Replies with one page of a list. A page holds two objects, so that a longer
-// list takes several requests.
+// list takes several requests. After a restoration the reply may be one of the
+// store before it.
 void FakePlatform::list(evhttp_request *req, const std::string &kind)
 {
-	std::string from = query(req, "after");
+	std::string from = request_query(req, "after");
 	std::string items;
 	bool more = false;
 	int n = 0;
-	for (const auto &o : kinds[kind]) {
+	bool is_old = old_replies > 0 && old_era != 0 && old_era != era;
+	for (const auto &o : is_old ? old_kinds[kind] : kinds[kind]) {
 		if (o.first <= from && !from.empty())
 			continue;
 		if (n++ == 2) {
@@ -249,18 +271,27 @@
 		}
 		items += (items.empty() ? "" : ",") + object(o.first, o.second);
 	}
-	reply(req, 200,
-	      "{\"items\":[" + items +
-		      "],\"more\":" + (more ? "true" : "false") +
-		      ",\"currentRev\":" + std::to_string(revision) + "}");
+	std::string text =
+		"{\"items\":[" + items +
+		"],\"more\":" + (more ? "true" : "false") + ",\"currentRev\":" +
+		std::to_string(is_old ? old_revision : revision) + "}";
+	if (!is_old) {
+		store_reply(req, 200, text);
+		return;
+	}
+	old_replies--;
+	evhttp_add_header(evhttp_request_get_output_headers(req), "Store-Era",
+			  std::to_string(old_era).c_str());
+	request_reply(req, 200, text);
 }
 
 void FakePlatform::watch(evhttp_request *req, const std::string &kind,
 			 uint64_t from, int wait_ms)
 {
-	if (from < history_from) {
-		reply(req, 410,
-		      "{\"currentRev\":" + std::to_string(revision) + "}");
+	if (from < history_from || from > revision) {
+		store_reply(req, 410,
+			    "{\"currentRev\":" + std::to_string(revision) +
+				    "}");
 		return;
 	}
 	std::string events;
@@ -271,9 +302,9 @@
 				   object(o.first, o.second) + "}");
 	}
 	if (!events.empty()) {
-		reply(req, 200,
-		      "{\"events\":[" + events + "],\"currentRev\":" +
-			      std::to_string(revision) + "}");
+		store_reply(req, 200,
+			    "{\"events\":[" + events + "],\"currentRev\":" +
+				    std::to_string(revision) + "}");
 		return;
 	}
 	watches.push_back({ req, kind, from });
@@ -282,9 +313,9 @@
 			if (watches[i].req != req)
 				continue;
 			watches.erase(watches.begin() + (long)i);
-			reply(req, 200,
-			      "{\"events\":[],\"currentRev\":" +
-				      std::to_string(revision) + "}");
+			store_reply(req, 200,
+				    "{\"events\":[],\"currentRev\":" +
+					    std::to_string(revision) + "}");
 			return;
 		}
 	});
@@ -293,7 +324,7 @@
 void FakePlatform::put(evhttp_request *req, const std::string &kind,
 		       const std::string &path_name, bool create)
 {
-	std::string text = body(req);
+	std::string text = request_body(req);
 	json_t *o = json_loads(text.c_str(), 0, nullptr);
 	json_t *meta = json_object_get(o, "meta");
 	const char *named = json_string_value(json_object_get(meta, "name"));
@@ -303,22 +334,25 @@
 	auto found = kinds[kind].find(name);
 	bool there = found != kinds[kind].end();
 	if (create == there || (there && wanted != found->second.revision)) {
-		reply(req, there ? 409 : 404,
-		      there ? object(name, found->second) : "{}");
+		store_reply(req, there ? 409 : 404,
+			    there ? object(name, found->second) : "{}");
 		json_decref(o);
 		return;
 	}
 	char *spec = json_dumps(json_object_get(o, "spec"), JSON_COMPACT);
 	kinds[kind][name].spec = spec;
 	free(spec);
+	const char *event = duty_event(kind, json_object_get(o, "spec"));
 	json_decref(o);
 	notify_watches(kind, name);
+	std::string written = object(name, kinds[kind][name]);
+	restore_after(event);
 	if (store_lose_replies > 0) {
 		store_lose_replies--;
 		evhttp_connection_free(evhttp_request_get_connection(req));
 		return;
 	}
-	reply(req, 200, object(name, kinds[kind][name]));
+	store_reply(req, 200, written);
 }
 
 // Assigns a new revision and notifies the watches of the kind.
@@ -327,8 +361,12 @@
 {
 	auto o = kinds[kind].find(name);
 	revision++;
-	if (o != kinds[kind].end())
+	if (o != kinds[kind].end()) {
 		o->second.revision = revision;
+		history.written(now_ms(), kind, name, o->second);
+	} else {
+		history.deleted(now_ms(), kind, name, revision);
+	}
 	for (size_t i = 0; i < watches.size();) {
 		if (watches[i].kind != kind || o == kinds[kind].end()) {
 			i++;
@@ -336,129 +374,12 @@
 		}
 		evhttp_request *req = watches[i].req;
 		watches.erase(watches.begin() + (long)i);
-		reply(req, 200,
-		      "{\"events\":[{\"deleted\":false,\"object\":" +
-			      object(name, o->second) + "}],\"currentRev\":" +
-			      std::to_string(revision) + "}");
-	}
-}
-
-void FakePlatform::on_promote(evhttp_request *req, void *ctx)
-{
-	static_cast<FakePlatform *>(ctx)->promote(req);
-}
-
-// Promotes the named database in the next term; the others become replicas.
-void FakePlatform::promote(evhttp_request *req)
-{
-	const evkeyvalq *h = evhttp_request_get_input_headers(req);
-	const char *token = evhttp_find_header(h, "Gypsumcleat-Fencing-Token");
-	uint64_t number = token ? strtoull(token, nullptr, 10) : 0;
-	json_t *o = json_loads(body(req).c_str(), 0, nullptr);
-	const char *id = json_string_value(json_object_get(o, "id"));
-	Database *to = nullptr;
-	uint64_t term = 0;
-	for (auto *db : databases) {
-		if (id && db->id == id && db->running)
-			to = db;
-		if (db->running && db->term > term)
-			term = db->term;
-	}
-	json_decref(o);
-	if (!to || number == 0 || number < last_token) {
-		printf("promotion refused token %llu last %llu\n",
-		       (unsigned long long)number,
-		       (unsigned long long)last_token);
-		fflush(stdout);
-		reply(req, 409, "{}");
-		return;
-	}
-	last_token = number;
-	reply(req, 200, "{}");
-	if (to->primary)
-		return;
-	run_after(20, [this, to, term] {
-		to->term = term + 1;
-		to->primary = true;
-		to->paused_term = 0;
-		to->applied = to->log.size();
-		for (auto *db : databases) {
-			if (db != to && db->running)
-				db->primary = false;
-		}
-		replicate(to);
-		for (auto *db : databases)
-			register_db(db);
-	});
-}
-
-void FakePlatform::on_control(evhttp_request *req, void *ctx)
-{
-	static_cast<FakePlatform *>(ctx)->control(req);
-}
-
-// /control?do=ACTION[&db=ID][&n=NUMBER][&key=KEY] injects a fault or changes
-// the configuration; the reply holds the counters.
-void FakePlatform::control(evhttp_request *req)
-{
-	std::string what = query(req, "do");
-	std::string id = query(req, "db");
-	int n = atoi(query(req, "n").c_str());
-	Database *db = databases[0];
-	for (auto *d : databases) {
-		if (d->id == id || (id == "primary" && d->primary))
-			db = d;
-	}
-	if (what == "stop") {
-		db->running = false;
-		db->close_all();
-		register_db(db);
-	} else if (what == "start") {
-		db->running = true;
-		db->born++;
-		db->primary = false;
-		register_db(db);
-	} else if (what == "depart") {
-		db->departing = true;
-		register_db(db);
-	} else if (what == "lose_replies") {
-		db->lose_replies = n;
-	} else if (what == "busy") {
-		db->refuse_busy = n;
-	} else if (what == "lag") {
-		db->lag_ms = n;
-	} else if (what == "cut_off") {
-		db->cut_off = n != 0;
-	} else if (what == "mute") {
-		db->mute = n != 0;
-		db->close_all();
-	} else if (what == "mute_open") {
-		db->mute = true;
-	} else if (what == "reset") {
-		db->close_all();
-	} else if (what == "store_down") {
-		store_down = n != 0;
-	} else if (what == "store_lose_replies") {
-		store_lose_replies = n;
-	} else if (what == "drop_history") {
-		history_from = ++revision;
-	} else if (what == "withdraw") {
-		keys.erase(query(req, "key"));
-		write_config();
-	} else if (what == "rate") {
-		rate = (uint32_t)n;
-		write_config();
+		store_reply(req, 200,
+			    "{\"events\":[{\"deleted\":false,\"object\":" +
+				    object(name, o->second) +
+				    "}],\"currentRev\":" +
+				    std::to_string(revision) + "}");
 	}
-	int n_twice = 0;
-	for (const auto &w : write_counts)
-		n_twice += w.second > 1;
-	std::string primary_id;
-	for (auto *d : databases)
-		primary_id += d->primary ? d->id : "";
-	reply(req, 200,
-	      "runs " + std::to_string(statements_run) + "\ntwice " +
-		      std::to_string(n_twice) + "\nprimary " + primary_id +
-		      "\nterm " + std::to_string(databases[0]->term) + "\n");
 }
 
 int main()
--- a/tests/sessions/fake_platform.h
+++ b/tests/sessions/fake_platform.h
@@ -14,6 +14,8 @@
 #include <event2/http.h>
 #include <event2/listener.h>
 
+#include "object_history.h"
+
 // Fake platform for tests of the form "sessions": its object store, its
 // promotion call, and one service of three databases, in one process with one
 // event loop. Faults are injected over HTTP: see FakePlatform::control().
@@ -77,6 +79,9 @@
 	int refuse_busy = 0; // number of statements to refuse as BUSY
 	size_t max_connections = 40;
 	bool mute = false; // takes requests and answers none of them
+	// Does not hear of promotions or of the other databases, nor they of
+	// it; VMs reach it.
+	bool unreachable = false;
 
 	void accept(evutil_socket_t fd);
 	void close_all();
@@ -108,11 +113,6 @@
 	std::string value(Connection *c, const std::string &item) const;
 };
 
-struct Object {
-	std::string spec;
-	uint64_t revision = 0;
-};
-
 class FakePlatform
 {
       public:
@@ -130,10 +130,15 @@
 	// Number of executions of each write by its id, to detect one that ran
 	// twice.
 	std::map<std::string, int> write_counts;
+	// Number of commits with writes at a primary after another one was
+	// promoted.
+	uint64_t old_commits = 0;
 
 	void replicate(Database *from);
 	void run_after(int ms, std::function<void()> fn);
 	void register_db(Database *db);
+	// Returns the primary of the newest term, or NULL.
+	Database *newest_primary() const;
 
       private:
 	struct Watch {
@@ -153,13 +158,45 @@
 		 const std::string &name, bool create);
 	void notify_watches(const std::string &kind, const std::string &name);
 	void promote(evhttp_request *req);
+	void record_promotion(uint64_t token, const std::string &holder,
+			      const std::string &id);
+	void promotion_takes_effect(Database *to);
+	void set_unreachable(Database *db, bool unreachable);
 	void control(evhttp_request *req);
+	bool control_database(evhttp_request *req, const std::string &what,
+			      int n);
+	bool control_store(evhttp_request *req, const std::string &what, int n);
+	std::string counters() const;
 	void write_config();
+	void put_config();
 	std::string object(const std::string &name, const Object &o) const;
+	void store_reply(evhttp_request *req, int code,
+			 const std::string &text);
+
+	// A restoration of the store from an older copy; times are in
+	// milliseconds.
+	struct Restoration {
+		std::string event; // what it follows; "": nothing
+		int64_t age = 0;   // of the copy
+		int down = 0;	   // how long the store is away
+		int rewrite = 0;   // from its return until others write again
+	};
+
+	static void on_store_connection_closed(evhttp_connection *c, void *ctx);
+	void keep_store_connection(evhttp_request *req);
+	void close_store_connections();
+	void refuse_while_away(evhttp_request *req);
+	void restore(const Restoration &r);
+	void come_back(const Restoration &r, int64_t at);
+	void write_again();
+	void restore_after(const std::string &event);
+	uint32_t random();
+	static int64_t now_ms();
 
 	evhttp *http;
 	int http_port = 0;
-	std::map<std::string, std::map<std::string, Object>> kinds;
+	Objects kinds;
+	ObjectHistory history;
 	uint64_t revision = 1;
 	// Watches from an earlier revision fail, as if the platform had
 	// deleted its history.
@@ -167,8 +204,37 @@
 	std::vector<Watch> watches;
 	bool store_down = false;
 	int store_lose_replies = 0;
-	uint64_t last_token = 0;
+	uint64_t era = 3;
+	bool tells_era = true;
+	bool away = false; // until it comes back as an older copy
+	std::set<evhttp_connection *> store_connections;
+	// What is to be written again, or was not accepted while it was away.
+	std::set<std::string> waiting_databases;
+	bool config_waits = false;
+	Restoration armed;
+	uint64_t n_restored = 0;
+	uint32_t seed = 1;
+	// Lists of the store before the newest restoration that are still under
+	// way.
+	int old_replies = 0;
+	Objects old_kinds;
+	uint64_t old_revision = 0;
+	uint64_t old_era = 0;
+
+	// Promotions.
+	struct Promotion {
+		uint64_t token;
+		std::string holder;
+	};
+	std::vector<Promotion> promotions; // accepted ones
+	uint64_t last_token = 0;	   // the highest
+	bool checks_token = true;
+	uint64_t n_repeated = 0; // tokens that came from another holder before
+	uint64_t n_fell = 0;	 // tokens below an earlier one
+	uint64_t n_effects = 0;
+	int effect_ms = 20; // from a promotion's answer to its effect
 	uint64_t config_version = 1;
+	std::string config_spec; // the newest one that the operator wrote
 	std::set<std::string> keys = { "key-1", "key-2" };
 	uint32_t rate = 1000;
 	std::vector<std::function<void()> *> timers;
