Test restorations of the store at any moment of a promotion

Three VMs serve writers on a fake platform that doesn't check fencing tokens. The store is restored after a claim, a mark, a promotion's answer and its effect, twice in a row, while the configuration changes, and before all VMs are killed. Eight VMs repeat the first case for the time that it takes.

The functions that it shares with sessions.pl move to sessions_lib.pl.

--- a/tests/process/sessions.pl
+++ b/tests/process/sessions.pl
@@ -3,90 +3,12 @@
 # Prints one line per check, and the counts.
 use strict;
 use warnings;
-use IO::Socket::INET;
 
-my ($platform, $vm1, $vm2, $ready2, $pid2) = @ARGV;
-my ($passed, $failed) = (0, 0);
-my $ids = 0;
-
-sub ok {
-	my ($name, $good, $seen) = @_;
-	$good ? $passed++ : $failed++;
-	print $good ? "ok $name\n" : "not ok $name\n";
-	print "# $seen\n" if !$good && defined $seen;
-}
-
-# Sends one HTTP request; returns the status and the body.
-sub http {
-	my ($at, $path) = @_;
-	my $s = IO::Socket::INET->new(PeerAddr => $at, Timeout => 5) or return (0, "");
-	print $s "GET $path HTTP/1.0\r\n\r\n";
-	my $all = do { local $/; <$s> } // "";
-	my ($status) = $all =~ m{^HTTP/1\.\d (\d+)};
-	my ($body) = $all =~ /\r\n\r\n(.*)/s;
-	return ($status // 0, $body // "");
-}
-sub control { return (http($platform, "/control?$_[0]"))[1] }
-sub counter { my ($n) = control("do=count") =~ /^$_[0] (\S+)/m; return $n // "" }
-
-# Starts a session: start DATABASE KEY [VM]. See read_reply() for the reply.
-sub start {
-	my ($db, $key, $vm) = @_;
-	my $s = IO::Socket::INET->new(PeerAddr => $vm // $vm1, Timeout => 5)
-	    or return undef;
-	$s->autoflush(1);
-	my $self = { s => $s };
-	print $s "START $db $key\r\n";
-	read_reply($self);
-	return $self;
-}
-
-# Reads a reply up to READY or the end of the connection into {rows}, {end} and
-# {ready}.
-sub read_reply {
-	my ($c) = @_;
-	my $s = $c->{s};
-	$c->{rows} = [];
-	$c->{end} = $c->{ready} = "";
-	local $SIG{ALRM} = sub { die "no reply\n" };
-	eval {
-		alarm 10;
-		while (my $line = <$s>) {
-			$line =~ s/\r?\n$//;
-			if ($line =~ /^ROW (.*)/) { push @{$c->{rows}}, $1 }
-			elsif ($line =~ /^(COMPLETE|ERROR)/) { $c->{end} = $line }
-			elsif ($line =~ /^READY (\S)/) { $c->{ready} = $1; last }
-		}
-		alarm 0;
-	};
-	$c->{end} = "CLOSED" if !$c->{end} && !$c->{ready};
-	return $c;
-}
-
-sub query {
-	my ($c, $text) = @_;
-	my $id = sprintf("id%06d", ++$ids);
-	my $s = $c->{s};
-	print $s "QUERY $id $text\r\n";
-	read_reply($c);
-	$c->{id} = $id;
-	return $c->{end};
-}
-sub value { my ($c, $item) = @_; query($c, "READ $item"); return $c->{rows}[0] // $c->{end} }
-sub done { my ($c) = @_; return $c->{end} =~ /^COMPLETE mac\.db-\d\.$c->{id}$/ }
-
-# Writes until one succeeds, with a new session each time. Returns that session,
-# or undef.
-sub write_until_done {
-	my ($item, $data, $tries) = @_;
-	for (1 .. $tries) {
-		my $c = start("o-db", "key-1");
-		query($c, "WRITE $item $data");
-		return $c if done($c);
-		select(undef, undef, undef, 0.1);
-	}
-	return undef;
-}
+require "./tests/process/sessions_lib.pl";
+our ($platform, $default_vm, $passed, $failed);
+my ($vm1, $vm2, $ready2, $pid2);
+($platform, $vm1, $vm2, $ready2, $pid2) = @ARGV;
+$default_vm = $vm1;
 
 my $c;
 for my $case (["nowhere", "key-1", "NODB"], ["p-db", "nobody", "NOAUTH"]) {
--- a/tests/sessions/control.cc
+++ b/tests/sessions/control.cc
@@ -99,7 +99,7 @@
 		era = (uint64_t)n;
 		tells_era = n != 0;
 	} else if (what == "old_replies") {
-		old_replies = n;
+		old_replies_next = n;
 	} else if (what == "restore" || what == "restore_at") {
 		Restoration r;
 		r.event = request_query(req, "event");
--- a/tests/sessions/fake_platform.cc
+++ b/tests/sessions/fake_platform.cc
@@ -261,7 +261,7 @@
 	std::string items;
 	bool more = false;
 	int n = 0;
-	bool is_old = old_replies > 0 && old_era != 0 && old_era != era;
+	bool is_old = old_replies > 0;
 	for (const auto &o : is_old ? old_kinds[kind] : kinds[kind]) {
 		if (o.first <= from && !from.empty())
 			continue;
@@ -280,8 +280,9 @@
 		return;
 	}
 	old_replies--;
-	evhttp_add_header(evhttp_request_get_output_headers(req), "Store-Era",
-			  std::to_string(old_era).c_str());
+	if (tells_era)
+		evhttp_add_header(evhttp_request_get_output_headers(req),
+				  "Store-Era", std::to_string(old_era).c_str());
 	request_reply(req, 200, text);
 }
 
--- a/tests/sessions/fake_platform.h
+++ b/tests/sessions/fake_platform.h
@@ -217,6 +217,7 @@
 	// Lists of the store before the newest restoration that are still under
 	// way.
 	int old_replies = 0;
+	int old_replies_next = 0; // after the next restoration
 	Objects old_kinds;
 	uint64_t old_revision = 0;
 	uint64_t old_era = 0;
--- a/tests/sessions/restoration.cc
+++ b/tests/sessions/restoration.cc
@@ -84,6 +84,8 @@
 		era++;
 	away = false;
 	n_restored++;
+	old_replies = old_replies_next;
+	old_replies_next = 0;
 	if (kinds["config"]["main"].spec != config_spec)
 		config_waits = true;
 	for (auto *db : databases) {
