Prove a primary by the claim when the databases take too long

Cause: right after a promotion the replicas may not know the new term yet, and with no statement executed they learn nothing; the databases then prove nothing. No check changed.

--- a/src/proxy/db_group_proof.c
+++ b/src/proxy/db_group_proof.c
@@ -361,13 +361,16 @@
 
 /*
  * Reads the claim, if a database joined so lately that it might have missed the
- * PAUSE of a promotion, or can't be asked whether it was promoted.
+ * PAUSE of a promotion, or can't be asked whether it was promoted, or if the
+ * databases have not proved the primary for a while.
  */
 static void check_claim(struct db_group *g, usec_t now)
 {
-	usec_t interval =
-		has_unreachable(g, now) ? CLAIM_PROOF_US : CLAIM_CHECK_US;
-	bool is_needed = has_unreachable(g, now);
+	bool is_proof = has_unreachable(g, now) ||
+			(g->primary_unusable_since &&
+			 now - g->primary_unusable_since > CLAIM_PROOF_US);
+	usec_t interval = is_proof ? CLAIM_PROOF_US : CLAIM_CHECK_US;
+	bool is_needed = is_proof;
 	uint32_t i;
 
 	if (g->claim_check_pending || now - g->claim_checked_at < interval)
--- a/tests/sessions/database.cc
+++ b/tests/sessions/database.cc
@@ -231,6 +231,8 @@
 		report(c);
 	} else if (verb == "RESUME") {
 		paused_term = 0;
+		if (Database *leader = platform->newest_primary())
+			platform->replicate(leader);
 		report(c);
 	} else if (verb == "STEPDOWN") {
 		if (primary && strtoull(rest.c_str(), nullptr, 10) > term)
--- a/tests/sessions/promotion.cc
+++ b/tests/sessions/promotion.cc
@@ -71,24 +71,24 @@
 	fflush(stdout);
 }
 
-// The database leads the next term. One that can't be reached goes on as it
-// was.
+// The database leads the next term, and pauses end. A database that can't be
+// reached goes on as it was.
 void FakePlatform::promotion_takes_effect(Database *to)
 {
 	uint64_t term = 0;
 	if (!to->running || to == newest_primary())
 		return;
-	for (auto *db : databases) {
-		if (db->running)
-			term = std::max(term, db->term);
-	}
+	for (auto *db : databases)
+		term = std::max(term, db->term);
 	to->term = term + 1;
 	to->primary = true;
 	to->paused_term = 0;
 	to->applied = to->log.size();
 	for (auto *db : databases) {
-		if (db != to && db->running && !db->unreachable)
-			db->primary = false;
+		if (db == to || !db->running || db->unreachable)
+			continue;
+		db->primary = false;
+		db->paused_term = 0;
 	}
 	replicate(to);
 	for (auto *db : databases)
