Bound the steps of one pass over the queued statements

Callers saw (store_restored.sh): a VM that answers nothing any more and uses a whole core. Cause: a queued statement that can't be started is queued again behind the others of its priority and age. With two of the same age each one was the other's successor, so the pass never ended. The fault is older; seen once, after several restorations in a row, with a stack in start_waiting(). Change: a pass takes as many steps as there were statements. Test: store_restored.sh, case twice, hung; the module has no unit test.

--- a/src/proxy/dispatch.c
+++ b/src/proxy/dispatch.c
@@ -91,14 +91,18 @@
 
 /*
  * Starts queued statements that can still meet the latency target of their
- * route, or the others. Gives those back that are overdue.
+ * route, or the others. Gives those back that are overdue. One that can't be
+ * started is queued again behind those of its age, so the number of steps is
+ * bounded by the length of the queue.
  */
 static void start_waiting(struct db_group *g, bool is_on_time, usec_t now)
 {
+	uint32_t left = g->n_waiting;
 	struct session *next;
 	struct session *s;
 
-	for (s = TAILQ_FIRST(&g->waiting); s; s = next) {
+	for (s = TAILQ_FIRST(&g->waiting); s && left > 0; s = next) {
+		left--;
 		next = TAILQ_NEXT(s, queue_entry);
 		if (s->stream && remote_server_is_overdue(s, now)) {
 			dequeue(s);
