--- a/src/decide/primary_proof.c
+++ b/src/decide/primary_proof.c
@@ -102,10 +102,10 @@
 }
 
 /*
- * Uses the report of a replica that was not paused as a proof, if the last proof
- * is still valid when it arrives. Later than that it proves nothing, whenever it
- * was requested: a promotion resumes the replicas, and one that is slow or
- * partitioned does not know the new term yet.
+ * Uses the report of a replica that was not paused as a proof, if the last
+ * proof is still valid when it arrives. Later than that it proves nothing,
+ * whenever it was requested: a promotion resumes the replicas, and one that is
+ * slow or partitioned does not know the new term yet.
  */
 void primary_proof_replica_unpaused(struct primary_proof *l, usec_t asked_at,
 				    uint64_t term, usec_t now, usec_t guard)
@@ -136,8 +136,9 @@
 		const struct primary_proof_report *r = &report[i];
 		bool former = r->primary && r->term < l->term;
 
-		if (r->is_unreachable || r->asked_at == 0 || r->term > l->term ||
-		    (r->primary && !former) || r->held_term > l->term)
+		if (r->is_unreachable || r->asked_at == 0 ||
+		    r->term > l->term || (r->primary && !former) ||
+		    r->held_term > l->term)
 			return;
 		proved |= r->can_prove && !former && r->term == l->term;
 		if (r->asked_at < first)
--- a/src/proxy/proxy_internal.h
+++ b/src/proxy/proxy_internal.h
@@ -61,11 +61,12 @@
 	usec_t joined_at; /* time of the list that first had it */
 	uint32_t slots;
 	bool departing;
-	bool listed; /* in the newest list of the registry */
-	/* its entry is missing since this time; 0: it has one */
-	usec_t unlisted_since;
+	bool listed;		  /* in the newest list of the registry */
+	bool probing;		  /* a status request is outstanding */
 	bool announced_departure; /* by its last entry */
 	bool reports_primary;
+	/* its entry is missing since this time; 0: it has one */
+	usec_t unlisted_since;
 	/* newest term in which this VM saw it as primary; 0: none */
 	uint64_t primary_term;
 	struct db_group *group;
@@ -114,7 +115,6 @@
 	uint32_t failures;
 	usec_t latency;	  /* moving average of its response time */
 	usec_t probed_at; /* time of the last status request */
-	bool probing;	  /* a status request is outstanding */
 	struct db_status_report status; /* last status it reported */
 	/* when that status was requested; 0: never */
 	usec_t status_requested_at;
@@ -135,15 +135,17 @@
 	uint32_t primary; /* index into db, or DB_NONE */
 	/* when the primary was proved to be the only one; its log positions */
 	struct primary_proof proof;
-	/* a planned change of the primary is in progress */
-	bool in_handover;
 	uint32_t next_probe; /* index of the database to probe next */
 	usec_t used_at;	     /* time of the last statement for the service */
 	/* time of the last use of the primary, here or by a peer; 0: none */
 	usec_t primary_used_at;
 	struct session_list waiting;
 	uint32_t n_waiting;
-	bool is_dispatching; /* dispatch_waiting() is walking the queue */
+	/* rank of this VM for the group, computed at rank_version */
+	uint32_t rank;
+	bool is_dispatching;	  /* dispatch_waiting() is walking the queue */
+	bool claim_check_pending; /* a claim is being read */
+	bool promoted_here; /* this VM promoted the primary of this term */
 	struct failover_fsm succession;
 	/* when a database was last dropped that other VMs may still use */
 	usec_t dropped_at;
@@ -161,12 +163,9 @@
 	const char *proof_owner;
 	/* heartbeat_owners_version() when proof_owner was computed, plus 1 */
 	uint64_t proof_owner_version;
-	/* rank of this VM for the group, computed at rank_version */
-	uint32_t rank;
 	uint64_t rank_version; /* heartbeat_owners_version() then, plus 1 */
 	/* when this VM last read the claim to judge the databases by it */
 	usec_t claim_checked_at;
-	bool claim_check_pending;
 	/* id of the newest request to the proof owner */
 	uint64_t proof_request_id;
 	/* when the newest request to the proof owner was sent */
@@ -174,8 +173,6 @@
 	/* this VM probes the databases itself until this time */
 	usec_t probe_directly_until;
 	usec_t resumed_at; /* time of the last RESUME to a paused replica */
-	/* this VM promoted the primary of this term */
-	bool promoted_here;
 	/* when this VM learned of the proof's term after another one; 0: it
 	 * knows only one */
 	usec_t term_known_at;
