Leave replicas paused while a promotion may still take effect

Cause: an attempt that ended after a promotion without an answer, or while its answer or effect was pending, resumed the replicas, which then proved the old primary again. Test: FailoverFsm.LostPromotionIsNotFollowedByOneOfAnotherDatabase now also asks that nothing is resumed, which failed before.

--- a/src/decide/failover_fsm.c
+++ b/src/decide/failover_fsm.c
@@ -328,14 +328,18 @@
 /*
  * Ends the attempt, resumes the replicas and backs off. Each replica is resumed
  * only if no other VM has made a later claim, since that VM may rely on the
- * pause.
+ * pause, and not while a promotion of this attempt may still take effect: a
+ * resumed replica would prove the old primary.
  */
 static void give_up(struct failover_fsm *s, const struct failover_fsm_env *env,
 		    struct failover_fsm_actions *out)
 {
+	bool may_take_effect =
+		s->maybe_promoted != DB_NONE || s->phase == FAILOVER_CONFIRM ||
+		(s->phase == FAILOVER_PROMOTE && s->result_pending);
 	uint32_t i;
 
-	for (i = 0; i < env->n; i++) {
+	for (i = 0; i < env->n && !may_take_effect; i++) {
 		if (s->paused_mask & (1U << i))
 			emit(out, FAILOVER_ACT_RESUME_IF_NEWEST, i, s->token);
 	}
--- a/tests/decide/failover_fsm_test.cc
+++ b/tests/decide/failover_fsm_test.cc
@@ -547,6 +547,8 @@
 	failover_fsm_verified(&g.s, g.env.now, true, 78);
 	acts += g.run(200 * kMs);
 	EXPECT_EQ(acts.find('M'), std::string::npos) << acts;
+	EXPECT_EQ(acts.find('F'), std::string::npos)
+		<< "resumed while the promotion may take effect: " << acts;
 	EXPECT_EQ(g.s.phase, FAILOVER_IDLE);
 }
 
