Let a database without an entry prove no primary

Cause: the VM that promotes waits 2 s after it has dropped such a replica, but a VM that reaches it keeps it for 5 s, and used its word for proofs. Found in the review of the fixes. Change: a kept database can prevent a proof, but not give one.

--- a/src/decide/unlisted_db.h
+++ b/src/decide/unlisted_db.h
@@ -9,8 +9,9 @@
  * still reach it. Such a primary goes on committing, and such a replica goes on
  * proving it to VMs that have an older list. So a database that answers is kept
  * as a departing one for a while: a failover then steps it down or pauses it
- * like the others. After one is dropped that did not announce its departure, no
- * failover begins until all VMs know the list without it.
+ * like the others, but it proves nothing: VMs that can't reach it have dropped
+ * it. After one is dropped that did not announce its departure, no failover
+ * begins until all VMs know the list without it.
  */
 
 /*
--- a/src/proxy/db_group.c
+++ b/src/proxy/db_group.c
@@ -256,7 +256,7 @@
 		return;
 	db->position = *at;
 	if (member_index(db) != g->primary) {
-		if (proxy_now() >= db->trusted_from &&
+		if (proxy_now() >= db->trusted_from && !db->unlisted_since &&
 		    registry_list_is_current(g->proxy->registry, proxy_now()))
 			primary_proof_replica_position(&g->proof, *at);
 		return;
@@ -615,7 +615,8 @@
 	if (proxy_now() < db->trusted_from)
 		return;
 	if (report->paused_term <= g->proof.term) {
-		if (registry_list_is_current(g->proxy->registry, proxy_now()))
+		if (!db->unlisted_since &&
+		    registry_list_is_current(g->proxy->registry, proxy_now()))
 			primary_proof_replica_unpaused(
 				&g->proof, requested_at, report->term,
 				proxy_now(), g->proxy->policy.guard);
--- a/src/proxy/db_group_proof.c
+++ b/src/proxy/db_group_proof.c
@@ -97,7 +97,8 @@
 			.is_unreachable = is_unreachable(d, now),
 			.asked_at = d->status_requested_at,
 			.primary = d->status.is_primary,
-			.can_prove = now >= d->trusted_from,
+			.can_prove =
+				now >= d->trusted_from && !d->unlisted_since,
 			.term = d->status.term,
 			.held_term = d->status.paused_term,
 		};
