Resume no replica that is paused for another VM's failover

Callers would see: a write acknowledged by the old primary after another database had taken over (rule ONE). Cause: a VM that had promoted the group's last primary resumed every replica that reported a pause, also one that another VM had fenced since, unless it heard of that VM's work. And an attempt did not look at the pauses again after the guard. Change: it resumes at once only pauses up to the term of its own fence; others after 5 s and as the first by rank. A pause that is reported lost before the promotion call begins the fence anew. Test: none of its own; spec/lease.pml has the broken rule as mutant RESUME_LATE.

--- a/src/decide/failover_fsm.c
+++ b/src/decide/failover_fsm.c
@@ -116,7 +116,8 @@
 			emit(out, FAILOVER_ACT_VERIFY, DB_NONE, 0);
 			break;
 		}
-		if (!s->stepped_down && !fence_is_done(s, env)) {
+		if (!s->stepped_down &&
+		    (!fence_is_done(s, env) || pause_was_lost(s, env))) {
 			begin_fence(s, env);
 			break;
 		}
--- a/src/proxy/failover.c
+++ b/src/proxy/failover.c
@@ -131,8 +131,9 @@
 }
 
 /*
- * Resumes replicas that are still paused for a promotion that is over, or for
- * one whose VM has given up or failed.
+ * Resumes replicas that are still paused for this VM's promotion, which is
+ * over, or for one whose VM has given up or failed. A pause for a later term
+ * than that of this VM's promotion is the fence of another one.
  */
 static void resume_paused(struct db_group *g,
 			  const struct failover_fsm_env *env)
@@ -146,9 +147,12 @@
 	for (i = 0; i < DB_GROUP_MEMBERS_MAX; i++) {
 		const struct db_member *d = &g->db[i];
 
+		bool is_own =
+			g->promoted_here && d->paused_for <= g->succession.term;
+
 		if (!d->present || i == g->primary || !d->paused_since ||
-		    (!g->promoted_here &&
-		     env->now - d->paused_since < PAUSE_MAX_US))
+		    (!is_own && (env->rank != 0 ||
+				 env->now - d->paused_since < PAUSE_MAX_US)))
 			continue;
 		g->resumed_at = env->now;
 		send_fence(g, i, CONTROL_RESUME, 0);
