Clear the mark of a newer list when the same list has been copied

Callers would see: writes refused by a VM that is cut from the platform until the list of databases changes again. Cause: a list copied from one peer may be a little older than the one that another peer told of, although they are equal; the mark that this VM is outdated stayed, and it proved no primary. Change: a list with the same hash clears the mark, too.

--- a/src/decide/primary_proof.h
+++ b/src/decide/primary_proof.h
@@ -69,14 +69,14 @@
 
 /* The newest report of a database other than the group's primary. */
 struct primary_proof_report {
-	usec_t asked_at; /* request time; 0: no report yet */
-	bool primary;	 /* it reports that it is primary */
-	bool can_prove;	 /* its report may count as a proof: it can't have
-			    missed the pause of a promotion in progress */
-	uint64_t term;
-	uint64_t held_term;  /* term that paused it; 0: not paused */
+	usec_t asked_at;     /* request time; 0: no report yet */
+	bool primary;	     /* it reports that it is primary */
+	bool can_prove;	     /* its report may count as a proof: it can't have
+				missed the pause of a promotion in progress */
 	bool is_unreachable; /* it leaves requests unanswered, or can't be
 				connected to */
+	uint64_t term;
+	uint64_t held_term; /* term that paused it; 0: not paused */
 };
 
 /* Evaluates the newest reports of all other databases as a joint proof. */
--- a/src/proxy/registry_internal.h
+++ b/src/proxy/registry_internal.h
@@ -72,7 +72,8 @@
 	usec_t list_confirmed_at;
 	/* a peer has had a newer and different list since then; 0: none */
 	usec_t newer_list_since;
-	usec_t newer_listed_at; /* when that list was requested */
+	usec_t newer_listed_at;	  /* when that list was requested */
+	uint64_t newer_list_hash; /* its hash_list() */
 	bool was_reader; /* this VM read for its domain at the last tick */
 	struct outdated old_catalog;
 	struct outdated old_databases;
--- a/src/proxy/registry_list.c
+++ b/src/proxy/registry_list.c
@@ -109,8 +109,10 @@
 		return;
 	if (r->newer_list_since == 0)
 		r->newer_list_since = now;
-	if (listed_at > r->newer_listed_at)
+	if (listed_at > r->newer_listed_at) {
 		r->newer_listed_at = listed_at;
+		r->newer_list_hash = n->databases;
+	}
 	if (r->databases.failures > 0 &&
 	    now - r->old_databases.asked_at >= COPY_RETRY_US) {
 		r->old_databases.asked_at = now;
@@ -237,7 +239,8 @@
 	r->old_databases.since = 0;
 	if (listed_at > r->list_confirmed_at)
 		r->list_confirmed_at = listed_at;
-	if (listed_at >= r->newer_listed_at)
+	if (listed_at >= r->newer_listed_at ||
+	    r->list_hash == r->newer_list_hash)
 		r->newer_list_since = 0;
 	r->databases.due_at = now + registry_list_interval(r, now);
 	x->databases_known = r->n_list > 0;
