Close the own claim without a proof, and use what a closed claim tells

Callers would see: no primary can be used, as long as the former primary is cut from the VM that keeps the proof. Cause: the proof of a promotion dates from its mark and has expired where the promotion takes longer than the guard; the record was then not closed, and the databases prove nothing while one of them can't be reached. And a close that found a record of a later term dropped it as a failure. Change: the VM that promoted closes its own mark without another proof, on condition of its revision. The outcome of a close has the record as it is.

--- a/src/proxy/db_group_proof.c
+++ b/src/proxy/db_group_proof.c
@@ -426,7 +426,8 @@
 	    (g->closed_term == g->proof.term &&
 	     g->closed_at.era == g->proxy->store_era.era) ||
 	    !g->proxy->store_era.is_known ||
-	    !primary_proof_is_valid(&g->proof, now, g->proxy->policy.guard))
+	    (!g->promoted_here &&
+	     !primary_proof_is_valid(&g->proof, now, g->proxy->policy.guard)))
 		return;
 	g->claim_checked_at = now;
 	g->claim_check_pending = true;
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -197,7 +197,7 @@
 			 registry_claim_done_fn fn, void *ctx);
 /*
  * Closes the claim with the group's term and primary, if no promotion is in
- * progress. "ok" tells that it is closed at that term.
+ * progress. The outcome has the record as it is then.
  */
 void registry_close_claim(struct proxy *p, struct db_group *g,
 			  registry_claim_done_fn fn, void *ctx);
--- a/src/proxy/registry_promotion.c
+++ b/src/proxy/registry_promotion.c
@@ -54,6 +54,8 @@
 static bool take_record(struct promotion_call *d);
 static bool replace_claim(struct promotion_call *d);
 static bool close_claim(struct promotion_call *d);
+static bool is_own_promotion(const struct db_group *g,
+			     const struct promotion_claim *found);
 static void write_claim(struct promotion_call *d,
 			const struct promotion_claim *claim);
 static void call_free(struct promotion_call *d);
@@ -196,10 +198,6 @@
 		o->ok = o->ok && d->is_written && o->token;
 	else if (d->purpose == CLAIM_MARK)
 		o->ok = o->ok && o->token;
-	else if (d->purpose == CLAIM_CLOSE)
-		o->ok = o->ok &&
-			o->record.claim.state == PROMOTION_CLAIM_CLOSED &&
-			o->record.claim.term == d->group->proof.term;
 	if (o->ok && (d->purpose == CLAIM_TAKE || d->purpose == CLAIM_MARK))
 		d->group->own_claim = o->record.claim;
 	d->fn(d->ctx, o);
@@ -292,7 +290,8 @@
 
 /*
  * Closes the claim that was read, if no promotion is in progress and this VM
- * has a proof of the primary. Returns false if it was not closed.
+ * has a proof of the primary: it promoted it under this very claim, or has one
+ * from the databases. Returns false if it was not closed.
  */
 static bool close_claim(struct promotion_call *d)
 {
@@ -300,12 +299,14 @@
 	struct db_group *g = d->group;
 	usec_t now = proxy_now();
 
-	if (g->primary == DB_NONE ||
-	    !primary_proof_is_valid(&g->proof, now, d->proxy->policy.guard) ||
-	    !promotion_claim_may_close(
-		    &g->claim_seen, found, g->proof.term,
-		    registry_era_is_settled(d->proxy, g->proof.proved_at), now,
-		    PROMOTION_MAX_US))
+	if (g->primary == DB_NONE)
+		return false;
+	if (!is_own_promotion(g, found) &&
+	    (!primary_proof_is_valid(&g->proof, now, d->proxy->policy.guard) ||
+	     !promotion_claim_may_close(
+		     &g->claim_seen, found, g->proof.term,
+		     registry_era_is_settled(d->proxy, g->proof.proved_at), now,
+		     PROMOTION_MAX_US)))
 		return false;
 	d->outcome.asked_at = now;
 	write_claim(d, &(struct promotion_claim){
@@ -316,6 +317,14 @@
 	return true;
 }
 
+/* Returns true if this VM promoted the group's primary under the claim. */
+static bool is_own_promotion(const struct db_group *g,
+			     const struct promotion_claim *found)
+{
+	return g->promoted_here && found->state == PROMOTION_CLAIM_PROMOTING &&
+	       store_position_compare(&found->at, &g->own_claim.at) == 0;
+}
+
 /*
  * Writes a claim of this VM over the one at the position claim->at; revision 0
  * creates it.
