--- a/src/proxy/db_group.c
+++ b/src/proxy/db_group.c
@@ -477,8 +477,7 @@
 /*
  * Adds a database of the list, or updates a known one. If the address or the
  * incarnation differs, the known database is removed and the listed one takes
- * over its id. A partial list may hide a promotion, so it does not end a listed
- * lead.
+ * over its id.
  */
 static void apply_database(struct db_group *g, const struct registry_db *r)
 {
--- a/src/proxy/registry_promotion.c
+++ b/src/proxy/registry_promotion.c
@@ -245,8 +245,17 @@
 	    (!d->reply || registry_codec()->claim(d->reply, &o->record) != 0))
 		return false;
 	o->record.claim.at.era = c->object_era;
-	if (!store_position_token(&o->record.claim.at, &o->token))
+	if (!store_position_token(&o->record.claim.at, &o->token)) {
 		o->token = 0;
+		if (!is_absent)
+			log_event(EV_PROMOTE_GIVE_UP,
+				  "service=%s era=%llu revision=%llu "
+				  "reason=\"too large for a fencing token\"",
+				  d->group->service,
+				  (unsigned long long)c->object_era,
+				  (unsigned long long)
+					  o->record.claim.at.revision);
+	}
 	return true;
 }
 
