Log and measure how long ago the configuration was confirmed

Cause: no line or metric told when a VM last knew that its configuration was the platform's newest, nor whether a version came by a read, a watch or a peer, so the hypotheses of the CONFIG incident could not be told apart from logs. Nothing is decided by it.

--- a/src/kernel/latency.h
+++ b/src/kernel/latency.h
@@ -12,7 +12,9 @@
 	X(WAIT, "wait_seconds", "statements before they were sent")         \
 	X(CONNECT, "connect_seconds", "new connections to databases")       \
 	X(PLATFORM, "platform_seconds", "calls to the platform")            \
-	X(LIMIT, "limit_seconds", "questions for tokens of team limits")
+	X(LIMIT, "limit_seconds", "questions for tokens of team limits")    \
+	X(CONFIRM, "config_unconfirmed_seconds",                            \
+	  "between reads of the configuration, by this VM or a peer")
 
 enum latency {
 #define X(id, name, help) LATENCY_##id,
--- a/src/proxy/heartbeat_codec.c
+++ b/src/proxy/heartbeat_codec.c
@@ -19,7 +19,7 @@
 #define NEWS_READY    1 /* flags: ready */
 #define NEWS_DRAINING 2 /* draining */
 #define NEWS_DIRECT   4 /* from its own heartbeat, lately */
-#define DIGEST_FIELDS 7 /* of the registry's digest */
+#define DIGEST_FIELDS 9 /* of the registry's digest */
 /* A change of a group's primary is included in heartbeats for this long. */
 #define PRIMARY_CHANGE_NEWS_US (5 * USEC_PER_SEC)
 /*
@@ -86,7 +86,7 @@
 
 /*
  * Encodes [configuration, databases, age of their list, VMs, the era is known,
- * era, age of the era].
+ * era, age of the era, the configuration was read, age of that read].
  */
 static void pack_digest(msgpack_packer *p, const struct registry_digest *d)
 {
@@ -98,6 +98,8 @@
 	msgpack_pack_uint32(p, d->knows_era);
 	msgpack_pack_uint64(p, d->era);
 	msgpack_pack_uint64(p, d->era_age_ms);
+	msgpack_pack_uint32(p, d->has_read);
+	msgpack_pack_uint64(p, d->read_age_ms);
 }
 
 /*
@@ -324,6 +326,8 @@
 	out->knows_era = wire_u64(&d) != 0;
 	out->era = wire_u64(&d);
 	out->era_age_ms = wire_u64(&d);
+	out->has_read = wire_u64(&d) != 0;
+	out->read_age_ms = wire_u64(&d);
 	r->bad |= d.bad;
 }
 
--- a/src/proxy/registry.c
+++ b/src/proxy/registry.c
@@ -134,6 +134,7 @@
 		become_reader(r, now);
 	r->was_reader = is_reader;
 	check_restored(r, now);
+	registry_confirm_tick(r, now);
 	check_outdated(&r->old_catalog, &r->read, now);
 	check_outdated(&r->old_databases, &r->databases, now);
 
@@ -188,6 +189,8 @@
 		.era_age_ms = s->is_known ? (uint64_t)((now - s->known_since) /
 						       USEC_PER_MSEC)
 					  : 0,
+		.has_read = r->read_at != 0,
+		.read_age_ms = (uint64_t)((now - r->read_at) / USEC_PER_MSEC),
 	};
 }
 
@@ -205,6 +208,7 @@
 		registry_note_peer_era(r->proxy, peer, n->era, n->era_age_ms);
 	known = registry_digest(r, now);
 	registry_on_peer_version(r, peer, n->catalog, now);
+	registry_on_peer_confirm(r, peer, n, now);
 	if (list_counts(r, n, now))
 		registry_on_peer_list(r, peer, n, now);
 	if (n->vms != known.vms && r->proxy->vms_known &&
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -159,9 +159,14 @@
 	uint64_t vms;		   /* hash of the names of all known VMs */
 	bool knows_era;		   /* the store has replied */
 	uint64_t era;
-	uint64_t era_age_ms; /* how long the era has been known */
+	uint64_t era_age_ms;  /* how long the era has been known */
+	bool has_read;	      /* the VM has read the configuration itself */
+	uint64_t read_age_ms; /* since that read began */
 };
 
+/* A longer age in a digest tells nothing. */
+#define REGISTRY_AGE_MAX_MS (600 * UINT64_C(1000))
+
 struct registry_digest registry_digest(const struct registry *r, usec_t now);
 void registry_on_peer_digest(struct registry *r, const char *peer,
 			     const struct registry_digest *n, usec_t now);
--- a/src/proxy/registry_catalog.c
+++ b/src/proxy/registry_catalog.c
@@ -24,13 +24,18 @@
 	SOURCE_COPY,  /* of a peer */
 };
 
+static const char *const source_names[] = {
+	[SOURCE_READ] = "read",
+	[SOURCE_WATCH] = "watch",
+	[SOURCE_COPY] = "peer",
+};
+
 static bool apply_catalog(struct registry *r, const char *reply, uint64_t era,
 			  enum catalog_source source);
 static void advance(struct registry *r, uint64_t era, uint64_t revision);
 static void note_older(struct registry *r, const struct catalog *c);
 static void note_lacked(struct registry *r, usec_t now);
 static void request_copy(struct registry *r, usec_t now);
-static uint64_t known_version(const struct registry *r);
 
 /* Handles the reply with the whole catalogue and starts the first watch. */
 void registry_handle_catalog_list(struct registry *r, struct poll *p)
@@ -41,6 +46,7 @@
 	    !apply_catalog(r, p->reply, p->call.era, SOURCE_READ))
 		return;
 	p->due_at = 0;
+	registry_confirm(r, p->requested_at);
 	if (r->watch.busy && r->watch_era != r->proxy->store_era.era)
 		p->due_at = now + STALE_WATCH_READ_US;
 	note_lacked(r, now);
@@ -90,7 +96,7 @@
 void registry_on_peer_version(struct registry *r, const char *peer,
 			      uint64_t version, usec_t now)
 {
-	if (version <= known_version(r))
+	if (version <= registry_known_version(r))
 		return;
 	if (version >= r->peer_version) {
 		r->peer_version = version;
@@ -140,10 +146,12 @@
 	}
 	log_event(EV_CONFIG_APPLIED,
 		  "version=%llu revision=%llu routes=%u teams=%u keys=%u "
-		  "from=%s",
+		  "from=%s confirmed_us=%lld",
 		  (unsigned long long)c->version,
 		  (unsigned long long)c->revision, c->n_routes, c->n_teams,
-		  c->n_keys, source == SOURCE_COPY ? "peer" : "platform");
+		  c->n_keys, source_names[source],
+		  (long long)(r->confirmed_at ? proxy_now() - r->confirmed_at
+					      : -1));
 	catalog_destroy(x->catalog);
 	x->catalog = c;
 	r->old_catalog.since = 0;
@@ -171,7 +179,8 @@
 /* Logs once that the platform holds an older version than the one in force. */
 static void note_older(struct registry *r, const struct catalog *c)
 {
-	if (c->version == known_version(r) || c->version == r->refused_version)
+	if (c->version == registry_known_version(r) ||
+	    c->version == r->refused_version)
 		return;
 	r->refused_version = c->version;
 	log_event(
@@ -179,7 +188,7 @@
 		"version=%llu known=%llu era=%llu reason=\"the platform holds "
 		"an older version\"",
 		(unsigned long long)c->version,
-		(unsigned long long)known_version(r),
+		(unsigned long long)registry_known_version(r),
 		(unsigned long long)r->proxy->store_era.era);
 }
 
@@ -189,7 +198,7 @@
  */
 static void note_lacked(struct registry *r, usec_t now)
 {
-	if (r->peer_version <= known_version(r))
+	if (r->peer_version <= registry_known_version(r))
 		return;
 	if (r->lacked_version < r->peer_version)
 		log_event(EV_CONFIG_REFUSED,
@@ -197,8 +206,8 @@
 			  "reason=\"a peer has a newer version than the "
 			  "platform\"",
 			  (unsigned long long)r->peer_version,
-			  (unsigned long long)known_version(r), r->peer,
-			  (unsigned long long)r->proxy->store_era.era);
+			  (unsigned long long)registry_known_version(r),
+			  r->peer, (unsigned long long)r->proxy->store_era.era);
 	r->lacked_version = r->peer_version;
 	request_copy(r, now);
 }
@@ -220,7 +229,7 @@
 }
 
 /* Returns the version of the configuration in force; 0: none. */
-static uint64_t known_version(const struct registry *r)
+uint64_t registry_known_version(const struct registry *r)
 {
 	return r->proxy->catalog ? r->proxy->catalog->version : 0;
 }
--- a/src/proxy/registry_internal.h
+++ b/src/proxy/registry_internal.h
@@ -6,8 +6,9 @@
 
 /*
  * Shared by registry.c, which sends the requests and registers this VM,
- * registry_catalog.c, which follows the configuration, and registry_list.c,
- * which follows the list of databases.
+ * registry_catalog.c, which follows the configuration, registry_confirm.c,
+ * which tells how long ago it was confirmed, and registry_list.c, which follows
+ * the list of databases.
  */
 
 /* Databases taken from one complete list. */
@@ -84,6 +85,10 @@
 	/* newest version of a peer that a read has not brought */
 	uint64_t lacked_version;
 	uint64_t refused_version; /* last older version logged; 0: none */
+	/* when the newest read of the configuration began, here or at a peer */
+	usec_t confirmed_at; /* 0: none yet */
+	usec_t read_at;	     /* the same, of this VM's own reads */
+	bool is_unconfirmed; /* for too long; logged */
 	struct registry_page page;
 };
 
@@ -104,6 +109,18 @@
 void registry_on_peer_version(struct registry *r, const char *peer,
 			      uint64_t version, usec_t now);
 
+/* Returns the version of the configuration in force; 0: none. */
+uint64_t registry_known_version(const struct registry *r);
+
+/* registry_confirm.c */
+/* Takes note of a reply to a read of the configuration. */
+void registry_confirm(struct registry *r, usec_t asked_at);
+/* Takes note of a peer's read of the configuration. */
+void registry_on_peer_confirm(struct registry *r, const char *peer,
+			      const struct registry_digest *n, usec_t now);
+/* Logs when the configuration has been unconfirmed for too long. */
+void registry_confirm_tick(struct registry *r, usec_t now);
+
 /* registry_list.c */
 void registry_request_databases(struct registry *r, const char *after_id,
 				usec_t now);
