Test that changes are in force in time while the store turns VMs away

Cause: nothing tested how soon a configuration is in force while watches miss it, or while the store serves only some VMs. The fake platform could do neither. Change: the fake platform has a second port that it can turn away (503 and 429, silence, resets) and watches that hear nothing; tests/process/config_in_time.sh runs eight VMs on it.

--- a/src/proxy/registry_confirm.c
+++ b/src/proxy/registry_confirm.c
@@ -12,6 +12,8 @@
 
 /* The time within which a configuration has to be in force. */
 #define CATALOG_IN_FORCE_US (3 * USEC_PER_SEC)
+/* Ages of one read, as told in heartbeats, differ by less than this. */
+#define AGE_ERROR_MAX_US (100 * USEC_PER_MSEC)
 
 static void note(struct registry *r, usec_t at, const char *from);
 
@@ -53,14 +55,14 @@
 /* Advances the time of the newest confirmation, by this VM or a peer. */
 static void note(struct registry *r, usec_t at, const char *from)
 {
-	usec_t gap = r->confirmed_at ? at - r->confirmed_at : 0;
+	usec_t gap = at - r->confirmed_at;
 
-	if (at <= r->confirmed_at)
+	if (gap <= AGE_ERROR_MAX_US)
 		return;
-	r->confirmed_at = at;
-	if (gap)
+	if (r->confirmed_at)
 		latency_add(LATENCY_CONFIRM, gap);
-	if (!r->is_unconfirmed)
+	r->confirmed_at = at;
+	if (!r->is_unconfirmed || proxy_now() - at > CATALOG_IN_FORCE_US)
 		return;
 	r->is_unconfirmed = false;
 	log_event(EV_CONFIG_CONFIRMED, "version=%llu from=%s after_us=%lld",
--- /dev/null
+++ b/tests/process/config_in_time.pl
@@ -0,0 +1,67 @@
+# Tests how soon configurations come into force, started by
+# tests/process/config_in_time.sh:
+#	perl config_in_time.pl PLATFORM VM=ADDRESS...
+# Prints one line per check, and the counts.
+use strict;
+use warnings;
+use Time::HiRes qw(time sleep);
+
+require "./tests/process/sessions_lib.pl";
+our ($platform, $default_vm, $passed, $failed);
+
+# The time within which a configuration has to be in force, in seconds.
+my $CONFIG_S = 3;
+# What is late ends by then, so that the next change is judged alone.
+my $END_S = 30;
+my $CHANGES = 4;
+# Each change comes so long after the one before that watches are held again.
+my ($PAUSE_MIN_S, $PAUSE_MAX_S) = (1.3, 2.3);
+srand(5);
+
+($platform, my @vms) = @ARGV;
+my %at = map { split /=/ } @vms;
+my $key = 10;
+$| = 1;
+
+# Returns the VMs on which a key does not work yet.
+sub without {
+	my ($k) = @_;
+	return grep {
+		my $c = start("o-db", $k, $at{$_});
+		!$c || $c->{ready} ne "I";
+	} sort keys %at;
+}
+
+# Adds a key while watches hear nothing, and returns the seconds until it works on
+# all VMs.
+sub change {
+	my $name = "key-" . ++$key;
+	sleep $PAUSE_MIN_S + rand($PAUSE_MAX_S - $PAUSE_MIN_S);
+	control("do=watches_deaf&n=1");
+	my $since = time;
+	control("do=add_key&key=$name");
+	sleep 0.3;
+	control("do=watches_deaf&n=0");
+	while (without($name) && time - $since < $END_S) {
+		sleep 0.03;
+	}
+	return time - $since;
+}
+
+# [what, how the store turns seven of the eight VMs away]
+my @cases = (
+	["all VMs reach the store", 0],
+	["most VMs are answered 503 and 429", 1],
+	["most VMs are not answered", 2],
+	["most VMs are reset", 3],
+);
+for my $c (@cases) {
+	my ($what, $how) = @$c;
+	control("do=turn_away&n=$how");
+	my @took = map { change() } 1 .. $CHANGES;
+	control("do=turn_away&n=0");
+	ok("$what: in force within $CONFIG_S s", !(grep { $_ > $CONFIG_S } @took));
+	print "# $what: ", join(" ", map { sprintf "%.2f", $_ } @took), " s\n";
+}
+print "$passed passed, $failed failed\n";
+exit($failed ? 1 : 0);
--- a/tests/sessions/control.cc
+++ b/tests/sessions/control.cc
@@ -95,6 +95,10 @@
 		store_lose_replies = n;
 	} else if (what == "drop_history") {
 		history_from = ++revision;
+	} else if (what == "turn_away") {
+		turn_away = static_cast<TurnAway>(n);
+	} else if (what == "watches_deaf") {
+		set_watches_deaf(n != 0);
 	} else if (what == "era") {
 		era = (uint64_t)n;
 		tells_era = n != 0;
--- a/tests/sessions/fake_platform.cc
+++ b/tests/sessions/fake_platform.cc
@@ -24,6 +24,14 @@
 		return "mark";
 	return json_is_true(json_object_get(spec, "closed")) ? "none" : "claim";
 }
+
+int local_port(evutil_socket_t fd)
+{
+	sockaddr_in at = {};
+	socklen_t len = sizeof(at);
+	getsockname(fd, (sockaddr *)&at, &len);
+	return ntohs(at.sin_port);
+}
 } // namespace
 
 FakePlatform::FakePlatform()
@@ -31,12 +39,11 @@
 	signal(SIGPIPE, SIG_IGN);
 	base = event_base_new();
 	http = evhttp_new(base);
-	evhttp_bound_socket *s =
-		evhttp_bind_socket_with_handle(http, "127.0.0.1", 0);
-	sockaddr_in at = {};
-	socklen_t len = sizeof(at);
-	getsockname(evhttp_bound_socket_get_fd(s), (sockaddr *)&at, &len);
-	http_port = ntohs(at.sin_port);
+	for (int *port : { &http_port, &second_port }) {
+		evhttp_bound_socket *s =
+			evhttp_bind_socket_with_handle(http, "127.0.0.1", 0);
+		*port = local_port(evhttp_bound_socket_get_fd(s));
+	}
 	evhttp_set_allowed_methods(http, EVHTTP_REQ_GET | EVHTTP_REQ_POST |
 						 EVHTTP_REQ_PUT);
 	evhttp_set_cb(http, "/promote", on_promote, this);
@@ -59,7 +66,7 @@
 
 void FakePlatform::run()
 {
-	printf("ready 127.0.0.1:%d\n", http_port);
+	printf("ready 127.0.0.1:%d 127.0.0.1:%d\n", http_port, second_port);
 	fflush(stdout);
 	event_base_dispatch(base);
 }
@@ -213,6 +220,8 @@
 		refuse_while_away(req);
 		return;
 	}
+	if (is_turned_away(req))
+		return;
 	if (store_down) {
 		store_reply(req, 503, "");
 		return;
@@ -252,6 +261,32 @@
 		      atoi(request_query(req, "waitMs").c_str()));
 }
 
+// Turns away a call to the second port, if it is to be.
+bool FakePlatform::is_turned_away(evhttp_request *req)
+{
+	evhttp_connection *c = evhttp_request_get_connection(req);
+	bufferevent *b = evhttp_connection_get_bufferevent(c);
+	if (turn_away == TurnAway::no ||
+	    local_port(bufferevent_getfd(b)) != second_port)
+		return false;
+	if (turn_away == TurnAway::busy)
+		store_reply(req, random() % 2 ? 503 : 429, "");
+	else if (turn_away == TurnAway::reset)
+		evhttp_connection_free(c);
+	return true;
+}
+
+// Once watches hear again, those held until then stay silent, and the history
+// is gone.
+void FakePlatform::set_watches_deaf(bool deaf)
+{
+	if (watches_deaf && !deaf) {
+		watches.clear();
+		history_from = ++revision;
+	}
+	watches_deaf = deaf;
+}
+
 // Replies with one page of a list. A page holds two objects, so that a longer
 // list takes several requests. After a restoration the reply may be one of the
 // store before it.
@@ -297,7 +332,7 @@
 	}
 	std::string events;
 	for (const auto &o : kinds[kind]) {
-		if (o.second.revision > from)
+		if (o.second.revision > from && !watches_deaf)
 			events += (events.empty() ? "" : ",") +
 				  ("{\"deleted\":false,\"object\":" +
 				   object(o.first, o.second) + "}");
@@ -369,7 +404,8 @@
 		history.deleted(now_ms(), kind, name, revision);
 	}
 	for (size_t i = 0; i < watches.size();) {
-		if (watches[i].kind != kind || o == kinds[kind].end()) {
+		if (watches[i].kind != kind || o == kinds[kind].end() ||
+		    watches_deaf) {
 			i++;
 			continue;
 		}
--- a/tests/sessions/fake_platform.h
+++ b/tests/sessions/fake_platform.h
@@ -195,6 +195,7 @@
 
 	evhttp *http;
 	int http_port = 0;
+	int second_port = 0; // of the store, for VMs that it may turn away
 	Objects kinds;
 	ObjectHistory history;
 	uint64_t revision = 1;
@@ -203,6 +204,13 @@
 	uint64_t history_from = 0;
 	std::vector<Watch> watches;
 	bool store_down = false;
+	// How calls to the second port fail.
+	enum class TurnAway { no, busy, silent, reset };
+	TurnAway turn_away = TurnAway::no;
+	bool is_turned_away(evhttp_request *req);
+	// Watches hear nothing, and are not answered any more.
+	bool watches_deaf = false;
+	void set_watches_deaf(bool deaf);
 	int store_lose_replies = 0;
 	uint64_t era = 3;
 	bool tells_era = true;
