Read the configuration in turn, by the age of the newest read of any VM

Cause: what bounded the age of a configuration was a rate. Each VM renewed its watch after a random part of a second for each live VM, so that the fleet looked once a second; VMs that the store turns away or that are cut from it live too, and took their part along. A watch that hears nothing, as its connection is silent or the store misses changes, counted for as long as it was held. Nothing told how old the configuration could be. Change: the bound is the age of the newest read of any VM. Heartbeats tell it; a VM reads when it reaches 0.8 s and a random, exponentially distributed delay of up to 0.7 s has passed (decide/shared_poll, after Nonnenmacher and Biersack), so VMs that reach the store replace those that don't, and few read twice. A watch proves nothing any more and is held for up to 25 s. A VM whose read failed leaves the next one to the others, unless it knows that it lacks something. In a large fleet a read is told to all VMs that read.

--- a/src/proxy/heartbeat.c
+++ b/src/proxy/heartbeat.c
@@ -234,14 +234,17 @@
 	msgpack_sbuffer_init(&buf);
 	if (!picked || !is_local || !targets)
 		goto done;
+	heartbeat_update_readers(b);
 	for (i = 0; i < b->n; i++)
 		is_local[i] = strcmp(b->peers[i]->domain, domain) == 0;
 	n = peer_gossip_pick(is_local, b->n, draw_random, b->proxy, picked);
 	for (i = 0; i < n; i++)
 		targets[picked[i]] = true;
 	for (i = 0; i < b->n; i++)
-		targets[i] |= b->tell_domain && is_local[i];
+		targets[i] |= (b->tell_domain && is_local[i]) ||
+			      (b->tell_readers && b->peers[i]->is_reader);
 	b->tell_domain = false;
+	b->tell_readers = false;
 	for (i = 0; i < b->proxy->n_groups && !heartbeat_is_full_mesh(b); i++) {
 		if (heartbeat_is_urgent(b, b->proxy->groups[i], now))
 			add_failover_peers(b, b->proxy->groups[i], targets);
@@ -307,6 +310,13 @@
 	b->next_send_at = 0;
 }
 
+/* Sends the next heartbeat at once, also to all VMs that read. */
+void heartbeat_tell_readers(struct heartbeat *b)
+{
+	b->tell_readers = true;
+	b->next_send_at = 0;
+}
+
 /* Draws a random number, for peer_gossip_pick(). */
 static uint64_t draw_random(void *ctx)
 {
--- a/src/proxy/heartbeat_internal.h
+++ b/src/proxy/heartbeat_internal.h
@@ -47,6 +47,7 @@
 	bool draining;
 	/* it knows the configuration, the databases and the VMs */
 	bool ready;
+	bool is_reader;	  /* it reads the platform's data for its domain */
 	uint8_t capacity; /* share of a core, in hundredths; 0: unknown */
 	/* links to it failed: it owns no database until then; 0: they work */
 	usec_t link_retry_at;
@@ -55,6 +56,14 @@
 	struct peer_group_state *groups;
 };
 
+/* The VMs that read for a failure domain. */
+struct domain_readers {
+	const char *name;
+	uint32_t n;
+	/* first the strongest; NULL: this VM */
+	struct peer_vm *reader[DOMAIN_READERS];
+};
+
 struct heartbeat {
 	struct proxy *proxy;
 	evutil_socket_t fd;
@@ -70,10 +79,9 @@
 	usec_t ticked_at;
 	uint64_t owners_version; /* changes with the result of
 				    heartbeat_service_owner() */
-	bool tell_domain; /* the next heartbeat goes to the whole domain */
-	/* the readers of this domain, first the strongest; NULL: this VM */
-	uint32_t n_domain_readers;
-	const struct peer_vm *domain_readers[DOMAIN_READERS];
+	bool tell_domain;  /* the next heartbeat goes to the whole domain */
+	bool tell_readers; /* and to all readers of the fleet */
+	struct domain_readers own_domain;
 	uint32_t n_readers;	  /* in the fleet */
 	uint64_t readers_version; /* owners_version + 1 when computed */
 	bool left; /* has left the rate limits, as this VM is draining */
@@ -95,6 +103,8 @@
 /* Applies newer news of a peer that another one passed on. */
 void heartbeat_on_news(struct heartbeat *b, struct peer_vm *v, usec_t seen_at,
 		       bool ready, bool draining, uint8_t capacity, usec_t now);
+/* Chooses the readers of all domains anew if the live VMs have changed. */
+void heartbeat_update_readers(struct heartbeat *b);
 /* This VM's share of a core, in hundredths. */
 uint8_t heartbeat_own_capacity(const struct heartbeat *b);
 /* Handles one datagram of any type. */
--- a/src/proxy/heartbeat_view.c
+++ b/src/proxy/heartbeat_view.c
@@ -14,9 +14,10 @@
 
 #define DOMAINS_MAX 64 /* failure domains of the fleet */
 
-static void update_readers(struct heartbeat *b);
-static void add_domain(const char **domains, uint32_t *n, const char *domain);
-static void add_reader(struct heartbeat *b, const struct peer_vm *v);
+static struct domain_readers *find_domain(struct domain_readers *domains,
+					  uint32_t *n, const char *name);
+static void add_reader(const struct heartbeat *b, struct domain_readers *d,
+		       struct peer_vm *v);
 static bool is_better_reader(const struct heartbeat *b, const struct peer_vm *v,
 			     const struct peer_vm *w);
 
@@ -202,9 +203,9 @@
 
 	if (heartbeat_is_full_mesh(b))
 		return true;
-	update_readers((struct heartbeat *)b);
-	for (i = 0; i < b->n_domain_readers; i++) {
-		if (!b->domain_readers[i])
+	heartbeat_update_readers((struct heartbeat *)b);
+	for (i = 0; i < b->own_domain.n; i++) {
+		if (!b->own_domain.reader[i])
 			return true;
 	}
 	return false;
@@ -215,7 +216,7 @@
 {
 	if (heartbeat_is_full_mesh(b))
 		return heartbeat_n_live(b) + 1;
-	update_readers((struct heartbeat *)b);
+	heartbeat_update_readers((struct heartbeat *)b);
 	return b->n_readers;
 }
 
@@ -224,68 +225,86 @@
 {
 	const struct peer_vm *v;
 
-	update_readers((struct heartbeat *)b);
-	if (b->n_domain_readers == 0)
+	heartbeat_update_readers((struct heartbeat *)b);
+	if (b->own_domain.n == 0)
 		return NULL;
-	v = b->domain_readers[random % b->n_domain_readers];
+	v = b->own_domain.reader[random % b->own_domain.n];
 	return v ? v->name : NULL;
 }
 
-/* Chooses the readers anew if the live VMs have changed. */
-static void update_readers(struct heartbeat *b)
+/*
+ * Chooses the readers of all failure domains anew if the live VMs have changed.
+ * This VM's domain comes first.
+ */
+void heartbeat_update_readers(struct heartbeat *b)
 {
-	const char *domains[DOMAINS_MAX];
-	uint32_t n_domains = 0;
+	struct domain_readers domains[DOMAINS_MAX];
+	uint32_t n = 0;
 	uint32_t i;
+	uint32_t j;
 
 	if (b->readers_version == b->owners_version + 1)
 		return;
 	b->readers_version = b->owners_version + 1;
-	b->n_domain_readers = 0;
-	add_reader(b, NULL);
-	add_domain(domains, &n_domains, b->proxy->kernel->settings.domain);
+	add_reader(b,
+		   find_domain(domains, &n, b->proxy->kernel->settings.domain),
+		   NULL);
 	for (i = 0; i < b->n; i++) {
-		const struct peer_vm *v = b->peers[i];
+		struct peer_vm *v = b->peers[i];
 
-		if (v->silent || v->draining)
-			continue;
-		add_domain(domains, &n_domains, v->domain);
-		if (strcmp(v->domain, domains[0]) == 0)
-			add_reader(b, v);
+		v->is_reader = false;
+		if (!v->silent && !v->draining)
+			add_reader(b, find_domain(domains, &n, v->domain), v);
+	}
+	b->own_domain = domains[0];
+	b->n_readers = 0;
+	for (i = 0; i < n; i++) {
+		b->n_readers += domains[i].n;
+		for (j = 0; j < domains[i].n; j++) {
+			if (domains[i].reader[j])
+				domains[i].reader[j]->is_reader = true;
+		}
 	}
-	b->n_readers = n_domains * DOMAIN_READERS;
 }
 
-/* Adds a failure domain to a list without repetition. */
-static void add_domain(const char **domains, uint32_t *n, const char *domain)
+/*
+ * Returns the entry of a failure domain, a new one if there is none; NULL if
+ * the table is full.
+ */
+static struct domain_readers *find_domain(struct domain_readers *domains,
+					  uint32_t *n, const char *name)
 {
 	uint32_t i;
 
 	for (i = 0; i < *n; i++) {
-		if (strcmp(domains[i], domain) == 0)
-			return;
+		if (strcmp(domains[i].name, name) == 0)
+			return &domains[i];
 	}
-	if (*n < DOMAINS_MAX)
-		domains[(*n)++] = domain;
+	if (*n == DOMAINS_MAX)
+		return NULL;
+	domains[*n] = (struct domain_readers){ .name = name };
+	return &domains[(*n)++];
 }
 
-/* Inserts a VM of this domain among its readers if it ranks high enough. */
-static void add_reader(struct heartbeat *b, const struct peer_vm *v)
+/* Inserts a VM among the readers of its domain if it ranks high enough. */
+static void add_reader(const struct heartbeat *b, struct domain_readers *d,
+		       struct peer_vm *v)
 {
-	uint32_t i = b->n_domain_readers;
+	uint32_t i;
 
-	if (!v && b->proxy->draining)
+	if (!d || (!v && b->proxy->draining))
 		return;
+	i = d->n;
 	if (i == DOMAIN_READERS) {
-		if (!is_better_reader(b, v, b->domain_readers[i - 1]))
+		if (!is_better_reader(b, v, d->reader[i - 1]))
 			return;
 		i--;
 	} else {
-		b->n_domain_readers++;
+		d->n++;
 	}
-	for (; i > 0 && is_better_reader(b, v, b->domain_readers[i - 1]); i--)
-		b->domain_readers[i] = b->domain_readers[i - 1];
-	b->domain_readers[i] = v;
+	for (; i > 0 && is_better_reader(b, v, d->reader[i - 1]); i--)
+		d->reader[i] = d->reader[i - 1];
+	d->reader[i] = v;
 }
 
 /* Compares two VMs as readers; NULL is this one. The stronger one is better. */
--- a/src/proxy/proxy.c
+++ b/src/proxy/proxy.c
@@ -105,6 +105,14 @@
 	 */
 	.registry_interval = USEC_PER_SEC,
 	.registry_fast_interval = 200 * USEC_PER_MSEC,
+	/*
+	 * A configuration has to be in force within 3 s: half of that for
+	 * finding it, half for reading and spreading it.
+	 */
+	.catalog_poll = {
+		.min_age = 800 * USEC_PER_MSEC,
+		.spread = 700 * USEC_PER_MSEC,
+	},
 	.costs = {
 		/* The handshake in a slot, and three one-way network delays. */
 		.open = 16 * USEC_PER_MSEC,
--- a/src/proxy/proxy_internal.h
+++ b/src/proxy/proxy_internal.h
@@ -13,6 +13,7 @@
 #include "decide/load_balance.h"
 #include "decide/rate_limit.h"
 #include "decide/failover_fsm.h"
+#include "decide/shared_poll.h"
 #include "decide/unlisted_db.h"
 #include "kernel/kernel.h"
 #include "kernel/platform.h"
@@ -356,6 +357,7 @@
 	usec_t silence_timeout;
 	usec_t registry_interval;
 	usec_t registry_fast_interval;
+	struct shared_poll_policy catalog_poll;
 	struct load_balance_costs costs;
 };
 
@@ -567,6 +569,8 @@
 const char *heartbeat_domain_reader(const struct heartbeat *b, uint64_t random);
 /* Sends the next heartbeat at once, also to all VMs of the failure domain. */
 void heartbeat_tell_domain(struct heartbeat *b);
+/* Sends the next heartbeat at once, also to all VMs that read. */
+void heartbeat_tell_readers(struct heartbeat *b);
 /* Sends the next heartbeat at once. */
 void heartbeat_send_now(struct heartbeat *b);
 /*
--- a/src/proxy/registry.c
+++ b/src/proxy/registry.c
@@ -8,14 +8,10 @@
 #include "proxy/registry_internal.h"
 
 /*
- * A watch can miss a change without an error, so it is renewed after this time
- * for each live VM. Peers exchange digests in their heartbeats, so on average
- * one VM of the fleet renews its watch each second. That is a third of the 3 s
- * within which a configuration has to be in force. A VM without peers renews at
- * the same rate alone.
+ * Longest wait of a watch. Reads find what a watch misses; it is renewed to
+ * hear at once again.
  */
-#define WATCH_PER_VM_MS 1000
-#define WATCH_MAX_MS	25000
+#define WATCH_MAX_MS 25000
 /*
  * Back-off after a failed call: the initial delay, doubled each time up to the
  * maximum, a third of the time within which a configuration has to be in force.
@@ -71,7 +67,6 @@
 static void track_outage(struct registry *r, enum platform_result result,
 			 usec_t now);
 static bool is_due(const struct poll *p, usec_t now);
-static uint32_t watch_ms(const struct registry *r);
 static void handle_vms(struct registry *r, struct poll *p);
 static void add_vm(void *ctx, const struct registry_vm *vm);
 static void handle_self(struct registry *r, struct poll *p);
@@ -143,7 +138,8 @@
 	if (is_due(&r->watch, now) && is_reader) {
 		r->watch.call.after = r->position.revision;
 		r->watch_era = r->position.era;
-		r->watch.call.wait_ms = watch_ms(r);
+		r->watch.call.wait_ms =
+			(uint32_t)registry_random_delay(r, WATCH_MAX_MS);
 		registry_poll_send(&r->watch, PLATFORM_WATCH, now);
 	}
 	if (is_due(&r->databases, now))
@@ -342,17 +338,6 @@
 	return min + proxy_random(r->proxy) % (max - min);
 }
 
-/* Returns how long the platform is asked to hold a watch, in milliseconds. */
-static uint32_t watch_ms(const struct registry *r)
-{
-	uint32_t ms =
-		WATCH_PER_VM_MS * heartbeat_n_readers(r->proxy->heartbeat);
-
-	if (ms > WATCH_MAX_MS)
-		ms = WATCH_MAX_MS;
-	return (uint32_t)registry_random_delay(r, ms);
-}
-
 /*
  * After a restoration of the store: reads again what this VM reads for its
  * failure domain, and registers it again, as its entry may be lost. The other
--- a/src/proxy/registry_catalog.c
+++ b/src/proxy/registry_catalog.c
@@ -10,13 +10,6 @@
 /* A VM that starts knows its peers after this time. */
 #define FIRST_WATCH_US USEC_PER_SEC
 
-/*
- * A watch that was sent before a restoration of the store may be held open
- * without ever telling of a change. The configuration is read this often
- * meanwhile: a third of the time within which it has to be in force.
- */
-#define STALE_WATCH_READ_US USEC_PER_SEC
-
 /* Where a reply comes from. */
 enum catalog_source {
 	SOURCE_READ,  /* it tells the present state of the platform */
@@ -32,6 +25,7 @@
 
 static bool apply_catalog(struct registry *r, const char *reply, uint64_t era,
 			  enum catalog_source source);
+static void leave_to_peers(struct registry *r, struct poll *p);
 static void advance(struct registry *r, uint64_t era, uint64_t revision);
 static void note_older(struct registry *r, const struct catalog *c);
 static void note_lacked(struct registry *r, usec_t now);
@@ -43,17 +37,33 @@
 	usec_t now = proxy_now();
 
 	if (p->call.result != PLATFORM_OK ||
-	    !apply_catalog(r, p->reply, p->call.era, SOURCE_READ))
+	    !apply_catalog(r, p->reply, p->call.era, SOURCE_READ)) {
+		leave_to_peers(r, p);
 		return;
+	}
 	p->due_at = 0;
 	registry_confirm(r, p->requested_at);
-	if (r->watch.busy && r->watch_era != r->proxy->store_era.era)
-		p->due_at = now + STALE_WATCH_READ_US;
 	note_lacked(r, now);
 	if (r->watch.due_at == 0)
 		r->watch.due_at = now + FIRST_WATCH_US;
 }
 
+/*
+ * After a read that failed: unless this VM is known to lack a version, or needs
+ * a position for its watch, it reads again only when no other VM has read for a
+ * while.
+ */
+static void leave_to_peers(struct registry *r, struct poll *p)
+{
+	bool has_watch = r->watch.busy || r->watch.due_at;
+
+	if (registry_known_version(r) == 0 || !has_watch ||
+	    r->peer_version > registry_known_version(r))
+		return;
+	p->retry_at = p->due_at;
+	p->due_at = 0;
+}
+
 /*
  * Starts the next watch. apply_catalog() advances the position only if the
  * reply holds a configuration. After an empty reply the next watch starts from
@@ -150,8 +160,9 @@
 		  (unsigned long long)c->version,
 		  (unsigned long long)c->revision, c->n_routes, c->n_teams,
 		  c->n_keys, source_names[source],
-		  (long long)(r->confirmed_at ? proxy_now() - r->confirmed_at
-					      : -1));
+		  (long long)(r->catalog_poll.asked_at
+				      ? proxy_now() - r->catalog_poll.asked_at
+				      : -1));
 	catalog_destroy(x->catalog);
 	x->catalog = c;
 	r->old_catalog.since = 0;
--- a/src/proxy/registry_confirm.c
+++ b/src/proxy/registry_confirm.c
@@ -7,21 +7,23 @@
  * a read of it began then and brought nothing newer. A watch confirms nothing:
  * it may hear nothing while the configuration changes. Peers tell the age of
  * their own reads in heartbeats; what they heard from others they don't pass
- * on.
+ * on, since a VM that was suspended may take old news for new.
  */
 
 /* The time within which a configuration has to be in force. */
 #define CATALOG_IN_FORCE_US (3 * USEC_PER_SEC)
-/* Ages of one read, as told in heartbeats, differ by less than this. */
-#define AGE_ERROR_MAX_US (100 * USEC_PER_MSEC)
 
 static void note(struct registry *r, usec_t at, const char *from);
 
-/* Takes note of a reply of the platform to a read that began at "asked_at". */
+/*
+ * Takes note of a reply of the platform to a read that began at "asked_at", and
+ * tells the VMs that read.
+ */
 void registry_confirm(struct registry *r, usec_t asked_at)
 {
 	r->read_at = asked_at;
 	note(r, asked_at, "platform");
+	heartbeat_tell_readers(r->proxy->heartbeat);
 }
 
 /*
@@ -39,33 +41,45 @@
 	note(r, now - (usec_t)n->read_age_ms * USEC_PER_MSEC, peer);
 }
 
-/* Logs when the configuration has been unconfirmed for too long. */
+/*
+ * Reads the configuration if it is this VM's turn, and logs when it has been
+ * unconfirmed for too long.
+ */
 void registry_confirm_tick(struct registry *r, usec_t now)
 {
-	if (r->confirmed_at == 0 || r->is_unconfirmed ||
-	    now - r->confirmed_at <= CATALOG_IN_FORCE_US)
+	const struct shared_poll *s = &r->catalog_poll;
+	usec_t due_at = shared_poll_due_at(s, &r->proxy->policy.catalog_poll);
+
+	if (due_at == 0)
+		return;
+	if (r->was_reader && r->read.due_at == 0 && now >= due_at &&
+	    now >= r->read.retry_at)
+		r->read.due_at = now;
+	if (r->is_unconfirmed || now - s->asked_at <= CATALOG_IN_FORCE_US)
 		return;
 	r->is_unconfirmed = true;
 	log_event(EV_CONFIG_UNCONFIRMED, "version=%llu age_us=%lld own_us=%lld",
 		  (unsigned long long)registry_known_version(r),
-		  (long long)(now - r->confirmed_at),
+		  (long long)(now - s->asked_at),
 		  (long long)(r->read_at ? now - r->read_at : -1));
 }
 
 /* Advances the time of the newest confirmation, by this VM or a peer. */
 static void note(struct registry *r, usec_t at, const char *from)
 {
-	usec_t gap = at - r->confirmed_at;
+	struct proxy *x = r->proxy;
+	usec_t former = r->catalog_poll.asked_at;
 
-	if (gap <= AGE_ERROR_MAX_US)
+	if (!shared_poll_answered(&r->catalog_poll, &x->policy.catalog_poll, at,
+				  heartbeat_n_readers(x->heartbeat),
+				  proxy_random_unit(x)))
 		return;
-	if (r->confirmed_at)
-		latency_add(LATENCY_CONFIRM, gap);
-	r->confirmed_at = at;
+	if (former)
+		latency_add(LATENCY_CONFIRM, at - former);
 	if (!r->is_unconfirmed || proxy_now() - at > CATALOG_IN_FORCE_US)
 		return;
 	r->is_unconfirmed = false;
 	log_event(EV_CONFIG_CONFIRMED, "version=%llu from=%s after_us=%lld",
 		  (unsigned long long)registry_known_version(r), from,
-		  (long long)gap);
+		  (long long)(at - former));
 }
--- a/src/proxy/registry_internal.h
+++ b/src/proxy/registry_internal.h
@@ -35,7 +35,8 @@
 	struct platform_call call;
 	const char *name;
 	void (*handle)(struct registry *r, struct poll *p);
-	usec_t due_at; /* time of the next request; 0: none is planned */
+	usec_t due_at;	 /* time of the next request; 0: none is planned */
+	usec_t retry_at; /* not before, as the last request failed */
 	usec_t requested_at;
 	bool busy;
 	uint32_t failures; /* failed requests in a row */
@@ -85,9 +86,9 @@
 	/* newest version of a peer that a read has not brought */
 	uint64_t lacked_version;
 	uint64_t refused_version; /* last older version logged; 0: none */
-	/* when the newest read of the configuration began, here or at a peer */
-	usec_t confirmed_at; /* 0: none yet */
-	usec_t read_at;	     /* the same, of this VM's own reads */
+	/* of the configuration, by reads of this VM and its peers */
+	struct shared_poll catalog_poll;
+	usec_t read_at; /* when this VM's newest read of it began; 0: none */
 	bool is_unconfirmed; /* for too long; logged */
 	struct registry_page page;
 };
@@ -118,7 +119,10 @@
 /* Takes note of a peer's read of the configuration. */
 void registry_on_peer_confirm(struct registry *r, const char *peer,
 			      const struct registry_digest *n, usec_t now);
-/* Logs when the configuration has been unconfirmed for too long. */
+/*
+ * Reads the configuration when it was not for a while, here or at a peer. Logs
+ * when it has been unconfirmed for too long.
+ */
 void registry_confirm_tick(struct registry *r, usec_t now);
 
 /* registry_list.c */
