List the databases in turn, by the age of the newest list of any VM

Callers would see: statements sent to a database more than 7 s after it announced its departure (DRAIN). Each VM listed the databases after a random part of a second for each VM that lives, or reads, so that VMs that the store turns away took their part of the lists along. Change: lists are made by decide/shared_poll, too: a VM lists when the newest list, its own or one with the same hash of a peer, is 0.4 s old and a random delay of up to 0.6 s has passed. One that was only this VM's turn and fails is left to the others. Pages read before a failure are no list that peers may copy.

--- a/src/decide/unlisted_db.h
+++ b/src/decide/unlisted_db.h
@@ -21,7 +21,7 @@
 #define UNLISTED_DB_KEPT_US (5 * USEC_PER_SEC)
 /*
  * VMs that are in touch with the platform or with most other VMs know a list
- * within this time: one VM of the fleet reads it about once a second.
+ * within this time: one VM of the fleet reads it within a second.
  */
 #define UNLISTED_DB_KNOWN_US (2 * USEC_PER_SEC)
 
--- a/src/proxy/proxy.c
+++ b/src/proxy/proxy.c
@@ -99,11 +99,6 @@
 	 */
 	.full_backoff = 50 * USEC_PER_MSEC,
 	.silence_timeout = 600 * USEC_PER_MSEC,
-	/*
-	 * Interval between two lists of the databases, counted over all VMs of
-	 * the fleet: a departing database must be without work after 7 s.
-	 */
-	.registry_interval = USEC_PER_SEC,
 	.registry_fast_interval = 200 * USEC_PER_MSEC,
 	/*
 	 * A configuration has to be in force within 3 s: half of that for
@@ -113,6 +108,14 @@
 		.min_age = 800 * USEC_PER_MSEC,
 		.spread = 700 * USEC_PER_MSEC,
 	},
+	/*
+	 * A departing database must be without work after 7 s, and VMs count
+	 * on hearing of a list without a lapsed entry within 2 s.
+	 */
+	.list_poll = {
+		.min_age = 400 * USEC_PER_MSEC,
+		.spread = 600 * USEC_PER_MSEC,
+	},
 	.costs = {
 		/* The handshake in a slot, and three one-way network delays. */
 		.open = 16 * USEC_PER_MSEC,
--- a/src/proxy/proxy_internal.h
+++ b/src/proxy/proxy_internal.h
@@ -355,9 +355,9 @@
 	usec_t connect_timeout;
 	usec_t full_backoff;
 	usec_t silence_timeout;
-	usec_t registry_interval;
 	usec_t registry_fast_interval;
 	struct shared_poll_policy catalog_poll;
+	struct shared_poll_policy list_poll;
 	struct load_balance_costs costs;
 };
 
--- a/src/proxy/registry.c
+++ b/src/proxy/registry.c
@@ -130,6 +130,7 @@
 	r->was_reader = is_reader;
 	check_restored(r, now);
 	registry_confirm_tick(r, now);
+	registry_list_tick(r, now);
 	check_outdated(&r->old_catalog, &r->read, now);
 	check_outdated(&r->old_databases, &r->databases, now);
 
@@ -380,8 +381,6 @@
 		r->watch.due_at = now;
 	if (!r->catalog_reply && r->read.due_at == 0)
 		r->read.due_at = now;
-	if (r->databases.due_at > now + registry_list_interval(r, now))
-		r->databases.due_at = now + registry_list_interval(r, now);
 }
 
 /*
--- a/src/proxy/registry_internal.h
+++ b/src/proxy/registry_internal.h
@@ -55,6 +55,9 @@
 	uint64_t watch_era;    /* of the position that the watch began at */
 	uint64_t restored_era; /* of the newest restoration dealt with */
 	uint64_t list_era;     /* of the first page of the list being read */
+	/* of the list of databases, by lists of this VM and its peers */
+	struct shared_poll list_poll;
+	bool list_is_turn; /* the list in progress is this VM's turn */
 	/* the databases are listed at the fast interval until this time */
 	usec_t fast_until;
 	/* when the newest complete list of databases was requested; 0: none */
@@ -132,7 +135,7 @@
 /* Compares a peer's list of databases with this VM's. */
 void registry_on_peer_list(struct registry *r, const char *peer,
 			   const struct registry_digest *n, usec_t now);
-/* Returns the interval to the next list of databases. */
-usec_t registry_list_interval(const struct registry *r, usec_t now);
+/* Lists the databases when no VM has for a while. */
+void registry_list_tick(struct registry *r, usec_t now);
 
 #endif
--- a/src/proxy/registry_list.c
+++ b/src/proxy/registry_list.c
@@ -9,15 +9,14 @@
 
 /* Follows the list of databases: lists of the platform and copies of peers. */
 
-/*
- * A change in the list of databases has to be known within 7 s. The VMs share
- * the polling in the same way: one list each second over the fleet, and each VM
- * at least this often.
- */
+/* A VM lists the databases itself at least this often. */
 #define LIST_INTERVAL_MAX_US (120 * USEC_PER_SEC)
 /* A peer's list that is older than this tells nothing. */
 #define LIST_AGE_MAX_MS (2 * LIST_INTERVAL_MAX_US / USEC_PER_MSEC)
 
+static void note_listed(struct registry *r, usec_t listed_at);
+static void on_list_failed(struct registry *r, struct poll *p, usec_t now);
+static usec_t list_interval(const struct registry *r, usec_t now);
 static void apply_list(struct registry *r, usec_t listed_at, usec_t now);
 static uint64_t hash_list(const struct registry *r);
 static int compare_ids(const void *a, const void *b);
@@ -101,6 +100,7 @@
 		return;
 	listed_at -= (usec_t)n->databases_age_ms * USEC_PER_MSEC;
 	if (n->databases == r->list_hash) {
+		note_listed(r, listed_at + REGISTRY_COPY_DELAY_MAX_US);
 		if (listed_at > r->list_confirmed_at)
 			r->list_confirmed_at = listed_at;
 		return;
@@ -177,8 +177,10 @@
 	usec_t now = proxy_now();
 	struct error e;
 
-	if (p->call.result != PLATFORM_OK || !p->reply)
+	if (p->call.result != PLATFORM_OK || !p->reply) {
+		on_list_failed(r, p, now);
 		return;
+	}
 	if (p->call.from[0] == '\0') {
 		r->list_era = p->call.era;
 		r->n_list = 0;
@@ -192,6 +194,7 @@
 	if (registry_codec()->databases(p->reply, add_database, r, &r->page,
 					&e)) {
 		log_error(EV_CONFIG_REFUSED, &e);
+		r->n_list = 0;
 		return;
 	}
 	if (r->page.skipped)
@@ -202,24 +205,57 @@
 		return;
 	}
 	apply_list(r, p->requested_at, now);
+	heartbeat_tell_readers(r->proxy->heartbeat);
 	if (r->list_again_now)
 		p->due_at = now;
 	r->list_again_now = false;
 }
 
-/* Returns the interval to the next list of databases. */
-usec_t registry_list_interval(const struct registry *r, usec_t now)
+/*
+ * After a list that failed: one that was only this VM's turn is left to the
+ * others for a while. The pages read so far are no list.
+ */
+static void on_list_failed(struct registry *r, struct poll *p, usec_t now)
+{
+	if (p->call.from[0] != '\0')
+		r->n_list = 0;
+	if (!r->list_is_turn || r->newer_list_since || r->list_again_now ||
+	    now < r->fast_until)
+		return;
+	r->list_is_turn = false;
+	p->retry_at = p->due_at;
+	p->due_at = now + list_interval(r, now);
+}
+
+/* Lists the databases if it is this VM's turn. */
+void registry_list_tick(struct registry *r, usec_t now)
+{
+	usec_t due_at =
+		shared_poll_due_at(&r->list_poll, &r->proxy->policy.list_poll);
+
+	if (due_at && r->was_reader && now >= due_at &&
+	    now >= r->databases.retry_at && r->databases.due_at > now) {
+		r->databases.due_at = now;
+		r->list_is_turn = true;
+	}
+}
+
+/* Takes note of a list, of this VM or of a peer that has the same. */
+static void note_listed(struct registry *r, usec_t listed_at)
 {
-	const struct proxy_policy *policy = &r->proxy->policy;
-	usec_t delay = policy->registry_interval *
-		       heartbeat_n_readers(r->proxy->heartbeat);
+	struct proxy *x = r->proxy;
 
+	(void)shared_poll_answered(&r->list_poll, &x->policy.list_poll,
+				   listed_at, heartbeat_n_readers(x->heartbeat),
+				   proxy_random_unit(x));
+}
+
+/* Returns the interval to the next list of this VM that no other replaces. */
+static usec_t list_interval(const struct registry *r, usec_t now)
+{
 	if (now < r->fast_until)
-		return policy->registry_fast_interval;
-	if (delay > LIST_INTERVAL_MAX_US ||
-	    !heartbeat_is_reader(r->proxy->heartbeat))
-		delay = LIST_INTERVAL_MAX_US;
-	return (usec_t)registry_random_delay(r, (uint64_t)delay);
+		return r->proxy->policy.registry_fast_interval;
+	return (usec_t)registry_random_delay(r, LIST_INTERVAL_MAX_US);
 }
 
 /* Applies the complete list in r->list, requested at "listed_at". */
@@ -242,7 +278,9 @@
 	if (listed_at >= r->newer_listed_at ||
 	    r->list_hash == r->newer_list_hash)
 		r->newer_list_since = 0;
-	r->databases.due_at = now + registry_list_interval(r, now);
+	note_listed(r, listed_at);
+	r->list_is_turn = false;
+	r->databases.due_at = now + list_interval(r, now);
 	x->databases_known = r->n_list > 0;
 	relist_at = db_group_apply_databases(x, r->list, r->n_list, listed_at);
 	if (relist_at && relist_at < r->databases.due_at)
--- a/tests/process/config_in_time.pl
+++ b/tests/process/config_in_time.pl
@@ -1,6 +1,7 @@
-# Tests how soon configurations come into force, started by
-# tests/process/config_in_time.sh:
-#	perl config_in_time.pl PLATFORM VM=ADDRESS...
+# Tests how soon configurations come into force and departures of databases are
+# learned, started by tests/process/config_in_time.sh:
+#	perl config_in_time.pl PLATFORM DIRECTORY VM=ADDRESS...
+# The directory has a file VM.out with the log of each VM.
 # Prints one line per check, and the counts.
 use strict;
 use warnings;
@@ -11,6 +12,8 @@
 
 # The time within which a configuration has to be in force, in seconds.
 my $CONFIG_S = 3;
+# The time after which a departing database must not be sent statements.
+my $DEPARTS_S = 7;
 # What is late ends by then, so that the next change is judged alone.
 my $END_S = 30;
 my $CHANGES = 4;
@@ -18,7 +21,7 @@
 my ($PAUSE_MIN_S, $PAUSE_MAX_S) = (1.3, 2.3);
 srand(5);
 
-($platform, my @vms) = @ARGV;
+($platform, my $dir, my @vms) = @ARGV;
 my %at = map { split /=/ } @vms;
 my $key = 10;
 $| = 1;
@@ -48,7 +51,32 @@
 	return time - $since;
 }
 
-# [what, how the store turns seven of the eight VMs away]
+# Returns the number of departures, and of their ends, that each VM has logged.
+sub departures {
+	my %n;
+	for my $vm (keys %at) {
+		open my $f, "<", "$dir/$vm.out" or die "$dir/$vm.out: $!";
+		$n{$vm} = grep { / db_departs / } <$f>;
+	}
+	return %n;
+}
+
+# Lets a database announce its departure, or take that back, and returns the
+# seconds until all VMs have learned it.
+sub departure {
+	my ($what) = @_;
+	my %before = departures();
+	my $since = time;
+	control("do=$what&db=db-3");
+	while (time - $since < $END_S) {
+		my %now = departures();
+		last if !grep { $now{$_} <= $before{$_} } keys %at;
+		sleep 0.05;
+	}
+	return time - $since;
+}
+
+# [what, how the store turns all but one VM away]
 my @cases = (
 	["all VMs reach the store", 0],
 	["most VMs are answered 503 and 429", 1],
@@ -59,9 +87,13 @@
 	my ($what, $how) = @$c;
 	control("do=turn_away&n=$how");
 	my @took = map { change() } 1 .. $CHANGES;
-	control("do=turn_away&n=0");
 	ok("$what: in force within $CONFIG_S s", !(grep { $_ > $CONFIG_S } @took));
-	print "# $what: ", join(" ", map { sprintf "%.2f", $_ } @took), " s\n";
+	my @learned = map { departure($_) } "depart", "stay", "depart", "stay";
+	ok("$what: departures learned within $DEPARTS_S s",
+	    !(grep { $_ > $DEPARTS_S } @learned));
+	control("do=turn_away&n=0");
+	print "# $what: ", join(" ", map { sprintf "%.2f", $_ } @took), " s, departures ",
+	    join(" ", map { sprintf "%.2f", $_ } @learned), " s\n";
 }
 print "$passed passed, $failed failed\n";
 exit($failed ? 1 : 0);
--- a/tests/process/config_in_time.sh
+++ b/tests/process/config_in_time.sh
@@ -1,10 +1,11 @@
 #!/bin/sh
-# Guards against configurations that come into force too late, as the store turns
-# most VMs away and watches miss the change: eight VMs on a fake platform.
+# Guards against configurations that come into force too late, and departures of
+# databases that are learned too late, as the store turns most VMs away and watches
+# miss the change: sixteen VMs on a fake platform.
 set -u
 cd "$(dirname "$0")/../.." || exit 1
 . tests/process/lib.sh
-N_VMS=8
+N_VMS=16
 
 settings() { # number platform
 	cat >"$T/c$1.json" <<END
@@ -33,7 +34,7 @@
 	ok "c$n gets ready" eventually 200 ready "$n"
 	VMS="$VMS c$n=$(address "$n" callers)"
 done
-perl tests/process/config_in_time.pl "$PLATFORM" $VMS >"$T/cases" 2>&1
+perl tests/process/config_in_time.pl "$PLATFORM" "$T" $VMS >"$T/cases" 2>&1
 while read -r line; do
 	case $line in
 	"not ok "*) ok "${line#not ok }" false ;;
--- a/tests/sessions/control.cc
+++ b/tests/sessions/control.cc
@@ -59,8 +59,8 @@
 		db->born++;
 		db->primary = false;
 		register_db(db);
-	} else if (what == "depart") {
-		db->departing = true;
+	} else if (what == "depart" || what == "stay") {
+		db->departing = what == "depart";
 		register_db(db);
 	} else if (what == "lose_replies") {
 		db->lose_replies = n;
