Copy a newer configuration while a read of it is not answered

Callers saw: a change came into force 1.5 s later on VMs that the store had just stopped to answer, of the 3 s that it may take in all (CONFIG). Cause: a VM that learns of a newer version from a peer reads it from the platform, and requests a copy of the peer only after that has failed. A platform that keeps silent fails a call after its whole time-out. The same class: the VM relied on a source that may not serve it, while another has the data. Change: the copy is requested at once if calls of this VM are failing, else after 200 ms. All VMs keep a reply to copy, also those that don't read in a large fleet; there a VM asks the peer that told it if the readers of its domain have none, and readers tell the readers of other domains of a new version at once.

--- a/src/proxy/registry.c
+++ b/src/proxy/registry.c
@@ -129,6 +129,7 @@
 		become_reader(r, now);
 	r->was_reader = is_reader;
 	check_restored(r, now);
+	registry_catalog_tick(r, now);
 	registry_confirm_tick(r, now);
 	registry_list_tick(r, now);
 	check_outdated(&r->old_catalog, &r->read, now);
@@ -379,7 +380,7 @@
 		return;
 	if (r->watch.due_at == 0 || r->watch.due_at > now)
 		r->watch.due_at = now;
-	if (!r->catalog_reply && r->read.due_at == 0)
+	if (r->position.revision == 0 && r->read.due_at == 0)
 		r->read.due_at = now;
 }
 
--- a/src/proxy/registry_catalog.c
+++ b/src/proxy/registry_catalog.c
@@ -10,6 +10,14 @@
 /* A VM that starts knows its peers after this time. */
 #define FIRST_WATCH_US USEC_PER_SEC
 
+/*
+ * A read of a version that a peer has takes less, unless the platform does not
+ * answer: then a copy is requested from the peer, too.
+ */
+#define READ_WAIT_US (200 * USEC_PER_MSEC)
+/* A version that no peer has told for so long is not to be had from peers. */
+#define LACKED_MAX_US (2 * USEC_PER_SEC)
+
 /* Where a reply comes from. */
 enum catalog_source {
 	SOURCE_READ,  /* it tells the present state of the platform */
@@ -101,7 +109,8 @@
 
 /*
  * Remembers that a peer has this version of the configuration, and obtains it
- * if it is newer: from the platform, unless a read has not brought it.
+ * if it is newer: from the platform, unless that does not answer this VM or a
+ * read has not brought it.
  */
 void registry_on_peer_version(struct registry *r, const char *peer,
 			      uint64_t version, usec_t now)
@@ -112,13 +121,26 @@
 		r->peer_version = version;
 		snprintf(r->peer, sizeof(r->peer), "%s", peer);
 	}
-	if (r->lacked_version >= version || r->read.failures > 0)
+	r->told_at = now;
+	if (r->lacked_since == 0)
+		r->lacked_since = now;
+	if (r->lacked_version >= version || r->read.failures > 0 ||
+	    r->failing_since)
 		request_copy(r, now);
 	else if (r->read.due_at == 0)
 		registry_refresh_outdated(r, &r->old_catalog,
 					  REGISTRY_COPY_CATALOG, &r->read, now);
 }
 
+/* Requests a copy of a version that a read has not brought in time. */
+void registry_catalog_tick(struct registry *r, usec_t now)
+{
+	if (r->lacked_since && now - r->told_at >= LACKED_MAX_US)
+		r->lacked_since = 0;
+	if (r->lacked_since && now - r->lacked_since >= READ_WAIT_US)
+		request_copy(r, now);
+}
+
 /*
  * Brings a newer configuration into force; an older one is ignored, also one
  * that the platform was restored to: the operator writes the newer one again.
@@ -144,9 +166,9 @@
 		advance(r, era, revision);
 	if (!c)
 		return true;
-	if (!x->catalog || c->version >= x->catalog->version) {
+	if (!r->catalog_reply || c->version > registry_known_version(r)) {
 		free(r->catalog_reply);
-		r->catalog_reply = r->was_reader ? strdup(reply) : NULL;
+		r->catalog_reply = strdup(reply);
 	}
 	if (x->catalog && c->version <= x->catalog->version) {
 		if (source == SOURCE_READ)
@@ -166,9 +188,13 @@
 	catalog_destroy(x->catalog);
 	x->catalog = c;
 	r->old_catalog.since = 0;
+	if (c->version >= r->peer_version)
+		r->lacked_since = 0;
 	r->refused_version = 0;
-	if (r->was_reader)
+	if (r->was_reader) {
 		heartbeat_tell_domain(x->heartbeat);
+		heartbeat_tell_readers(x->heartbeat);
+	}
 	/* Lists again, as databases of unknown services were skipped. */
 	if (db_group_apply_catalog(x, proxy_now())) {
 		r->listed_at = 0;
@@ -224,19 +250,24 @@
 }
 
 /*
- * Requests a copy of the catalogue: from the peer that has the newest version,
- * or, in a large fleet, from a VM that reads for this failure domain, since the
- * others keep none. If none comes in time, the platform is read again.
+ * Requests a copy of the catalogue: from the peer that told the newest version,
+ * or, in a large fleet, first from a VM that reads for this failure domain, to
+ * save traffic between domains. If none comes in time, the platform is read
+ * again.
  */
 static void request_copy(struct registry *r, usec_t now)
 {
+	bool asks_peer;
+
 	if (r->old_catalog.since == 0)
 		r->old_catalog.since = now;
 	if (now - r->old_catalog.asked_at < COPY_RETRY_US)
 		return;
 	r->old_catalog.asked_at = now;
+	asks_peer = r->was_reader ||
+		    (r->lacked_since && now - r->lacked_since >= READ_WAIT_US);
 	registry_copy_request(r->proxy, REGISTRY_COPY_CATALOG,
-			      r->was_reader ? r->peer : NULL);
+			      asks_peer ? r->peer : NULL);
 }
 
 /* Returns the version of the configuration in force; 0: none. */
--- a/src/proxy/registry_internal.h
+++ b/src/proxy/registry_internal.h
@@ -82,10 +82,12 @@
 	bool was_reader; /* this VM read for its domain at the last tick */
 	struct outdated old_catalog;
 	struct outdated old_databases;
-	char *catalog_reply; /* of the newest catalogue, kept by readers */
+	char *catalog_reply; /* of the newest catalogue, for copies */
 	/* the newest version that a peer has told, and the last to tell it */
 	uint64_t peer_version;
 	char peer[NAME_MAX_BYTES];
+	usec_t lacked_since; /* since when it has been lacked; 0: it is not */
+	usec_t told_at; /* when a peer last told a version that is lacked */
 	/* newest version of a peer that a read has not brought */
 	uint64_t lacked_version;
 	uint64_t refused_version; /* last older version logged; 0: none */
@@ -109,6 +111,8 @@
 /* registry_catalog.c */
 void registry_handle_catalog_list(struct registry *r, struct poll *p);
 void registry_handle_catalog_watch(struct registry *r, struct poll *p);
+/* Requests a copy of a version that a read has not brought in time. */
+void registry_catalog_tick(struct registry *r, usec_t now);
 /* Obtains the version of the configuration that a peer told, if newer. */
 void registry_on_peer_version(struct registry *r, const char *peer,
 			      uint64_t version, usec_t now);
--- a/tests/process/config_in_time.pl
+++ b/tests/process/config_in_time.pl
@@ -12,6 +12,8 @@
 
 # The time within which a configuration has to be in force, in seconds.
 my $CONFIG_S = 3;
+# Half of that is for the first VM to find it, half for the others to get it.
+my $SPREAD_S = $CONFIG_S / 2;
 # The time after which a departing database must not be sent statements.
 my $DEPARTS_S = 7;
 # What is late ends by then, so that the next change is judged alone.
@@ -35,21 +37,23 @@
 	} sort keys %at;
 }
 
-# Adds a key while watches hear nothing, and returns the seconds until it works on
-# all VMs.
+# Adds a key and returns the seconds until it works on all VMs. "while" is called
+# with 1 right before and with 0 soon after.
 sub change {
+	my ($while) = @_;
 	my $name = "key-" . ++$key;
 	sleep $PAUSE_MIN_S + rand($PAUSE_MAX_S - $PAUSE_MIN_S);
-	control("do=watches_deaf&n=1");
+	$while->(1);
 	my $since = time;
 	control("do=add_key&key=$name");
 	sleep 0.3;
-	control("do=watches_deaf&n=0");
+	$while->(0);
 	while (without($name) && time - $since < $END_S) {
 		sleep 0.03;
 	}
 	return time - $since;
 }
+sub watches_are_deaf { control("do=watches_deaf&n=$_[0]") }
 
 # Returns the number of departures, and of their ends, that each VM has logged.
 sub departures {
@@ -76,6 +80,12 @@
 	return time - $since;
 }
 
+# The VMs take the platform for answering until the first call has timed out.
+my $took = change(sub { control("do=turn_away&n=2") if $_[0] });
+control("do=turn_away&n=0");
+ok("most VMs are not answered from now on: in force everywhere within $SPREAD_S s",
+    $took <= $SPREAD_S, "$took s");
+
 # [what, how the store turns all but one VM away]
 my @cases = (
 	["all VMs reach the store", 0],
@@ -86,7 +96,7 @@
 for my $c (@cases) {
 	my ($what, $how) = @$c;
 	control("do=turn_away&n=$how");
-	my @took = map { change() } 1 .. $CHANGES;
+	my @took = map { change(\&watches_are_deaf) } 1 .. $CHANGES;
 	ok("$what: in force within $CONFIG_S s", !(grep { $_ > $CONFIG_S } @took));
 	my @learned = map { departure($_) } "depart", "stay", "depart", "stay";
 	ok("$what: departures learned within $DEPARTS_S s",
--- a/tests/sessions/control.cc
+++ b/tests/sessions/control.cc
@@ -96,7 +96,7 @@
 	} else if (what == "drop_history") {
 		history_from = ++revision;
 	} else if (what == "turn_away") {
-		turn_away = static_cast<TurnAway>(n);
+		set_turn_away(static_cast<TurnAway>(n));
 	} else if (what == "watches_deaf") {
 		set_watches_deaf(n != 0);
 	} else if (what == "era") {
--- a/tests/sessions/fake_platform.cc
+++ b/tests/sessions/fake_platform.cc
@@ -261,6 +261,18 @@
 		      atoi(request_query(req, "waitMs").c_str()));
 }
 
+// Watches that are held at the second port end in the same way.
+void FakePlatform::set_turn_away(TurnAway how)
+{
+	std::vector<Watch> held;
+	held.swap(watches);
+	turn_away = how;
+	for (const auto &w : held) {
+		if (!is_turned_away(w.req))
+			watches.push_back(w);
+	}
+}
+
 // Turns away a call to the second port, if it is to be.
 bool FakePlatform::is_turned_away(evhttp_request *req)
 {
--- a/tests/sessions/fake_platform.h
+++ b/tests/sessions/fake_platform.h
@@ -207,6 +207,7 @@
 	// How calls to the second port fail.
 	enum class TurnAway { no, busy, silent, reset };
 	TurnAway turn_away = TurnAway::no;
+	void set_turn_away(TurnAway how);
 	bool is_turned_away(evhttp_request *req);
 	// Watches hear nothing, and are not answered any more.
 	bool watches_deaf = false;
