Copy only the newest configuration to a peer

Callers would see: a VM that the platform turns away keeps an older configuration, as it refuses its peer's copy as malformed (CONFIG). Cause: a VM passed on the platform's reply as it came. A watch may bring several versions in one, each up to 1 MB; a peer takes 2 MB. Change: the copy that is kept holds only the newest configuration. Evidence: ObjectCodec.CopyHoldsOnlyTheNewestConfiguration has a reply of 2.7 MB with three versions: more than a peer takes, which is what was sent before; the copy is 0.9 MB and decodes to the newest version.

--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -73,6 +73,11 @@
 	 */
 	struct catalog *(*catalog)(const char *reply, uint64_t *revision,
 				   struct error *e);
+	/*
+	 * A reply with only the newest configuration of another one, for peers;
+	 * malloc'd. NULL if it holds none or memory is short.
+	 */
+	char *(*catalog_copy)(const char *reply);
 	int (*databases)(const char *reply, registry_db_fn fn, void *ctx,
 			 struct registry_page *page, struct error *e);
 	int (*vms)(const char *reply, registry_vm_fn fn, void *ctx,
@@ -117,9 +122,8 @@
 /* Lists the databases more often for a while. */
 void registry_poll_fast(struct registry *r, usec_t now);
 /*
- * This VM's copies, for other VMs of its failure domain: the reply of the
- * platform that holds the newest configuration (NULL if it is not kept), and
- * the newest list of databases.
+ * This VM's copies, for other VMs: a reply of the platform that holds only the
+ * newest configuration (NULL: none yet), and the newest list of databases.
  */
 const char *registry_catalog_reply(const struct registry *r);
 const struct registry_db *registry_list(const struct registry *r, uint32_t *n);
--- a/src/proxy/registry_catalog.c
+++ b/src/proxy/registry_catalog.c
@@ -95,7 +95,7 @@
 		p->due_at = proxy_now();
 }
 
-/* Returns the platform's reply with the newest catalogue, NULL if not kept. */
+/* Returns a reply that holds only the newest catalogue; NULL: none yet. */
 const char *registry_catalog_reply(const struct registry *r)
 {
 	return r->catalog_reply;
@@ -168,7 +168,7 @@
 		return true;
 	if (!r->catalog_reply || c->version > registry_known_version(r)) {
 		free(r->catalog_reply);
-		r->catalog_reply = strdup(reply);
+		r->catalog_reply = registry_codec()->catalog_copy(reply);
 	}
 	if (x->catalog && c->version <= x->catalog->version) {
 		if (source == SOURCE_READ)
--- a/src/proxy/registry_copy.c
+++ b/src/proxy/registry_copy.c
@@ -78,7 +78,7 @@
 	free(reply);
 }
 
-/* Sends the platform's reply with the newest catalogue. */
+/* Sends a reply that holds only the newest catalogue. */
 static void send_catalog(struct peer_link *l)
 {
 	const char *reply = registry_catalog_reply(l->proxy->registry);
--- a/tests/platform/object_codec_test.cc
+++ b/tests/platform/object_codec_test.cc
@@ -6,6 +6,7 @@
 
 extern "C" {
 #include "platform/object_codec.h"
+#include "proxy/protocol.h"
 }
 
 namespace
@@ -99,6 +100,57 @@
 	}
 }
 
+// Guards against copies of the configuration that peers refuse as too large: a
+// watch may bring several versions in one reply.
+TEST(ObjectCodec, CopyHoldsOnlyTheNewestConfiguration)
+{
+	const size_t most = 2 * MESSAGE_MAX_BYTES; // that a peer takes
+	const std::string padding(900000, 'x');
+	auto version = [&padding](int n) {
+		return R"({"version":)" + std::to_string(n) +
+		       R"(,"routes":[],"services":[],"note":")" + padding +
+		       "\"}";
+	};
+	auto event = [](bool deleted, const std::string &o) {
+		return std::string("{\"deleted\":") +
+		       (deleted ? "true" : "false") + ",\"object\":" + o + "}";
+	};
+	const std::string three =
+		"{\"events\":[" + event(false, object("main", 11, version(4))) +
+		"," + event(false, object("main", 14, version(7))) + "," +
+		event(false, object("main", 13, version(6))) +
+		"],\"currentRev\":15}";
+	const struct {
+		const char *name;
+		std::string reply;
+		uint64_t version; // 0: no copy
+	} cases[] = {
+		{ "several versions in a watch", three, 7 },
+		{ "a list",
+		  "{\"items\":[" + object("main", 12, kConfig) +
+			  "],\"more\":false,\"currentRev\":15}",
+		  7 },
+		{ "no configuration", "{\"items\":[],\"currentRev\":15}", 0 },
+		{ "not JSON", "{", 0 },
+	};
+	EXPECT_GT(three.size(), most);
+	for (const auto &c : cases) {
+		char *copy = object_codec_catalog_copy(c.reply.c_str());
+		ASSERT_EQ(copy != nullptr, c.version != 0) << c.name;
+		if (!copy)
+			continue;
+		struct error e;
+		error_clear(&e);
+		uint64_t revision = 0;
+		struct catalog *got = object_codec_catalog(copy, &revision, &e);
+		EXPECT_LE(strlen(copy), most) << c.name;
+		ASSERT_NE(got, nullptr) << c.name << " " << e.message;
+		EXPECT_EQ(got->version, c.version) << c.name;
+		catalog_destroy(got);
+		free(copy);
+	}
+}
+
 struct Collected {
 	std::vector<struct registry_db> dbs;
 };
