--- a/src/proxy/registry_internal.h
+++ b/src/proxy/registry_internal.h
@@ -57,7 +57,6 @@
 	uint64_t list_era;     /* of the first page of the list being read */
 	/* of the list of databases, by lists of this VM and its peers */
 	struct shared_poll list_poll;
-	bool list_is_turn; /* the list in progress is this VM's turn */
 	/* the databases are listed at the fast interval until this time */
 	usec_t fast_until;
 	/* when the newest complete list of databases was requested; 0: none */
@@ -69,10 +68,7 @@
 	/* time of the first failed request since the last success; 0: none */
 	usec_t failing_since;
 	usec_t failed_at; /* of the newest failed request */
-	/* list the databases again as soon as the list in progress is done */
-	bool list_again_now;
 	struct registry_db *list;
-	uint32_t n_list;
 	uint64_t list_hash; /* hash_list() of the newest complete list */
 	/* newest time as of which the platform or a peer had this list */
 	usec_t list_confirmed_at;
@@ -80,7 +76,6 @@
 	usec_t newer_list_since;
 	usec_t newer_listed_at;	  /* when that list was requested */
 	uint64_t newer_list_hash; /* its hash_list() */
-	bool was_reader; /* this VM read for its domain at the last tick */
 	struct outdated old_catalog;
 	struct outdated old_databases;
 	char *catalog_reply; /* of the newest catalogue, for copies */
@@ -95,8 +90,13 @@
 	/* of the configuration, by reads of this VM and its peers */
 	struct shared_poll catalog_poll;
 	usec_t read_at; /* when this VM's newest read of it began; 0: none */
-	bool is_unconfirmed; /* for too long; logged */
 	struct registry_page page;
+	uint32_t n_list;
+	/* list the databases again as soon as the list in progress is done */
+	bool list_again_now;
+	bool list_is_turn;   /* the list in progress is this VM's turn */
+	bool was_reader;     /* this VM read for its domain at the last tick */
+	bool is_unconfirmed; /* for too long; logged */
 };
 
 /* registry.c */
