--- a/src/proxy/heartbeat_internal.h
+++ b/src/proxy/heartbeat_internal.h
@@ -67,7 +67,7 @@
 	const char *name;
 	uint32_t n;
 	uint32_t most; /* so many are chosen */
-	/* first the strongest; NULL: this VM */
+	/* first the best; NULL: this VM */
 	struct peer_vm *reader[DOMAIN_READERS_MAX];
 };
 
--- a/src/proxy/heartbeat_view.c
+++ b/src/proxy/heartbeat_view.c
@@ -295,8 +295,7 @@
 	return &domains[(*n)++];
 }
 
-/* Has one more VM of a domain read for one that the platform does not answer.
- */
+/* Lets one more VM of a domain read if the platform does not answer this one. */
 static void count_failing(struct domain_readers *domains, uint32_t *n,
 			  const struct peer_vm *v)
 {
