--- a/src/proxy/heartbeat_view.c
+++ b/src/proxy/heartbeat_view.c
@@ -295,7 +295,7 @@
 	return &domains[(*n)++];
 }
 
-/* Lets one more VM of a domain read if the platform does not answer this one. */
+/* If the platform does not answer a VM, one more of its domain reads. */
 static void count_failing(struct domain_readers *domains, uint32_t *n,
 			  const struct peer_vm *v)
 {
