--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -24,6 +24,7 @@
 	X(1004, VM_STOP, INFO, "VM stops")                                  \
 	X(1005, VM_FAIL, ERROR, "VM cannot start")                          \
 	X(1006, LOG_DROPPED, WARN, "log lines were left out")               \
+	X(1007, VM_SUSPENDED, WARN, "VM did not run for a while")           \
 	X(2001, CALLER_REFUSED, DEBUG, "request refused")                   \
 	X(2002, CALLER_UNKNOWN, WARN, "outcome of a request unknown")       \
 	X(2003, STATEMENT_DONE, INFO, "statement answered")                 \
@@ -33,6 +34,7 @@
 	X(2007, TRANSACTION_LOST, WARN, "transaction lost its connection")  \
 	X(2008, STATEMENT_SERVED, INFO, "statement of another VM executed") \
 	X(2009, STATEMENT_RETURNED, INFO, "statement given back to its VM") \
+	X(2010, SESSION_REFUSED, INFO, "session refused by configuration")  \
 	X(3001, DB_LOST, WARN, "database does not answer")                  \
 	X(3002, DB_BACK, INFO, "database answers again")                    \
 	X(3003, DB_SUSPECT, WARN, "connection closed after overdue reply")  \
--- a/src/proxy/heartbeat.c
+++ b/src/proxy/heartbeat.c
@@ -119,15 +119,18 @@
 
 /*
  * Sends heartbeats when they are due, and marks peers as silent or gone. Drops
- * this VM's tokens after too long a gap between two ticks, and leaves the rate
- * limits when the VM begins to drain.
+ * this VM's tokens, with a log line, after too long a gap between two ticks,
+ * and leaves the rate limits when the VM begins to drain.
  */
 void heartbeat_tick(struct heartbeat *b, usec_t now)
 {
 	uint32_t i;
 
-	if (b->ticked_at && now - b->ticked_at > TICK_GAP_MAX_US)
+	if (b->ticked_at && now - b->ticked_at > TICK_GAP_MAX_US) {
+		log_event(EV_VM_SUSPENDED, "gap_us=%lld",
+			  (long long)(now - b->ticked_at));
 		rate_limit_drop_tokens(b->proxy->rate_limit, now);
+	}
 	b->ticked_at = now;
 	if (b->proxy->draining && !b->left) {
 		b->left = true;
--- a/src/proxy/proxy_internal.h
+++ b/src/proxy/proxy_internal.h
@@ -361,6 +361,13 @@
 	struct load_balance_costs costs;
 };
 
+/* Log lines of sessions refused by the configuration, which are bounded. */
+struct refused_lines {
+	usec_t since; /* start of the second in which n were written */
+	uint32_t n;
+	uint32_t left_out; /* since the last line */
+};
+
 struct proxy {
 	struct kernel *kernel;
 	struct event_base *base;
@@ -397,6 +404,7 @@
 	bool vms_known;
 	bool limits_known; /* this VM's share of the team limits is known */
 	bool was_restored; /* the store was, since its era is known here */
+	struct refused_lines refused_lines;
 	uint64_t n_claims; /* promotion claims written by this VM */
 	struct proxy_inbox *inbox;
 	uint64_t random[16];
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -119,6 +119,11 @@
 void registry_tick(struct registry *r, usec_t now);
 /* True if the platform does not answer this VM. */
 bool registry_platform_fails(const struct registry *r, usec_t now);
+/*
+ * The age of the newest read of the configuration that this VM knows of, its
+ * own or a peer's; -1: none.
+ */
+usec_t registry_confirm_age(const struct registry *r, usec_t now);
 /* Lists the databases more often for a while. */
 void registry_poll_fast(struct registry *r, usec_t now);
 /*
--- a/src/proxy/registry_catalog.c
+++ b/src/proxy/registry_catalog.c
@@ -182,9 +182,7 @@
 		  (unsigned long long)c->version,
 		  (unsigned long long)c->revision, c->n_routes, c->n_teams,
 		  c->n_keys, source_names[source],
-		  (long long)(r->catalog_poll.asked_at
-				      ? proxy_now() - r->catalog_poll.asked_at
-				      : -1));
+		  (long long)registry_confirm_age(r, proxy_now()));
 	catalog_destroy(x->catalog);
 	x->catalog = c;
 	r->old_catalog.since = 0;
--- a/src/proxy/registry_confirm.c
+++ b/src/proxy/registry_confirm.c
@@ -58,10 +58,20 @@
 	if (r->is_unconfirmed || now - s->asked_at <= CATALOG_IN_FORCE_US)
 		return;
 	r->is_unconfirmed = true;
-	log_event(EV_CONFIG_UNCONFIRMED, "version=%llu age_us=%lld own_us=%lld",
+	log_event(EV_CONFIG_UNCONFIRMED,
+		  "version=%llu age_us=%lld own_us=%lld failing_us=%lld "
+		  "reader=%d",
 		  (unsigned long long)registry_known_version(r),
 		  (long long)(now - s->asked_at),
-		  (long long)(r->read_at ? now - r->read_at : -1));
+		  (long long)(r->read_at ? now - r->read_at : -1),
+		  (long long)(r->failing_since ? now - r->failing_since : -1),
+		  r->was_reader);
+}
+
+/* Returns the age of the newest confirmation; -1: there was none. */
+usec_t registry_confirm_age(const struct registry *r, usec_t now)
+{
+	return r->catalog_poll.asked_at ? now - r->catalog_poll.asked_at : -1;
 }
 
 /* Advances the time of the newest confirmation, by this VM or a peer. */
--- a/src/proxy/session.c
+++ b/src/proxy/session.c
@@ -15,6 +15,8 @@
 #define SESSION_NAMES_MAX 128
 /* A caller's first message has to arrive within this time. */
 #define START_TIMEOUT_US (10 * USEC_PER_SEC)
+/* Sessions refused by the configuration that are logged in one second. */
+#define REFUSED_LINES_PER_S 20
 /* Nothing more is read from a caller that leaves this much output unread. */
 #define OUTPUT_MAX_BYTES (4 * MESSAGE_MAX_BYTES)
 
@@ -35,6 +37,8 @@
 static void refuse_over_rate(struct session *s, usec_t retry_after);
 static bool begin_operation(struct session *s);
 static bool load_route(struct session *s, enum reply_error_code *code);
+static void log_refused_session(const struct session *s,
+				enum reply_error_code code);
 static void fail_and_close(struct session *s, enum reply_error_code code,
 			   const char *reason);
 
@@ -249,6 +253,7 @@
 		return;
 	}
 	if (!load_route(s, &code)) {
+		log_refused_session(s, code);
 		fail_and_close(s, code, "no such database or key");
 		return;
 	}
@@ -460,10 +465,12 @@
 
 	if (!load_route(s, &code)) {
 		log_event(EV_STATEMENT_REFUSED,
-			  "id=%s code=%s version=%llu reason=\"route or key "
-			  "not configured\"",
+			  "id=%s code=%s version=%llu confirmed_us=%lld "
+			  "reason=\"route or key not configured\"",
 			  s->exec.id, s->proxy->protocol->code_name(code),
-			  (unsigned long long)s->proxy->catalog->version);
+			  (unsigned long long)s->proxy->catalog->version,
+			  (long long)registry_confirm_age(s->proxy->registry,
+							  proxy_now()));
 		s->proxy->protocol->put_error(out, code,
 					      "no such database or key");
 		session_send_ready(s, NULL);
@@ -579,6 +586,35 @@
 	evtimer_add(s->timer, &tv);
 }
 
+/*
+ * Logs which configuration refused a session, and when that was last known to
+ * be the newest. Lines beyond a number per second are counted in the next one.
+ */
+static void log_refused_session(const struct session *s,
+				enum reply_error_code code)
+{
+	struct refused_lines *l = &s->proxy->refused_lines;
+	usec_t now = proxy_now();
+
+	if (now - l->since >= USEC_PER_SEC) {
+		l->since = now;
+		l->n = 0;
+	}
+	if (l->n == REFUSED_LINES_PER_S) {
+		l->left_out++;
+		return;
+	}
+	l->n++;
+	log_event(EV_SESSION_REFUSED,
+		  "host=%.64s code=%s version=%llu confirmed_us=%lld "
+		  "left_out=%u",
+		  s->host, s->proxy->protocol->code_name(code),
+		  (unsigned long long)s->proxy->catalog->version,
+		  (long long)registry_confirm_age(s->proxy->registry, now),
+		  l->left_out);
+	l->left_out = 0;
+}
+
 /* Sends an error and closes the session. */
 static void fail_and_close(struct session *s, enum reply_error_code code,
 			   const char *reason)
