--- a/src/proxy/proxy_internal.h
+++ b/src/proxy/proxy_internal.h
@@ -266,7 +266,9 @@
 	bool tx_read_only; /* the transaction began with BEGIN READ */
 	/* BEGIN was sent to the database and acknowledged */
 	bool tx_at_database;
-	bool tx_wrote;	      /* a write was sent in the transaction */
+	bool tx_wrote; /* a write was sent in the transaction */
+	/* it was lost between two statements, so the caller was not told */
+	bool tx_loss_untold;
 	bool tx_answered;     /* a statement of it got its reply */
 	bool is_reading;      /* session_read_lines() is running */
 	usec_t tx_idle_until; /* the transaction may be idle until then */
--- a/src/proxy/session.c
+++ b/src/proxy/session.c
@@ -381,6 +381,7 @@
 	s->tx_read_only = s->exec.msg.statement.verb == VERB_BEGIN_READ;
 	s->tx_at_database = false;
 	s->tx_wrote = false;
+	s->tx_loss_untold = false;
 	s->tx_answered = false;
 	s->state = STATE_OPEN;
 	s->proxy->protocol->put_complete(bufferevent_get_output(s->bev));
@@ -389,7 +390,8 @@
 
 /*
  * Handles a statement in a failed transaction: only COMMIT and ROLLBACK are
- * accepted, and both roll back.
+ * accepted, and both roll back. The first statement after a loss that the
+ * caller has not been told of gets the promise that nothing is kept.
  */
 static void handle_in_failed(struct session *s)
 {
@@ -403,6 +405,10 @@
 		session_end_operation(s);
 		s->proxy->protocol->put_error(out, REPLY_ERR_ABORTED,
 					      "transaction rolled back");
+	} else if (s->tx_loss_untold) {
+		s->tx_loss_untold = false;
+		s->proxy->protocol->put_error(out, REPLY_ERR_ABORTED,
+					      "transaction rolled back");
 	} else {
 		s->proxy->protocol->put_error(out, REPLY_ERR_MALFORMED,
 					      "transaction has failed");
--- a/src/proxy/session_outcome.c
+++ b/src/proxy/session_outcome.c
@@ -123,6 +123,7 @@
 	if (!s->in_tx || !s->tx_at_database)
 		return;
 	s->state = STATE_FAILED;
+	s->tx_loss_untold = true;
 	s->tx_at_database = false;
 	log_event(EV_TRANSACTION_LOST, "service=%s team=%s", s->group->service,
 		  s->team);
@@ -194,6 +195,7 @@
 	dispatch_release(s);
 	s->tx_at_database = false;
 	s->state = STATE_FAILED;
+	s->tx_loss_untold = true;
 }
 
 /*
--- a/tests/process/sessions.pl
+++ b/tests/process/sessions.pl
@@ -4,7 +4,7 @@
 use strict;
 use warnings;
 
-require "./tests/process/sessions_lib.pl";
+BEGIN { require "./tests/process/sessions_lib.pl"; }
 our ($platform, $default_vm, $passed, $failed);
 my ($vm1, $vm2, $ready2, $pid2);
 ($platform, $vm1, $vm2, $ready2, $pid2) = @ARGV;
--- a/tests/process/sessions_lib.pl
+++ b/tests/process/sessions_lib.pl
@@ -12,7 +12,9 @@
 our $id_prefix = "id";
 my $ids = 0;
 
-sub ok {
+# Declared with a prototype, since a match that fails is an empty list otherwise, and
+# the next argument would be taken for its result. Scripts load this file in BEGIN.
+sub ok($$;$) {
 	my ($name, $good, $seen) = @_;
 	$good ? $passed++ : $failed++;
 	print $good ? "ok $name\n" : "not ok $name\n";
--- a/tests/process/store_restored.pl
+++ b/tests/process/store_restored.pl
@@ -7,7 +7,7 @@
 use POSIX ();
 use Time::HiRes qw(time sleep);
 
-require "./tests/process/sessions_lib.pl";
+BEGIN { require "./tests/process/sessions_lib.pl"; }
 our ($platform, $default_vm, $id_prefix, $passed, $failed);
 
 # The bounds that service and a configuration have to meet, in seconds.
