--- a/tests/process/config_in_time.pl
+++ b/tests/process/config_in_time.pl
@@ -7,7 +7,7 @@
 use warnings;
 use Time::HiRes qw(time sleep);
 
-require "./tests/process/sessions_lib.pl";
+BEGIN { require "./tests/process/sessions_lib.pl"; }
 our ($platform, $default_vm, $passed, $failed);
 
 # The time within which a configuration has to be in force, in seconds.
@@ -19,6 +19,8 @@
 # Time for a fleet in which only some VMs read to find those that are answered:
 # three rounds of calls that time out.
 my $SETTLE_S = 6;
+# A fleet that has started lists its VMs a second time within this time.
+my $CALM_S = 5;
 # What is late ends by then, so that the next change is judged alone.
 my $END_S = 30;
 my $CHANGES = 4;
@@ -155,6 +157,14 @@
 	all => sub { turned_away("all VMs reach the store", 0) },
 	busy => sub { turned_away("most VMs are answered 503 and 429", 1) },
 	silent => sub { turned_away("most VMs are not answered", 2) },
+	# All VMs that read fall silent at once, and a change follows.
+	readers_silent => sub {
+		sleep $CALM_S;
+		my $took = change(sub { control("do=turn_away&n=2") if $_[0] });
+		ok("all VMs that read are answered no longer: in force within $CONFIG_S s",
+		    $took <= $CONFIG_S, "$took s");
+		printf "# all VMs that read are answered no longer: %.2f s\n", $took;
+	},
 	# The same once the VMs that the platform answers have been found.
 	settled_silent => sub {
 		control("do=turn_away&n=2");
--- a/tests/process/lib.sh
+++ b/tests/process/lib.sh
@@ -153,6 +153,47 @@
 	done
 }
 
+# vm_settings NAME NUMBER PLATFORM TIMEOUT_MS: writes the settings of a VM of the
+# form "sessions"; its failure domain is one of three, by its number
+vm_settings() {
+	cat >"$T/$1.json" <<END
+{ "form": "sessions", "vm": "$1", "domain": "z-$((($2 - 1) % 3 + 1))",
+  "region": "r", "caller_listen": "127.0.0.1:0",
+  "ready_listen": "127.0.0.1:0", "peer_listen": "127.0.0.1:0",
+  "metrics_listen": "127.0.0.1:0", "platform": "$3",
+  "promotion": "$PLATFORM", "grace_s": 6, "platform_timeout_ms": $4 }
+END
+}
+
+# vm_address NAME WHAT: prints an address of such a VM; WHAT is callers, probes or
+# metrics
+vm_address() { sed -n "s/^ready \(.*\) $2\$/\1/p" "$T/$1.out"; }
+vm_ready() { [ "$(curl -s -o /dev/null -w '%{http_code}' "http://$(vm_address "$1" probes)/")" = 200 ]; }
+
+# start_sessions_platform NAME: starts the fake platform of that form; sets PLATFORM
+# and SECOND, the address at which it may turn VMs away
+start_sessions_platform() {
+	start "$1" "$B/sessions-world" || exit 1
+	PLATFORM=$(echo "$READY" | cut -d' ' -f2)
+	SECOND=$(echo "$READY" | cut -d' ' -f3)
+}
+
+# checks_of PREFIX COMMAND...: runs a script that prints a line "ok NAME" or
+# "not ok NAME" for each check, and counts these checks
+checks_of() {
+	prefix=$1
+	shift
+	"$@" >"$T/cases" 2>&1
+	while read -r line; do
+		case $line in
+		"not ok "*) ok "$prefix${line#not ok }" false ;;
+		"ok "*) ok "$prefix${line#ok }" true ;;
+		"#"*) echo "$line" ;;
+		esac
+	done <"$T/cases"
+	ok "${prefix}the cases end" grep -q '^[0-9]* passed, [0-9]* failed$' "$T/cases"
+}
+
 finish() {
 	echo "$passed passed, $failed failed"
 	[ "$failed" -eq 0 ]
--- a/tests/sessions/control.cc
+++ b/tests/sessions/control.cc
@@ -6,6 +6,8 @@
 // Control of the fake platform:
 //	/control?do=ACTION[&db=ID][&n=NUMBER][&key=KEY]
 // injects a fault or changes the configuration; the reply holds the counters.
+// "exchange_key" writes a configuration with other contents under the version of
+// the newest one.
 
 void FakePlatform::on_control(evhttp_request *req, void *ctx)
 {
@@ -24,6 +26,11 @@
 	} else if (what == "add_key") {
 		keys.insert(request_query(req, "key"));
 		write_config();
+	} else if (what == "exchange_key") {
+		keys.erase(request_query(req, "old"));
+		keys.insert(request_query(req, "key"));
+		config_version--;
+		write_config();
 	} else if (what == "rate") {
 		rate = (uint32_t)n;
 		write_config();
