--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -124,6 +124,11 @@
  * own or a peer's; -1: none.
  */
 usec_t registry_confirm_age(const struct registry *r, usec_t now);
+/*
+ * True if all that was written longer ago than a configuration may take to be
+ * in force is in force here. What the configuration lacks does not exist then.
+ */
+bool registry_is_confirmed(const struct registry *r, usec_t now);
 /* Lists the databases more often for a while. */
 void registry_poll_fast(struct registry *r, usec_t now);
 /*
--- a/src/proxy/registry_confirm.c
+++ b/src/proxy/registry_confirm.c
@@ -74,6 +74,14 @@
 	return r->catalog_poll.asked_at ? now - r->catalog_poll.asked_at : -1;
 }
 
+/* Returns whether a read by any VM is recent enough; see registry.h. */
+bool registry_is_confirmed(const struct registry *r, usec_t now)
+{
+	usec_t age = registry_confirm_age(r, now);
+
+	return age >= 0 && age <= CATALOG_IN_FORCE_US;
+}
+
 /* Advances the time of the newest confirmation, by this VM or a peer. */
 static void note(struct registry *r, usec_t at, const char *from)
 {
--- a/src/proxy/session.c
+++ b/src/proxy/session.c
@@ -37,6 +37,9 @@
 static void refuse_over_rate(struct session *s, usec_t retry_after);
 static bool begin_operation(struct session *s);
 static bool load_route(struct session *s, enum reply_error_code *code);
+static enum reply_error_code unconfigured_code(const struct session *s,
+					       enum reply_error_code code);
+static const char *unconfigured_reason(enum reply_error_code code);
 static void log_refused_session(const struct session *s,
 				enum reply_error_code code);
 static void fail_and_close(struct session *s, enum reply_error_code code,
@@ -253,8 +256,9 @@
 		return;
 	}
 	if (!load_route(s, &code)) {
+		code = unconfigured_code(s, code);
 		log_refused_session(s, code);
-		fail_and_close(s, code, "no such database or key");
+		fail_and_close(s, code, unconfigured_reason(code));
 		return;
 	}
 	s->started = true;
@@ -470,6 +474,7 @@
 	usec_t retry_after = 0;
 
 	if (!load_route(s, &code)) {
+		code = unconfigured_code(s, code);
 		log_event(EV_STATEMENT_REFUSED,
 			  "id=%s code=%s version=%llu confirmed_us=%lld "
 			  "reason=\"route or key not configured\"",
@@ -478,7 +483,7 @@
 			  (long long)registry_confirm_age(s->proxy->registry,
 							  proxy_now()));
 		s->proxy->protocol->put_error(out, code,
-					      "no such database or key");
+					      unconfigured_reason(code));
 		session_send_ready(s, NULL);
 		return false;
 	}
@@ -592,6 +597,27 @@
 	evtimer_add(s->timer, &tv);
 }
 
+/*
+ * Returns the code for a route or key that the configuration lacks. A refusal
+ * for good needs a configuration that is known to be the newest; until then the
+ * caller may try another VM.
+ */
+static enum reply_error_code unconfigured_code(const struct session *s,
+					       enum reply_error_code code)
+{
+	return registry_is_confirmed(s->proxy->registry, proxy_now())
+		       ? code
+		       : REPLY_ERR_BUSY;
+}
+
+/* Returns the reason that goes with unconfigured_code(). */
+static const char *unconfigured_reason(enum reply_error_code code)
+{
+	return code == REPLY_ERR_BUSY
+		       ? "configuration may be outdated, not run, retry elsewhere"
+		       : "no such database or key";
+}
+
 /*
  * Logs which configuration refused a session, and when that was last known to
  * be the newest. Lines beyond a number per second are counted in the next one.
