--- a/src/proxy/heartbeat_internal.h
+++ b/src/proxy/heartbeat_internal.h
@@ -13,13 +13,6 @@
  * questions about the fleet.
  */
 
-/* VMs that read the platform's data for their failure domain */
-#define DOMAIN_READERS 2
-/*
- * One more for each VM of the domain that the platform does not answer, up to
- * this many, so that those that it answers are found soon.
- */
-#define DOMAIN_READERS_MAX 8
 /* groups reported in one heartbeat */
 #define HEARTBEAT_GROUPS_MAX 64
 /* What a VM reports of a primary that it finds unresponsive. */
@@ -62,15 +55,6 @@
 	struct peer_group_state *groups;
 };
 
-/* The VMs that read for a failure domain. */
-struct domain_readers {
-	const char *name;
-	uint32_t n;
-	uint32_t most; /* so many are chosen */
-	/* first the best; NULL: this VM */
-	struct peer_vm *reader[DOMAIN_READERS_MAX];
-};
-
 /* What is passed on about a peer. */
 struct peer_news {
 	bool ready;
@@ -94,10 +78,12 @@
 	usec_t ticked_at;
 	uint64_t owners_version; /* changes with the result of
 				    heartbeat_service_owner() */
-	bool tell_domain;  /* the next heartbeat goes to the whole domain */
-	bool tell_readers; /* and to all readers of the fleet */
-	struct domain_readers own_domain;
-	uint32_t n_readers;	   /* in the fleet */
+	bool tell_domain;   /* the next heartbeat goes to the whole domain */
+	bool tell_readers;  /* and to all readers of the fleet */
+	bool is_reader;	    /* this VM reads for its domain */
+	uint32_t n_readers; /* in the fleet */
+	/* VMs of this VM's domain that the platform does not answer */
+	uint32_t n_failing;
 	bool own_platform_fails;   /* the platform does not answer this VM */
 	uint64_t platform_version; /* changes with any platform_fails */
 	/* owners_version + platform_version + 1 when computed */
--- a/src/proxy/heartbeat_view.c
+++ b/src/proxy/heartbeat_view.c
@@ -4,6 +4,8 @@
 
 #include "decide/db_owner.h"
 #include "decide/peer_gossip.h"
+#include "decide/reader_choice.h"
+#include "kernel/log.h"
 #include "proxy/heartbeat_internal.h"
 
 /*
@@ -12,16 +14,8 @@
  * report of primaries.
  */
 
-#define DOMAINS_MAX 64 /* failure domains of the fleet */
-
-static struct domain_readers *find_domain(struct domain_readers *domains,
-					  uint32_t *n, const char *name);
-static void count_failing(struct domain_readers *domains, uint32_t *n,
-			  const struct peer_vm *v);
-static void add_reader(const struct heartbeat *b, struct domain_readers *d,
-		       struct peer_vm *v);
-static bool is_better_reader(const struct heartbeat *b, const struct peer_vm *v,
-			     const struct peer_vm *w);
+static uint32_t add_vm(struct reader_vm *vm, uint32_t n, const char *name,
+		       const char *domain, uint32_t id);
 
 /*
  * Returns true if at least half of the peers have been live for as long as the
@@ -197,20 +191,14 @@
 
 /*
  * Returns true if this VM reads the platform's data itself: all VMs of a small
- * fleet, else the strongest of each failure domain.
+ * fleet, else some of each failure domain (see decide/reader_choice.h).
  */
 bool heartbeat_is_reader(const struct heartbeat *b)
 {
-	uint32_t i;
-
 	if (heartbeat_is_full_mesh(b))
 		return true;
 	heartbeat_update_readers((struct heartbeat *)b);
-	for (i = 0; i < b->own_domain.n; i++) {
-		if (!b->own_domain.reader[i])
-			return true;
-	}
-	return false;
+	return b->is_reader;
 }
 
 /* Returns the number of VMs in the fleet that read the platform's data. */
@@ -222,130 +210,96 @@
 	return b->n_readers;
 }
 
-/* Returns one of the VMs that read for this failure domain, or NULL. */
+/* Returns a peer that reads for this failure domain, or NULL. */
 const char *heartbeat_domain_reader(const struct heartbeat *b, uint64_t random)
 {
-	const struct peer_vm *v;
+	const char *domain = b->proxy->kernel->settings.domain;
+	const char *reader = NULL;
+	uint32_t n = 0;
+	uint32_t i;
 
 	heartbeat_update_readers((struct heartbeat *)b);
-	if (b->own_domain.n == 0)
-		return NULL;
-	v = b->own_domain.reader[random % b->own_domain.n];
-	return v ? v->name : NULL;
+	for (i = 0; i < b->n; i++) {
+		const struct peer_vm *v = b->peers[i];
+
+		if (!v->is_reader || strcmp(v->domain, domain) != 0)
+			continue;
+		n++;
+		/* Reservoir sampling: each one is kept with the same chance. */
+		if (random % n == 0)
+			reader = v->name;
+		random /= n;
+	}
+	return reader;
+}
+
+/*
+ * Returns the number of live VMs of this failure domain, this one included,
+ * that the platform does not answer.
+ */
+uint32_t heartbeat_n_failing(const struct heartbeat *b)
+{
+	heartbeat_update_readers((struct heartbeat *)b);
+	return b->n_failing;
 }
 
 /*
  * Chooses the readers of all failure domains anew if the live VMs have changed.
- * This VM's domain comes first.
  */
 void heartbeat_update_readers(struct heartbeat *b)
 {
 	const uint64_t version = b->owners_version + b->platform_version + 1;
-	struct domain_readers domains[DOMAINS_MAX];
-	struct domain_readers *own;
+	const struct settings *s = &b->proxy->kernel->settings;
+	struct reader_vm *vm;
 	uint32_t n = 0;
 	uint32_t i;
-	uint32_t j;
 
 	if (b->readers_version == version)
 		return;
+	vm = calloc(b->n + 1, sizeof(*vm));
+	if (!vm) {
+		log_event(EV_VM_FAIL,
+			  "reason=\"no memory to choose the readers\"");
+		return;
+	}
 	b->readers_version = version;
-	own = find_domain(domains, &n, b->proxy->kernel->settings.domain);
-	own->most += b->own_platform_fails;
-	for (i = 0; i < b->n; i++)
-		count_failing(domains, &n, b->peers[i]);
-	add_reader(b, own, NULL);
+	b->n_readers = 0;
+	b->n_failing = 0;
+	b->is_reader = false;
+	if (!b->proxy->draining) {
+		vm[n].capacity = heartbeat_own_capacity(b);
+		vm[n].fails = b->own_platform_fails;
+		n = add_vm(vm, n, s->vm, s->domain, b->n);
+	}
 	for (i = 0; i < b->n; i++) {
 		struct peer_vm *v = b->peers[i];
 
 		v->is_reader = false;
-		if (!v->silent && !v->draining)
-			add_reader(b, find_domain(domains, &n, v->domain), v);
+		if (v->silent || v->draining)
+			continue;
+		vm[n].capacity = v->capacity;
+		vm[n].fails = v->platform_fails;
+		n = add_vm(vm, n, v->name, v->domain, i);
 	}
-	b->own_domain = domains[0];
-	b->n_readers = 0;
+	reader_choice(vm, n);
 	for (i = 0; i < n; i++) {
-		b->n_readers += domains[i].n;
-		for (j = 0; j < domains[i].n; j++) {
-			if (domains[i].reader[j])
-				domains[i].reader[j]->is_reader = true;
-		}
-	}
-}
-
-/*
- * Returns the entry of a failure domain, a new one if there is none; NULL if
- * the table is full.
- */
-static struct domain_readers *find_domain(struct domain_readers *domains,
-					  uint32_t *n, const char *name)
-{
-	uint32_t i;
-
-	for (i = 0; i < *n; i++) {
-		if (strcmp(domains[i].name, name) == 0)
-			return &domains[i];
-	}
-	if (*n == DOMAINS_MAX)
-		return NULL;
-	domains[*n] = (struct domain_readers){
-		.name = name,
-		.most = DOMAIN_READERS,
-	};
-	return &domains[(*n)++];
-}
-
-/* If the platform does not answer a VM, one more of its domain reads. */
-static void count_failing(struct domain_readers *domains, uint32_t *n,
-			  const struct peer_vm *v)
-{
-	struct domain_readers *d;
-
-	if (v->silent || v->draining)
-		return;
-	d = find_domain(domains, n, v->domain);
-	if (d && v->platform_fails && d->most < DOMAIN_READERS_MAX)
-		d->most++;
-}
-
-/* Inserts a VM among the readers of its domain if it ranks high enough. */
-static void add_reader(const struct heartbeat *b, struct domain_readers *d,
-		       struct peer_vm *v)
-{
-	uint32_t i;
-
-	if (!d || (!v && b->proxy->draining))
-		return;
-	i = d->n;
-	if (i == d->most) {
-		if (!is_better_reader(b, v, d->reader[i - 1]))
-			return;
-		i--;
-	} else {
-		d->n++;
+		b->n_failing +=
+			vm[i].fails && strcmp(vm[i].domain, s->domain) == 0;
+		b->n_readers += vm[i].reads;
+		if (vm[i].id == b->n)
+			b->is_reader = vm[i].reads;
+		else
+			b->peers[vm[i].id]->is_reader = vm[i].reads;
 	}
-	for (; i > 0 && is_better_reader(b, v, d->reader[i - 1]); i--)
-		d->reader[i] = d->reader[i - 1];
-	d->reader[i] = v;
+	free(vm);
 }
 
-/*
- * Compares two VMs as readers; NULL is this one. One that the platform answers
- * is better, then the stronger one.
- */
-static bool is_better_reader(const struct heartbeat *b, const struct peer_vm *v,
-			     const struct peer_vm *w)
+/* Completes the entry of a VM for the choice; returns the number of entries. */
+static uint32_t add_vm(struct reader_vm *vm, uint32_t n, const char *name,
+		       const char *domain, uint32_t id)
 {
-	uint8_t v_capacity = v ? v->capacity : heartbeat_own_capacity(b);
-	uint8_t w_capacity = w ? w->capacity : heartbeat_own_capacity(b);
-	bool v_fails = v ? v->platform_fails : b->own_platform_fails;
-	bool w_fails = w ? w->platform_fails : b->own_platform_fails;
-	const char *own = b->proxy->kernel->settings.vm;
-
-	if (v_fails != w_fails)
-		return w_fails;
-	if (v_capacity != w_capacity)
-		return v_capacity > w_capacity;
-	return heartbeat_rank_hash(v ? v->name : own, REGISTRY_CATALOG) >
-	       heartbeat_rank_hash(w ? w->name : own, REGISTRY_CATALOG);
+	vm[n].domain = domain;
+	vm[n].hash = heartbeat_rank_hash(name, REGISTRY_CATALOG);
+	vm[n].id = id;
+	return n + 1;
 }
--- a/src/proxy/proxy_internal.h
+++ b/src/proxy/proxy_internal.h
@@ -577,6 +577,8 @@
 uint32_t heartbeat_n_readers(const struct heartbeat *b);
 /* One of the VMs that read for this failure domain; NULL: none but this one. */
 const char *heartbeat_domain_reader(const struct heartbeat *b, uint64_t random);
+/* The number of VMs of this domain that the platform does not answer. */
+uint32_t heartbeat_n_failing(const struct heartbeat *b);
 /* Sends the next heartbeat at once, also to all VMs of the failure domain. */
 void heartbeat_tell_domain(struct heartbeat *b);
 /* Sends the next heartbeat at once, also to all VMs that read. */
--- a/src/proxy/registry.c
+++ b/src/proxy/registry.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "decide/reader_choice.h"
 #include "decide/restored_list.h"
 #include "kernel/latency.h"
 #include "kernel/log.h"
@@ -20,7 +21,17 @@
 #define RETRY_DELAY_MAX_US (1000 * USEC_PER_MSEC)
 /* After failing for so long the platform counts as not answering this VM. */
 #define FAILING_US (250 * USEC_PER_MSEC)
-/* Interval of attempts of a VM that reads no longer, as it is not answered. */
+/*
+ * A read or list in progress counts as not answered after twice the time that
+ * the last one took, within these bounds: half of the time within which a
+ * configuration has to be in force is for rounds of them in other VMs.
+ */
+#define OVERDUE_MIN_US FAILING_US
+#define OVERDUE_MAX_US (750 * USEC_PER_MSEC)
+/*
+ * Interval of attempts of a VM that reads no longer, as it is not answered, for
+ * each READER_CHOICE_FAILING_MAX such VMs of its failure domain.
+ */
 #define PROBE_US (10 * USEC_PER_SEC)
 /*
  * VMs that start together may list each other too early. A VM whose peers know
@@ -69,6 +80,8 @@
 static void check_outdated(struct outdated *o, struct poll *p, usec_t now);
 static usec_t retry_backoff(const struct registry *r, struct poll *p);
 static void track_outage(struct registry *r, const struct poll *p, usec_t now);
+static bool is_overdue(const struct registry *r, const struct poll *p,
+		       usec_t now);
 static void probe(struct registry *r, usec_t now);
 static bool is_due(const struct poll *p, usec_t now);
 static void handle_vms(struct registry *r, struct poll *p);
@@ -325,15 +338,35 @@
 		r->failed_at = now;
 		return;
 	}
+	if (p->call.op != PLATFORM_WATCH)
+		r->answer_took = now - p->requested_at;
 	if (r->failing_since && now - r->failing_since >= OUTAGE_EXPIRY_US)
 		r->complete_from = now + REREGISTER_MAX_US;
 	r->failing_since = 0;
 }
 
-/* Returns true if calls of this VM have failed for a while. */
+/*
+ * Returns true if calls of this VM have failed for a while, or if one that
+ * other VMs can make in its place is overdue.
+ */
 bool registry_platform_fails(const struct registry *r, usec_t now)
 {
-	return r->failing_since && now - r->failing_since >= FAILING_US;
+	return (r->failing_since && now - r->failing_since >= FAILING_US) ||
+	       is_overdue(r, &r->read, now) ||
+	       is_overdue(r, &r->databases, now);
+}
+
+/* True if a call has been in progress for longer than is usual. */
+static bool is_overdue(const struct registry *r, const struct poll *p,
+		       usec_t now)
+{
+	usec_t most = 2 * r->answer_took;
+
+	if (most < OVERDUE_MIN_US)
+		most = OVERDUE_MIN_US;
+	if (most > OVERDUE_MAX_US)
+		most = OVERDUE_MAX_US;
+	return p->busy && now - p->requested_at >= most;
 }
 
 /*
@@ -342,8 +375,12 @@
  */
 static void probe(struct registry *r, usec_t now)
 {
+	usec_t interval =
+		PROBE_US * (1 + heartbeat_n_failing(r->proxy->heartbeat) /
+					READER_CHOICE_FAILING_MAX);
+
 	if (r->was_reader || !r->failing_since || r->read.busy ||
-	    now - r->failed_at < PROBE_US)
+	    now - r->failed_at < interval)
 		return;
 	r->failed_at = now;
 	r->read.due_at = now;
--- a/src/proxy/registry_internal.h
+++ b/src/proxy/registry_internal.h
@@ -67,7 +67,8 @@
 	usec_t complete_from;
 	/* time of the first failed request since the last success; 0: none */
 	usec_t failing_since;
-	usec_t failed_at; /* of the newest failed request */
+	usec_t failed_at;   /* of the newest failed request */
+	usec_t answer_took; /* time that the last answered one took */
 	struct registry_db *list;
 	uint64_t list_hash; /* hash_list() of the newest complete list */
 	/* newest time as of which the platform or a peer had this list */
