--- a/src/proxy/heartbeat.c
+++ b/src/proxy/heartbeat.c
@@ -129,6 +129,8 @@
 	if (b->ticked_at && now - b->ticked_at > TICK_GAP_MAX_US) {
 		log_event(EV_VM_SUSPENDED, "gap_us=%lld",
 			  (long long)(now - b->ticked_at));
+		/* What has arrived meanwhile, while its wait is known. */
+		on_readable(b->fd, EV_READ, b);
 		rate_limit_drop_tokens(b->proxy->rate_limit, now);
 	}
 	b->ticked_at = now;
--- a/src/proxy/heartbeat_codec.c
+++ b/src/proxy/heartbeat_codec.c
@@ -41,7 +41,9 @@
 static bool decode_heartbeat(struct heartbeat *b, struct wire_reader *r,
 			     const struct sockaddr_storage *from,
 			     socklen_t from_len);
-static void read_digest(struct wire_reader *r, struct registry_digest *out);
+static void read_digest(const struct heartbeat *b, struct wire_reader *r,
+			struct registry_digest *out);
+static uint64_t longer_age(uint64_t age_ms, uint64_t by_ms);
 static bool decode_news(struct heartbeat *b, const uint8_t *news, size_t len,
 			usec_t now);
 static void decode_groups(struct heartbeat *b, struct peer_vm *v,
@@ -282,7 +284,7 @@
 	wire_str(r, domain, sizeof(domain));
 	incarnation = wire_u64(r);
 	draining = wire_bool(r);
-	read_digest(r, &digest);
+	read_digest(b, r, &digest);
 	groups = wire_nested_array(r, HEARTBEAT_GROUPS_MAX);
 	news = wire_bin(r, NEWS_MAX * NEWS_BYTES, &news_len);
 	capacity = wire_u64(r);
@@ -321,10 +323,19 @@
 	return true;
 }
 
-/* Decodes a digest. */
-static void read_digest(struct wire_reader *r, struct registry_digest *out)
+/*
+ * Decodes a digest. A datagram may have waited since the last tick, which is
+ * long ago if this VM was suspended: that is added to the ages of the peer's
+ * reads.
+ */
+static void read_digest(const struct heartbeat *b, struct wire_reader *r,
+			struct registry_digest *out)
 {
 	struct wire_reader d = wire_nested_array(r, DIGEST_FIELDS);
+	uint64_t waited_ms =
+		b->ticked_at
+			? (uint64_t)(proxy_now() - b->ticked_at) / USEC_PER_MSEC
+			: 0;
 
 	out->catalog = wire_u64(&d);
 	out->databases = wire_u64(&d);
@@ -335,9 +346,17 @@
 	out->era_age_ms = wire_u64(&d);
 	out->has_read = wire_u64(&d) != 0;
 	out->read_age_ms = wire_u64(&d);
+	out->databases_age_ms = longer_age(out->databases_age_ms, waited_ms);
+	out->read_age_ms = longer_age(out->read_age_ms, waited_ms);
 	r->bad |= d.bad;
 }
 
+/* Adds to an age that a peer told; one that is too long stays so. */
+static uint64_t longer_age(uint64_t age_ms, uint64_t by_ms)
+{
+	return age_ms > UINT64_MAX - by_ms ? UINT64_MAX : age_ms + by_ms;
+}
+
 /*
  * Takes the newer news of other VMs from a heartbeat. Returns true if its
  * sender receives this VM's heartbeats, as far as that is known: in a large
--- a/src/proxy/registry_confirm.c
+++ b/src/proxy/registry_confirm.c
@@ -7,7 +7,7 @@
  * a read of it began then and brought nothing newer. A watch confirms nothing:
  * it may hear nothing while the configuration changes. Peers tell the age of
  * their own reads in heartbeats; what they heard from others they don't pass
- * on, since a VM that was suspended may take old news for new.
+ * on, as the error of an age grows with each VM that tells it.
  */
 
 /* The time within which a configuration has to be in force. */
