--- a/src/proxy/catalog.c
+++ b/src/proxy/catalog.c
@@ -2,7 +2,9 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
+static uint64_t hash_text(uint64_t hash, const char *text);
 static int compare_hosts(const void *a, const void *b);
 static int compare_keys(const void *a, const void *b);
 
@@ -45,11 +47,56 @@
 	free(c);
 }
 
-/* Sorts routes and keys for binary search. */
-void catalog_sort(struct catalog *c)
+/*
+ * Sorts routes and keys for binary search. The hash is that of the sorted
+ * fields, so that it is the same whichever order the platform had them in.
+ */
+void catalog_complete(struct catalog *c)
 {
+	uint64_t hash = c->transaction_idle_ms;
+	uint32_t i;
+
 	qsort(c->routes, c->n_routes, sizeof(*c->routes), compare_hosts);
 	qsort(c->keys, c->n_keys, sizeof(*c->keys), compare_keys);
+	for (i = 0; i < c->n_routes; i++) {
+		const struct catalog_route *r = &c->routes[i];
+		const uint32_t numbers[] = {
+			r->consistency,	      r->timeout_ms,
+			r->latency_target_ms, r->priority,
+			r->max_staleness_ms,  r->is_public
+		};
+
+		hash = hash_text(hash, r->host);
+		hash = hash_text(hash, r->service);
+		hash = XXH3_64bits_withSeed(numbers, sizeof(numbers), hash);
+	}
+	for (i = 0; i < c->n_services; i++) {
+		const struct catalog_service *s = &c->services[i];
+		const uint32_t numbers[] = { s->max_connections,
+					     s->sync_replicas };
+
+		hash = hash_text(hash, s->name);
+		hash = XXH3_64bits_withSeed(numbers, sizeof(numbers), hash);
+	}
+	for (i = 0; i < c->n_teams; i++) {
+		const struct catalog_team *t = &c->teams[i];
+		const uint32_t numbers[] = { t->rate_per_s, t->burst,
+					     t->priority };
+
+		hash = hash_text(hash, t->name);
+		hash = XXH3_64bits_withSeed(numbers, sizeof(numbers), hash);
+	}
+	for (i = 0; i < c->n_keys; i++) {
+		hash = hash_text(hash, c->keys[i].key);
+		hash = hash_text(hash, c->teams[c->keys[i].team].name);
+	}
+	c->contents = hash;
+}
+
+/* Continues a hash with a string, its end included. */
+static uint64_t hash_text(uint64_t hash, const char *text)
+{
+	return XXH3_64bits_withSeed(text, strlen(text) + 1, hash);
 }
 
 /* Finds the route of a host; NULL if there is none. */
--- a/src/proxy/catalog.h
+++ b/src/proxy/catalog.h
@@ -55,6 +55,7 @@
 struct catalog {
 	uint64_t version;  /* the operator's version number */
 	uint64_t revision; /* at the platform; increases with each version */
+	uint64_t contents; /* hash of what follows; see catalog_complete() */
 	uint32_t n_routes;
 	uint32_t n_services;
 	uint32_t n_teams;
@@ -69,8 +70,8 @@
 struct catalog *catalog_create(uint32_t routes, uint32_t services,
 			       uint32_t teams, uint32_t keys);
 void catalog_destroy(struct catalog *c);
-/* Sorts routes and keys for lookup, once all are filled in. */
-void catalog_sort(struct catalog *c);
+/* Sorts routes and keys for lookup and hashes all, once all are filled in. */
+void catalog_complete(struct catalog *c);
 const struct catalog_route *catalog_route(const struct catalog *c,
 					  const char *host);
 const struct catalog_service *catalog_service(const struct catalog *c,
--- a/src/proxy/heartbeat_codec.c
+++ b/src/proxy/heartbeat_codec.c
@@ -16,11 +16,11 @@
  */
 #define NEWS_BYTES    8UL
 #define NEWS_AGE_UNIT (10 * USEC_PER_MSEC)
-#define NEWS_READY    1 /* flags: ready */
-#define NEWS_DRAINING 2 /* draining */
-#define NEWS_DIRECT   4 /* from its own heartbeat, lately */
-#define NEWS_FAILS    8 /* the platform does not answer it */
-#define DIGEST_FIELDS 9 /* of the registry's digest */
+#define NEWS_READY    1	 /* flags: ready */
+#define NEWS_DRAINING 2	 /* draining */
+#define NEWS_DIRECT   4	 /* from its own heartbeat, lately */
+#define NEWS_FAILS    8	 /* the platform does not answer it */
+#define DIGEST_FIELDS 10 /* of the registry's digest */
 /* A change of a group's primary is included in heartbeats for this long. */
 #define PRIMARY_CHANGE_NEWS_US (5 * USEC_PER_SEC)
 /*
@@ -89,13 +89,15 @@
 }
 
 /*
- * Encodes [configuration, databases, age of their list, VMs, the era is known,
- * era, age of the era, the configuration was read, age of that read].
+ * Encodes [configuration, hash of its contents, databases, age of their list,
+ * VMs, the era is known, era, age of the era, the configuration was read, age
+ * of that read].
  */
 static void pack_digest(msgpack_packer *p, const struct registry_digest *d)
 {
 	msgpack_pack_array(p, DIGEST_FIELDS);
 	msgpack_pack_uint64(p, d->catalog);
+	msgpack_pack_uint64(p, d->contents);
 	msgpack_pack_uint64(p, d->databases);
 	msgpack_pack_uint64(p, d->databases_age_ms);
 	msgpack_pack_uint64(p, d->vms);
@@ -338,6 +340,7 @@
 			: 0;
 
 	out->catalog = wire_u64(&d);
+	out->contents = wire_u64(&d);
 	out->databases = wire_u64(&d);
 	out->databases_age_ms = wire_u64(&d);
 	out->vms = wire_u64(&d);
--- a/src/proxy/registry.c
+++ b/src/proxy/registry.c
@@ -196,6 +196,7 @@
 
 	return (struct registry_digest){
 		.catalog = c ? c->version : 0,
+		.contents = c ? c->contents : 0,
 		.databases = r->list_hash,
 		.databases_age_ms =
 			(uint64_t)((now - r->listed_at) / USEC_PER_MSEC),
@@ -224,6 +225,7 @@
 		registry_note_peer_era(r->proxy, peer, n->era, n->era_age_ms);
 	known = registry_digest(r, now);
 	registry_on_peer_version(r, peer, n->catalog, now);
+	registry_on_peer_contents(r, n, now);
 	registry_on_peer_confirm(r, peer, n, now);
 	if (list_counts(r, n, now))
 		registry_on_peer_list(r, peer, n, now);
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -170,6 +170,7 @@
  */
 struct registry_digest {
 	uint64_t catalog;	   /* version */
+	uint64_t contents;	   /* hash of that configuration */
 	uint64_t databases;	   /* hash of the list */
 	uint64_t databases_age_ms; /* age of the list */
 	uint64_t vms;		   /* hash of the names of all known VMs */
--- a/src/proxy/registry_catalog.c
+++ b/src/proxy/registry_catalog.c
@@ -132,6 +132,22 @@
 					  REGISTRY_COPY_CATALOG, &r->read, now);
 }
 
+/*
+ * If a peer has other contents under the same version, only the platform tells
+ * which are in force: every VM reads them, spread over a second.
+ */
+void registry_on_peer_contents(struct registry *r,
+			       const struct registry_digest *n, usec_t now)
+{
+	const struct catalog *c = r->proxy->catalog;
+
+	if (!c || c->version != n->catalog || c->contents == n->contents ||
+	    r->read.busy || r->read.due_at ||
+	    now - r->read.requested_at < USEC_PER_SEC)
+		return;
+	r->read.due_at = now + (usec_t)registry_random_delay(r, USEC_PER_SEC);
+}
+
 /* Requests a copy of a version that a read has not brought in time. */
 void registry_catalog_tick(struct registry *r, usec_t now)
 {
@@ -144,6 +160,7 @@
 /*
  * Brings a newer configuration into force; an older one is ignored, also one
  * that the platform was restored to: the operator writes the newer one again.
+ * Of two with the same version, the one that the platform holds is in force.
  * Returns false if the reply is missing or malformed.
  */
 static bool apply_catalog(struct registry *r, const char *reply, uint64_t era,
@@ -153,6 +170,7 @@
 	struct catalog *c;
 	struct error e;
 	uint64_t revision = 0;
+	bool is_rewritten;
 
 	if (!reply)
 		return false;
@@ -166,11 +184,22 @@
 		advance(r, era, revision);
 	if (!c)
 		return true;
-	if (!r->catalog_reply || c->version > registry_known_version(r)) {
+	is_rewritten = source == SOURCE_READ && x->catalog &&
+		       c->version == x->catalog->version &&
+		       c->contents != x->catalog->contents;
+	if (is_rewritten)
+		log_event(EV_CONFIG_REFUSED,
+			  "version=%llu revision=%llu reason=\"the platform "
+			  "holds other contents under this version, which "
+			  "replace those in force\"",
+			  (unsigned long long)c->version,
+			  (unsigned long long)c->revision);
+	if (!r->catalog_reply || c->version > registry_known_version(r) ||
+	    is_rewritten) {
 		free(r->catalog_reply);
 		r->catalog_reply = registry_codec()->catalog_copy(reply);
 	}
-	if (x->catalog && c->version <= x->catalog->version) {
+	if (x->catalog && c->version <= x->catalog->version && !is_rewritten) {
 		if (source == SOURCE_READ)
 			note_older(r, c);
 		catalog_destroy(c);
--- a/src/proxy/registry_confirm.c
+++ b/src/proxy/registry_confirm.c
@@ -36,6 +36,7 @@
 	const struct catalog *c = r->proxy->catalog;
 
 	if (!n->has_read || !c || c->version < n->catalog ||
+	    (c->version == n->catalog && c->contents != n->contents) ||
 	    n->read_age_ms > REGISTRY_AGE_MAX_MS)
 		return;
 	note(r, now - (usec_t)n->read_age_ms * USEC_PER_MSEC, peer);
--- a/src/proxy/registry_internal.h
+++ b/src/proxy/registry_internal.h
@@ -119,6 +119,10 @@
 void registry_on_peer_version(struct registry *r, const char *peer,
 			      uint64_t version, usec_t now);
 
+/* Finds out which contents are in force, if a peer has others. */
+void registry_on_peer_contents(struct registry *r,
+			       const struct registry_digest *n, usec_t now);
+
 /* Returns the version of the configuration in force; 0: none. */
 uint64_t registry_known_version(const struct registry *r);
 
--- a/tests/process/config_confirmed.pl
+++ b/tests/process/config_confirmed.pl
@@ -106,7 +106,10 @@
 		stop($vm);
 		sleep 1;
 		stop(@rest);
+		# The reply of a watch would tell the VM of the change.
+		control("do=watches_deaf&n=1");
 		my $k = new_key();
+		control("do=watches_deaf&n=0");
 		sleep $STOP_S;
 		control("do=turn_away&n=2");
 		resume($vm);
