--- a/tests/sessions/control.cc
+++ b/tests/sessions/control.cc
@@ -6,8 +6,8 @@
 // Control of the fake platform:
 //	/control?do=ACTION[&db=ID][&n=NUMBER][&key=KEY]
 // injects a fault or changes the configuration; the reply holds the counters.
-// "exchange_key" writes a configuration with other contents under the version of
-// the newest one.
+// "exchange_key" writes a configuration with other contents under the version
+// of the newest one.
 
 void FakePlatform::on_control(evhttp_request *req, void *ctx)
 {
