--- a/src/decide/reader_choice.h
+++ b/src/decide/reader_choice.h
@@ -10,7 +10,7 @@
  *
  * Two VMs of a domain read. For each VM of the domain that the platform does
  * not answer, further ones read that it is not known not to answer: so their
- * number triples with each round of calls that are not answered, and the VMs
+ * number quadruples with each round of calls that are not answered, and the VMs
  * that are answered are found after a number of rounds that grows with the
  * logarithm of the domain. VMs that are not answered read only if too few
  * others are left.
--- a/src/proxy/heartbeat.c
+++ b/src/proxy/heartbeat.c
@@ -124,16 +124,21 @@
  */
 void heartbeat_tick(struct heartbeat *b, usec_t now)
 {
+	usec_t former = b->ticked_at;
 	uint32_t i;
 
-	if (b->ticked_at && now - b->ticked_at > TICK_GAP_MAX_US) {
+	b->ticked_at = now;
+	if (former && now - former > TICK_GAP_MAX_US) {
 		log_event(EV_VM_SUSPENDED, "gap_us=%lld",
-			  (long long)(now - b->ticked_at));
-		/* What has arrived meanwhile, while its wait is known. */
-		on_readable(b->fd, EV_READ, b);
+			  (long long)(now - former));
 		rate_limit_drop_tokens(b->proxy->rate_limit, now);
+		/* These datagrams may have waited since the former tick. */
+		b->reads_waiting = true;
+		on_readable(b->fd, EV_READ, b);
+		b->reads_waiting = false;
 	}
-	b->ticked_at = now;
+	if (!b->reads_waiting)
+		b->arrived_after = now;
 	if (b->proxy->draining && !b->left) {
 		b->left = true;
 		b->owners_version++;
--- a/src/proxy/heartbeat_codec.c
+++ b/src/proxy/heartbeat_codec.c
@@ -334,10 +334,8 @@
 			struct registry_digest *out)
 {
 	struct wire_reader d = wire_nested_array(r, DIGEST_FIELDS);
-	uint64_t waited_ms =
-		b->ticked_at
-			? (uint64_t)(proxy_now() - b->ticked_at) / USEC_PER_MSEC
-			: 0;
+	usec_t waited = b->arrived_after ? proxy_now() - b->arrived_after : 0;
+	uint64_t waited_ms = (uint64_t)waited / USEC_PER_MSEC;
 
 	out->catalog = wire_u64(&d);
 	out->contents = wire_u64(&d);
--- a/src/proxy/heartbeat_internal.h
+++ b/src/proxy/heartbeat_internal.h
@@ -76,6 +76,8 @@
 	/* last time when fewer than half of the peers were live; 0: never */
 	usec_t minority_at;
 	usec_t ticked_at;
+	usec_t arrived_after; /* datagrams that are read arrived after this */
+	bool reads_waiting;   /* reads those that waited for a suspended VM */
 	uint64_t owners_version; /* changes with the result of
 				    heartbeat_service_owner() */
 	bool tell_domain;   /* the next heartbeat goes to the whole domain */
--- a/src/proxy/heartbeat_view.c
+++ b/src/proxy/heartbeat_view.c
@@ -14,6 +14,8 @@
  * report of primaries.
  */
 
+static bool reads_for_domain(const struct heartbeat *b,
+			     const struct peer_vm *v);
 static uint32_t add_vm(struct reader_vm *vm, uint32_t n, const char *name,
 		       const char *domain, uint32_t id);
 
@@ -213,24 +215,25 @@
 /* Returns a peer that reads for this failure domain, or NULL. */
 const char *heartbeat_domain_reader(const struct heartbeat *b, uint64_t random)
 {
-	const char *domain = b->proxy->kernel->settings.domain;
-	const char *reader = NULL;
 	uint32_t n = 0;
 	uint32_t i;
 
 	heartbeat_update_readers((struct heartbeat *)b);
-	for (i = 0; i < b->n; i++) {
-		const struct peer_vm *v = b->peers[i];
+	for (i = 0; i < b->n; i++)
+		n += reads_for_domain(b, b->peers[i]);
+	if (n == 0)
+		return NULL;
+	n = (uint32_t)(random % n);
+	for (i = 0; !reads_for_domain(b, b->peers[i]) || n-- > 0; i++)
+		;
+	return b->peers[i]->name;
+}
 
-		if (!v->is_reader || strcmp(v->domain, domain) != 0)
-			continue;
-		n++;
-		/* Reservoir sampling: each one is kept with the same chance. */
-		if (random % n == 0)
-			reader = v->name;
-		random /= n;
-	}
-	return reader;
+/* True if a peer reads for this VM's failure domain. */
+static bool reads_for_domain(const struct heartbeat *b, const struct peer_vm *v)
+{
+	return v->is_reader &&
+	       strcmp(v->domain, b->proxy->kernel->settings.domain) == 0;
 }
 
 /*
--- a/src/proxy/registry.c
+++ b/src/proxy/registry.c
@@ -377,12 +377,14 @@
  */
 static void probe(struct registry *r, usec_t now)
 {
-	usec_t interval =
-		PROBE_US * (1 + heartbeat_n_failing(r->proxy->heartbeat) /
-					READER_CHOICE_FAILING_MAX);
+	uint32_t failing;
 
 	if (r->was_reader || !r->failing_since || r->read.busy ||
-	    now - r->failed_at < interval)
+	    now - r->failed_at < PROBE_US)
+		return;
+	failing = heartbeat_n_failing(r->proxy->heartbeat);
+	if (now - r->failed_at <
+	    PROBE_US * (1 + failing / READER_CHOICE_FAILING_MAX))
 		return;
 	r->failed_at = now;
 	r->read.due_at = now;
