Declare the interfaces of evacuations of failure domains

Cause: several parts of the coming work meet at the same names. Change: the setting evacuate_ms, from the platform's bounds; the state that a database's domain is evacuated, which nothing sets yet; the functions that will tell it. Result: builds; no behaviour changes, as the state is never set. Conclusion: none yet.

--- a/src/kernel/settings.c
+++ b/src/kernel/settings.c
@@ -113,6 +113,7 @@
 	NUMBER(timeline_events, 16, 1000000, 4096),
 	NUMBER(log_lines_per_s, 0, 1000000, 1000),
 	NUMBER(grace_s, 0, 3600, 0),
+	NUMBER(evacuate_ms, 0, 600000, 0),
 	{ .key = "cpu_share",
 	  .type = SETTING_SHARE,
 	  .offset = offsetof(struct settings, cpu_milli),
--- a/src/kernel/settings.h
+++ b/src/kernel/settings.h
@@ -65,6 +65,9 @@
 	uint32_t log_lines_per_s;     /* "log_lines_per_s": limit; 0: none */
 	uint32_t grace_s;	      /* "grace_s": from SIGTERM to SIGKILL */
 	uint32_t cpu_milli; /* "cpu_share": of a core, in thousandths */
+	/* "evacuate_ms": within which no statement reaches an evacuated domain;
+	 * 0: the platform has no evacuations */
+	uint32_t evacuate_ms;
 };
 
 /* Every failure found, one per line: "file: key: value: bound". */
--- a/src/proxy/proxy_internal.h
+++ b/src/proxy/proxy_internal.h
@@ -65,6 +65,8 @@
 	bool listed;		  /* in the newest list of the registry */
 	bool probing;		  /* a status request is outstanding */
 	bool announced_departure; /* by its last entry */
+	/* its failure domain is evacuated, known since then; 0: it is not */
+	usec_t evacuated_since;
 	bool reports_primary;
 	/* its entry is missing since this time; 0: it has one */
 	usec_t unlisted_since;
@@ -511,6 +513,8 @@
  */
 usec_t db_group_apply_databases(struct proxy *p, const struct registry_db *db,
 				uint32_t n, usec_t requested_at);
+/* Takes over which failure domains are evacuated. */
+void db_group_apply_evacuations(struct proxy *p, usec_t now);
 void db_group_tick(struct proxy *p, usec_t now);
 void db_group_note_position(struct db_member *db, usec_t requested_at,
 			    const struct log_pos *at);
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -141,6 +141,16 @@
 void registry_apply_catalog_copy(struct registry *r, const char *reply);
 void registry_apply_list_copy(struct registry *r, const struct registry_db *db,
 			      uint32_t n, usec_t listed_at, bool is_settled);
+/*
+ * True if the operator has evacuated the failure domain, as far as this VM
+ * knows: no statement may be sent to its databases.
+ */
+bool registry_domain_is_evacuated(const struct registry *r, const char *domain);
+/*
+ * True if this VM has learned which domains are evacuated, or if the platform
+ * has no evacuations (setting evacuate_ms).
+ */
+bool registry_evacuations_known(const struct registry *r);
 /* Obtains the newest list of databases, from a peer if possible. */
 void registry_refresh_databases(struct registry *r, usec_t now);
 /* Lists the databases now, or right after the list in progress. */
