Limit statements to cold databases, and bind routes and teams to regions

Cause: nothing read how long a database is slow after its start, nor the regions in which a route or team may run. Change: decide/cold_limit paces what an owner sends to a cold database, so that all VMs together stay below the limit while it changes owners; decide/homes keeps the regions of a route and a team; placement.c applies both when a database or an owner is chosen. Settings cold_overage and domains come from the platform's template. Conclusion: built and tested as decisions; not seen at work.

--- /dev/null
+++ b/src/decide/cold_limit.c
@@ -0,0 +1,64 @@
+#include "decide/cold_limit.h"
+
+/* The window in which statements are counted: a former owner's are over then.
+ */
+#define WINDOW_US USEC_PER_SEC
+/* Parts into which the limit is divided: see the header. */
+#define OWNERS_MAX 2
+
+static usec_t interval(const struct cold_limit_policy *policy);
+
+/* A VM that loses the database and owns it again later is a new owner. */
+void cold_limit_set_owner(struct cold_limit *c, bool is_owner, usec_t now)
+{
+	if (!is_owner) {
+		c->owner_since = 0;
+		return;
+	}
+	if (c->owner_since)
+		return;
+	c->owner_since = now;
+	if (c->next_at < now + WINDOW_US)
+		c->next_at = now + WINDOW_US;
+}
+
+/* Returns when the next statement may be sent; see the header. */
+usec_t cold_limit_next_at(const struct cold_limit *c,
+			  const struct cold_limit_policy *policy)
+{
+	if (policy->milli_per_s == 0)
+		return 0;
+	return c->owner_since ? c->next_at : -1;
+}
+
+/*
+ * Statements follow each other at the interval: one that was not sent in time
+ * is not made up for, so no second gets more than one beyond its rate.
+ */
+bool cold_limit_take(struct cold_limit *c,
+		     const struct cold_limit_policy *policy, usec_t now)
+{
+	if (policy->milli_per_s == 0)
+		return true;
+	if (!c->owner_since || now < c->next_at)
+		return false;
+	c->next_at = now + interval(policy);
+	return true;
+}
+
+/*
+ * Returns the time between two statements of one owner, in microseconds: at the
+ * rate that the database is made for, or at this owner's part of the limit if
+ * that is less.
+ */
+static usec_t interval(const struct cold_limit_policy *policy)
+{
+	double per_s = (double)policy->milli_per_s / 1000;
+	double part = per_s * (double)policy->overage_milli / 1000 / OWNERS_MAX;
+
+	if (part < per_s)
+		per_s = part;
+	if (per_s <= 0)
+		return INT64_MAX / 2;
+	return (usec_t)((double)USEC_PER_SEC / per_s) + 1;
+}
--- a/src/kernel/settings.c
+++ b/src/kernel/settings.c
@@ -22,7 +22,8 @@
 	SETTING_LEVEL,
 	SETTING_FORM,
 	SETTING_NUMBER,
-	SETTING_SHARE, /* a fraction, kept in thousandths */
+	SETTING_SHARE,	 /* a fraction, kept in thousandths */
+	SETTING_DOMAINS, /* object of failure domains and their regions */
 };
 
 /*
@@ -114,6 +115,17 @@
 	NUMBER(log_lines_per_s, 0, 1000000, 1000),
 	NUMBER(grace_s, 0, 3600, 0),
 	NUMBER(evacuate_ms, 0, 600000, 0),
+	{ .key = "cold_overage",
+	  .type = SETTING_SHARE,
+	  .offset = offsetof(struct settings, cold_overage_milli),
+	  .optional = true,
+	  .min = 1,
+	  .max = 1000000,
+	  .default_value = 1000 },
+	{ .key = "domains",
+	  .type = SETTING_DOMAINS,
+	  .offset = offsetof(struct settings, domains),
+	  .optional = true },
 	{ .key = "cpu_share",
 	  .type = SETTING_SHARE,
 	  .offset = offsetof(struct settings, cpu_milli),
@@ -159,6 +171,8 @@
 		      const json_t *v);
 static void read_peers(const struct parse_ctx *c, const struct setting *t,
 		       const json_t *v);
+static void read_domains(const struct parse_ctx *c, const struct setting *t,
+			 const json_t *v);
 static void report_unknown(const struct parse_ctx *c, json_t *root);
 static void check_combinations(const struct parse_ctx *c);
 static const struct setting *find_setting(const char *key);
@@ -219,6 +233,18 @@
 	return report->n ? -1 : 0;
 }
 
+/* Finds a failure domain in the table; a VM also knows its own region. */
+const char *settings_region(const struct settings *s, const char *domain)
+{
+	uint32_t i;
+
+	for (i = 0; i < s->domains.n; i++) {
+		if (strcmp(s->domains.e[i].domain, domain) == 0)
+			return s->domains.e[i].region;
+	}
+	return strcmp(s->domain, domain) == 0 ? s->region : NULL;
+}
+
 /* Returns the name of key i, or NULL after the last one. */
 const char *settings_key(size_t i)
 {
@@ -333,6 +359,9 @@
 	case SETTING_PEERS:
 		read_peers(c, t, v);
 		break;
+	case SETTING_DOMAINS:
+		read_domains(c, t, v);
+		break;
 	default:
 		read_text(c, t, v);
 		break;
@@ -458,6 +487,39 @@
 	s->peers.n = (uint32_t)n;
 }
 
+/* Stores the region of each failure domain. */
+static void read_domains(const struct parse_ctx *c, const struct setting *t,
+			 const json_t *v)
+{
+	struct settings *s = c->settings;
+	const char *domain;
+	const char *region;
+	json_t *value;
+
+	if (!json_is_object(v) || json_object_size(v) > DOMAINS_MAX) {
+		report_failure(c, t->key, v,
+			       "must be an object of at most %d failure "
+			       "domains and their regions",
+			       DOMAINS_MAX);
+		return;
+	}
+	json_object_foreach((json_t *)v, domain, value)
+	{
+		region = json_string_value(value);
+		if (!is_name(domain) || !region || !is_name(region)) {
+			report_failure(c, t->key, value,
+				       "must be names of failure domains and "
+				       "regions");
+			return;
+		}
+		snprintf(s->domains.e[s->domains.n].domain, NAME_MAX_BYTES,
+			 "%s", domain);
+		snprintf(s->domains.e[s->domains.n].region, NAME_MAX_BYTES,
+			 "%s", region);
+		s->domains.n++;
+	}
+}
+
 /* Reports every key that is not in the table. */
 static void report_unknown(const struct parse_ctx *c, json_t *root)
 {
--- a/src/kernel/settings.h
+++ b/src/kernel/settings.h
@@ -5,6 +5,7 @@
 #include "kernel/log.h"
 
 #define SEED_PEERS_MAX 16
+#define DOMAINS_MAX    64 /* failure domains whose region is known */
 
 enum vm_form {
 	FORM_ANY,
@@ -68,6 +69,16 @@
 	/* "evacuate_ms": within which no statement reaches an evacuated domain;
 	 * 0: the platform has no evacuations */
 	uint32_t evacuate_ms;
+	/* "cold_overage": how much of its rate a cold database may get, in
+	 * thousandths */
+	uint32_t cold_overage_milli;
+	struct {
+		uint32_t n;
+		struct {
+			char domain[NAME_MAX_BYTES];
+			char region[NAME_MAX_BYTES];
+		} e[DOMAINS_MAX];
+	} domains; /* "domains": the region of each failure domain */
 };
 
 /* Every failure found, one per line: "file: key: value: bound". */
@@ -80,6 +91,8 @@
 		  struct settings_report *report, struct error *e);
 int settings_parse(struct settings *s, const char *json, size_t len,
 		   const char *file, struct settings_report *report);
+/* Returns the region of a failure domain; NULL if it is not known. */
+const char *settings_region(const struct settings *s, const char *domain);
 /* Returns the name of key i; NULL after the last one. */
 const char *settings_key(size_t i);
 
--- a/src/proxy/catalog.c
+++ b/src/proxy/catalog.c
@@ -5,6 +5,7 @@
 #include <xxhash.h>
 
 static uint64_t hash_text(uint64_t hash, const char *text);
+static uint64_t hash_homes(uint64_t hash, const struct homes *h);
 static int compare_hosts(const void *a, const void *b);
 static int compare_keys(const void *a, const void *b);
 
@@ -69,11 +70,13 @@
 		hash = hash_text(hash, r->host);
 		hash = hash_text(hash, r->service);
 		hash = XXH3_64bits_withSeed(numbers, sizeof(numbers), hash);
+		hash = hash_homes(hash, &r->homes);
 	}
 	for (i = 0; i < c->n_services; i++) {
 		const struct catalog_service *s = &c->services[i];
-		const uint32_t numbers[] = { s->max_connections,
-					     s->sync_replicas };
+		const uint64_t numbers[] = { s->max_connections,
+					     s->sync_replicas,
+					     s->cold_milli_per_s };
 
 		hash = hash_text(hash, s->name);
 		hash = XXH3_64bits_withSeed(numbers, sizeof(numbers), hash);
@@ -85,6 +88,7 @@
 
 		hash = hash_text(hash, t->name);
 		hash = XXH3_64bits_withSeed(numbers, sizeof(numbers), hash);
+		hash = hash_homes(hash, &t->homes);
 	}
 	for (i = 0; i < c->n_keys; i++) {
 		hash = hash_text(hash, c->keys[i].key);
@@ -93,6 +97,15 @@
 	c->contents = hash;
 }
 
+/* Continues a hash with the regions, if there are any. */
+static uint64_t hash_homes(uint64_t hash, const struct homes *h)
+{
+	if (!h->is_bound)
+		return hash;
+	return XXH3_64bits_withSeed(h->regions, h->n * sizeof(h->regions[0]),
+				    hash);
+}
+
 /* Continues a hash with a string, its end included. */
 static uint64_t hash_text(uint64_t hash, const char *text)
 {
--- a/src/proxy/catalog.h
+++ b/src/proxy/catalog.h
@@ -2,6 +2,7 @@
 #define PROXY_CATALOG_H
 
 #include "decide/error.h"
+#include "decide/homes.h"
 
 /*
  * The complete configuration in force: routes, services, teams and their keys.
@@ -30,7 +31,8 @@
 	uint32_t latency_target_ms; /* of a complete operation */
 	uint32_t priority;	    /* 0 is served first */
 	uint32_t max_staleness_ms;
-	bool is_public; /* needs no key */
+	struct homes homes; /* regions in which it may run */
+	bool is_public;	    /* needs no key */
 };
 
 struct catalog_service {
@@ -38,6 +40,9 @@
 	/* connections that one database accepts, from all VMs */
 	uint32_t max_connections;
 	uint32_t sync_replicas;
+	/* statements a second that a cold database of it is made for, in
+	 * thousandths; 0: any */
+	uint64_t cold_milli_per_s;
 };
 
 struct catalog_key {
@@ -50,6 +55,7 @@
 	uint32_t rate_per_s;
 	uint32_t burst;
 	uint32_t priority;
+	struct homes homes; /* regions in which its statements may run */
 };
 
 struct catalog {
--- a/src/proxy/db_group.c
+++ b/src/proxy/db_group.c
@@ -45,12 +45,15 @@
 	uint32_t absent;    /* databases that are not listed */
 };
 
+static void apply_service(struct db_group *g, const struct catalog_service *s);
 static struct db_group *group_create(struct proxy *p, const char *service);
 static void apply_entries(struct proxy *p, const struct registry_db *db,
 			  uint32_t n, bool is_partial, struct held_back *held);
 static enum restored_entry judge_entry(const struct db_group *g,
 				       const struct registry_db *r);
 static void apply_database(struct db_group *g, const struct registry_db *r);
+static void note_cold(struct proxy *p, const struct registry_db *r,
+		      usec_t listed_at);
 static bool is_listed(const struct db_member *d, const struct registry_db *db,
 		      uint32_t n);
 static void note_evacuation(struct db_member *d, usec_t now);
@@ -92,7 +95,7 @@
 		if (!g)
 			g = group_create(p, c->services[i].name);
 		if (g)
-			g->max_connections = c->services[i].max_connections;
+			apply_service(g, &c->services[i]);
 	}
 	for (i = 0; i < c->n_teams; i++) {
 		if (!rate_limit_set(p->rate_limit, c->teams[i].name,
@@ -105,6 +108,13 @@
 	return p->n_groups > known;
 }
 
+/* Takes over what the configuration says of the databases of a service. */
+static void apply_service(struct db_group *g, const struct catalog_service *s)
+{
+	g->max_connections = s->max_connections;
+	g->cold_milli_per_s = s->cold_milli_per_s;
+}
+
 /*
  * Applies the list of databases that was requested at "requested_at". If many
  * databases are missing from it, they are kept for a while; after a restoration
@@ -126,6 +136,8 @@
 	bool left;
 
 	apply_entries(p, db, n, is_partial, &held);
+	for (i = 0; i < n; i++)
+		note_cold(p, &db[i], requested_at);
 	for (i = 0; i < p->n_groups; i++) {
 		for (j = 0; j < DB_GROUP_MEMBERS_MAX; j++) {
 			struct db_member *d = &p->groups[i]->db[j];
@@ -188,6 +200,17 @@
 	}
 }
 
+/* Takes over how long a listed database is cold. */
+static void note_cold(struct proxy *p, const struct registry_db *r,
+		      usec_t listed_at)
+{
+	struct db_group *g = db_group_find(p, r->service);
+	uint32_t i = g ? db_group_find_member(g, r->id) : DB_NONE;
+
+	if (i != DB_NONE && g->db[i].incarnation == r->incarnation)
+		placement_note_cold(&g->db[i], r->cold_left_ms, listed_at);
+}
+
 /* Decides on an entry of a list that may be older than what is known. */
 static enum restored_entry judge_entry(const struct db_group *g,
 				       const struct registry_db *r)
@@ -244,7 +267,14 @@
 /* Notes whether a database's failure domain is evacuated. */
 static void note_evacuation(struct db_member *d, usec_t now)
 {
-	if (!registry_domain_is_evacuated(d->group->proxy->registry, d->domain))
+	struct registry *r = d->group->proxy->registry;
+	bool is_evacuated = registry_domain_is_evacuated(r, d->domain);
+
+	if (!is_evacuated && d->evacuated_since && d->group->cold_milli_per_s) {
+		d->relisted_from = now;
+		registry_poll_fast(r, now);
+	}
+	if (!is_evacuated)
 		d->evacuated_since = 0;
 	else if (d->evacuated_since == 0)
 		d->evacuated_since = now;
--- a/src/proxy/dispatch.c
+++ b/src/proxy/dispatch.c
@@ -3,7 +3,7 @@
 #include "decide/queue_wait.h"
 #include "kernel/counters.h"
 #include "kernel/log.h"
-#include "proxy/proxy_internal.h"
+#include "proxy/remote.h"
 
 /* A log position older than this says little about how far a replica is now. */
 #define POSITION_AGE_MAX_US (50 * USEC_PER_MSEC)
@@ -25,6 +25,7 @@
 static bool is_known_behind(const struct db_member *d, struct log_pos after,
 			    usec_t now);
 static bool start_at(struct session *s, uint32_t db);
+static bool refuse_cold_read(struct session *s, struct db_member *d);
 static uint32_t choose_database(struct session *s, usec_t now);
 static bool set_min_position(struct session *s);
 static bool is_usable(const struct db_member *db, usec_t now);
@@ -55,6 +56,13 @@
 		remote_client_continue(s);
 		return;
 	}
+	if (!placement_has_db(s)) {
+		session_send_error(
+			s, s->in_tx ? REPLY_ERR_ABORTED : REPLY_ERR_BUSY,
+			"no database in a region of its route and team, not "
+			"run, retry after 1000 ms");
+		return;
+	}
 	/* dispatch_waiting() starts queued ones when resources become free. */
 	if (try_start(s, now))
 		return;
@@ -270,10 +278,12 @@
 		return false;
 	}
 	d = &g->db[db];
-	if (!is_usable(d, now) || (t->tried_mask & (1U << db)))
+	if (!is_usable(d, now) || (t->tried_mask & (1U << db)) ||
+	    !placement_allows_db(s, d))
 		return false;
 	owner = db_member_owner(d);
-	if (owner && remote_client_start(s, db, owner))
+	if (owner && placement_allows_peer(s, owner) &&
+	    remote_client_start(s, db, owner))
 		return true;
 	if (!t->needs_primary)
 		db_group_proof_refresh_position(g, now);
@@ -309,6 +319,10 @@
 		remote_server_refuse(s, REPLY_ERR_NONE, 0);
 		return true;
 	}
+	if (placement_is_cold(d, now) && db_member_owner(d)) {
+		remote_server_refuse(s, REPLY_ERR_WRONG_DATABASE, 0);
+		return true;
+	}
 	if (!t->needs_primary) {
 		db_group_proof_refresh_position(g, now);
 		t->has_after = set_min_position(s);
@@ -387,7 +401,8 @@
 /* Executes the next statement of a transaction once a slot is free. */
 static bool continue_transaction(struct session *s)
 {
-	if (!conn_pool_has_free_slot(s->backend->db))
+	if (!conn_pool_has_free_slot(s->backend->db) ||
+	    !placement_take_cold(s->backend->db, proxy_now()))
 		return false;
 	backend_run(s->backend, s);
 	return true;
@@ -407,6 +422,8 @@
 	way = conn_pool_availability(d, s);
 	if (way == LOAD_BALANCE_CONN_NONE)
 		return false;
+	if (!placement_take_cold(d, proxy_now()))
+		return refuse_cold_read(s, d);
 	s->exec.db = db;
 	if (!s->stream)
 		s->exec.via = NULL;
@@ -423,6 +440,19 @@
 	return true;
 }
 
+/*
+ * A read that another VM forwarded to a cold database goes back, as it may find
+ * another one; what needs the primary waits. Returns true if it was given back.
+ */
+static bool refuse_cold_read(struct session *s, struct db_member *d)
+{
+	if (!s->stream || s->exec.needs_primary || s->tx_at_database)
+		return false;
+	d->cold_retry_at = proxy_now() + COLD_RETRY_US;
+	remote_server_refuse(s, REPLY_ERR_BUSY, DONE_COLD);
+	return true;
+}
+
 /* Chooses the database for a read. */
 static uint32_t choose_database(struct session *s, usec_t now)
 {
@@ -434,6 +464,8 @@
 		struct db_member *d = &g->db[i];
 
 		if (is_usable(d, now) && !db_member_is_silent(d, now) &&
+		    !placement_is_exhausted(d, now) &&
+		    placement_allows_db(s, d) &&
 		    !(s->exec.tried_mask & (1U << i)))
 			view_database(s, d, now, &view[i]);
 	}
--- a/src/proxy/heartbeat.c
+++ b/src/proxy/heartbeat.c
@@ -217,6 +217,15 @@
 	return b->members_hash;
 }
 
+/* Returns the failure domain of a peer; NULL if the peer is unknown. */
+const char *heartbeat_peer_domain(const struct heartbeat *b, const char *peer)
+{
+	const struct peer_vm *v =
+		heartbeat_find_peer((struct heartbeat *)b, peer, false);
+
+	return v ? v->domain : NULL;
+}
+
 /* Finds a peer's address; returns false if the peer is unknown. */
 bool heartbeat_peer_address(struct heartbeat *b, const char *peer,
 			    struct sockaddr_storage *to, socklen_t *len)
--- /dev/null
+++ b/src/proxy/placement.c
@@ -0,0 +1,112 @@
+#include "proxy/proxy_internal.h"
+
+/*
+ * Where a session's statements may run: in the regions that its route and its
+ * team name (decide/homes.h), and at a cold database no more than that is made
+ * for (decide/cold_limit.h).
+ */
+
+static const char *region_of(const struct proxy *p, const char *domain);
+static struct cold_limit_policy cold_policy(const struct db_member *d);
+
+/* Returns true if the statement may run at the database. */
+bool placement_allows_db(const struct session *s, const struct db_member *d)
+{
+	return homes_allow(&s->homes, region_of(s->proxy, d->domain));
+}
+
+/*
+ * Returns true if the peer may get the statement's text. The VM to which the
+ * caller connected has it anyway.
+ */
+bool placement_allows_peer(const struct session *s, const char *peer)
+{
+	const char *domain;
+
+	if (!s->homes.is_bound)
+		return true;
+	domain = heartbeat_peer_domain(s->proxy->heartbeat, peer);
+	return domain && homes_allow(&s->homes, region_of(s->proxy, domain));
+}
+
+/* Returns true if a database of the group is in a region that is allowed. */
+bool placement_has_db(const struct session *s)
+{
+	uint32_t i;
+
+	if (!s->homes.is_bound)
+		return true;
+	for (i = 0; i < DB_GROUP_MEMBERS_MAX; i++) {
+		const struct db_member *d = &s->group->db[i];
+
+		if (d->present && placement_allows_db(s, d))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Notes the end of the time for which a database is cold, as the list tells
+ * that was requested at "listed_at". An entry is up to a check-in older than
+ * the list, so the end is late rather than early.
+ */
+void placement_note_cold(struct db_member *d, uint32_t cold_left_ms,
+			 usec_t listed_at)
+{
+	d->cold_until =
+		cold_left_ms ? listed_at + (usec_t)cold_left_ms * USEC_PER_MSEC
+			     : 0;
+	if (listed_at >= d->relisted_from)
+		d->relisted_from = 0;
+}
+
+/*
+ * Returns true if statements to the database are limited. After an evacuation
+ * the list from before does not tell whether it is cold, so it counts as cold.
+ */
+bool placement_is_cold(const struct db_member *d, usec_t now)
+{
+	return d->group->cold_milli_per_s &&
+	       (d->relisted_from || now < d->cold_until);
+}
+
+/*
+ * Returns true if a read had better go elsewhere: the owner has told so lately,
+ * or this VM is the owner and has just sent a statement.
+ */
+bool placement_is_exhausted(const struct db_member *d, usec_t now)
+{
+	return placement_is_cold(d, now) &&
+	       (now < d->cold_retry_at ||
+		(d->cold.owner_since && now < d->cold.next_at));
+}
+
+/* Returns true if one statement may be sent now, and counts it. */
+bool placement_take_cold(struct db_member *d, usec_t now)
+{
+	const struct cold_limit_policy policy = cold_policy(d);
+
+	if (!placement_is_cold(d, now)) {
+		cold_limit_set_owner(&d->cold, false, now);
+		return true;
+	}
+	cold_limit_set_owner(&d->cold, !db_member_owner(d), now);
+	return cold_limit_take(&d->cold, &policy, now);
+}
+
+/* Returns the limit of a cold database. */
+static struct cold_limit_policy cold_policy(const struct db_member *d)
+{
+	const struct settings *s = &d->group->proxy->kernel->settings;
+
+	return (struct cold_limit_policy){
+		.milli_per_s = d->group->cold_milli_per_s,
+		.overage_milli = s->cold_overage_milli,
+	};
+}
+
+/* Returns the region of a failure domain; NULL if the settings lack it. */
+static const char *region_of(const struct proxy *p, const char *domain)
+{
+	return settings_region(&p->kernel->settings, domain);
+}
--- a/src/proxy/proxy_internal.h
+++ b/src/proxy/proxy_internal.h
@@ -9,6 +9,7 @@
 #include "decide/promotion_claim.h"
 #include "decide/store_position.h"
 #include "decide/primary_proof.h"
+#include "decide/cold_limit.h"
 #include "decide/connect_backoff.h"
 #include "decide/load_balance.h"
 #include "decide/rate_limit.h"
@@ -67,6 +68,14 @@
 	bool announced_departure; /* by its last entry */
 	/* its failure domain is evacuated, known since then; 0: it is not */
 	usec_t evacuated_since;
+	/* after an evacuation only a list requested from this time on tells
+	 * whether it is cold; 0: any does */
+	usec_t relisted_from;
+	usec_t cold_until; /* slow after its start; 0: it is not */
+	struct cold_limit cold;
+	/* its owner could send it no more, as it is cold: no reads until then
+	 */
+	usec_t cold_retry_at;
 	bool reports_primary;
 	/* its entry is missing since this time; 0: it has one */
 	usec_t unlisted_since;
@@ -134,6 +143,7 @@
 	char service[NAME_MAX_BYTES];
 	/* connections that one database accepts, from all VMs */
 	uint32_t max_connections;
+	uint64_t cold_milli_per_s; /* see catalog.h */
 	struct db_member db[DB_GROUP_MEMBERS_MAX];
 	uint32_t primary; /* index into db, or DB_NONE */
 	/* when the primary was proved to be the only one; its log positions */
@@ -287,6 +297,7 @@
 	uint32_t max_staleness_ms;
 	uint32_t latency_target_ms; /* of an operation; 0: none */
 	uint32_t tx_idle_ms;
+	struct homes homes; /* regions in which it may run */
 	struct stmt_exec exec;
 };
 
@@ -469,6 +480,26 @@
 /* Takes the connection or stream from a session. */
 void dispatch_release(struct session *s);
 
+/* placement.c: where a session's statements may run */
+/* True if the regions of the session's route and team have the database's. */
+bool placement_allows_db(const struct session *s, const struct db_member *d);
+/* True if a statement may be forwarded to the peer. */
+bool placement_allows_peer(const struct session *s, const char *peer);
+/* True if the group has a database where the session's statements may run. */
+bool placement_has_db(const struct session *s);
+/* Takes over from an entry how long the database is cold. */
+void placement_note_cold(struct db_member *d, uint32_t cold_left_ms,
+			 usec_t listed_at);
+/* True if statements to the database are limited, as it is cold. */
+bool placement_is_cold(const struct db_member *d, usec_t now);
+/* True if it is cold and can take no more reads now, as far as known. */
+bool placement_is_exhausted(const struct db_member *d, usec_t now);
+/*
+ * Takes the right to send one statement to the database; false if it is cold
+ * and may get none now.
+ */
+bool placement_take_cold(struct db_member *d, usec_t now);
+
 /* backend.c */
 struct backend *backend_open(struct db_member *db, const char *team);
 void backend_close(struct backend *b, const char *reason);
@@ -564,6 +595,8 @@
 /* The VM that owns a database's connections; NULL if this VM does. */
 const char *heartbeat_database_owner(const struct heartbeat *b,
 				     const char *database, const char *domain);
+/* The failure domain of a peer; NULL if the peer is unknown. */
+const char *heartbeat_peer_domain(const struct heartbeat *b, const char *peer);
 /* Finds a peer's address; returns false if the peer is unknown. */
 bool heartbeat_peer_address(struct heartbeat *b, const char *peer,
 			    struct sockaddr_storage *to, socklen_t *len);
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -29,6 +29,7 @@
 	/* start time of its process in milliseconds; 0: unknown */
 	uint64_t incarnation;
 	uint64_t sequence;
+	uint32_t cold_left_ms; /* how much longer it is slow after its start */
 };
 
 /* A VM's entry in the registry. */
--- a/src/proxy/registry_copy.c
+++ b/src/proxy/registry_copy.c
@@ -13,7 +13,7 @@
 
 #define DATABASES_MAX 4096 /* of one copy */
 /* Fields of a database in a copy. */
-#define DATABASE_FIELDS 9
+#define DATABASE_FIELDS 10
 
 static void send_catalog(struct peer_link *l);
 static void send_databases(struct peer_link *l);
@@ -95,7 +95,8 @@
 
 /*
  * Sends [age in microseconds, settled, databases]; a database is [id, service,
- * address, domain, slots, departing, primary, incarnation, sequence].
+ * address, domain, slots, departing, primary, incarnation, sequence, time for
+ * which it is cold in milliseconds].
  */
 static void send_databases(struct peer_link *l)
 {
@@ -127,6 +128,7 @@
 		msgpack_pack_uint32(&p, db[i].primary);
 		msgpack_pack_uint64(&p, db[i].incarnation);
 		msgpack_pack_uint64(&p, db[i].sequence);
+		msgpack_pack_uint32(&p, db[i].cold_left_ms);
 	}
 	peer_link_send(l, &buf);
 }
@@ -178,5 +180,6 @@
 	out->primary = wire_u64(&e) != 0;
 	out->incarnation = wire_u64(&e);
 	out->sequence = wire_u64(&e);
+	out->cold_left_ms = (uint32_t)wire_u64(&e);
 	r->bad |= e.bad;
 }
--- a/src/proxy/registry_list.c
+++ b/src/proxy/registry_list.c
@@ -302,7 +302,7 @@
 
 /*
  * Returns a hash of what the VMs have to agree on: the databases, their
- * addresses, incarnations, departures and roles.
+ * addresses, incarnations, departures and roles, and which are cold.
  */
 static uint64_t hash_list(const struct registry *r)
 {
@@ -312,7 +312,8 @@
 	qsort(r->list, r->n_list, sizeof(*r->list), compare_ids);
 	for (i = 0; i < r->n_list; i++) {
 		const struct registry_db *d = &r->list[i];
-		uint64_t packed_state = d->incarnation << 2 |
+		uint64_t packed_state = d->incarnation << 3 |
+					(uint64_t)(d->cold_left_ms > 0) << 2 |
 					(uint64_t)d->departing << 1 |
 					(uint64_t)d->primary;
 
--- a/src/proxy/remote.h
+++ b/src/proxy/remote.h
@@ -46,8 +46,13 @@
 	DONE_NOT_PRIMARY = 8,
 	/* it could not start before its deadline */
 	DONE_OVERLOADED = 16,
+	/* the database is cold and can take no more reads now */
+	DONE_COLD = 32,
 };
 
+/* A cold database that could take no more reads is not chosen for this long. */
+#define COLD_RETRY_US (500 * USEC_PER_MSEC)
+
 /* One end of a link. */
 struct peer_link {
 	TAILQ_ENTRY(peer_link) entry;
--- a/src/proxy/remote_client.c
+++ b/src/proxy/remote_client.c
@@ -339,6 +339,9 @@
 		return;
 	}
 	if (m->result == RESULT_NOT_RUN) {
+		if (m->flags & DONE_COLD)
+			s->group->db[s->exec.db].cold_retry_at =
+				proxy_now() + COLD_RETRY_US;
 		if (m->code == REPLY_ERR_LAGGING)
 			s->group->db[s->exec.db].behind_until =
 				proxy_now() + LAGGING_US;
--- a/src/proxy/session.c
+++ b/src/proxy/session.c
@@ -574,6 +574,9 @@
 	s->max_staleness_ms = r->max_staleness_ms;
 	s->latency_target_ms = r->latency_target_ms;
 	s->tx_idle_ms = c->transaction_idle_ms;
+	s->homes = r->homes;
+	if (team)
+		s->homes = homes_both(&r->homes, &team->homes);
 	return true;
 }
 
--- a/tests/kernel/settings_test.cc
+++ b/tests/kernel/settings_test.cc
@@ -73,6 +73,25 @@
 		EXPECT_EQ(parse(with(more), &s, &r), -1) << more;
 }
 
+// Guards against a failure domain whose region is guessed.
+TEST(Settings, RegionsOfDomains)
+{
+	struct settings s;
+	struct settings_report r;
+	ASSERT_EQ(parse(with(",\"domains\":{\"z-7\":\"east\",\"z-8\":"
+			     "\"west\"}"),
+			&s, &r),
+		  0)
+		<< r.text;
+	EXPECT_STREQ(settings_region(&s, "z-8"), "west");
+	EXPECT_EQ(settings_region(&s, "z-9"), nullptr);
+	EXPECT_STREQ(settings_region(&s, s.domain), s.region);
+	for (const char *more :
+	     { ",\"domains\":[\"z-7\"]", ",\"domains\":{\"z-7\":7}",
+	       ",\"domains\":{\"\":\"east\"}", ",\"domains\":{\"z-7\":\"\"}" })
+		EXPECT_EQ(parse(with(more), &s, &r), -1) << more;
+}
+
 TEST(Settings, EachFailureNamesFileKeyValueAndBound)
 {
 	const struct {
--- a/tests/platform/object_codec_test.cc
+++ b/tests/platform/object_codec_test.cc
@@ -63,6 +63,49 @@
 	catalog_destroy(c);
 }
 
+// Guards against a bound to regions that is lost in decoding: what can't be
+// read allows nothing.
+TEST(ObjectCodec, HomesAndColdRate)
+{
+	const struct {
+		const char *homes;
+		bool east;
+		bool west;
+	} cases[] = {
+		{ "", true, true },
+		{ ",\"homes\":null", true, true },
+		{ ",\"homes\":[]", true, true },
+		{ ",\"homes\":[\"east\"]", true, false },
+		{ ",\"homes\":[\"east\",\"west\"]", true, true },
+		{ ",\"homes\":[7,\"west\"]", false, true },
+		{ ",\"homes\":\"east\"", false, false },
+	};
+	for (const auto &c : cases) {
+		std::string spec =
+			R"({"version":7,"routes":[{"host":"xapu","service":"huvo")" +
+			std::string(c.homes) +
+			R"(}],"services":[{"name":"huvo","coldPerS":2.5}],)"
+			R"("tenants":[{"name":"nypu","apiKeys":["k1"])" +
+			std::string(c.homes) + "}]}";
+		std::string list = "{\"items\":[" + object("main", 12, spec) +
+				   "],\"currentRev\":15}";
+		struct error e;
+		error_clear(&e);
+		uint64_t revision = 0;
+		struct catalog *got =
+			object_codec_catalog(list.c_str(), &revision, &e);
+		ASSERT_NE(got, nullptr) << c.homes;
+		for (const struct homes *h :
+		     { &catalog_route(got, "xapu")->homes,
+		       &catalog_team(got, "k1")->homes }) {
+			EXPECT_EQ(homes_allow(h, "east"), c.east) << c.homes;
+			EXPECT_EQ(homes_allow(h, "west"), c.west) << c.homes;
+		}
+		EXPECT_EQ(got->services[0].cold_milli_per_s, 2500u);
+		catalog_destroy(got);
+	}
+}
+
 TEST(ObjectCodec, ConfigurationWatch)
 {
 	std::string events =
