Pass on the newest read of the configuration in large fleets

Change: decide/confirmation keeps the newest known read with an id, takes each once, adds 40 ms for each datagram that tells it, and decides whom to send it to: the VM that read to its failure domain and all readers of the fleet, the first two readers of the other domains to their own. Heartbeats pass on the newest known read (their type is 9 now). In a large fleet the heartbeat to all readers after a read is dropped for this datagram, and a read is due 40 ms later, so that the allowance costs no calls. Small fleets tell their own reads only, as before; a read told again no longer counts if it seems younger than when it was first told.

--- a/src/proxy/heartbeat_codec.c
+++ b/src/proxy/heartbeat_codec.c
@@ -20,7 +20,7 @@
 #define NEWS_DRAINING 2	 /* draining */
 #define NEWS_DIRECT   4	 /* from its own heartbeat, lately */
 #define NEWS_FAILS    8	 /* the platform does not answer it */
-#define DIGEST_FIELDS 10 /* of the registry's digest */
+#define DIGEST_FIELDS 12 /* of the registry's digest */
 /* A change of a group's primary is included in heartbeats for this long. */
 #define PRIMARY_CHANGE_NEWS_US (5 * USEC_PER_SEC)
 /*
@@ -43,7 +43,6 @@
 			     socklen_t from_len);
 static void read_digest(const struct heartbeat *b, struct wire_reader *r,
 			struct registry_digest *out);
-static uint64_t longer_age(uint64_t age_ms, uint64_t by_ms);
 static bool decode_news(struct heartbeat *b, const uint8_t *news, size_t len,
 			usec_t now);
 static void decode_groups(struct heartbeat *b, struct peer_vm *v,
@@ -90,8 +89,8 @@
 
 /*
  * Encodes [configuration, hash of its contents, databases, age of their list,
- * VMs, the era is known, era, age of the era, the configuration was read, age
- * of that read].
+ * VMs, the era is known, era, age of the era, and the four fields of a read of
+ * the configuration].
  */
 static void pack_digest(msgpack_packer *p, const struct registry_digest *d)
 {
@@ -104,8 +103,7 @@
 	msgpack_pack_uint32(p, d->knows_era);
 	msgpack_pack_uint64(p, d->era);
 	msgpack_pack_uint64(p, d->era_age_ms);
-	msgpack_pack_uint32(p, d->has_read);
-	msgpack_pack_uint64(p, d->read_age_ms);
+	heartbeat_pack_read(p, &d->read);
 }
 
 /*
@@ -250,6 +248,9 @@
 	case PEER_MSG_PROOF_RESPONSE:
 		db_group_proof_on_response(b->proxy, &r);
 		break;
+	case PEER_MSG_READ:
+		heartbeat_on_read(b, &r);
+		break;
 	default:
 		r.bad = true;
 		break;
@@ -326,38 +327,30 @@
 }
 
 /*
- * Decodes a digest. A datagram may have waited since the last tick, which is
- * long ago if this VM was suspended: that is added to the ages of the peer's
- * reads.
+ * Decodes a digest. The read in it confirms the configuration that the peer has
+ * now.
  */
 static void read_digest(const struct heartbeat *b, struct wire_reader *r,
 			struct registry_digest *out)
 {
 	struct wire_reader d = wire_nested_array(r, DIGEST_FIELDS);
-	usec_t waited = b->arrived_after ? proxy_now() - b->arrived_after : 0;
-	uint64_t waited_ms = (uint64_t)waited / USEC_PER_MSEC;
 
 	out->catalog = wire_u64(&d);
 	out->contents = wire_u64(&d);
 	out->databases = wire_u64(&d);
-	out->databases_age_ms = wire_u64(&d);
+	out->databases_age_ms = heartbeat_arrived_age(b, wire_u64(&d));
 	out->vms = wire_u64(&d);
 	out->knows_era = wire_u64(&d) != 0;
 	out->era = wire_u64(&d);
 	out->era_age_ms = wire_u64(&d);
-	out->has_read = wire_u64(&d) != 0;
-	out->read_age_ms = wire_u64(&d);
-	out->databases_age_ms = longer_age(out->databases_age_ms, waited_ms);
-	out->read_age_ms = longer_age(out->read_age_ms, waited_ms);
+	heartbeat_unpack_read(b, &d, &out->read);
+	out->read.data = (struct confirmation_data){
+		.version = out->catalog,
+		.contents = out->contents,
+	};
 	r->bad |= d.bad;
 }
 
-/* Adds to an age that a peer told; one that is too long stays so. */
-static uint64_t longer_age(uint64_t age_ms, uint64_t by_ms)
-{
-	return age_ms > UINT64_MAX - by_ms ? UINT64_MAX : age_ms + by_ms;
-}
-
 /*
  * Takes the newer news of other VMs from a heartbeat. Returns true if its
  * sender receives this VM's heartbeats, as far as that is known: in a large
--- a/src/proxy/heartbeat_internal.h
+++ b/src/proxy/heartbeat_internal.h
@@ -80,10 +80,11 @@
 	bool reads_waiting;   /* reads those that waited for a suspended VM */
 	uint64_t owners_version; /* changes with the result of
 				    heartbeat_service_owner() */
-	bool tell_domain;   /* the next heartbeat goes to the whole domain */
-	bool tell_readers;  /* and to all readers of the fleet */
-	bool is_reader;	    /* this VM reads for its domain */
-	uint32_t n_readers; /* in the fleet */
+	bool tell_domain;     /* the next heartbeat goes to the whole domain */
+	bool tell_readers;    /* and to all readers of the fleet */
+	bool is_reader;	      /* this VM reads for its domain */
+	bool is_first_reader; /* and is one of the first by rank */
+	uint32_t n_readers;   /* in the fleet */
 	/* VMs of this VM's domain that the platform does not answer */
 	uint32_t n_failing;
 	bool own_platform_fails;   /* the platform does not answer this VM */
@@ -116,6 +117,17 @@
 /* Handles one datagram of any type. */
 void heartbeat_receive(struct heartbeat *b, const char *data, size_t len,
 		       const struct sockaddr_storage *from, socklen_t from_len);
+/* Encodes and decodes a read that a VM tells, without its data. */
+void heartbeat_pack_read(msgpack_packer *p, const struct confirmation_told *t);
+void heartbeat_unpack_read(const struct heartbeat *b, struct wire_reader *r,
+			   struct confirmation_told *out);
+/* Handles a datagram with a read. */
+void heartbeat_on_read(struct heartbeat *b, struct wire_reader *r);
+/*
+ * Returns an age that a datagram tells, with the time that it may have waited
+ * for a VM that was suspended.
+ */
+uint64_t heartbeat_arrived_age(const struct heartbeat *b, uint64_t age_ms);
 /* Finds a peer by name, or adds it if "make" is set; NULL if that fails. */
 struct peer_vm *heartbeat_find_peer(struct heartbeat *b, const char *name,
 				    bool make);
--- a/src/proxy/heartbeat_view.c
+++ b/src/proxy/heartbeat_view.c
@@ -203,6 +203,16 @@
 	return b->is_reader;
 }
 
+/*
+ * Returns true if this VM is one of the first readers of its failure domain,
+ * which tell it what other domains have read (see decide/confirmation.h).
+ */
+bool heartbeat_is_first_reader(const struct heartbeat *b)
+{
+	heartbeat_update_readers((struct heartbeat *)b);
+	return b->is_first_reader;
+}
+
 /* Returns the number of VMs in the fleet that read the platform's data. */
 uint32_t heartbeat_n_readers(const struct heartbeat *b)
 {
@@ -254,6 +264,7 @@
 	const uint64_t version = b->owners_version + b->platform_version + 1;
 	const struct settings *s = &b->proxy->kernel->settings;
 	struct reader_vm *vm;
+	uint32_t place = 0;
 	uint32_t n = 0;
 	uint32_t i;
 
@@ -269,6 +280,7 @@
 	b->n_readers = 0;
 	b->n_failing = 0;
 	b->is_reader = false;
+	b->is_first_reader = false;
 	if (!b->proxy->draining) {
 		vm[n].capacity = heartbeat_own_capacity(b);
 		vm[n].fails = b->own_platform_fails;
@@ -289,10 +301,16 @@
 		b->n_failing +=
 			vm[i].fails && strcmp(vm[i].domain, s->domain) == 0;
 		b->n_readers += vm[i].reads;
-		if (vm[i].id == b->n)
-			b->is_reader = vm[i].reads;
+		if (i > 0 && strcmp(vm[i].domain, vm[i - 1].domain) == 0)
+			place++;
 		else
+			place = 0;
+		if (vm[i].id == b->n) {
+			b->is_reader = vm[i].reads;
+			b->is_first_reader = place < CONFIRMATION_RELAYS;
+		} else {
 			b->peers[vm[i].id]->is_reader = vm[i].reads;
+		}
 	}
 	free(vm);
 }
--- a/src/proxy/proxy_internal.h
+++ b/src/proxy/proxy_internal.h
@@ -581,6 +581,8 @@
 uint32_t heartbeat_n_readers(const struct heartbeat *b);
 /* One of the VMs that read for this failure domain; NULL: none but this one. */
 const char *heartbeat_domain_reader(const struct heartbeat *b, uint64_t random);
+/* True if this VM is one of the first readers of its failure domain. */
+bool heartbeat_is_first_reader(const struct heartbeat *b);
 /* The number of VMs of this domain that the platform does not answer. */
 uint32_t heartbeat_n_failing(const struct heartbeat *b);
 /* Sends the next heartbeat at once, also to all VMs of the failure domain. */
@@ -607,14 +609,27 @@
 struct heartbeat_peer_reports heartbeat_peer_reports(const struct heartbeat *b,
 						     const char *service);
 
+/* heartbeat_confirm.c */
+/* Returns the number that stands for this VM in the ids of its reads. */
+uint32_t heartbeat_own_hash(const struct heartbeat *b);
+/* Returns a VM's name by that number; NULL if it is unknown. */
+const char *heartbeat_name_of(const struct heartbeat *b, uint32_t hash);
+/* True if a VM is known to be in this VM's failure domain. */
+bool heartbeat_is_in_domain(const struct heartbeat *b, uint32_t hash);
+/* Sends a read of the configuration on, one datagram to each VM. */
+void heartbeat_send_read(struct heartbeat *b,
+			 const struct confirmation_told *told,
+			 enum confirmation_audience to);
+
 /* rate_limit_client.c */
 /* Types of the datagrams between VMs; the first field of each. */
 enum peer_msg_type {
-	PEER_MSG_HEARTBEAT = 8, /* 1, 2 and 7 were older formats */
+	PEER_MSG_HEARTBEAT = 9, /* 1, 2, 7 and 8 were older formats */
 	PEER_MSG_TOKEN_REQUEST = 3,
 	PEER_MSG_TOKEN_RESPONSE = 4,
 	PEER_MSG_PROOF_REQUEST = 5,
 	PEER_MSG_PROOF_RESPONSE = 6,
+	PEER_MSG_READ = 10,
 };
 
 enum rate_limit_client_result {
--- a/src/proxy/registry.c
+++ b/src/proxy/registry.c
@@ -206,8 +206,7 @@
 		.era_age_ms = s->is_known ? (uint64_t)((now - s->known_since) /
 						       USEC_PER_MSEC)
 					  : 0,
-		.has_read = r->read_at != 0,
-		.read_age_ms = (uint64_t)((now - r->read_at) / USEC_PER_MSEC),
+		.read = registry_told_read(r, now),
 	};
 }
 
@@ -226,7 +225,7 @@
 	known = registry_digest(r, now);
 	registry_on_peer_version(r, peer, n->catalog, now);
 	registry_on_peer_contents(r, n, now);
-	registry_on_peer_confirm(r, peer, n, now);
+	registry_on_peer_read(r, &n->read, now);
 	if (list_counts(r, n, now))
 		registry_on_peer_list(r, peer, n, now);
 	if (n->vms != known.vms && r->proxy->vms_known &&
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -1,6 +1,7 @@
 #ifndef PROXY_REGISTRY_H
 #define PROXY_REGISTRY_H
 
+#include "decide/confirmation.h"
 #include "decide/error.h"
 #include "decide/promotion_claim.h"
 #include "proxy/catalog.h"
@@ -186,17 +187,17 @@
 	uint64_t vms;		   /* hash of the names of all known VMs */
 	bool knows_era;		   /* the store has replied */
 	uint64_t era;
-	uint64_t era_age_ms;  /* how long the era has been known */
-	bool has_read;	      /* the VM has read the configuration itself */
-	uint64_t read_age_ms; /* since that read began */
+	uint64_t era_age_ms; /* how long the era has been known */
+	/* a read that confirms the configuration; see decide/confirmation.h */
+	struct confirmation_told read;
 };
 
-/* A longer age in a digest tells nothing. */
-#define REGISTRY_AGE_MAX_MS (600 * UINT64_C(1000))
-
 struct registry_digest registry_digest(const struct registry *r, usec_t now);
 void registry_on_peer_digest(struct registry *r, const char *peer,
 			     const struct registry_digest *n, usec_t now);
+/* Takes note of a read of the configuration by another VM. */
+void registry_on_peer_read(struct registry *r,
+			   const struct confirmation_told *told, usec_t now);
 
 /* How a request about a claim ended. */
 struct registry_claim_outcome {
--- a/src/proxy/registry_internal.h
+++ b/src/proxy/registry_internal.h
@@ -90,7 +90,7 @@
 	uint64_t refused_version; /* last older version logged; 0: none */
 	/* of the configuration, by reads of this VM and its peers */
 	struct shared_poll catalog_poll;
-	usec_t read_at; /* when this VM's newest read of it began; 0: none */
+	struct confirmation confirmation; /* these reads */
 	struct registry_page page;
 	uint32_t n_list;
 	/* list the databases again as soon as the list in progress is done */
@@ -129,9 +129,9 @@
 /* registry_confirm.c */
 /* Takes note of a reply to a read of the configuration. */
 void registry_confirm(struct registry *r, usec_t asked_at);
-/* Takes note of a peer's read of the configuration. */
-void registry_on_peer_confirm(struct registry *r, const char *peer,
-			      const struct registry_digest *n, usec_t now);
+/* Returns the read of the configuration that this VM's heartbeats tell. */
+struct confirmation_told registry_told_read(const struct registry *r,
+					    usec_t now);
 /*
  * Reads the configuration when it was not for a while, here or at a peer. Logs
  * when it has been unconfirmed for too long.
