--- a/src/proxy/heartbeat.c
+++ b/src/proxy/heartbeat.c
@@ -19,7 +19,7 @@
  * old its news of the other VMs is, and tells the state of groups whose primary
  * is suspected. Nothing is acknowledged; the next heartbeat replaces a lost
  * one. The same socket carries the requests of rate_limit_client.c and
- * db_group_proof.c.
+ * db_group_proof.c, and the reads of heartbeat_confirm.c.
  */
 
 /* VMs that take part in a failover of a group by their rank. */
