Test links between VMs that fall silent

Cause: a link that carries nothing any more while new ones work is given up after half a second, and each write on it then ends as in doubt; no test showed it.

The platform's fake tells VMs the relay's address of their peers (control "relay_peers").

--- /dev/null
+++ b/tests/process/links_silent.pl
@@ -0,0 +1,187 @@
+# Statements across links between VMs that fall silent while new ones work:
+#	links_silent.pl DIR PLATFORM RELAY PID VM...
+# PID is that of the first VM. Prints one line per check, the times as measured,
+# and the counts. Guards against statements that end as in doubt, are lost or run
+# twice although the VM that executes them could tell what became of them.
+use strict;
+use warnings;
+use Time::HiRes qw(time sleep);
+
+BEGIN { require "./tests/process/sessions_lib.pl"; }
+our ($platform, $default_vm, $passed, $failed, $id_prefix);
+my ($dir, $relay, $pid, @vms);
+($dir, $platform, $relay, $pid, @vms) = @ARGV;
+$default_vm = $vms[0];
+
+use constant CALLERS => 12;	# of each kind
+use constant PLAY_S => 3;	# a play lasts so long
+use constant FAULT_S => 1;	# the fault comes then
+use constant SERVICE_S => 2;	# times are measured for so long after it
+
+sub relay_command {
+	my $s = IO::Socket::INET->new(PeerAddr => $relay) or die "relay: $!";
+	print $s "$_[0]\n";
+	return 0 + (<$s> // 0);
+}
+
+# One statement; writes its kind, times, end and what it wrote to the file.
+sub timed {
+	my ($out, $c, $kind, $text, $wrote) = @_;
+	my $began = time;
+	my $end = query($c, $text);
+	print $out join("\t", $kind, $began, time - $began, $end, $c->{id}, $wrote // ""), "\n";
+	return $end =~ /^COMPLETE/;
+}
+
+# The statements of one caller, until the time; each writes to an item of its own.
+my %callers = (
+	read => sub { timed($_[1], $_[0], "read", "READ any") },
+	write => sub {
+		my ($c, $out, $item, $n) = @_;
+		timed($out, $c, "write", "WRITE $item v$n", "$item v$n");
+	},
+	tx => sub {
+		my ($c, $out, $item, $n) = @_;
+		timed($out, $c, "tx", "BEGIN") or return;
+		timed($out, $c, "tx", "WRITE $item v$n") or return;
+		sleep(0.05 * ($n % 8));
+		timed($out, $c, "tx", "READ $item") or return;
+		timed($out, $c, "commit", "COMMIT", "$item v$n");
+	},
+);
+
+sub caller_process {
+	my ($play, $kind, $n) = @_;
+	my $child = fork // die "fork: $!";
+	return $child if $child;
+	$id_prefix = "$play$kind$n-";
+	open(my $out, '>', "$dir/silent.$play.$kind.$n") or die "$!";
+	my $vm = $vms[$n % @vms];
+	my $c = start("o-db", "key-1", $vm);
+	my $until = time + PLAY_S;
+	for (my $i = 1; time < $until; $i++) {
+		$callers{$kind}->($c, $out, "$play-$kind-$n", $i);
+		$c = start("o-db", "key-1", $vm)
+		    if !$c || $c->{ready} ne "I" || $c->{end} eq "CLOSED";
+		sleep(0.01);
+	}
+	close($out);
+	require POSIX;
+	POSIX::_exit(0);
+}
+
+sub results {
+	my ($play) = @_;
+	my @all;
+	for my $file (glob("$dir/silent.$play.*")) {
+		open(my $in, '<', $file) or die "$!";
+		while (<$in>) {
+			chomp;
+			my %r;
+			@r{qw(kind began took end id wrote)} = split /\t/;
+			push @all, \%r;
+		}
+	}
+	return @all;
+}
+
+# The newest confirmed write of each item must be there, or a later one that was
+# not confirmed.
+sub lost_writes {
+	my @all = @_;
+	my %last;
+	for my $r (@all) {
+		next if !$r->{wrote};
+		my ($item, $data) = split / /, $r->{wrote};
+		$last{$item} = substr($data, 1) if $r->{end} =~ /^COMPLETE/;
+	}
+	my $c = start("o-db", "key-1");
+	query($c, "WRITE after all");	# reads of this session follow it
+	return grep { value($c, $_) !~ /^v(\d+)/ || $1 < $last{$_} } sort keys %last;
+}
+
+sub print_times {
+	my ($play, $fault, @all) = @_;
+	for my $kind (qw(read write tx commit)) {
+		my @t = sort { $a <=> $b } map { 1000 * $_->{took} }
+		    grep { $_->{kind} eq $kind && $_->{began} + $_->{took} > $fault
+			&& $_->{began} < $fault + SERVICE_S } @all;
+		next if !@t;
+		printf "# %s: %s: %d statements after the fault, 95%% in %.0f ms, all in %.0f ms\n",
+		    $play, $kind, scalar @t, $t[0.95 * $#t], $t[-1];
+	}
+}
+
+sub play {
+	my ($play, $name, $fault) = @_;
+	my @children;
+	for my $kind (sort keys %callers) {
+		push @children, caller_process($play, $kind, $_) for 1 .. CALLERS;
+	}
+	sleep(FAULT_S);
+	my $at = time;
+	$fault->();
+	waitpid($_, 0) for @children;
+	my @all = results($play);
+	my %bad;
+	$bad{$_->{end}}++ for grep { $_->{end} !~ /^COMPLETE/ } @all;
+	my @lost = lost_writes(@all);
+	print_times($play, $at, @all);
+	ok("$name: every statement gets its result", !%bad,
+	    join("; ", map { "$bad{$_} of $_" } sort keys %bad));
+	ok("$name: no confirmed write is lost", !@lost, "@lost");
+	ok("$name: no write ran twice", counter("twice") eq "0", counter("twice"));
+}
+
+# Transactions that are open and idle as the links fall silent go on later, within
+# the second that the configuration lets them be idle.
+sub idle_transactions {
+	my @open = map { start("o-db", "key-1", $_) } (@vms) x 2;
+	for my $n (0 .. $#open) {
+		query($open[$n], "BEGIN");
+		query($open[$n], "WRITE idle-$n one");
+	}
+	relay_command("silence both");
+	sleep(0.6);
+	for my $n (0 .. $#open) {
+		my $began = time;
+		query($open[$n], "WRITE idle-$n two");
+		printf "# idle: the next statement took %.0f ms\n", 1000 * (time - $began);
+		query($open[$n], "COMMIT");
+		ok("an idle transaction goes on, $n", done($open[$n]), $open[$n]{end});
+	}
+}
+
+# Links on which nothing waits are probed and replaced before the next statement.
+sub idle_links {
+	my @c = map { start("o-db", "key-1", $_) } @vms;
+	query($_, "WRITE quiet one") for @c;
+	relay_command("silence both");
+	sleep(1.5);
+	for my $n (0 .. $#c) {
+		my $began = time;
+		query($c[$n], "WRITE quiet two");
+		printf "# quiet: the next statement took %.0f ms\n", 1000 * (time - $began);
+		ok("a write after a quiet time is done, $n", done($c[$n]), $c[$n]{end});
+	}
+}
+
+for my $way (qw(both from to)) {
+	play($way, "links silent ($way)", sub { relay_command("silence $way") });
+}
+play("twice", "links silent once more after 120 ms", sub {
+	relay_command("silence from");
+	sleep(0.12);
+	relay_command("silence both");
+});
+play("stands", "a VM stands still for 300 ms, three times", sub {
+	for (1 .. 3) {
+		kill STOP => $pid;
+		sleep(0.3);
+		kill CONT => $pid;
+		sleep(0.2);
+	}
+});
+idle_transactions();
+idle_links();
+print "$passed passed, $failed failed\n";
--- a/tests/sessions/control.cc
+++ b/tests/sessions/control.cc
@@ -36,6 +36,8 @@
 		write_config();
 	} else if (what == "no_fence") {
 		checks_token = n == 0;
+	} else if (what == "relay_peers") {
+		relay_peers = n != 0;
 	} else if (what == "effect_ms") {
 		effect_ms = n;
 	} else if (!known && what != "count") {
--- a/tests/sessions/fake_platform.cc
+++ b/tests/sessions/fake_platform.cc
@@ -369,6 +369,15 @@
 	});
 }
 
+// Replaces the host of the peer's address in the entry of a VM.
+void FakePlatform::relay_peer(std::string *spec)
+{
+	const std::string direct = "\"peer\":\"127.0.0.1:";
+	size_t at = spec->find(direct);
+	if (at != std::string::npos)
+		spec->replace(at, direct.size(), "\"peer\":\"127.0.0.2:");
+}
+
 void FakePlatform::put(evhttp_request *req, const std::string &kind,
 		       const std::string &path_name, bool create)
 {
@@ -390,6 +399,8 @@
 	char *spec = json_dumps(json_object_get(o, "spec"), JSON_COMPACT);
 	kinds[kind][name].spec = spec;
 	free(spec);
+	if (relay_peers)
+		relay_peer(&kinds[kind][name].spec);
 	const char *event = duty_event(kind, json_object_get(o, "spec"));
 	json_decref(o);
 	notify_watches(kind, name);
--- a/tests/sessions/fake_platform.h
+++ b/tests/sessions/fake_platform.h
@@ -169,6 +169,7 @@
 	std::string counters() const;
 	void write_config();
 	void put_config();
+	static void relay_peer(std::string *spec);
 	std::string object(const std::string &name, const Object &o) const;
 	void store_reply(evhttp_request *req, int code,
 			 const std::string &text);
@@ -215,6 +216,9 @@
 	int store_lose_replies = 0;
 	uint64_t era = 3;
 	bool tells_era = true;
+	// VMs reach each other at 127.0.0.2 instead of 127.0.0.1, where a
+	// relay of the test listens.
+	bool relay_peers = false;
 	bool away = false; // until it comes back as an older copy
 	std::set<evhttp_connection *> store_connections;
 	// What is to be written again, or was not accepted while it was away.
