Take over the streams of a silent link on a second one

Cause: statements on a link that fell silent waited for half a second, then writes ended as in doubt and transactions as aborted, although their VM could tell on a new link what became of them.

Change: a link begins with HELLO, statements have numbers, and a second link is opened beside a silent one, on which RESUME asks for its streams. The other VM closes the first link, moves the streams, sends kept results again and names what it never received, which is sent as a new statement. Links in use are also probed while nothing waits. Messages from the wrong end of a link are refused.

A link that is reset ends as before.

--- a/src/kernel/counters.h
+++ b/src/kernel/counters.h
@@ -41,6 +41,14 @@
 	X(ESCROW_ASKS, "escrow_asks_total", "transfers asked of peers")       \
 	X(ESCROW_GIVES, "escrow_gives_total", "transfers given to peers")     \
 	X(FORWARDS, "forwards_total", "requests forwarded to peers")          \
+	X(LINKS_SECOND, "links_second_total",                                 \
+	  "second connections opened to silent VMs")                          \
+	X(STREAMS_RESUMED, "streams_resumed_total",                           \
+	  "streams continued on a second connection")                         \
+	X(STREAMS_NEVER_RECEIVED, "streams_never_received_total",             \
+	  "statements sent again that a VM had not received")                 \
+	X(STREAMS_UNKNOWN, "streams_unknown_total",                           \
+	  "streams that a VM asked for and the other did not know")           \
 	X(DB_CONNECTS, "database_connects_total",                             \
 	  "connections opened to databases")                                  \
 	X(LOG_DROPPED, "log_lines_dropped_total",                             \
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -69,7 +69,9 @@
 	X(7001, PEER_BAD_MESSAGE, WARN, "message of a peer refused")        \
 	X(7002, PEER_JOINED, INFO, "VM joined")                             \
 	X(7003, PEER_GONE, WARN, "VM gone")                                 \
-	X(7004, LINK_CLOSED, INFO, "connection between VMs closed")
+	X(7004, LINK_CLOSED, INFO, "connection between VMs closed")         \
+	X(7005, LINK_SECOND, INFO, "second connection to a silent VM")      \
+	X(7006, LINK_RESUMED, INFO, "second connection took over")
 
 enum event_id {
 #define X(number, id, level, text) EV_##id = (number),
--- a/src/proxy/peer_link.c
+++ b/src/proxy/peer_link.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "decide/link_silence.h"
 #include "kernel/address.h"
 #include "kernel/counters.h"
 #include "kernel/log.h"
@@ -11,22 +12,22 @@
 
 /* Links between VMs: connections, message framing and liveness. */
 
-/* A SYN that is lost is sent again after a second; another VM is tried first.
- */
-#define CONNECT_TIMEOUT_US (300 * USEC_PER_MSEC)
-/* A link with statements outstanding is pinged after this long without data. */
-#define PING_AFTER_US (100 * USEC_PER_MSEC)
-/* An unanswered PING fails the link after this long. */
-#define PONG_TIMEOUT_US (400 * USEC_PER_MSEC)
-/* A link that nobody uses is closed after this long. */
-#define IDLE_MAX_US (60 * USEC_PER_SEC)
 /* A statement and a session's variables, or a reply, and their headers. */
 #define FRAME_MAX_BYTES	  (4 * MESSAGE_MAX_BYTES)
 #define FRAME_HEADER_SIZE 4
 #define LISTEN_BACKLOG	  512
 
 static struct peer_link *link_create(struct proxy *p, evutil_socket_t fd);
-static void link_close(struct peer_link *l, const char *reason);
+static struct peer_link *link_open(struct proxy *p, const char *peer);
+static bool is_current(const struct peer_link *l);
+static void close_beside(struct peer_link *l);
+static void open_second(struct peer_link *first, usec_t now);
+static void on_heard(struct peer_link *l);
+static void handle(struct peer_link *l, uint64_t type, struct wire_reader *r);
+static bool handle_of_opener(struct peer_link *l, uint64_t type,
+			     struct wire_reader *r);
+static bool handle_of_acceptor(struct peer_link *l, uint64_t type,
+			       struct wire_reader *r);
 static void tick_link(struct peer_link *l, usec_t now);
 static void send_empty(struct peer_link *l, enum link_msg_type type);
 static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
@@ -49,29 +50,17 @@
 	return p->link_listener ? 0 : -1;
 }
 
-/* Returns the open link to a peer, or opens one. */
+/* Returns the link to a peer on which statements are sent, or opens one. */
 struct peer_link *peer_link_get(struct proxy *p, const char *peer)
 {
-	struct sockaddr_storage to;
 	struct peer_link *l;
-	socklen_t len;
 
 	TAILQ_FOREACH(l, &p->links, entry)
 	{
-		if (strcmp(l->peer, peer) == 0)
+		if (strcmp(l->peer, peer) == 0 && is_current(l))
 			return l;
 	}
-	if (!heartbeat_peer_address(p->heartbeat, peer, &to, &len))
-		return NULL;
-	l = link_create(p, -1);
-	if (!l)
-		return NULL;
-	snprintf(l->peer, sizeof(l->peer), "%s", peer);
-	if (bufferevent_socket_connect(l->bev, (struct sockaddr *)&to,
-				       (int)len) == 0)
-		return l;
-	link_close(l, "no socket");
-	return NULL;
+	return link_open(p, peer);
 }
 
 /* Begins a message with this number of fields, its type included. */
@@ -109,6 +98,11 @@
 		next = TAILQ_NEXT(l, entry);
 		if (l->peer[0])
 			tick_link(l, now);
+		else
+			stream_record_expire(&l->record, now);
+		/* Closing a link may close the one beside it. */
+		if (next && next->closed)
+			next = TAILQ_FIRST(&p->links);
 	}
 }
 
@@ -120,10 +114,86 @@
 	while ((l = TAILQ_FIRST(&p->closed_links))) {
 		TAILQ_REMOVE(&p->closed_links, l, entry);
 		bufferevent_free(l->bev);
+		stream_record_free(&l->record);
 		free(l);
 	}
 }
 
+/* Opens a link to a peer. Returns NULL if it has no address or no socket. */
+static struct peer_link *link_open(struct proxy *p, const char *peer)
+{
+	struct sockaddr_storage to;
+	struct peer_link *l;
+	socklen_t len;
+
+	if (!heartbeat_peer_address(p->heartbeat, peer, &to, &len))
+		return NULL;
+	l = link_create(p, -1);
+	if (!l)
+		return NULL;
+	snprintf(l->peer, sizeof(l->peer), "%s", peer);
+	l->id = p->next_stream_id++;
+	if (bufferevent_socket_connect(l->bev, (struct sockaddr *)&to,
+				       (int)len) == -1)
+		peer_link_close(l, "no socket");
+	if (l->closed)
+		return NULL;
+	link_resume_send_hello(l);
+	return l;
+}
+
+/*
+ * True if statements are sent on the link: it has not been replaced, and is no
+ * second link that has not replaced the first one.
+ */
+static bool is_current(const struct peer_link *l)
+{
+	return !l->is_replaced && (!l->first || l->first->is_replaced);
+}
+
+/*
+ * Opens a second link beside a silent one. If that fails the first one goes on
+ * as before.
+ */
+static void open_second(struct peer_link *first, usec_t now)
+{
+	struct peer_link *second = link_open(first->proxy, first->peer);
+
+	first->second_at = now;
+	if (!second)
+		return;
+	second->first = first;
+	second->second_at = now;
+	first->second = second;
+	counter_add(CTR_LINKS_SECOND, 1);
+	log_event(EV_LINK_SECOND, "peer=%s running=%u silent_us=%lld",
+		  first->peer, first->n_running,
+		  (long long)(now - first->heard_at));
+}
+
+/*
+ * Closes the link beside a closed one if it has no use any more: the first of
+ * a second that replaced it, or a second that did not replace the first.
+ */
+static void close_beside(struct peer_link *l)
+{
+	struct peer_link *second = l->second;
+	struct peer_link *first = l->first;
+
+	l->first = NULL;
+	l->second = NULL;
+	if (first) {
+		first->second = NULL;
+		if (first->is_replaced)
+			peer_link_close(first, "replaced");
+	}
+	if (second) {
+		second->first = NULL;
+		if (!l->is_replaced)
+			peer_link_close(second, "not needed");
+	}
+}
+
 /* Creates a link; fd is -1 if it is to be connected. */
 static struct peer_link *link_create(struct proxy *p, evutil_socket_t fd)
 {
@@ -152,7 +222,7 @@
  * Closes a link. Statements that were sent on it end as unknown, and those of
  * other VMs are cancelled.
  */
-static void link_close(struct peer_link *l, const char *reason)
+void peer_link_close(struct peer_link *l, const char *reason)
 {
 	if (l->closed)
 		return;
@@ -164,6 +234,7 @@
 	bufferevent_setcb(l->bev, NULL, NULL, NULL, NULL);
 	TAILQ_REMOVE(&l->proxy->links, l, entry);
 	TAILQ_INSERT_TAIL(&l->proxy->closed_links, l, entry);
+	close_beside(l);
 	remote_client_on_link_closed(l);
 	remote_server_on_link_closed(l);
 }
@@ -171,21 +242,46 @@
 /* Does the periodic work of a link that this VM opened. */
 static void tick_link(struct peer_link *l, usec_t now)
 {
-	usec_t quiet_since =
-		l->heard_at > l->active_since ? l->heard_at : l->active_since;
+	const struct link_silence view = {
+		.is_open = l->is_open,
+		.is_resuming = l->is_resuming,
+		.has_second = l->second != NULL,
+		.n_running = l->n_running,
+		.has_streams = !TAILQ_EMPTY(&l->streams),
+		.opened_at = l->opened_at,
+		.heard_at = l->heard_at,
+		.active_since = l->active_since,
+		.pinged_at = l->pinged_at,
+		.second_at = l->second_at,
+		.used_at = l->used_at,
+	};
+	bool is_needed = is_current(l);
 
-	if (!l->is_open && now - l->opened_at > CONNECT_TIMEOUT_US) {
-		heartbeat_on_link_failed(l->proxy->heartbeat, l->peer, now);
-		link_close(l, "connection timed out");
-	} else if (l->pinged_at && now - l->pinged_at > PONG_TIMEOUT_US) {
-		heartbeat_on_link_failed(l->proxy->heartbeat, l->peer, now);
-		link_close(l, "no answer");
-	} else if (l->is_open && l->n_running > 0 && l->pinged_at == 0 &&
-		   now - quiet_since > PING_AFTER_US) {
+	if (l->is_replaced)
+		return;
+	switch (link_silence_next(&view, now)) {
+	case LINK_SILENCE_NONE:
+		break;
+	case LINK_SILENCE_PING:
 		l->pinged_at = now;
 		send_empty(l, LINK_MSG_PING);
-	} else if (TAILQ_EMPTY(&l->streams) && now - l->used_at > IDLE_MAX_US) {
-		link_close(l, "idle");
+		break;
+	case LINK_SILENCE_OPEN_SECOND:
+		open_second(l, now);
+		break;
+	case LINK_SILENCE_GIVE_UP:
+		heartbeat_on_link_failed(l->proxy->heartbeat, l->peer, now);
+		peer_link_close(l, "no answer");
+		break;
+	case LINK_SILENCE_CONNECT_FAILED:
+		if (is_needed)
+			heartbeat_on_link_failed(l->proxy->heartbeat, l->peer,
+						 now);
+		peer_link_close(l, "connection timed out");
+		break;
+	case LINK_SILENCE_CLOSE_IDLE:
+		peer_link_close(l, "idle");
+		break;
 	}
 }
 
@@ -223,13 +319,12 @@
 	struct peer_link *l = ctx;
 	uint32_t size;
 
-	l->heard_at = proxy_now();
-	l->pinged_at = 0;
+	on_heard(l);
 	while (!l->closed &&
 	       evbuffer_copyout(in, &size, sizeof(size)) == sizeof(size)) {
 		size = ntohl(size);
 		if (size > FRAME_MAX_BYTES) {
-			link_close(l, "message too long");
+			peer_link_close(l, "message too long");
 			return;
 		}
 		if (evbuffer_get_length(in) < FRAME_HEADER_SIZE + size)
@@ -240,6 +335,26 @@
 	}
 }
 
+/*
+ * Takes note of data on a link. If a second one is being opened beside it, that
+ * is given up, as long as no statements were asked for there. After that the
+ * second one stays, and what still arrives on the first shows that the VM
+ * answers.
+ */
+static void on_heard(struct peer_link *l)
+{
+	l->heard_at = proxy_now();
+	l->pinged_at = 0;
+	if (!l->second)
+		return;
+	if (!l->is_replaced) {
+		peer_link_close(l->second, "the first link answers");
+		return;
+	}
+	l->second->heard_at = l->heard_at;
+	l->second->pinged_at = 0;
+}
+
 /* Handles an opened, refused, closed or broken link. */
 static void on_event(struct bufferevent *bev, short what, void *ctx)
 {
@@ -249,13 +364,15 @@
 		l->is_open = true;
 		l->heard_at = proxy_now();
 		backend_set_socket_options(bufferevent_getfd(bev));
+		if (l->first)
+			link_resume_start(l);
 		return;
 	}
-	if (l->peer[0] && !(what & BEV_EVENT_EOF))
+	if (l->peer[0] && !(what & BEV_EVENT_EOF) && is_current(l))
 		heartbeat_on_link_failed(l->proxy->heartbeat, l->peer,
 					 proxy_now());
-	link_close(l, what & BEV_EVENT_EOF ? "closed by the peer"
-					   : "connection broken");
+	peer_link_close(l, what & BEV_EVENT_EOF ? "closed by the peer"
+						: "connection broken");
 }
 
 /* Handles one message. */
@@ -269,37 +386,77 @@
 	msgpack_unpacked_init(&u);
 	if (data && wire_unpack(&u, data, len))
 		r = wire_array(&u.data, 1);
-	switch (wire_u64(&r)) {
+	l->n_received++;
+	handle(l, wire_u64(&r), &r);
+	msgpack_unpacked_destroy(&u);
+	if (r.bad) {
+		counter_add(CTR_PEER_BAD, 1);
+		peer_link_close(l, "malformed message");
+	}
+}
+
+/*
+ * Handles a message of this type, the fields of which follow. The first of a
+ * link that another VM opened must be HELLO.
+ */
+static void handle(struct peer_link *l, uint64_t type, struct wire_reader *r)
+{
+	if (l->peer[0])
+		r->bad |= !handle_of_acceptor(l, type, r);
+	else if ((l->n_received == 1) == (type == LINK_MSG_HELLO))
+		r->bad |= !handle_of_opener(l, type, r);
+	else
+		r->bad = true;
+}
+
+/* Handles a message of the VM that opened the link; false: it sends no such. */
+static bool handle_of_opener(struct peer_link *l, uint64_t type,
+			     struct wire_reader *r)
+{
+	switch (type) {
+	case LINK_MSG_HELLO:
+		link_resume_on_hello(l, r);
+		return true;
+	case LINK_MSG_RESUME:
+		link_resume_on_resume(l, r);
+		return true;
 	case LINK_MSG_RUN:
-		remote_server_on_run(l, &r);
-		break;
+		remote_server_on_run(l, r);
+		return true;
 	case LINK_MSG_RELEASE:
-		remote_server_on_release(l, &r);
-		break;
-	case LINK_MSG_DONE:
-		remote_client_on_done(l, &r);
-		break;
-	case LINK_MSG_LOST:
-		remote_client_on_lost(l, &r);
-		break;
+		remote_server_on_release(l, r);
+		return true;
 	case LINK_MSG_PING:
 		send_empty(l, LINK_MSG_PONG);
-		break;
-	case LINK_MSG_PONG:
-		break;
+		return true;
 	case LINK_MSG_COPY_REQUEST:
-		registry_copy_on_request(l, &r);
-		break;
-	case LINK_MSG_COPY:
-		registry_copy_on_copy(l, &r);
-		break;
+		registry_copy_on_request(l, r);
+		return true;
 	default:
-		r.bad = true;
-		break;
+		return false;
 	}
-	msgpack_unpacked_destroy(&u);
-	if (r.bad) {
-		counter_add(CTR_PEER_BAD, 1);
-		link_close(l, "malformed message");
+}
+
+/* Handles a message of the VM that accepted the link; false: as above. */
+static bool handle_of_acceptor(struct peer_link *l, uint64_t type,
+			       struct wire_reader *r)
+{
+	switch (type) {
+	case LINK_MSG_RESUMED:
+		link_resume_on_resumed(l, r);
+		return true;
+	case LINK_MSG_DONE:
+		remote_client_on_done(l, r);
+		return true;
+	case LINK_MSG_LOST:
+		remote_client_on_lost(l, r);
+		return true;
+	case LINK_MSG_PONG:
+		return true;
+	case LINK_MSG_COPY:
+		registry_copy_on_copy(l, r);
+		return true;
+	default:
+		return false;
 	}
 }
--- a/src/proxy/remote.h
+++ b/src/proxy/remote.h
@@ -3,13 +3,16 @@
 
 #include <msgpack.h>
 
+#include "decide/stream_record.h"
 #include "proxy/proxy_internal.h"
 
 /*
  * Execution of statements at the VM that owns the connections to a database
  * (decide/db_owner.h). A link is a TCP connection from one VM to another; it
  * carries streams, one for each session that has work there. A message is a
- * length of 4 bytes, most significant first, and a msgpack array.
+ * length of 4 bytes, most significant first, and a msgpack array. The VM that
+ * opened a link sends HELLO first, and if the link replaces a silent one RESUME
+ * second. A message that is malformed or from the wrong side closes its link.
  */
 
 /* Types of messages; the first field of each. */
@@ -23,6 +26,9 @@
 	LINK_MSG_PONG = 6,
 	LINK_MSG_COPY_REQUEST = 7, /* of the platform's data */
 	LINK_MSG_COPY = 8,
+	LINK_MSG_HELLO = 9,    /* who opened the link, and the link's id */
+	LINK_MSG_RESUME = 10,  /* asks for the streams of an earlier link */
+	LINK_MSG_RESUMED = 11, /* what became of each of them */
 };
 
 /* Bits of the flags of LINK_MSG_RUN. */
@@ -56,6 +62,11 @@
 	/* name of the VM that the link was opened to; empty if accepted */
 	char peer[NAME_MAX_BYTES];
 	char address[ADDR_MAX_BYTES]; /* of the peer, if accepted */
+	/* name and incarnation of the VM that opened it, if accepted */
+	char opener[NAME_MAX_BYTES];
+	uint64_t opener_incarnation;
+	uint64_t id;	     /* unique among the links of its opener */
+	uint64_t n_received; /* messages */
 	bool is_open;
 	bool closed; /* waits for peer_link_reap() */
 	usec_t opened_at;
@@ -63,6 +74,17 @@
 	usec_t active_since; /* time since which statements are running */
 	usec_t pinged_at;    /* unanswered PING; 0: none */
 	usec_t used_at;
+	usec_t second_at; /* when a link beside it was last opened; 0: never */
+	/*
+	 * A second link beside a silent one: each knows the other until one of
+	 * them is closed. The first is replaced once RESUME was sent on the
+	 * second, and its streams are then those of the second.
+	 */
+	struct peer_link *first;
+	struct peer_link *second;
+	bool is_replaced;
+	bool is_resuming;		     /* RESUMED is outstanding */
+	struct stream_record record;	     /* of an accepted link */
 	uint32_t n_running;		     /* statements without a result */
 	TAILQ_HEAD(, remote_stream) streams; /* of an opened link */
 	TAILQ_HEAD(, served_stream) served;  /* of an accepted link */
@@ -74,8 +96,10 @@
 	struct peer_link *link;
 	struct session *session;
 	uint64_t id;
-	uint32_t db; /* index in the session's group */
+	uint64_t number; /* of its last statement */
+	uint32_t db;	 /* index in the session's group */
 	bool running;
+	bool is_resuming; /* asked for on a second link, not answered yet */
 	usec_t sent_at;
 };
 
@@ -84,6 +108,7 @@
 	TAILQ_ENTRY(served_stream) entry;
 	struct peer_link *link;
 	uint64_t id;
+	uint64_t number; /* of its last statement */
 	/* stands for the caller's session; it has no connection of a caller */
 	struct session session;
 };
@@ -96,11 +121,27 @@
 		     enum link_msg_type type);
 /* Sends one message and frees its buffer. */
 void peer_link_send(struct peer_link *l, msgpack_sbuffer *buf);
+/* Closes a link; what is still buffered on it is not handled any more. */
+void peer_link_close(struct peer_link *l, const char *reason);
+
+/* link_resume.c */
+void link_resume_send_hello(struct peer_link *l);
+void link_resume_on_hello(struct peer_link *l, struct wire_reader *r);
+/* Moves the streams of the first link to the second one and asks for them. */
+void link_resume_start(struct peer_link *second);
+void link_resume_on_resume(struct peer_link *l, struct wire_reader *r);
+void link_resume_on_resumed(struct peer_link *l, struct wire_reader *r);
 
 /* remote_client.c */
 void remote_client_on_done(struct peer_link *l, struct wire_reader *r);
 void remote_client_on_lost(struct peer_link *l, struct wire_reader *r);
 void remote_client_on_link_closed(struct peer_link *l);
+/* Finds a stream of a link, or of the one that replaced it. */
+struct remote_stream *remote_client_find(struct peer_link *l, uint64_t id);
+/* Sends a statement again that the other VM never received. */
+void remote_client_send_again(struct remote_stream *r);
+/* Ends a stream whose statement or transaction the other VM doesn't know. */
+void remote_client_end_unknown(struct remote_stream *r);
 
 /* registry_copy.c */
 void registry_copy_on_request(struct peer_link *l, struct wire_reader *r);
@@ -110,5 +151,10 @@
 void remote_server_on_run(struct peer_link *l, struct wire_reader *r);
 void remote_server_on_release(struct peer_link *l, struct wire_reader *r);
 void remote_server_on_link_closed(struct peer_link *l);
+struct served_stream *remote_server_find(struct peer_link *l, uint64_t id);
+/* Moves a stream to another link. */
+void remote_server_move(struct served_stream *v, struct peer_link *to);
+/* Closes a stream; a transaction that is open on it is rolled back. */
+void remote_server_close(struct served_stream *v);
 
 #endif
--- a/src/proxy/remote_client.c
+++ b/src/proxy/remote_client.c
@@ -23,6 +23,7 @@
 
 /* Result of a statement as the owner reports it. */
 struct done_msg {
+	uint64_t number; /* of the statement */
 	enum exec_result result;
 	enum reply_error_code code;
 	uint64_t flags; /* enum done_flag */
@@ -39,7 +40,6 @@
 static uint32_t run_flags(const struct session *s);
 static void pack_variables(msgpack_packer *p, const struct session *s);
 static void pack_prepared(msgpack_packer *p, const struct session *s);
-static struct remote_stream *find_stream(struct peer_link *l, uint64_t id);
 static bool parse_done(struct wire_reader *r, struct done_msg *m);
 static void note_result(struct remote_stream *r, const struct done_msg *m);
 static void finish(struct session *s, const struct done_msg *m);
@@ -95,14 +95,18 @@
 	free_stream(r);
 }
 
-/* Handles a result: [stream, ...], see remote_server.c. */
+/*
+ * Handles a result: [stream, number, ...], see remote_server.c. It may arrive
+ * on a link and once more on the one that replaced it; only the first is taken.
+ */
 void remote_client_on_done(struct peer_link *l, struct wire_reader *r)
 {
-	struct remote_stream *stream = find_stream(l, wire_u64(r));
+	struct remote_stream *stream = remote_client_find(l, wire_u64(r));
 	struct done_msg m = { 0 };
 	struct session *s;
 
-	if (!parse_done(r, &m) || !stream || !stream->running)
+	if (!parse_done(r, &m) || !stream || !stream->running ||
+	    m.number != stream->number)
 		return;
 	s = stream->session;
 	set_idle(stream);
@@ -117,7 +121,7 @@
 /* Handles the loss of a transaction that was idle: [stream]. */
 void remote_client_on_lost(struct peer_link *l, struct wire_reader *r)
 {
-	struct remote_stream *stream = find_stream(l, wire_u64(r));
+	struct remote_stream *stream = remote_client_find(l, wire_u64(r));
 	struct session *s;
 
 	/* The result of a running statement tells of the loss too. */
@@ -128,6 +132,45 @@
 	session_on_backend_lost(s);
 }
 
+/* Finds a stream of a link, or of the one that replaced it; NULL: none. */
+struct remote_stream *remote_client_find(struct peer_link *l, uint64_t id)
+{
+	struct remote_stream *r;
+
+	if (l->is_replaced && l->second)
+		l = l->second;
+	TAILQ_FOREACH(r, &l->streams, entry)
+	{
+		if (r->id == id)
+			return r;
+	}
+	return NULL;
+}
+
+/* Sends a statement again, which certainly was not executed, as a new one. */
+void remote_client_send_again(struct remote_stream *r)
+{
+	set_idle(r);
+	send_run(r);
+}
+
+/*
+ * Ends a stream that the other VM does not know, or whose statement may have
+ * been executed: as a closed link does.
+ */
+void remote_client_end_unknown(struct remote_stream *r)
+{
+	struct session *s = r->session;
+	bool was_running = r->running;
+
+	free_stream(r);
+	if (was_running)
+		session_on_result(s, RESULT_UNKNOWN, REPLY_ERR_IN_DOUBT, NULL,
+				  NULL);
+	else
+		session_on_backend_lost(s);
+}
+
 /* Ends all streams of a closed link. */
 void remote_client_on_link_closed(struct peer_link *l)
 {
@@ -136,24 +179,21 @@
 
 	for (r = TAILQ_FIRST(&l->streams); r; r = next) {
 		struct session *s = r->session;
-		bool was_running = r->running;
 
 		next = TAILQ_NEXT(r, entry);
+		if (l->is_open || !r->running) {
+			remote_client_end_unknown(r);
+			continue;
+		}
 		free_stream(r);
-		if (!was_running)
-			session_on_backend_lost(s);
-		else if (!l->is_open)
-			dispatch_retry(s, REPLY_ERR_NONE);
-		else
-			session_on_result(s, RESULT_UNKNOWN, REPLY_ERR_IN_DOUBT,
-					  NULL, NULL);
+		dispatch_retry(s, REPLY_ERR_NONE);
 	}
 }
 
 /*
- * Sends [type, stream, service, database, team, flags, time to the deadline,
- * age, consistency, staleness bound, priority, latency target, last commit
- * (service, term, position), term if the database is known as primary,
+ * Sends [type, stream, number, service, database, team, flags, time to the
+ * deadline, age, consistency, staleness bound, priority, latency target, last
+ * commit (service, term, position), term if the database is known as primary,
  * variables, prepared statement, line]; times in microseconds, but the bound
  * and the target in milliseconds.
  */
@@ -166,8 +206,10 @@
 	msgpack_sbuffer buf;
 	msgpack_packer p;
 
-	peer_link_begin(&buf, &p, 19, LINK_MSG_RUN);
+	r->number = s->proxy->next_stream_id++;
+	peer_link_begin(&buf, &p, 20, LINK_MSG_RUN);
 	msgpack_pack_uint64(&p, r->id);
+	msgpack_pack_uint64(&p, r->number);
 	wire_put_str(&p, g->service);
 	wire_put_str(&p, g->db[r->db].id);
 	wire_put_str(&p, s->team);
@@ -252,25 +294,14 @@
 	wire_put_bin(p, e->value, strlen(e->value));
 }
 
-/* Finds a stream of a link by id; NULL if it was released. */
-static struct remote_stream *find_stream(struct peer_link *l, uint64_t id)
-{
-	struct remote_stream *r;
-
-	TAILQ_FOREACH(r, &l->streams, entry)
-	{
-		if (r->id == id)
-			return r;
-	}
-	return NULL;
-}
-
 /* Decodes a result; returns false if it is malformed. */
 static bool parse_done(struct wire_reader *r, struct done_msg *m)
 {
+	uint64_t number = wire_u64(r);
 	uint64_t result = wire_u64(r);
 	uint64_t code = wire_u64(r);
 
+	m->number = number;
 	m->flags = wire_u64(r);
 	m->ready.type = REPLY_READY;
 	m->ready.state = (char)wire_u64(r);
--- a/src/proxy/remote_server.c
+++ b/src/proxy/remote_server.c
@@ -25,6 +25,7 @@
 /* The fields of a LINK_MSG_RUN. */
 struct run_msg {
 	uint64_t stream;
+	uint64_t number;
 	char service[NAME_MAX_BYTES];
 	char database[DB_ID_MAX_BYTES];
 	char team[NAME_MAX_BYTES];
@@ -46,7 +47,6 @@
 
 static void parse_run(struct wire_reader *r, struct run_msg *m);
 static struct served_stream *open_stream(struct peer_link *l, uint64_t id);
-static struct served_stream *find_stream(struct peer_link *l, uint64_t id);
 static bool load_statement(struct session *s, const struct run_msg *m);
 static bool load_names(struct session *s, const struct run_msg *m);
 static void send_done(struct served_stream *v, enum exec_result result,
@@ -68,7 +68,11 @@
 	parse_run(r, &m);
 	if (r->bad)
 		return;
-	v = find_stream(l, m.stream);
+	if (!stream_record_receive(&l->record, m.number)) {
+		r->bad = true;
+		return;
+	}
+	v = remote_server_find(l, m.stream);
 	if (v && v->session.exec.stage != EXEC_NONE) {
 		r->bad = true;
 		return;
@@ -81,6 +85,7 @@
 			  l->proxy->n_served);
 		return;
 	}
+	v->number = m.number;
 	g = db_group_find(l->proxy, m.service);
 	db = g ? db_group_find_member(g, m.database) : DB_NONE;
 	if (!g || db == DB_NONE || !load_statement(&v->session, &m)) {
@@ -102,7 +107,7 @@
 /* Handles the release of a stream: [stream]. */
 void remote_server_on_release(struct peer_link *l, struct wire_reader *r)
 {
-	struct served_stream *v = find_stream(l, wire_u64(r));
+	struct served_stream *v = remote_server_find(l, wire_u64(r));
 
 	if (v)
 		free_stream(v);
@@ -120,6 +125,33 @@
 	}
 }
 
+/* Finds a stream by id; NULL if it is not open. */
+struct served_stream *remote_server_find(struct peer_link *l, uint64_t id)
+{
+	struct served_stream *v;
+
+	TAILQ_FOREACH(v, &l->served, entry)
+	{
+		if (v->id == id)
+			return v;
+	}
+	return NULL;
+}
+
+/* Moves a stream to another link; its results are sent on that one. */
+void remote_server_move(struct served_stream *v, struct peer_link *to)
+{
+	TAILQ_REMOVE(&v->link->served, v, entry);
+	TAILQ_INSERT_TAIL(&to->served, v, entry);
+	v->link = to;
+}
+
+/* Closes a stream; a transaction that is open on it is rolled back. */
+void remote_server_close(struct served_stream *v)
+{
+	free_stream(v);
+}
+
 /* Ends the statement of a stream; see session_on_result(). */
 void remote_server_on_result(struct session *s, enum exec_result result,
 			     enum reply_error_code code, struct evbuffer *reply,
@@ -243,6 +275,7 @@
 static void parse_run(struct wire_reader *r, struct run_msg *m)
 {
 	m->stream = wire_u64(r);
+	m->number = wire_u64(r);
 	wire_str(r, m->service, sizeof(m->service));
 	wire_str(r, m->database, sizeof(m->database));
 	wire_str(r, m->team, sizeof(m->team));
@@ -286,19 +319,6 @@
 	return v;
 }
 
-/* Finds a stream by id; NULL if it is not open. */
-static struct served_stream *find_stream(struct peer_link *l, uint64_t id)
-{
-	struct served_stream *v;
-
-	TAILQ_FOREACH(v, &l->served, entry)
-	{
-		if (v->id == id)
-			return v;
-	}
-	return NULL;
-}
-
 /* Fills in the stream's session. Returns false if the line is no statement. */
 static bool load_statement(struct session *s, const struct run_msg *m)
 {
@@ -372,8 +392,9 @@
 }
 
 /*
- * Sends [type, stream, result, code, flags, state, has position, term,
- * position, load, age of the proof, term, primary, reply].
+ * Sends [type, stream, number, result, code, flags, state, has position, term,
+ * position, load, age of the proof, term, primary, reply], and keeps it for the
+ * case that it does not arrive.
  */
 static void send_done(struct served_stream *v, enum exec_result result,
 		      enum reply_error_code code, uint32_t flags,
@@ -388,8 +409,9 @@
 
 	if (g && g->proof.proved_at != INT64_MIN)
 		proof_age = (uint64_t)(proxy_now() - g->proof.proved_at);
-	peer_link_begin(&buf, &p, 14, LINK_MSG_DONE);
+	peer_link_begin(&buf, &p, 15, LINK_MSG_DONE);
 	msgpack_pack_uint64(&p, v->id);
+	msgpack_pack_uint64(&p, v->number);
 	msgpack_pack_uint32(&p, result);
 	msgpack_pack_uint32(&p, code);
 	msgpack_pack_uint32(&p, flags);
@@ -403,6 +425,8 @@
 	wire_put_str(&p,
 		     g && g->primary != DB_NONE ? g->db[g->primary].id : "");
 	wire_put_bin(&p, len ? evbuffer_pullup(reply, -1) : NULL, len);
+	stream_record_keep(&v->link->record, v->number, buf.data, buf.size,
+			   proxy_now());
 	peer_link_send(v->link, &buf);
 	if (reply)
 		evbuffer_drain(reply, len);
