Test malformed messages on links between VMs

Cause: nothing showed that a message that is malformed, out of order or from the wrong end of a link closes that link and nothing else.

Change: links_silent.sh sends 16 sequences of messages to a VM and looks at the answers, and at a write after them.

--- a/tests/process/links_silent.pl
+++ b/tests/process/links_silent.pl
@@ -1,6 +1,6 @@
 # Statements across links between VMs that fall silent while new ones work:
-#	links_silent.pl DIR PLATFORM RELAY PID VM...
-# PID is that of the first VM. Prints one line per check, the times as measured,
+#	links_silent.pl DIR PLATFORM RELAY PID PEER VM...
+# PID is that of the first VM, PEER its address for links. Prints one line per check, the times as measured,
 # and the counts. Guards against statements that end as in doubt, are lost or run
 # twice although the VM that executes them could tell what became of them.
 use strict;
@@ -9,8 +9,8 @@
 
 BEGIN { require "./tests/process/sessions_lib.pl"; }
 our ($platform, $default_vm, $passed, $failed, $id_prefix);
-my ($dir, $relay, $pid, @vms);
-($dir, $platform, $relay, $pid, @vms) = @ARGV;
+my ($dir, $relay, $pid, $peer, @vms);
+($dir, $platform, $relay, $pid, $peer, @vms) = @ARGV;
 $default_vm = $vms[0];
 
 use constant CALLERS => 12;	# of each kind
@@ -166,6 +166,67 @@
 	}
 }
 
+# Guards against a message that ends a VM, or that is acted on although the other
+# end may not send it. A message is a msgpack array; the first field is its type.
+use constant {
+	HELLO => "\x94\x09\xa1x\x01\x02",	# VM "x", incarnation 1, link 2
+	PING => "\x91\x05",
+	PONG => "\x91\x06",
+};
+my @messages = (
+	["HELLO is taken", PONG, HELLO, PING],
+	["another message before HELLO", "", PING],
+	["HELLO without a name", "", "\x94\x09\xa0\x01\x02"],
+	["HELLO without a link id", "", "\x94\x09\xa1x\x01\x00"],
+	["HELLO that is cut off", "", "\x92\x09\xa1x"],
+	["HELLO twice", "", HELLO, HELLO],
+	["RUN that is cut off", "", HELLO, "\x93\x01\x01\x01"],
+	["DONE from the end that opened the link", "", HELLO, "\x92\x03\x01"],
+	["RESUMED from the end that opened the link", "", HELLO, "\x92\x0b\x90"],
+	["RESUME of an unknown link", "\x92\x0b\x93\x07\x08\x03", HELLO,
+	    "\x93\x0a\x05\x92\x07\x08"],
+	["RESUME of the link itself", "", HELLO, "\x93\x0a\x02\x90"],
+	["RESUME with half a stream", "", HELLO, "\x93\x0a\x05\x91\x07"],
+	["RESUME with a stream that is no number", "", HELLO,
+	    "\x93\x0a\x05\x92\xa1x\x08"],
+	["RESUME after another message", "", HELLO, PING, "\x93\x0a\x05\x90"],
+	["a type that does not exist", "", HELLO, "\x91\x7f"],
+	["no array", "", HELLO, "\xa1x"],
+);
+
+# The answer of so many bytes; 0: what arrives until the link is closed, without a
+# PONG, which may be sent before that or not.
+sub answer_of {
+	my ($s, $length) = @_;
+	my $got = "";
+	local $SIG{ALRM} = sub { die "no answer\n" };
+	eval {
+		alarm 5;
+		while (!$length || length $got < $length) {
+			sysread($s, $got, $length || 4096, length $got) or last;
+		}
+		alarm 0;
+	};
+	return $@ if $@;
+	my $pong = pack('N/a*', PONG);
+	$got =~ s/^\Q$pong\E// if !$length;
+	return $got;
+}
+
+sub malformed_messages {
+	for my $m (@messages) {
+		my ($name, $want, @send) = @$m;
+		my $s = IO::Socket::INET->new(PeerAddr => $peer, Timeout => 5) or die "$peer: $!";
+		print $s pack('(N/a*)*', @send);
+		my $answer = $want ne "" ? pack('N/a*', $want) : "";
+		my $got = answer_of($s, length $answer);
+		ok("message: $name", $got eq $answer, unpack('H*', $got));
+	}
+	my $c = start("o-db", "key-1");
+	query($c, "WRITE after malformed");
+	ok("a write after malformed messages is done", done($c), $c->{end});
+}
+
 for my $way (qw(both from to)) {
 	play($way, "links silent ($way)", sub { relay_command("silence $way") });
 }
@@ -184,4 +245,5 @@
 });
 idle_transactions();
 idle_links();
+malformed_messages();
 print "$passed passed, $failed failed\n";
--- a/tests/process/links_silent.sh
+++ b/tests/process/links_silent.sh
@@ -15,6 +15,7 @@
 VMS=
 for n in 1 2 3; do
 	port=$(echo "$RELAY_READY" | cut -d' ' -f$((n + 2)))
+	eval "PEER_s$n=$port"
 	vm_settings "s$n" "$n" "$PLATFORM" 1000
 	sed "s/\"peer_listen\": \"127.0.0.1:0\"/\"peer_listen\": \"127.0.0.1:$port\"/" \
 	    "$T/s$n.json" >"$T/s$n.settings" && mv "$T/s$n.settings" "$T/s$n.json"
@@ -27,11 +28,11 @@
 	VMS="$VMS $(vm_address "s$n" callers)"
 done
 checks_of "" perl tests/process/links_silent.pl "$T" "$PLATFORM" "$RELAY" \
-    "$(pid_of s1)" $VMS
+    "$(pid_of s1)" "127.0.0.1:$PEER_s1" $VMS
 ok "second links took over" grep -q "link_resumed .*opened_here=1" "$T/s1.out" "$T/s2.out" "$T/s3.out"
 ok "statements were found running or done" grep -qE "link_resumed .*(running|done)=[1-9]" "$T/s1.out" "$T/s2.out" "$T/s3.out"
 ok "statements were never received" grep -q "link_resumed .*never_received=[1-9]" "$T/s1.out" "$T/s2.out" "$T/s3.out"
-ok "no stream was unknown" not grep -q "link_resumed .*unknown=[1-9]" "$T/s1.out" "$T/s2.out" "$T/s3.out"
+ok "no stream was unknown" not grep -q "link_resumed .*peer=s[0-9] .*unknown=[1-9]" "$T/s1.out" "$T/s2.out" "$T/s3.out"
 for n in 1 2 3; do
 	ok "s$n is alive" kill -0 "$(pid_of "s$n")"
 done
