Ask for the streams of a link that was reset

Cause: a link that breaks cost its callers what a silent one had cost: the other VM cancelled its streams, writes ended in doubt and transactions aborted, although the other VM still knew what had become of them.

Change: the VM that opened a broken link opens a second one at once and asks on it; the other VM keeps the streams of a broken link for 400 ms. Links closed in order end as before, and so does a second link that breaks before its answer: by its record alone, statements that ran on the first would seem never received.

Conclusion: a VM that is killed with unread data in its links leaves its streams running at other VMs for up to 400 ms.

--- a/src/decide/link_silence.c
+++ b/src/decide/link_silence.c
@@ -30,6 +30,18 @@
 	return LINK_SILENCE_NONE;
 }
 
+/*
+ * Decides whether the streams of a broken link can go on on a second one. On a
+ * link that has itself asked for streams and has no answer they can't: the
+ * other VM may not have read the request, and would then tell by the record of
+ * this link alone that it never received statements that arrived on the one
+ * before.
+ */
+bool link_silence_may_resume(const struct link_silence *l)
+{
+	return l->is_open && !l->is_resuming && l->has_streams;
+}
+
 /* True if statements wait on the link and it has been probed in vain. */
 static bool is_given_up(const struct link_silence *l, usec_t now)
 {
--- a/src/decide/link_silence.h
+++ b/src/decide/link_silence.h
@@ -44,6 +44,11 @@
 /* A SYN that is lost is sent again after a second; another VM is tried first.
  */
 #define LINK_CONNECT_TIMEOUT_US (300 * USEC_PER_MSEC)
+/*
+ * The VM that executes keeps the streams of a broken link for this long, for
+ * the other VM to ask for them: a connection's time-out and a slice of 100 ms.
+ */
+#define LINK_BROKEN_KEPT_US (400 * USEC_PER_MSEC)
 /* A link that nobody uses is closed after this long. */
 #define LINK_IDLE_MAX_US (60 * USEC_PER_SEC)
 
@@ -72,5 +77,7 @@
 
 enum link_silence_step link_silence_next(const struct link_silence *l,
 					 usec_t now);
+/* True if a second link may ask for the streams of this one, which broke. */
+bool link_silence_may_resume(const struct link_silence *l);
 
 #endif
--- a/src/proxy/peer_link.c
+++ b/src/proxy/peer_link.c
@@ -23,12 +23,16 @@
 static void close_beside(struct peer_link *l);
 static void open_second(struct peer_link *first, usec_t now);
 static void on_heard(struct peer_link *l);
+static bool may_resume(const struct peer_link *l, short what);
+static void on_broken(struct peer_link *l);
 static void handle(struct peer_link *l, uint64_t type, struct wire_reader *r);
 static bool handle_of_opener(struct peer_link *l, uint64_t type,
 			     struct wire_reader *r);
 static bool handle_of_acceptor(struct peer_link *l, uint64_t type,
 			       struct wire_reader *r);
+static struct link_silence silence_of(const struct peer_link *l);
 static void tick_link(struct peer_link *l, usec_t now);
+static void tick_accepted(struct peer_link *l, usec_t now);
 static void send_empty(struct peer_link *l, enum link_msg_type type);
 static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
 		      struct sockaddr *from, int len, void *ctx);
@@ -79,7 +83,7 @@
 	struct evbuffer *out = bufferevent_get_output(l->bev);
 	uint32_t size = htonl((uint32_t)buf->size);
 
-	if (!l->closed) {
+	if (!l->closed && !l->is_broken) {
 		evbuffer_add(out, &size, sizeof(size));
 		evbuffer_add(out, buf->data, buf->size);
 		counter_add(CTR_PEER_SENT, 1);
@@ -99,7 +103,7 @@
 		if (l->peer[0])
 			tick_link(l, now);
 		else
-			stream_record_expire(&l->record, now);
+			tick_accepted(l, now);
 		/* Closing a link may close the one beside it. */
 		if (next && next->closed)
 			next = TAILQ_FIRST(&p->links);
@@ -184,7 +188,10 @@
 	l->second = NULL;
 	if (first) {
 		first->second = NULL;
-		if (first->is_replaced)
+		if (first->is_broken && !first->is_replaced)
+			heartbeat_on_link_failed(l->proxy->heartbeat,
+						 first->peer, proxy_now());
+		if (first->is_replaced || first->is_broken)
 			peer_link_close(first, "replaced");
 	}
 	if (second) {
@@ -239,10 +246,10 @@
 	remote_server_on_link_closed(l);
 }
 
-/* Does the periodic work of a link that this VM opened. */
-static void tick_link(struct peer_link *l, usec_t now)
+/* What the decisions on a link that this VM opened rest on. */
+static struct link_silence silence_of(const struct peer_link *l)
 {
-	const struct link_silence view = {
+	return (struct link_silence){
 		.is_open = l->is_open,
 		.is_resuming = l->is_resuming,
 		.has_second = l->second != NULL,
@@ -255,6 +262,12 @@
 		.second_at = l->second_at,
 		.used_at = l->used_at,
 	};
+}
+
+/* Does the periodic work of a link that this VM opened. */
+static void tick_link(struct peer_link *l, usec_t now)
+{
+	const struct link_silence view = silence_of(l);
 	bool is_needed = is_current(l);
 
 	if (l->is_replaced)
@@ -285,6 +298,14 @@
 	}
 }
 
+/* Does the periodic work of a link that another VM opened. */
+static void tick_accepted(struct peer_link *l, usec_t now)
+{
+	stream_record_expire(&l->record, now);
+	if (l->is_broken && now - l->broken_at > LINK_BROKEN_KEPT_US)
+		peer_link_close(l, "connection broken");
+}
+
 /* Sends a message that has only a type. */
 static void send_empty(struct peer_link *l, enum link_msg_type type)
 {
@@ -368,6 +389,10 @@
 			link_resume_start(l);
 		return;
 	}
+	if (may_resume(l, what)) {
+		on_broken(l);
+		return;
+	}
 	if (l->peer[0] && !(what & BEV_EVENT_EOF) && is_current(l))
 		heartbeat_on_link_failed(l->proxy->heartbeat, l->peer,
 					 proxy_now());
@@ -375,6 +400,46 @@
 						: "connection broken");
 }
 
+/*
+ * True if the streams of a link that broke can go on on another one. A link
+ * that was closed in order has none: its VM has given them up or stops.
+ */
+static bool may_resume(const struct peer_link *l, short what)
+{
+	const struct link_silence view = silence_of(l);
+
+	if (what & BEV_EVENT_EOF)
+		return false;
+	if (!l->peer[0])
+		return l->opener[0] != '\0';
+	return !l->is_replaced && link_silence_may_resume(&view);
+}
+
+/*
+ * Keeps a broken link as the record of its streams. At the VM that opened it
+ * they move to a second link once that is open; if it can't be opened the first
+ * one is closed with it. At the other VM they go on for a moment.
+ */
+static void on_broken(struct peer_link *l)
+{
+	usec_t now = proxy_now();
+
+	l->is_broken = true;
+	l->broken_at = now;
+	bufferevent_disable(l->bev, EV_READ | EV_WRITE);
+	bufferevent_setcb(l->bev, NULL, NULL, NULL, NULL);
+	if (!l->peer[0])
+		return;
+	if (!l->pinged_at)
+		l->pinged_at = now;
+	if (!l->second)
+		open_second(l, now);
+	if (!l->second) {
+		heartbeat_on_link_failed(l->proxy->heartbeat, l->peer, now);
+		peer_link_close(l, "connection broken");
+	}
+}
+
 /* Handles one message. */
 static void on_message(struct peer_link *l, const void *data, size_t len)
 {
--- a/src/proxy/remote.h
+++ b/src/proxy/remote.h
@@ -83,6 +83,10 @@
 	struct peer_link *first;
 	struct peer_link *second;
 	bool is_replaced;
+	/* it broke; the VM that opened it asks for its streams on another one
+	 */
+	bool is_broken;
+	usec_t broken_at;
 	bool is_resuming;		     /* RESUMED is outstanding */
 	struct stream_record record;	     /* of an accepted link */
 	uint32_t n_running;		     /* statements without a result */
--- a/tests/decide/link_silence_test.cc
+++ b/tests/decide/link_silence_test.cc
@@ -146,6 +146,31 @@
 		EXPECT_EQ(link_silence_next(&c.l, kNow), c.step) << c.name;
 }
 
+// Guards against "never received" for a statement that arrived on the link
+// before, which runs it twice.
+TEST(LinkSilence, BrokenLinkMayBeResumed)
+{
+	const struct {
+		const char *name;
+		struct link_silence l;
+		bool may;
+	} cases[] = {
+		{ "a statement waits", waiting(10 * kMs, 0), true },
+		{ "a transaction is idle", holding(idle(10 * kMs, 10 * kMs, 0)),
+		  true },
+		{ "a second link is being opened",
+		  with(waiting(200 * kMs, 120 * kMs), true, false, 40 * kMs),
+		  true },
+		{ "nothing is on it", idle(10 * kMs, 10 * kMs, 0), false },
+		{ "it was never open", connecting(10 * kMs), false },
+		{ "it asked for streams and has no answer",
+		  with(waiting(200 * kMs, 120 * kMs), false, true, 40 * kMs),
+		  false },
+	};
+	for (const auto &c : cases)
+		EXPECT_EQ(link_silence_may_resume(&c.l), c.may) << c.name;
+}
+
 // Plays a link whose data ends at once, with a tick each 25 ms, and finds when
 // the second one is opened.
 TEST(LinkSilence, SecondLinkIsOpenedWithin200Ms)
--- a/tests/process/links_relay.pl
+++ b/tests/process/links_relay.pl
@@ -5,12 +5,13 @@
 #	silence WAY	connections open now carry nothing any more, without a
 #			reset: to the VM that accepted them (to), from it (from),
 #			or both; new ones work
+#	reset		resets the connections open now
 #	count		prints the number of connections that are not silent
 use strict;
 use warnings;
 use IO::Select;
 use IO::Socket::INET;
-use Socket qw(sockaddr_in inet_aton);
+use Socket qw(sockaddr_in inet_aton SOL_SOCKET SO_LINGER);
 
 use constant BLOCK_BYTES => 65536;
 use constant VM_HOST => '127.0.0.1';
@@ -110,6 +111,12 @@
 	if ($line =~ /^silence (to|from|both)/) {
 		$silent{$_} //= $1 for keys %is_open;
 	}
+	if ($line =~ /^reset/) {
+		for my $s (values %is_open) {
+			setsockopt($s, SOL_SOCKET, SO_LINGER, pack('ii', 1, 0));
+		}
+		forget($_) for values %is_open;
+	}
 	my $n = grep { $to_acceptor{$_} && !$silent{$_} } keys %is_open;
 	print $c "$n\n";
 	close($c);
--- a/tests/process/links_silent.pl
+++ b/tests/process/links_silent.pl
@@ -235,6 +235,11 @@
 	sleep(0.12);
 	relay_command("silence both");
 });
+play("reset", "links reset, twice", sub {
+	relay_command("reset");
+	sleep(0.3);
+	relay_command("reset");
+});
 play("stands", "a VM stands still for 300 ms, three times", sub {
 	for (1 .. 3) {
 		kill STOP => $pid;
