Test failovers while connections to the store are silent

Cause: no test has connections to the store that fall silent without a reset while new ones work.

Change: the fake platform makes a share of its open store connections silent (do=silence_open): the kernel drops what arrives on them, keep-alive probes included.

--- a/tests/sessions/control.cc
+++ b/tests/sessions/control.cc
@@ -7,7 +7,9 @@
 //	/control?do=ACTION[&db=ID][&n=NUMBER][&key=KEY]
 // injects a fault or changes the configuration; the reply holds the counters.
 // "exchange_key" writes a configuration with other contents under the version
-// of the newest one.
+// of the newest one. "silence_open" makes n in 100 open connections to the
+// store silent for good, while new ones work; "listed_ms" and "claimed_ms" tell
+// when the newest departure of a primary was first listed and claimed for.
 
 void FakePlatform::on_control(evhttp_request *req, void *ctx)
 {
@@ -69,6 +71,7 @@
 	} else if (what == "depart" || what == "stay") {
 		db->departing = what == "depart";
 		register_db(db);
+		note_departure(db);
 	} else if (what == "lose_replies") {
 		db->lose_replies = n;
 	} else if (what == "busy") {
@@ -104,6 +107,8 @@
 		history_from = ++revision;
 	} else if (what == "turn_away") {
 		set_turn_away(static_cast<TurnAway>(n));
+	} else if (what == "silence_open") {
+		silence_store_connections(n);
 	} else if (what == "watches_deaf") {
 		set_watches_deaf(n != 0);
 	} else if (what == "era") {
@@ -153,5 +158,11 @@
 	add("to_write_again", waiting_databases.size() + config_waits);
 	add("old_commits", old_commits);
 	add("config", config_version - 1);
+	add("silenced", n_silenced);
+	add("store_calls", n_store_calls);
+	if (listed_at)
+		add("listed_ms", (uint64_t)(listed_at - departed_at));
+	if (claimed_at)
+		add("claimed_ms", (uint64_t)(claimed_at - departed_at));
 	return out;
 }
--- a/tests/sessions/fake_platform.cc
+++ b/tests/sessions/fake_platform.cc
@@ -216,6 +216,7 @@
 	std::string path =
 		evhttp_uri_get_path(evhttp_request_get_evhttp_uri(req));
 	keep_store_connection(req);
+	n_store_calls++;
 	if (away) {
 		refuse_while_away(req);
 		return;
@@ -308,6 +309,7 @@
 	std::string items;
 	bool more = false;
 	int n = 0;
+	note_list(kind);
 	bool is_old = old_replies > 0;
 	for (const auto &o : is_old ? old_kinds[kind] : kinds[kind]) {
 		if (o.first <= from && !from.empty())
@@ -392,6 +394,8 @@
 	free(spec);
 	const char *event = duty_event(kind, json_object_get(o, "spec"));
 	json_decref(o);
+	if (strcmp(event, "claim") == 0)
+		note_claim();
 	notify_watches(kind, name);
 	std::string written = object(name, kinds[kind][name]);
 	restore_after(event);
--- a/tests/sessions/fake_platform.h
+++ b/tests/sessions/fake_platform.h
@@ -185,6 +185,11 @@
 	static void on_store_connection_closed(evhttp_connection *c, void *ctx);
 	void keep_store_connection(evhttp_request *req);
 	void close_store_connections();
+	void silence_store_connections(int percent);
+	static bool drop_input(evhttp_connection *c);
+	void note_departure(const Database *db);
+	void note_claim();
+	void note_list(const std::string &kind);
 	void refuse_while_away(evhttp_request *req);
 	void restore(const Restoration &r);
 	void come_back(const Restoration &r, int64_t at);
@@ -217,6 +222,13 @@
 	bool tells_era = true;
 	bool away = false; // until it comes back as an older copy
 	std::set<evhttp_connection *> store_connections;
+	// The newest announced departure of a primary, and what followed it:
+	// the first list that tells it, and the first claim. 0: none.
+	int64_t departed_at = 0;
+	int64_t listed_at = 0;
+	int64_t claimed_at = 0;
+	uint64_t n_silenced = 0; // connections that fell silent
+	uint64_t n_store_calls = 0;
 	// What is to be written again, or was not accepted while it was away.
 	std::set<std::string> waiting_databases;
 	bool config_waits = false;
