Choose the departing primary of a test when it departs

Cause: a round of store_silent chose the primary 1.5 s before it departed. If it had been replaced meanwhile, the round measured nothing.

Change: the primary is asked for right before, and the round checks that the departure was noted.

Conclusion: a round that measures nothing fails by name.

--- a/tests/process/store_silent.pl
+++ b/tests/process/store_silent.pl
@@ -86,9 +86,10 @@
 	my %n = counters();
 	ok("$name: connections fall silent", $n{silenced} > $before{silenced});
 	sleep 1.5;
-	my $was = $n{primary};
+	my $was = counter("primary");
 	push @hand_overs, time;
 	control("do=depart&db=$was");
+	ok("$name: the primary departs", !counter("claimed_ms"));
 	my $good = eventually($WAIT_S, sub {
 		%n = counters();
 		return $n{claimed_ms} && $n{primary} ne $was;
