Continue overdue calls to the store on new connections

Cause: a call on a connection that had fallen silent was known to be lost only after platform_timeout_ms, and the next call could use another silent connection. Nothing asked whether a connection that only carried a watch still answered, but a keep-alive of 10 s.

Change: a call is overdue after twice the time of recent answers, 250 to 750 ms (decide/call_retry). A read is then made again on a new connection, once, within its time; a conditional write ends as lost, so that its submitter reads it back; a promotion is left alone, but is sent on a new connection. Idle connections are closed, and watches sent before are renewed within 250 ms. Connections to the store are probed after 1 s and closed after 2 s of silence; a watch that ends so is renewed at once.

--- a/src/kernel/counters.h
+++ b/src/kernel/counters.h
@@ -25,6 +25,8 @@
 	X(PLATFORM_CALLS, "platform_calls_total", "calls to the platform")    \
 	X(PLATFORM_WATCHES, "platform_watches_total",                         \
 	  "watches at the platform")                                          \
+	X(PLATFORM_REPEATED, "platform_repeated_calls_total",                 \
+	  "calls to the platform that followed an overdue one")               \
 	X(STORE_RESTORED, "platform_restored_total",                          \
 	  "new eras of the platform's store heard of")                        \
 	X(STORE_PAST, "platform_past_replies_total",                          \
--- a/src/kernel/loop.h
+++ b/src/kernel/loop.h
@@ -37,8 +37,13 @@
 	char extra_headers[HTTP_EXTRA_HEADERS_MAX]
 			  [HTTP_AUTH_BYTES]; /* further header lines */
 	usec_t timeout;			     /* of the whole call */
-	size_t reply_max;	   /* bytes; a larger reply fails the call */
-	bool new_connection;	   /* use a new connection */
+	size_t reply_max;    /* bytes; a larger reply fails the call */
+	bool new_connection; /* use a new connection */
+	/* of a connection that the call opens: after so many seconds without
+	 * data it is probed, and closed if it is silent for as long again;
+	 * unacknowledged data closes it after unacked_max; 0: the defaults */
+	long keepalive_s;
+	usec_t unacked_max;
 	const char *number_header; /* reply header to take a number from; NULL:
 				      none */
 	void (*done)(struct http_call *call);
@@ -47,7 +52,8 @@
 	int status; /* HTTP status; 0 if none */
 	bool sent;  /* a part of the request may have been sent */
 	bool timed_out;
-	char *reply; /* NUL-terminated; freed after done(); NULL if none */
+	bool fell_silent; /* its connection was closed as silent */
+	char *reply;	  /* NUL-terminated; freed after done(); NULL if none */
 	size_t reply_len;
 	char etag[HTTP_ETAG_BYTES]; /* without quotes */
 	uint64_t header_number;	    /* of number_header; 0: none or malformed */
@@ -74,6 +80,13 @@
 void loop_timer_clear(struct loop *l, struct loop_timer *t);
 /* Starts an HTTP call. Loop thread only. */
 void loop_http(struct loop *l, struct http_call *call);
+/*
+ * Ends a call in progress without done(), and closes its connection. Sets
+ * "sent"; the reply is dropped. Loop thread only.
+ */
+void loop_http_cancel(struct loop *l, struct http_call *call);
+/* Lets no later call use one of the idle connections. Loop thread only. */
+void loop_http_close_idle(struct loop *l);
 bool loop_is_current(const struct loop *l);
 
 usec_t clock_now(void);	     /* monotonic */
--- a/src/kernel/loop_http.c
+++ b/src/kernel/loop_http.c
@@ -1,18 +1,23 @@
 #include "kernel/loop_internal.h"
 
 #include <apr_portable.h>
+#include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <unistd.h>
 
 #define IDLE_HANDLES_MAX       256
 #define CONNECTIONS_CACHED_MAX 4096L
 #define REPLY_CAPACITY_MIN     1024
 #define KEEPALIVE_S	       10L
 #define USER_TIMEOUT_MS	       5000
+/* Probes without an answer that close a connection with a keep-alive of its
+ * own. */
+#define KEEPALIVE_PROBES 1L
 
 static int on_socket(CURL *easy, curl_socket_t fd, int what, void *ctx,
 		     void *socket_ctx);
@@ -23,13 +28,15 @@
 static void read_number(struct http_call *c, const char *data, size_t len);
 static size_t on_body_read(char *buf, size_t size, size_t n, void *ctx);
 static int on_socket_created(void *ctx, curl_socket_t fd, curlsocktype purpose);
+static int on_socket_closed(void *ctx, curl_socket_t fd);
 static CURL *acquire_handle(struct loop *l);
 static void release_handle(struct loop *l, CURL *easy);
-static int configure_handle(struct http_call *c, CURL *easy);
+static int configure_handle(struct loop *l, struct http_call *c, CURL *easy);
 static int set_body(struct http_call *c, CURL *easy);
 static int add_header(struct http_call *c, const char *line);
 static void complete_calls(struct loop *l);
 static void finish(struct loop *l, struct http_call *c, CURLcode rc);
+static long detach(struct loop *l, struct http_call *c);
 static struct loop_socket *socket_of(struct loop *l, curl_socket_t fd);
 
 /* Initialises the loop's HTTP client. */
@@ -88,6 +95,7 @@
 	c->status = 0;
 	c->sent = false;
 	c->timed_out = false;
+	c->fell_silent = false;
 	c->reply = NULL;
 	c->reply_len = 0;
 	c->reply_capacity = 0;
@@ -108,11 +116,36 @@
 		return;
 	}
 	c->easy = easy;
-	if (configure_handle(c, easy) ||
+	if (configure_handle(l, c, easy) ||
 	    curl_multi_add_handle(l->multi, easy) != CURLM_OK)
 		finish(l, c, CURLE_FAILED_INIT);
 }
 
+/* Ends a call in progress; see the header. */
+void loop_http_cancel(struct loop *l, struct http_call *c)
+{
+	(void)detach(l, c);
+	free(c->reply);
+	c->reply = NULL;
+	c->reply_len = 0;
+}
+
+/*
+ * Shuts the idle connections down; curl finds them closed when it would use
+ * them. It polls the sockets of calls in progress only.
+ */
+void loop_http_close_idle(struct loop *l)
+{
+	curl_socket_t fd;
+
+	for (fd = 0; l->sockets && fd < LOOP_FDS_MAX; fd++) {
+		const struct loop_socket *s = l->sockets[fd];
+
+		if (s && s->is_open && !s->polled)
+			(void)shutdown(fd, SHUT_RDWR);
+	}
+}
+
 /* Tells curl which events a socket is ready for. */
 void loop_http_ready(struct loop *l, const apr_pollfd_t *fd)
 {
@@ -154,6 +187,7 @@
 		return 0;
 	s->poll.reqevents = events;
 	s->polled = apr_pollset_add(l->pollset, &s->poll) == APR_SUCCESS;
+	s->is_open = true;
 	return s->polled ? 0 : -1;
 }
 
@@ -233,7 +267,7 @@
 }
 
 /* Sets a handle's options for a call; -1 if one is rejected. */
-static int configure_handle(struct http_call *c, CURL *easy)
+static int configure_handle(struct loop *l, struct http_call *c, CURL *easy)
 {
 	char line[HTTP_AUTH_BYTES + 32];
 	long ms = (long)(c->timeout / USEC_PER_MSEC);
@@ -247,9 +281,14 @@
 	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
 	curl_easy_setopt(easy, CURLOPT_HEADERDATA, c);
 	curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, on_socket_created);
+	curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, c);
+	curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, on_socket_closed);
+	curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, l);
 	curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
-	curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, KEEPALIVE_S);
-	curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL, KEEPALIVE_S);
+	curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE,
+			 c->keepalive_s ? c->keepalive_s : KEEPALIVE_S);
+	curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL,
+			 c->keepalive_s ? c->keepalive_s : KEEPALIVE_S);
 	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, ms > 0 ? ms : 1L);
 	curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT,
 			 c->new_connection ? 1L : 0L);
@@ -313,18 +352,37 @@
 	return 0;
 }
 
-/* Sets the time after which unacknowledged data closes the connection. */
+/*
+ * Sets the time after which unacknowledged data, or with a keep-alive of the
+ * call's own an unanswered probe, closes the connection.
+ */
 static int on_socket_created(void *ctx, curl_socket_t fd, curlsocktype purpose)
 {
+	const struct http_call *c = ctx;
 	unsigned int ms = USER_TIMEOUT_MS;
+	const int probes = KEEPALIVE_PROBES;
 
-	(void)ctx;
 	(void)purpose;
+	if (c->unacked_max)
+		ms = (unsigned int)(c->unacked_max / USEC_PER_MSEC);
 	if (setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms)))
 		return CURL_SOCKOPT_ERROR;
+	if (c->keepalive_s &&
+	    setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes)))
+		return CURL_SOCKOPT_ERROR;
 	return CURL_SOCKOPT_OK;
 }
 
+/* Closes a socket for curl. */
+static int on_socket_closed(void *ctx, curl_socket_t fd)
+{
+	struct loop *l = ctx;
+
+	if (l->sockets && fd >= 0 && fd < LOOP_FDS_MAX && l->sockets[fd])
+		l->sockets[fd]->is_open = false;
+	return close(fd);
+}
+
 /* Passes the body to curl once. Once it is read, returns 0. */
 static size_t on_body_read(char *buf, size_t size, size_t n, void *ctx)
 {
@@ -431,9 +489,31 @@
 /* Takes a call's result from curl and returns the call to its owner. */
 static void finish(struct loop *l, struct http_call *c, CURLcode rc)
 {
-	long status = 0, size = 0;
+	long os_error = 0;
+	long status;
 	char *reply;
 
+	if (c->easy)
+		curl_easy_getinfo(c->easy, CURLINFO_OS_ERRNO, &os_error);
+	status = detach(l, c);
+	if (rc == CURLE_OK) {
+		c->status = (int)status;
+	} else {
+		c->timed_out = rc == CURLE_OPERATION_TIMEDOUT;
+		c->fell_silent = !c->timed_out && os_error == ETIMEDOUT;
+		snprintf(c->error_text, sizeof(c->error_text), "%s",
+			 curl_easy_strerror(rc));
+	}
+	reply = c->reply;
+	c->done(c);
+	free(reply);
+}
+
+/* Takes a call from curl and the list of calls; returns its HTTP status. */
+static long detach(struct loop *l, struct http_call *c)
+{
+	long status = 0, size = 0;
+
 	*c->pprev = c->next;
 	if (c->next)
 		c->next->pprev = c->pprev;
@@ -447,14 +527,5 @@
 	}
 	curl_slist_free_all(c->headers);
 	c->headers = NULL;
-	if (rc == CURLE_OK) {
-		c->status = (int)status;
-	} else {
-		c->timed_out = rc == CURLE_OPERATION_TIMEDOUT;
-		snprintf(c->error_text, sizeof(c->error_text), "%s",
-			 curl_easy_strerror(rc));
-	}
-	reply = c->reply;
-	c->done(c);
-	free(reply);
+	return status;
 }
--- a/src/kernel/loop_internal.h
+++ b/src/kernel/loop_internal.h
@@ -22,6 +22,7 @@
 	apr_socket_t *socket;
 	apr_pollfd_t poll;
 	bool polled;
+	bool is_open; /* of a connection that curl opened */
 };
 
 /* Shared by loop.c and loop_http.c only. */
--- a/src/kernel/platform.h
+++ b/src/kernel/platform.h
@@ -47,6 +47,8 @@
 	uint64_t after;	  /* WATCH: return changes after this revision */
 	uint32_t wait_ms; /* WATCH: longest wait for a change */
 	bool stale_ok;	  /* LIST: may be some seconds old, and costs less */
+	bool new_connection; /* use none that may have fallen silent */
+	usec_t timeout;	     /* of the whole call, if shorter; 0: as set */
 	uint64_t object_era; /* GET, PUT: the era of the store that the object
 				belongs to; 0: any. One of another era is a
 				different object. */
--- a/src/kernel/platform_client.h
+++ b/src/kernel/platform_client.h
@@ -1,6 +1,7 @@
 #ifndef KERNEL_PLATFORM_CLIENT_H
 #define KERNEL_PLATFORM_CLIENT_H
 
+#include "decide/call_retry.h"
 #include "kernel/loop.h"
 #include "kernel/platform.h"
 
@@ -17,8 +18,13 @@
 	/* Fills in the result and the fields that a reply sets, except for
 	 * c->reply. */
 	void (*result)(const struct http_call *h, struct platform_call *c);
+	/* Overdue calls are continued on new connections. Submitters of
+	 * conditional writes read the object back if the result is LOST. */
+	bool continues_overdue;
 };
 
+struct http_job;
+
 struct platform_client {
 	struct platform iface;
 	const struct platform_protocol *wire;
@@ -28,6 +34,11 @@
 	bool up;	/* written on the loop's thread; with __atomic */
 	bool availability_known;
 	bool stopping; /* with __atomic */
+	/* On the loop's thread, if overdue calls are continued: */
+	struct call_retry retry;
+	struct http_job *watches; /* in progress */
+	uint32_t n_silent;	  /* found since the last log line */
+	usec_t silent_logged_at;
 };
 
 /* Starts the loop and sets k->platform; -1 on failure. */
