Test claims whose answer is lost

Cause: no test has a write of a promotion claim that is executed without an answer, at once or later, while new connections work.

--- a/tests/sessions/control.cc
+++ b/tests/sessions/control.cc
@@ -109,6 +109,9 @@
 		set_turn_away(static_cast<TurnAway>(n));
 	} else if (what == "silence_open") {
 		silence_store_connections(n);
+	} else if (what == "late_claim") {
+		late_claim_ms = n;
+		late_claim_code = 0;
 	} else if (what == "watches_deaf") {
 		set_watches_deaf(n != 0);
 	} else if (what == "era") {
@@ -159,6 +162,8 @@
 	add("old_commits", old_commits);
 	add("config", config_version - 1);
 	add("silenced", n_silenced);
+	add("claims", n_claims);
+	add("late_claim", (uint64_t)late_claim_code);
 	add("store_calls", n_store_calls);
 	if (listed_at)
 		add("listed_ms", (uint64_t)(listed_at - departed_at));
--- a/tests/sessions/fake_platform.cc
+++ b/tests/sessions/fake_platform.cc
@@ -371,10 +371,40 @@
 	});
 }
 
+// Handles a write. One of a promotion claim may be held: its connection is
+// silent from then on, and the write is executed later.
 void FakePlatform::put(evhttp_request *req, const std::string &kind,
 		       const std::string &path_name, bool create)
 {
 	std::string text = request_body(req);
+	if (late_claim_ms && kind.rfind(kDuties, 0) == 0) {
+		evhttp_connection *c = evhttp_request_get_connection(req);
+		run_after(late_claim_ms, [this, kind, path_name, create, text] {
+			std::string reply;
+			late_claim_code =
+				write(kind, path_name, create, text, &reply);
+		});
+		late_claim_ms = 0;
+		drop_input(c);
+		store_connections.erase(c);
+		return;
+	}
+	std::string reply;
+	int code = write(kind, path_name, create, text, &reply);
+	if (code == 200 && store_lose_replies > 0) {
+		store_lose_replies--;
+		evhttp_connection_free(evhttp_request_get_connection(req));
+		return;
+	}
+	store_reply(req, code, reply);
+}
+
+// Executes a write if its condition holds. Returns the status of the reply and
+// sets its text.
+int FakePlatform::write(const std::string &kind, const std::string &path_name,
+			bool create, const std::string &text,
+			std::string *reply)
+{
 	json_t *o = json_loads(text.c_str(), 0, nullptr);
 	json_t *meta = json_object_get(o, "meta");
 	const char *named = json_string_value(json_object_get(meta, "name"));
@@ -384,10 +414,9 @@
 	auto found = kinds[kind].find(name);
 	bool there = found != kinds[kind].end();
 	if (create == there || (there && wanted != found->second.revision)) {
-		store_reply(req, there ? 409 : 404,
-			    there ? object(name, found->second) : "{}");
+		*reply = there ? object(name, found->second) : "{}";
 		json_decref(o);
-		return;
+		return there ? 409 : 404;
 	}
 	char *spec = json_dumps(json_object_get(o, "spec"), JSON_COMPACT);
 	kinds[kind][name].spec = spec;
@@ -397,14 +426,9 @@
 	if (strcmp(event, "claim") == 0)
 		note_claim();
 	notify_watches(kind, name);
-	std::string written = object(name, kinds[kind][name]);
+	*reply = object(name, kinds[kind][name]);
 	restore_after(event);
-	if (store_lose_replies > 0) {
-		store_lose_replies--;
-		evhttp_connection_free(evhttp_request_get_connection(req));
-		return;
-	}
-	store_reply(req, 200, written);
+	return 200;
 }
 
 // Assigns a new revision and notifies the watches of the kind.
--- a/tests/sessions/fake_platform.h
+++ b/tests/sessions/fake_platform.h
@@ -156,6 +156,8 @@
 		   int wait_ms);
 	void put(evhttp_request *req, const std::string &kind,
 		 const std::string &name, bool create);
+	int write(const std::string &kind, const std::string &path_name,
+		  bool create, const std::string &text, std::string *reply);
 	void notify_watches(const std::string &kind, const std::string &name);
 	void promote(evhttp_request *req);
 	void record_promotion(uint64_t token, const std::string &holder,
@@ -227,6 +229,11 @@
 	int64_t departed_at = 0;
 	int64_t listed_at = 0;
 	int64_t claimed_at = 0;
+	// The next write of a claim is executed so much later, without an
+	// answer; 0: none is held.
+	int late_claim_ms = 0;
+	int late_claim_code = 0; // status of the newest such write; 0: none
+	uint64_t n_claims = 0;
 	uint64_t n_silenced = 0; // connections that fell silent
 	uint64_t n_store_calls = 0;
 	// What is to be written again, or was not accepted while it was away.
--- a/tests/sessions/silence.cc
+++ b/tests/sessions/silence.cc
@@ -60,9 +60,10 @@
 		listed_at = now_ms();
 }
 
-// Notes the first claim after the departure.
+// Counts claims, and notes the first one after the departure.
 void FakePlatform::note_claim()
 {
+	n_claims++;
 	if (departed_at && !claimed_at)
 		claimed_at = now_ms();
 }
