Read claims without an answer back, and rank VMs by the store's answers

Cause: a claim without an answer counted as failed, and the attempt began again after 0.7 s. VMs that the store did not answer kept their rank for a failover, and those of lower rank waited for them. A VM whose list of the databases was under way on a silent connection copied a newer one from a peer only after its own had failed.

Change: the record of a write without an answer is read on a new connection (decide/call_retry): if it is ours the write is done, with the token that is in the store; if it is the one to replace, the same write is sent again under the same condition; else it has failed. All of that ends within platform_timeout_ms. Claims begin on new connections. heartbeat_rank() puts VMs that the store does not answer last; a VM whose claim had no answer tells its peers at once. A list that is late is copied from the peer that has told of a newer one.

Conclusion: the duty passes on without waiting for time-outs.

--- a/src/proxy/failover.c
+++ b/src/proxy/failover.c
@@ -231,14 +231,17 @@
 	}
 }
 
-/* Returns this VM's rank for the group; it changes with the live VMs. */
+/*
+ * Returns this VM's rank for the group; it changes with the live VMs and those
+ * that the platform answers.
+ */
 static uint32_t own_rank(struct db_group *g)
 {
 	const struct heartbeat *b = g->proxy->heartbeat;
 
-	if (g->rank_version != heartbeat_owners_version(b) + 1) {
+	if (g->rank_version != heartbeat_rank_version(b) + 1) {
 		g->rank = heartbeat_rank(b, g->service);
-		g->rank_version = heartbeat_owners_version(b) + 1;
+		g->rank_version = heartbeat_rank_version(b) + 1;
 	}
 	return g->rank;
 }
--- a/src/proxy/heartbeat_view.c
+++ b/src/proxy/heartbeat_view.c
@@ -47,29 +47,40 @@
 }
 
 /*
- * Counts the live VMs whose hash for the service is above this one's
- * (rendezvous hashing). A draining VM ranks last. One that is not ready does
- * not count.
+ * Returns this VM's rank for a failover of the service, which needs the
+ * platform: counts the live VMs that come before this one. Those that the
+ * platform does not answer come last, and count for nothing while it answers
+ * another; the order of the others is by their hashes (rendezvous hashing). A
+ * draining VM ranks last. One that is not ready does not count. The rank is
+ * only an order: the claim decides.
  */
 uint32_t heartbeat_rank(const struct heartbeat *b, const char *service)
 {
 	uint64_t own =
 		heartbeat_rank_hash(b->proxy->kernel->settings.vm, service);
+	bool own_fails = b->own_platform_fails;
 	uint32_t rank = 0;
 	uint32_t i;
 
 	for (i = 0; i < b->n; i++) {
 		const struct peer_vm *v = b->peers[i];
 
-		if (v->silent || v->draining || !v->ready)
+		if (v->silent || v->draining || !v->ready ||
+		    (v->platform_fails && !own_fails))
 			continue;
-		if (b->proxy->draining ||
+		if (b->proxy->draining || v->platform_fails != own_fails ||
 		    heartbeat_rank_hash(v->name, service) > own)
 			rank++;
 	}
 	return rank;
 }
 
+/* Returns a number that changes whenever heartbeat_rank() may change. */
+uint64_t heartbeat_rank_version(const struct heartbeat *b)
+{
+	return b->owners_version + b->platform_version;
+}
+
 /*
  * Returns a number that changes whenever heartbeat_service_owner() may return
  * another VM.
--- a/src/proxy/proxy_internal.h
+++ b/src/proxy/proxy_internal.h
@@ -166,7 +166,7 @@
 	const char *proof_owner;
 	/* heartbeat_owners_version() when proof_owner was computed, plus 1 */
 	uint64_t proof_owner_version;
-	uint64_t rank_version; /* heartbeat_owners_version() then, plus 1 */
+	uint64_t rank_version; /* heartbeat_rank_version() then, plus 1 */
 	/* when this VM last read the claim to judge the databases by it */
 	usec_t claim_checked_at;
 	/* id of the newest request to the proof owner */
@@ -571,6 +571,7 @@
 void heartbeat_on_link_failed(struct heartbeat *b, const char *peer,
 			      usec_t now);
 uint64_t heartbeat_owners_version(const struct heartbeat *b);
+uint64_t heartbeat_rank_version(const struct heartbeat *b);
 /* True if this VM has received heartbeats of a majority for a while. */
 bool heartbeat_sees_majority(const struct heartbeat *b, usec_t now);
 /* True if this VM reads the platform's data for its failure domain. */
--- a/src/proxy/registry.c
+++ b/src/proxy/registry.c
@@ -28,6 +28,11 @@
  */
 #define OVERDUE_MIN_US FAILING_US
 #define OVERDUE_MAX_US (750 * USEC_PER_MSEC)
+/*
+ * The platform's client repeats an overdue call on a new connection. The VM
+ * counts as not answered if that has no answer either after this time.
+ */
+#define REPEAT_US (100 * USEC_PER_MSEC)
 /*
  * Interval of attempts of a VM that reads no longer, as it is not answered, for
  * each READER_CHOICE_FAILING_MAX such VMs of its failure domain.
@@ -80,8 +85,6 @@
 static void check_outdated(struct outdated *o, struct poll *p, usec_t now);
 static usec_t retry_backoff(const struct registry *r, struct poll *p);
 static void track_outage(struct registry *r, const struct poll *p, usec_t now);
-static bool is_overdue(const struct registry *r, const struct poll *p,
-		       usec_t now);
 static void probe(struct registry *r, usec_t now);
 static bool is_due(const struct poll *p, usec_t now);
 static void handle_vms(struct registry *r, struct poll *p);
@@ -354,13 +357,25 @@
 bool registry_platform_fails(const struct registry *r, usec_t now)
 {
 	return (r->failing_since && now - r->failing_since >= FAILING_US) ||
-	       is_overdue(r, &r->read, now) ||
-	       is_overdue(r, &r->databases, now);
+	       registry_is_overdue(r, &r->read, now - REPEAT_US) ||
+	       registry_is_overdue(r, &r->databases, now - REPEAT_US);
+}
+
+/*
+ * After a claim that had no answer this VM counts as not answered, so that the
+ * failover is left to the next one by rank.
+ */
+void registry_claim_unanswered(struct registry *r, usec_t now)
+{
+	if (r->failing_since == 0 || r->failing_since > now - FAILING_US)
+		r->failing_since = now - FAILING_US;
+	r->failed_at = now;
+	heartbeat_send_now(r->proxy->heartbeat);
 }
 
 /* True if a call has been in progress for longer than is usual. */
-static bool is_overdue(const struct registry *r, const struct poll *p,
-		       usec_t now)
+bool registry_is_overdue(const struct registry *r, const struct poll *p,
+			 usec_t now)
 {
 	usec_t most = 2 * r->answer_took;
 
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -119,6 +119,8 @@
 void registry_tick(struct registry *r, usec_t now);
 /* True if the platform does not answer this VM. */
 bool registry_platform_fails(const struct registry *r, usec_t now);
+/* The platform did not answer this VM's claim: its peers are told at once. */
+void registry_claim_unanswered(struct registry *r, usec_t now);
 /*
  * The age of the newest read of the configuration that this VM knows of, its
  * own or a peer's; -1: none.
--- a/src/proxy/registry_internal.h
+++ b/src/proxy/registry_internal.h
@@ -77,6 +77,7 @@
 	usec_t newer_list_since;
 	usec_t newer_listed_at;	  /* when that list was requested */
 	uint64_t newer_list_hash; /* its hash_list() */
+	char newer_list_peer[NAME_MAX_BYTES];
 	struct outdated old_catalog;
 	struct outdated old_databases;
 	char *catalog_reply; /* of the newest catalogue, for copies */
@@ -105,6 +106,9 @@
 uint64_t registry_random_delay(const struct registry *r, uint64_t max);
 /* Sends one request; the reply arrives on the proxy's thread. */
 void registry_poll_send(struct poll *p, enum platform_op op, usec_t now);
+/* True if a call has been in progress for longer than is usual. */
+bool registry_is_overdue(const struct registry *r, const struct poll *p,
+			 usec_t now);
 /* Obtains what is outdated, from a VM of this failure domain if possible. */
 void registry_refresh_outdated(struct registry *r, struct outdated *o,
 			       enum registry_copy kind, struct poll *p,
--- a/src/proxy/registry_list.c
+++ b/src/proxy/registry_list.c
@@ -11,11 +11,17 @@
 
 /* A VM lists the databases itself at least this often. */
 #define LIST_INTERVAL_MAX_US (120 * USEC_PER_SEC)
+/*
+ * A list that is under way for so long, several times what one takes at the
+ * users' sites, is also copied from a peer that has a newer one.
+ */
+#define LIST_LATE_US (50 * USEC_PER_MSEC)
 /* A peer's list that is older than this tells nothing. */
 #define LIST_AGE_MAX_MS (2 * LIST_INTERVAL_MAX_US / USEC_PER_MSEC)
 
 static void note_listed(struct registry *r, usec_t listed_at);
 static void on_list_failed(struct registry *r, struct poll *p, usec_t now);
+static void copy_if_late(struct registry *r, usec_t now);
 static usec_t list_interval(const struct registry *r, usec_t now);
 static void apply_list(struct registry *r, usec_t listed_at, usec_t now);
 static uint64_t hash_list(const struct registry *r);
@@ -112,15 +118,33 @@
 	if (listed_at > r->newer_listed_at) {
 		r->newer_listed_at = listed_at;
 		r->newer_list_hash = n->databases;
+		snprintf(r->newer_list_peer, sizeof(r->newer_list_peer), "%s",
+			 peer);
 	}
-	if (r->databases.failures > 0 &&
-	    now - r->old_databases.asked_at >= COPY_RETRY_US) {
-		r->old_databases.asked_at = now;
-		registry_copy_request(r->proxy, REGISTRY_COPY_DATABASES, peer);
-	}
+	copy_if_late(r, now);
 	registry_refresh_databases(r, now);
 }
 
+/*
+ * Requests a copy from the peer that has a newer list, if this VM's own list
+ * fails or is late.
+ */
+static void copy_if_late(struct registry *r, usec_t now)
+{
+	const struct poll *p = &r->databases;
+	usec_t late = 2 * r->answer_took;
+
+	if (late < LIST_LATE_US)
+		late = LIST_LATE_US;
+	if (r->newer_list_since == 0 ||
+	    now - r->old_databases.asked_at < COPY_RETRY_US ||
+	    (p->failures == 0 && (!p->busy || now - p->requested_at < late)))
+		return;
+	r->old_databases.asked_at = now;
+	registry_copy_request(r->proxy, REGISTRY_COPY_DATABASES,
+			      r->newer_list_peer);
+}
+
 /* Obtains the newest list of databases, from a peer if possible. */
 void registry_refresh_databases(struct registry *r, usec_t now)
 {
@@ -227,7 +251,7 @@
 	p->due_at = now + list_interval(r, now);
 }
 
-/* Lists the databases if it is this VM's turn. */
+/* Lists the databases if it is this VM's turn; copies a list that is late. */
 void registry_list_tick(struct registry *r, usec_t now)
 {
 	usec_t due_at =
@@ -238,6 +262,7 @@
 		r->databases.due_at = now;
 		r->list_is_turn = true;
 	}
+	copy_if_late(r, now);
 }
 
 /* Takes note of a list, of this VM or of a peer that has the same. */
--- a/src/proxy/registry_promotion.c
+++ b/src/proxy/registry_promotion.c
@@ -2,6 +2,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "decide/call_retry.h"
+#include "kernel/counters.h"
 #include "kernel/log.h"
 #include "kernel/platform.h"
 #include "proxy/proxy_internal.h"
@@ -20,6 +22,9 @@
  */
 #define PROMOTION_MAX_US (5 * USEC_PER_SEC)
 
+/* With less time left, a write without an answer is not read back. */
+#define READ_BACK_MIN_US (20 * USEC_PER_MSEC)
+
 /* What a request about a claim is for. */
 enum claim_purpose {
 	CLAIM_READ,
@@ -34,7 +39,12 @@
 	struct platform_call call;
 	struct db_group *group;
 	enum claim_purpose purpose;
-	bool is_written; /* the call in progress is the write */
+	bool is_written; /* the write was sent */
+	/* a write had no answer, and the call in progress reads the record */
+	bool is_reading_back;
+	bool is_unanswered; /* a write had no answer */
+	usec_t written_at;  /* when the first write was sent */
+	struct registry_claim_record written;
 	registry_claim_done_fn fn;
 	registry_promote_done_fn promote_fn;
 	void *ctx;
@@ -58,6 +68,12 @@
 			     const struct promotion_claim *found);
 static void write_claim(struct promotion_call *d,
 			const struct promotion_claim *claim);
+static void submit_write(struct promotion_call *d);
+static bool continue_write(struct promotion_call *d);
+static bool read_back(struct promotion_call *d);
+static bool judge_read_back(struct promotion_call *d);
+static bool is_written_record(const struct promotion_call *d,
+			      const struct registry_claim_record *found);
 static void call_free(struct promotion_call *d);
 
 /* Reads the current claim; handle_reply() then replaces it if it may. */
@@ -125,6 +141,8 @@
 	}
 	d->fn = fn;
 	d->purpose = purpose;
+	/* A failover may not wait for a connection that fell silent. */
+	d->call.new_connection = purpose == CLAIM_TAKE || purpose == CLAIM_MARK;
 	d->call.object_era = p->store_era.era;
 	d->outcome.asked_at = proxy_now();
 	snprintf(d->call.name, sizeof(d->call.name), "%s/%s", REGISTRY_CLAIM,
@@ -177,8 +195,7 @@
 
 /*
  * Follows a read by the write that replaces or closes the claim, or reports the
- * outcome and frees the request. A write whose response was lost counts as
- * failed: the next claim reads the record again.
+ * outcome and frees the request. A write without an answer is read back.
  */
 static void handle_reply(void *ctx)
 {
@@ -189,7 +206,10 @@
 		finish_promotion(d);
 		return;
 	}
-	o->ok = take_record(d);
+	if (d->is_written && continue_write(d))
+		return;
+	if (!d->is_reading_back)
+		o->ok = take_record(d);
 	if (o->ok && !d->is_written &&
 	    ((d->purpose == CLAIM_TAKE && replace_claim(d)) ||
 	     (d->purpose == CLAIM_CLOSE && close_claim(d))))
@@ -200,6 +220,8 @@
 		o->ok = o->ok && o->token;
 	if (o->ok && (d->purpose == CLAIM_TAKE || d->purpose == CLAIM_MARK))
 		d->group->own_claim = o->record.claim;
+	if (!o->ok && !d->call.replied && d->purpose == CLAIM_TAKE)
+		registry_claim_unanswered(d->proxy->registry, proxy_now());
 	d->fn(d->ctx, o);
 	call_free(d);
 }
@@ -354,17 +376,114 @@
 	if (claim->state == PROMOTION_CLAIM_CLOSED)
 		snprintf(record.primary, sizeof(record.primary), "%s",
 			 g->db[g->primary].id);
-	free(d->reply);
-	d->reply = NULL;
 	d->is_written = true;
-	d->call.op = PLATFORM_PUT;
-	d->call.version = claim->at.revision;
+	d->written_at = proxy_now();
+	d->written = record;
 	d->call.body = registry_codec()->claim_body(&record);
 	if (!d->call.body)
 		log_event(EV_VM_FAIL, "reason=\"no memory for a claim\"");
+	submit_write(d);
+}
+
+/* Sends the write, the first time or again under the same condition. */
+static void submit_write(struct promotion_call *d)
+{
+	free(d->reply);
+	d->reply = NULL;
+	d->is_reading_back = false;
+	d->call.op = PLATFORM_PUT;
+	d->call.version = d->written.claim.at.revision;
 	claim_submit(d);
 }
 
+/*
+ * Continues a write without an answer, or one that failed after such a one: its
+ * record is read and, if it is still the one to replace, written again. Returns
+ * false if the outcome is known, or will not be.
+ */
+static bool continue_write(struct promotion_call *d)
+{
+	const struct platform_call *c = &d->call;
+
+	if (d->is_reading_back)
+		return judge_read_back(d);
+	if (c->result == PLATFORM_LOST ||
+	    (c->result == PLATFORM_DOWN && !c->replied)) {
+		d->is_unanswered = true;
+		return read_back(d);
+	}
+	return d->is_unanswered && c->result == PLATFORM_CONFLICT &&
+	       read_back(d);
+}
+
+/*
+ * Reads the record on a new connection, within the time of the write. Returns
+ * false if none is left.
+ */
+static bool read_back(struct promotion_call *d)
+{
+	usec_t all = (usec_t)d->proxy->kernel->settings.platform_timeout_ms *
+		     USEC_PER_MSEC;
+	usec_t left = all - (proxy_now() - d->written_at);
+
+	if (left < READ_BACK_MIN_US)
+		return false;
+	free(d->reply);
+	d->reply = NULL;
+	d->is_reading_back = true;
+	d->call.op = PLATFORM_GET;
+	d->call.new_connection = true;
+	d->call.timeout = left;
+	counter_add(CTR_PLATFORM_REPEATED, 1);
+	claim_submit(d);
+	return true;
+}
+
+/*
+ * Sets the outcome by the record that was read back; the token is that of the
+ * store. Returns true if the write was sent again instead.
+ */
+static bool judge_read_back(struct promotion_call *d)
+{
+	struct registry_claim_outcome *o = &d->outcome;
+	struct call_retry_object found;
+	enum call_retry_verdict v;
+	usec_t all = (usec_t)d->proxy->kernel->settings.platform_timeout_ms *
+		     USEC_PER_MSEC;
+	usec_t left = all - (proxy_now() - d->written_at);
+
+	o->ok = take_record(d);
+	if (!o->ok)
+		return false;
+	found = (struct call_retry_object){
+		.is_ours = is_written_record(d, &o->record),
+		.revision = o->record.claim.at.revision,
+	};
+	v = call_retry_read_back(&found, d->written.claim.at.revision);
+	log_event(EV_SUCCESSION,
+		  "service=%s phase=claim holder=%s revision=%llu "
+		  "reason=\"a write had no answer, read back\" verdict=%d",
+		  d->group->service, o->record.holder,
+		  (unsigned long long)found.revision, (int)v);
+	if (v == CALL_RETRY_WRITE_AGAIN && left >= READ_BACK_MIN_US) {
+		d->call.timeout = left;
+		counter_add(CTR_PLATFORM_REPEATED, 1);
+		submit_write(d);
+		return true;
+	}
+	o->ok = v == CALL_RETRY_DONE;
+	return false;
+}
+
+/* True if a record is the one that this request wrote. */
+static bool is_written_record(const struct promotion_call *d,
+			      const struct registry_claim_record *found)
+{
+	return strcmp(found->holder, d->written.holder) == 0 &&
+	       found->incarnation == d->written.incarnation &&
+	       found->claim_number == d->written.claim_number;
+}
+
 /* Frees a request. */
 static void call_free(struct promotion_call *d)
 {
