Test reads while connections to databases are silent

Cause: no test has some connections to a database that fall silent without a reset while others work.

--- a/tests/sessions/control.cc
+++ b/tests/sessions/control.cc
@@ -109,6 +109,8 @@
 		set_turn_away(static_cast<TurnAway>(n));
 	} else if (what == "silence_open") {
 		silence_store_connections(n);
+	} else if (what == "silence_databases") {
+		silence_database_connections(n);
 	} else if (what == "late_claim") {
 		late_claim_ms = n;
 		late_claim_code = 0;
--- a/tests/sessions/fake_platform.cc
+++ b/tests/sessions/fake_platform.cc
@@ -385,7 +385,7 @@
 				write(kind, path_name, create, text, &reply);
 		});
 		late_claim_ms = 0;
-		drop_input(c);
+		drop_input(evhttp_connection_get_bufferevent(c));
 		store_connections.erase(c);
 		return;
 	}
--- a/tests/sessions/fake_platform.h
+++ b/tests/sessions/fake_platform.h
@@ -188,7 +188,8 @@
 	void keep_store_connection(evhttp_request *req);
 	void close_store_connections();
 	void silence_store_connections(int percent);
-	static bool drop_input(evhttp_connection *c);
+	static bool drop_input(bufferevent *bev);
+	void silence_database_connections(int percent);
 	void note_departure(const Database *db);
 	void note_claim();
 	void note_list(const std::string &kind);
--- a/tests/sessions/silence.cc
+++ b/tests/sessions/silence.cc
@@ -17,7 +17,8 @@
 {
 	std::set<evhttp_connection *> chosen;
 	for (auto *c : store_connections) {
-		if ((int)(random() % kPercent) < percent && drop_input(c))
+		if ((int)(random() % kPercent) < percent &&
+		    drop_input(evhttp_connection_get_bufferevent(c)))
 			chosen.insert(c);
 	}
 	std::vector<Watch> held;
@@ -31,16 +32,26 @@
 	n_silenced += chosen.size();
 }
 
+// Makes so many in 100 of the open connections to databases silent for good.
+void FakePlatform::silence_database_connections(int percent)
+{
+	for (auto *db : databases) {
+		for (auto *c : db->connections) {
+			if ((int)(random() % kPercent) < percent &&
+			    drop_input(c->bev))
+				n_silenced++;
+		}
+	}
+}
+
 // Lets the kernel drop all that arrives for a connection, so that nothing is
 // acknowledged, keep-alive probes included. Returns false if it can't.
-bool FakePlatform::drop_input(evhttp_connection *c)
+bool FakePlatform::drop_input(bufferevent *bev)
 {
 	sock_filter drop_all = BPF_STMT(BPF_RET | BPF_K, 0);
 	sock_fprog program = { 1, &drop_all };
-	evutil_socket_t fd =
-		bufferevent_getfd(evhttp_connection_get_bufferevent(c));
-	return setsockopt(fd, SOL_SOCKET, SO_ATTACH_FILTER, &program,
-			  sizeof(program)) == 0;
+	return setsockopt(bufferevent_getfd(bev), SOL_SOCKET, SO_ATTACH_FILTER,
+			  &program, sizeof(program)) == 0;
 }
 
 // Begins to measure if the database is a primary that departs.
