Take reads from a connection that is silent while others answer

Cause: a read waited on a silent connection to a database until its deadline, if the database answered on other connections.

Change: if the oldest request of a connection has waited for four times the usual time of the database, at least 300 ms, and a statement that was sent later on another connection was answered (decide/read_silence), the connection is closed. Reads outside transactions and statements that were not sent yet go elsewhere; writes and transactions are left alone.

Conclusion: silence of a connection costs a read 300 ms or four usual times, not its deadline.

--- a/src/proxy/backend.c
+++ b/src/proxy/backend.c
@@ -378,6 +378,8 @@
 		break;
 	case EXPECT_STATEMENT:
 		b->failed = failed;
+		if (e.sent_at > b->db->answered_sent_at)
+			b->db->answered_sent_at = e.sent_at;
 		on_statement(b, m);
 		return;
 	case EXPECT_CONTROL:
--- a/src/proxy/db_group.c
+++ b/src/proxy/db_group.c
@@ -675,6 +675,7 @@
 		else
 			backend_tick(b, now);
 	}
+	backend_close_silent(db, now);
 	if (db->present && db_member_is_silent(db, now)) {
 		give_up_reads(db);
 		db_member_probe(db, now);
--- a/src/proxy/proxy_internal.h
+++ b/src/proxy/proxy_internal.h
@@ -116,8 +116,10 @@
 	usec_t retry_at;
 	/* connection attempts that failed, in a row */
 	uint32_t failures;
-	usec_t latency;	  /* moving average of its response time */
-	usec_t probed_at; /* time of the last status request */
+	usec_t latency; /* moving average of its response time */
+	/* when the newest statement was sent that it has answered; 0: none */
+	usec_t answered_sent_at;
+	usec_t probed_at;		/* time of the last status request */
 	struct db_status_report status; /* last status it reported */
 	/* when that status was requested; 0: never */
 	usec_t status_requested_at;
@@ -481,6 +483,8 @@
 void backend_reap(struct proxy *p);
 /* Disables Nagle's algorithm and detects a dead peer within a few seconds. */
 void backend_set_socket_options(evutil_socket_t fd);
+/* Closes connections that are probably silent, where nothing is lost by it. */
+void backend_close_silent(struct db_member *db, usec_t now);
 
 /* conn_pool.c */
 struct backend *conn_pool_find_idle(struct db_member *db,
