Notice callers that have gone silently

Cause: callers' connections had no keep-alive. A caller that lost power held its session, its transaction and their memory until the transaction's idle time or for good.

Change: such a connection is closed after 12 s without data, or when sent data was unacknowledged for 10 s.

Silence of a caller itself was not tried: no test drops what arrives for a caller.

Conclusion: the bound rests on the system's keep-alive.

--- a/src/proxy/session.c
+++ b/src/proxy/session.c
@@ -15,6 +15,15 @@
 #define SESSION_NAMES_MAX 128
 /* A caller's first message has to arrive within this time. */
 #define START_TIMEOUT_US (10 * USEC_PER_SEC)
+/*
+ * A caller that has gone silently is closed after 12 s without data, or once
+ * sent data was unacknowledged for 10 s: longer than the longest timeout of a
+ * route. The probes of a VM's idle connections have to stay cheap.
+ */
+#define KEEPALIVE_IDLE_S     10
+#define KEEPALIVE_INTERVAL_S 2
+#define KEEPALIVE_PROBES     1
+#define UNACKED_MAX_MS	     10000
 /* Sessions refused by the configuration that are logged in one second. */
 #define REFUSED_LINES_PER_S 20
 /* Nothing more is read from a caller that leaves this much output unread. */
@@ -44,6 +53,7 @@
 				enum reply_error_code code);
 static void fail_and_close(struct session *s, enum reply_error_code code,
 			   const char *reason);
+static void set_keepalive(int fd);
 
 /* Accepts a caller's new connection. */
 void session_accept(struct proxy *p, int fd)
@@ -65,6 +75,7 @@
 		return;
 	}
 	(void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	set_keepalive(fd);
 	s->proxy = p;
 	s->state = STATE_IDLE;
 	s->exec.db = DB_NONE;
@@ -77,6 +88,24 @@
 	session_set_timer(s, proxy_now() + START_TIMEOUT_US);
 }
 
+/* Lets the system close the connection of a caller that has gone silently. */
+static void set_keepalive(int fd)
+{
+	const int on = 1;
+	const int idle = KEEPALIVE_IDLE_S;
+	const int interval = KEEPALIVE_INTERVAL_S;
+	const int probes = KEEPALIVE_PROBES;
+	const unsigned int unacked = UNACKED_MAX_MS;
+
+	(void)setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+	(void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
+	(void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval,
+			 sizeof(interval));
+	(void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+	(void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked,
+			 sizeof(unacked));
+}
+
 /* Closes a session whose caller has gone or is to be disconnected. */
 void session_close(struct session *s)
 {
