Decide the order of failovers in a pure function

Cause: heartbeat_rank() held the decision that VMs which the store does not answer come last, which no test reached.

Of a draining VM and one that the store does not answer, neither waits for the other.

Conclusion: the order can be read and tested in one place.

--- a/src/proxy/heartbeat_view.c
+++ b/src/proxy/heartbeat_view.c
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include "decide/db_owner.h"
+#include "decide/failover_rank.h"
 #include "decide/peer_gossip.h"
 #include "decide/reader_choice.h"
 #include "kernel/log.h"
@@ -47,30 +48,31 @@
 }
 
 /*
- * Returns this VM's rank for a failover of the service, which needs the
- * platform: counts the live VMs that come before this one. Those that the
- * platform does not answer come last, and count for nothing while it answers
- * another; the order of the others is by their hashes (rendezvous hashing). A
- * draining VM ranks last. One that is not ready does not count. The rank is
- * only an order: the claim decides.
+ * Returns this VM's rank for a failover of the service: counts the live VMs
+ * that begin before it (decide/failover_rank). One that is not ready does not
+ * count.
  */
 uint32_t heartbeat_rank(const struct heartbeat *b, const char *service)
 {
-	uint64_t own =
-		heartbeat_rank_hash(b->proxy->kernel->settings.vm, service);
-	bool own_fails = b->own_platform_fails;
+	const struct failover_rank_vm own = {
+		.hash = heartbeat_rank_hash(b->proxy->kernel->settings.vm,
+					    service),
+		.is_draining = b->proxy->draining,
+		.fails = b->own_platform_fails,
+	};
 	uint32_t rank = 0;
 	uint32_t i;
 
 	for (i = 0; i < b->n; i++) {
 		const struct peer_vm *v = b->peers[i];
+		const struct failover_rank_vm peer = {
+			.hash = heartbeat_rank_hash(v->name, service),
+			.is_draining = v->draining,
+			.fails = v->platform_fails,
+		};
 
-		if (v->silent || v->draining || !v->ready ||
-		    (v->platform_fails && !own_fails))
-			continue;
-		if (b->proxy->draining || v->platform_fails != own_fails ||
-		    heartbeat_rank_hash(v->name, service) > own)
-			rank++;
+		rank += v->ready && !v->silent &&
+			failover_rank_is_before(&peer, &own);
 	}
 	return rank;
 }
