Test watches on connections that the keep-alive closes

Cause: the renewal of a watch whose connection is closed as silent rested on the error number that the HTTP library passes on, and no test reached it.

Change: the test lets the system drop what arrives at its server's connections, probes included, while a watch is the only call.

--- a/tests/kernel/platform_client_test.cc
+++ b/tests/kernel/platform_client_test.cc
@@ -2,6 +2,7 @@
 #include <condition_variable>
 #include <cstring>
 #include <gtest/gtest.h>
+#include <linux/filter.h>
 #include <list>
 #include <map>
 #include <mutex>
@@ -54,6 +55,19 @@
 		std::lock_guard<std::mutex> g(m_);
 		n_silent_ = connections_.size();
 	}
+	// Lets the system drop all that arrives on the open connections, so
+	// that keep-alive probes get no answer either.
+	void DropInput()
+	{
+		sock_filter drop_all = BPF_STMT(BPF_RET | BPF_K, 0);
+		sock_fprog program = { 1, &drop_all };
+		std::lock_guard<std::mutex> g(m_);
+		for (int c : connections_) {
+			ASSERT_EQ(setsockopt(c, SOL_SOCKET, SO_ATTACH_FILTER,
+					     &program, sizeof(program)),
+				  0);
+		}
+	}
 	// Waits for a number of requests of a method.
 	void Await(const std::string &method, int n)
 	{
@@ -260,4 +274,18 @@
 	EXPECT_EQ(watch.call.result, PLATFORM_OK);
 	EXPECT_EQ(store_.Requests("WATCH"), 2);
 }
+
+// Guards against a watch that stays deaf while this VM makes no other call.
+TEST_F(PlatformClient, RenewsAWatchWhoseConnectionIsClosedAsSilent)
+{
+	uint64_t repeated = counter_sum(CTR_PLATFORM_REPEATED);
+	Call watch(PLATFORM_WATCH);
+	platform_submit(&kernel_, &watch.call);
+	store_.Await("WATCH", 1);
+	store_.DropInput();
+	watch.Wait();
+	EXPECT_EQ(watch.call.result, PLATFORM_OK);
+	EXPECT_EQ(store_.Requests("WATCH"), 2);
+	EXPECT_EQ(counter_sum(CTR_PLATFORM_REPEATED) - repeated, 1u);
+}
 } // namespace
