--- a/src/proxy/heartbeat_view.c
+++ b/src/proxy/heartbeat_view.c
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include "decide/db_owner.h"
+#include "decide/failover_rank.h"
 #include "decide/peer_gossip.h"
 #include "decide/reader_choice.h"
 #include "kernel/log.h"
@@ -47,29 +48,41 @@
 }
 
 /*
- * Counts the live VMs whose hash for the service is above this one's
- * (rendezvous hashing). A draining VM ranks last. One that is not ready does
- * not count.
+ * Returns this VM's rank for a failover of the service: counts the live VMs
+ * that begin before it (decide/failover_rank). One that is not ready does not
+ * count.
  */
 uint32_t heartbeat_rank(const struct heartbeat *b, const char *service)
 {
-	uint64_t own =
-		heartbeat_rank_hash(b->proxy->kernel->settings.vm, service);
+	const struct failover_rank_vm own = {
+		.hash = heartbeat_rank_hash(b->proxy->kernel->settings.vm,
+					    service),
+		.is_draining = b->proxy->draining,
+		.fails = b->own_platform_fails,
+	};
 	uint32_t rank = 0;
 	uint32_t i;
 
 	for (i = 0; i < b->n; i++) {
 		const struct peer_vm *v = b->peers[i];
+		const struct failover_rank_vm peer = {
+			.hash = heartbeat_rank_hash(v->name, service),
+			.is_draining = v->draining,
+			.fails = v->platform_fails,
+		};
 
-		if (v->silent || v->draining || !v->ready)
-			continue;
-		if (b->proxy->draining ||
-		    heartbeat_rank_hash(v->name, service) > own)
-			rank++;
+		rank += v->ready && !v->silent &&
+			failover_rank_is_before(&peer, &own);
 	}
 	return rank;
 }
 
+/* Returns a number that changes whenever heartbeat_rank() may change. */
+uint64_t heartbeat_rank_version(const struct heartbeat *b)
+{
+	return b->owners_version + b->platform_version;
+}
+
 /*
  * Returns a number that changes whenever heartbeat_service_owner() may return
  * another VM.
--- a/src/proxy/proxy_internal.h
+++ b/src/proxy/proxy_internal.h
@@ -125,8 +125,10 @@
 	usec_t retry_at;
 	/* connection attempts that failed, in a row */
 	uint32_t failures;
-	usec_t latency;	  /* moving average of its response time */
-	usec_t probed_at; /* time of the last status request */
+	usec_t latency; /* moving average of its response time */
+	/* when the newest statement was sent that it has answered; 0: none */
+	usec_t answered_sent_at;
+	usec_t probed_at;		/* time of the last status request */
 	struct db_status_report status; /* last status it reported */
 	/* when that status was requested; 0: never */
 	usec_t status_requested_at;
@@ -176,7 +178,7 @@
 	const char *proof_owner;
 	/* heartbeat_owners_version() when proof_owner was computed, plus 1 */
 	uint64_t proof_owner_version;
-	uint64_t rank_version; /* heartbeat_owners_version() then, plus 1 */
+	uint64_t rank_version; /* heartbeat_rank_version() then, plus 1 */
 	/* when this VM last read the claim to judge the databases by it */
 	usec_t claim_checked_at;
 	/* id of the newest request to the proof owner */
@@ -512,6 +514,8 @@
 void backend_reap(struct proxy *p);
 /* Disables Nagle's algorithm and detects a dead peer within a few seconds. */
 void backend_set_socket_options(evutil_socket_t fd);
+/* Closes connections that are probably silent, where nothing is lost by it. */
+void backend_close_silent(struct db_member *db, usec_t now);
 
 /* conn_pool.c */
 struct backend *conn_pool_find_idle(struct db_member *db,
@@ -604,6 +608,7 @@
 void heartbeat_on_link_failed(struct heartbeat *b, const char *peer,
 			      usec_t now);
 uint64_t heartbeat_owners_version(const struct heartbeat *b);
+uint64_t heartbeat_rank_version(const struct heartbeat *b);
 /* True if this VM has received heartbeats of a majority for a while. */
 bool heartbeat_sees_majority(const struct heartbeat *b, usec_t now);
 /* True if this VM reads the platform's data for its failure domain. */
--- a/tests/sessions/fake_platform.h
+++ b/tests/sessions/fake_platform.h
@@ -156,6 +156,8 @@
 		   int wait_ms);
 	void put(evhttp_request *req, const std::string &kind,
 		 const std::string &name, bool create);
+	int write(const std::string &kind, const std::string &path_name,
+		  bool create, const std::string &text, std::string *reply);
 	void notify_watches(const std::string &kind, const std::string &name);
 	void promote(evhttp_request *req);
 	void record_promotion(uint64_t token, const std::string &holder,
@@ -186,6 +188,12 @@
 	static void on_store_connection_closed(evhttp_connection *c, void *ctx);
 	void keep_store_connection(evhttp_request *req);
 	void close_store_connections();
+	void silence_store_connections(int percent);
+	static bool drop_input(bufferevent *bev);
+	void silence_database_connections(int percent);
+	void note_departure(const Database *db);
+	void note_claim();
+	void note_list(const std::string &kind);
 	void refuse_while_away(evhttp_request *req);
 	void restore(const Restoration &r);
 	void come_back(const Restoration &r, int64_t at);
@@ -221,6 +229,18 @@
 	bool relay_peers = false;
 	bool away = false; // until it comes back as an older copy
 	std::set<evhttp_connection *> store_connections;
+	// The newest announced departure of a primary, and what followed it:
+	// the first list that tells it, and the first claim. 0: none.
+	int64_t departed_at = 0;
+	int64_t listed_at = 0;
+	int64_t claimed_at = 0;
+	// The next write of a claim is executed so much later, without an
+	// answer; 0: none is held.
+	int late_claim_ms = 0;
+	int late_claim_code = 0; // status of the newest such write; 0: none
+	uint64_t n_claims = 0;
+	uint64_t n_silenced = 0; // connections that fell silent
+	uint64_t n_store_calls = 0;
 	// What is to be written again, or was not accepted while it was away.
 	std::set<std::string> waiting_databases;
 	bool config_waits = false;
