--- a/src/decide/failover_fsm.c
+++ b/src/decide/failover_fsm.c
@@ -1,4 +1,4 @@
-#include "decide/failover_fsm.h"
+#include "decide/failover_fsm_internal.h"
 
 #include <string.h>
 
@@ -11,8 +11,6 @@
 		 uint32_t db, uint64_t term);
 static void enter_phase(struct failover_fsm *s, usec_t now,
 			enum failover_fsm_phase phase);
-static bool should_start(struct failover_fsm *s,
-			 const struct failover_fsm_env *env);
 static bool retry_is_due(struct failover_fsm *s, usec_t now);
 static void give_up(struct failover_fsm *s, const struct failover_fsm_env *env,
 		    struct failover_fsm_actions *out);
@@ -32,14 +30,9 @@
 			   const struct failover_fsm_env *env);
 static bool all_reported(const struct failover_fsm *s,
 			 const struct failover_fsm_env *env);
-static bool replica_caught_up(const struct failover_fsm *s,
-			      const struct failover_fsm_env *env);
-static uint32_t choose_target(const struct failover_fsm *s,
-			      const struct failover_fsm_env *env);
 static void confirm_primary(struct failover_fsm *s,
 			    const struct failover_fsm_env *env,
 			    struct failover_fsm_actions *out);
-static bool is_eligible(const struct failover_fsm_env *env, uint32_t i);
 
 /* Initializes the state machine in the idle phase. */
 void failover_fsm_init(struct failover_fsm *s,
@@ -72,7 +65,7 @@
 	}
 	switch (s->phase) {
 	case FAILOVER_IDLE:
-		if (!should_start(s, env))
+		if (!failover_should_start(s, env))
 			break;
 		s->cause = env->cause;
 		s->old_primary = env->primary;
@@ -101,7 +94,7 @@
 	case FAILOVER_PROMOTE:
 		if (s->result_pending)
 			break;
-		s->target = choose_target(s, env);
+		s->target = failover_choose_target(s, env);
 		/* Other VMs may resume the replicas after attempt_max. */
 		if (s->target == DB_NONE ||
 		    (s->maybe_promoted != DB_NONE &&
@@ -278,45 +271,6 @@
 		s->token = 0;
 }
 
-/*
- * Returns true if this VM should start a failover now: its rank's delay has
- * passed and a replica can take over. A primary that at least as many peers
- * hear as miss, counting this VM as one that misses it, is left in place unless
- * it departs. A VM that hears few others may be partitioned itself and does not
- * act. Nor does one that may not know all replicas: it would leave some of them
- * unpaused, and they would continue to prove the primary. A VM that has just
- * learned of another VM's promotion leaves the next one to that VM for a while,
- * so that two VMs never promote in turn.
- */
-static bool should_start(struct failover_fsm *s,
-			 const struct failover_fsm_env *env)
-{
-	bool has_successor = false;
-	uint32_t i;
-
-	if (s->cause_since == 0 || env->now < s->quiet_until ||
-	    !env->knows_all_dbs || !env->platform_up || !env->hears_most_vms ||
-	    env->peer_is_acting)
-		return false;
-	if (!env->promoted_here && env->term_known_at &&
-	    env->now - env->term_known_at < s->policy.turn)
-		return false;
-	if (env->cause != FAILOVER_CAUSE_DEPARTING &&
-	    env->cause != FAILOVER_CAUSE_NO_PRIMARY &&
-	    env->peers_hearing >= env->peers_missing + 1)
-		return false;
-	for (i = 0; i < env->n; i++)
-		has_successor |= is_eligible(env, i) && env->db[i].answers;
-	return has_successor && env->now - s->cause_since >=
-					(usec_t)env->rank * s->policy.stagger;
-}
-
-/* Returns true if the database is registered, not primary and not departing. */
-static bool is_eligible(const struct failover_fsm_env *env, uint32_t i)
-{
-	return i != env->primary && env->db[i].present && !env->db[i].departing;
-}
-
 /* Returns true and records the time if another round of requests is due. */
 static bool retry_is_due(struct failover_fsm *s, usec_t now)
 {
@@ -478,7 +432,7 @@
 		return;
 	}
 	if (s->stepped_down) {
-		if ((replica_caught_up(s, env) && all_reported(s, env)) ||
+		if ((failover_caught_up(s, env) && all_reported(s, env)) ||
 		    waited >= s->policy.catch_up_max) {
 			s->result_pending = false;
 			enter_phase(s, env->now, FAILOVER_VERIFY);
@@ -494,7 +448,7 @@
 	if (!retry_is_due(s, env->now))
 		return;
 	for (i = 0; i < env->n; i++) {
-		if (is_eligible(env, i) || i == s->old_primary)
+		if (failover_is_eligible(env, i) || i == s->old_primary)
 			emit(out, FAILOVER_ACT_PROBE, i, 0);
 	}
 }
@@ -514,21 +468,6 @@
 	return false;
 }
 
-/* Returns true if a replica has the whole log of the old primary. */
-static bool replica_caught_up(const struct failover_fsm *s,
-			      const struct failover_fsm_env *env)
-{
-	uint32_t i;
-
-	for (i = 0; i < env->n; i++) {
-		if (is_eligible(env, i) && i != s->old_primary &&
-		    env->db[i].has_new_report &&
-		    log_pos_cmp(env->db[i].received, s->old_primary_end) >= 0)
-			return true;
-	}
-	return false;
-}
-
 /* Returns true if all other databases that respond have reported in this phase.
  */
 static bool all_reported(const struct failover_fsm *s,
@@ -544,40 +483,6 @@
 	return true;
 }
 
-/*
- * Returns the database to promote, or DB_NONE: of those that respond, do not
- * depart and have not refused a promotion in this attempt, the one with the
- * most complete log. Unless the old primary stepped down, it must be paused. If
- * the old primary stepped down and no replica has its whole log, it is promoted
- * again, but not twice in succession: it departs and must be free of work in
- * time.
- */
-static uint32_t choose_target(const struct failover_fsm *s,
-			      const struct failover_fsm_env *env)
-{
-	uint32_t best = DB_NONE;
-	uint32_t i;
-
-	for (i = 0; i < env->n; i++) {
-		if (i == s->old_primary || !env->db[i].present ||
-		    env->db[i].departing || (s->failed_mask & (1U << i)) ||
-		    !env->db[i].answers)
-			continue;
-		if (!s->stepped_down && !(s->paused_mask & (1U << i)))
-			continue;
-		if (best == DB_NONE || log_pos_cmp(env->db[i].received,
-						   env->db[best].received) > 0)
-			best = i;
-	}
-	if (s->stepped_down && s->old_primary < env->n &&
-	    !s->old_primary_kept &&
-	    !(s->failed_mask & (1U << s->old_primary)) &&
-	    (best == DB_NONE ||
-	     log_pos_cmp(env->db[best].received, s->old_primary_end) < 0))
-		return s->old_primary;
-	return best;
-}
-
 /*
  * Polls the promoted database until it reports itself as primary; then adopts
  * it and resumes the other replicas.
--- /dev/null
+++ b/src/decide/failover_fsm_internal.h
@@ -0,0 +1,19 @@
+#ifndef DECIDE_FAILOVER_FSM_INTERNAL_H
+#define DECIDE_FAILOVER_FSM_INTERNAL_H
+
+#include "decide/failover_fsm.h"
+
+/*
+ * Shared by failover_fsm.c, which runs the phases, and failover_choice.c, which
+ * decides when they begin and which database is promoted.
+ */
+
+bool failover_should_start(const struct failover_fsm *s,
+			   const struct failover_fsm_env *env);
+bool failover_is_eligible(const struct failover_fsm_env *env, uint32_t i);
+bool failover_caught_up(const struct failover_fsm *s,
+			const struct failover_fsm_env *env);
+uint32_t failover_choose_target(const struct failover_fsm *s,
+				const struct failover_fsm_env *env);
+
+#endif
