Plan the hand-over of a primary in an evacuated domain

Cause: a primary that answers in an evacuated failure domain has to be replaced by a database outside without the loss of a confirmed write, and no failover may promote into such a domain while another can be had. Change: the cause FAILOVER_CAUSE_EVACUATED. An attempt begins only when reports since the evacuation show a target outside that lacks nothing; it steps the primary down, pauses replicas only once the primary has reported the end of its log, and promotes a database outside that has it, else the old primary again, then not before a turn has passed. It ends without any effect if the cause goes before the step-down is requested. A primary that fails or departs in between is followed up by its own cause. Other causes prefer databases outside. A group left without a primary after a step-down takes the former primary again if no replica outside has its log. failover_fsm_hold() tells what holds an attempt back. Conclusion: nothing sets the cause yet.

--- a/src/decide/failover_choice.c
+++ b/src/decide/failover_choice.c
@@ -2,38 +2,112 @@
 
 /* Decides when a failover begins, and which database it promotes. */
 
+static enum failover_fsm_hold
+hold_of_successor(const struct failover_fsm_env *env);
+static enum failover_fsm_hold
+hold_of_hand_over(const struct failover_fsm_env *env);
+static uint32_t longest_log(const struct failover_fsm *s,
+			    const struct failover_fsm_env *env, bool evacuated);
+static uint32_t led_last(const struct failover_fsm *s,
+			 const struct failover_fsm_env *env, uint32_t best);
+static bool lacks_end(const struct failover_fsm *s,
+		      const struct failover_fsm_env *env, uint32_t i);
+static bool has_outside(const struct failover_fsm *s,
+			const struct failover_fsm_env *env);
+
 /*
- * Returns true if this VM should start a failover now: its rank's delay has
- * passed and a replica can take over. A primary that at least as many peers
- * hear as miss, counting this VM as one that misses it, is left in place unless
- * it departs. A VM that hears few others may be partitioned itself and does not
- * act. Nor does one that may not know all replicas: it would leave some of them
- * unpaused, and they would continue to prove the primary. A VM that has just
- * learned of another VM's promotion leaves the next one to that VM for a while,
- * so that two VMs never promote in turn.
+ * Returns what keeps this VM from starting a failover now, if anything: its
+ * rank's delay has to pass, and a replica has to be able to take over. A
+ * primary that at least as many peers hear as miss, counting this VM as one
+ * that misses it, is left in place unless its replacement is planned. A VM that
+ * hears few others may be partitioned itself and does not act. Nor does one
+ * that may not know all replicas: it would leave some of them unpaused, and
+ * they would continue to prove the primary. A VM that has just learned of
+ * another VM's promotion leaves the next one to that VM for a while, so that
+ * two VMs never promote in turn.
  */
-bool failover_should_start(const struct failover_fsm *s,
-			   const struct failover_fsm_env *env)
+enum failover_fsm_hold failover_fsm_hold(const struct failover_fsm *s,
+					 const struct failover_fsm_env *env)
 {
-	bool has_successor = false;
-	uint32_t i;
+	enum failover_fsm_hold hold;
 
-	if (s->cause_since == 0 || env->now < s->quiet_until ||
-	    !env->knows_all_dbs || !env->platform_up || !env->hears_most_vms ||
-	    env->peer_is_acting)
-		return false;
+	if (s->cause_since == 0)
+		return FAILOVER_HOLD_NO_CAUSE;
+	if (env->now < s->quiet_until)
+		return FAILOVER_HOLD_BACK_OFF;
+	if (!env->knows_all_dbs)
+		return FAILOVER_HOLD_UNKNOWN_DBS;
+	if (!env->platform_up)
+		return FAILOVER_HOLD_STORE;
+	if (!env->hears_most_vms)
+		return FAILOVER_HOLD_ALONE;
+	if (env->peer_is_acting)
+		return FAILOVER_HOLD_PEER;
 	if (!env->promoted_here && env->term_known_at &&
 	    env->now - env->term_known_at < s->policy.turn)
-		return false;
+		return FAILOVER_HOLD_TURN;
+	hold = hold_of_successor(env);
+	if (hold != FAILOVER_HOLD_NONE)
+		return hold;
+	return env->now - s->cause_since < (usec_t)env->rank * s->policy.stagger
+		       ? FAILOVER_HOLD_RANK
+		       : FAILOVER_HOLD_NONE;
+}
+
+/* Returns whether the primary may be replaced, and by any of the others. */
+static enum failover_fsm_hold
+hold_of_successor(const struct failover_fsm_env *env)
+{
+	uint32_t i;
+
+	if (env->cause == FAILOVER_CAUSE_EVACUATED)
+		return hold_of_hand_over(env);
 	if (env->cause != FAILOVER_CAUSE_DEPARTING &&
 	    env->cause != FAILOVER_CAUSE_NO_PRIMARY &&
 	    env->peers_hearing >= env->peers_missing + 1)
-		return false;
-	for (i = 0; i < env->n; i++)
-		has_successor |=
-			failover_is_eligible(env, i) && env->db[i].answers;
-	return has_successor && env->now - s->cause_since >=
-					(usec_t)env->rank * s->policy.stagger;
+		return FAILOVER_HOLD_HEARD;
+	for (i = 0; i < env->n; i++) {
+		if (failover_is_eligible(env, i) && env->db[i].answers)
+			return FAILOVER_HOLD_NONE;
+	}
+	return FAILOVER_HOLD_NO_TARGET;
+}
+
+/*
+ * Returns whether an evacuated primary may be handed over: reports of it and of
+ * a database outside, both requested since the evacuation was known, have to
+ * show that this database lacks nothing of the log. The primary gets no
+ * statements meanwhile, so this is so soon unless the replicas don't receive.
+ */
+static enum failover_fsm_hold
+hold_of_hand_over(const struct failover_fsm_env *env)
+{
+	enum failover_fsm_hold hold = FAILOVER_HOLD_NO_TARGET;
+	const struct failover_fsm_db *primary;
+	uint32_t i;
+
+	if (env->primary >= env->n)
+		return FAILOVER_HOLD_NO_TARGET;
+	primary = &env->db[env->primary];
+	for (i = 0; i < env->n; i++) {
+		const struct failover_fsm_db *d = &env->db[i];
+
+		if (!failover_is_eligible(env, i) || !d->answers ||
+		    d->evacuated)
+			continue;
+		if (!primary->has_evacuation_report ||
+		    !primary->reports_primary)
+			return FAILOVER_HOLD_NO_STATUS;
+		if (!d->has_evacuation_report) {
+			if (hold == FAILOVER_HOLD_NO_TARGET)
+				hold = FAILOVER_HOLD_NO_STATUS;
+			continue;
+		}
+		if (log_pos_cmp(d->received, primary->received) >= 0)
+			return FAILOVER_HOLD_NONE;
+		hold = FAILOVER_HOLD_TARGET_BEHIND;
+	}
+	return hold;
 }
 
 /* Returns true if the database is registered, not primary and not departing. */
@@ -42,31 +116,65 @@
 	return i != env->primary && env->db[i].present && !env->db[i].departing;
 }
 
-/* Returns true if a replica has the whole log of the old primary. */
+/*
+ * Returns true if a replica has the whole log of the old primary. It has to be
+ * outside evacuated domains if any that responds is, or if it is to be handed
+ * over to one.
+ */
 bool failover_caught_up(const struct failover_fsm *s,
 			const struct failover_fsm_env *env)
 {
+	bool only_outside =
+		s->cause == FAILOVER_CAUSE_EVACUATED || has_outside(s, env);
 	uint32_t i;
 
 	for (i = 0; i < env->n; i++) {
 		if (failover_is_eligible(env, i) && i != s->old_primary &&
-		    env->db[i].has_new_report &&
-		    log_pos_cmp(env->db[i].received, s->old_primary_end) >= 0)
+		    !(only_outside && env->db[i].evacuated) &&
+		    env->db[i].has_new_report && !lacks_end(s, env, i))
 			return true;
 	}
 	return false;
 }
 
 /*
- * Returns the database to promote, or DB_NONE: of those that respond, do not
- * depart and have not refused a promotion in this attempt, the one with the
- * most complete log. Unless the old primary stepped down, it must be paused. If
- * the old primary stepped down and no replica has its whole log, it is promoted
- * again, but not twice in succession: it departs and must be free of work in
- * time.
+ * Returns the database to promote, or DB_NONE: of those outside evacuated
+ * domains the one with the most complete log, else of those inside. If the old
+ * primary stepped down and no replica has its whole log, it is promoted again,
+ * but not twice in succession if it departs: it must be free of work in time.
+ * An evacuated primary is never replaced by a database without its whole log,
+ * nor by one inside an evacuated domain.
  */
 uint32_t failover_choose_target(const struct failover_fsm *s,
 				const struct failover_fsm_env *env)
+{
+	uint32_t best = longest_log(s, env, false);
+	bool may_keep = s->old_primary < env->n &&
+			!(s->failed_mask & (1U << s->old_primary));
+
+	if (s->cause == FAILOVER_CAUSE_EVACUATED) {
+		if (best != DB_NONE && !lacks_end(s, env, best))
+			return best;
+		return may_keep ? s->old_primary : DB_NONE;
+	}
+	if (s->cause == FAILOVER_CAUSE_NO_PRIMARY)
+		best = led_last(s, env, best);
+	if (best == DB_NONE)
+		best = longest_log(s, env, true);
+	if (s->stepped_down && may_keep && !s->old_primary_kept &&
+	    (best == DB_NONE || lacks_end(s, env, best)))
+		return s->old_primary;
+	return best;
+}
+
+/*
+ * Returns, of the databases that respond, do not depart and have not refused a
+ * promotion in this attempt, and whose domain is evacuated or not as requested,
+ * the one with the most complete log; or DB_NONE. Unless the old primary
+ * stepped down, it must be paused.
+ */
+static uint32_t longest_log(const struct failover_fsm *s,
+			    const struct failover_fsm_env *env, bool evacuated)
 {
 	uint32_t best = DB_NONE;
 	uint32_t i;
@@ -74,7 +182,7 @@
 	for (i = 0; i < env->n; i++) {
 		if (i == s->old_primary || !env->db[i].present ||
 		    env->db[i].departing || (s->failed_mask & (1U << i)) ||
-		    !env->db[i].answers)
+		    !env->db[i].answers || env->db[i].evacuated != evacuated)
 			continue;
 		if (!s->stepped_down && !(s->paused_mask & (1U << i)))
 			continue;
@@ -82,11 +190,43 @@
 						   env->db[best].received) > 0)
 			best = i;
 	}
-	if (s->stepped_down && s->old_primary < env->n &&
-	    !s->old_primary_kept &&
-	    !(s->failed_mask & (1U << s->old_primary)) &&
-	    (best == DB_NONE ||
-	     log_pos_cmp(env->db[best].received, s->old_primary_end) < 0))
-		return s->old_primary;
 	return best;
 }
+
+/*
+ * Returns the evacuated database that led last if its log is longer than that
+ * of "best", else "best". If the VM that acted in a hand-over fails after the
+ * step-down, the group is left without a primary, and a replica outside may
+ * lack confirmed writes.
+ */
+static uint32_t led_last(const struct failover_fsm *s,
+			 const struct failover_fsm_env *env, uint32_t best)
+{
+	uint32_t former = longest_log(s, env, true);
+
+	if (former == DB_NONE || best == DB_NONE || !env->db[former].led_term ||
+	    log_pos_cmp(env->db[former].received, env->db[best].received) <= 0)
+		return best;
+	return former;
+}
+
+/* Returns true if the database's log ends before the old primary's. */
+static bool lacks_end(const struct failover_fsm *s,
+		      const struct failover_fsm_env *env, uint32_t i)
+{
+	return log_pos_cmp(env->db[i].received, s->old_primary_end) < 0;
+}
+
+/* Returns true if a replica outside evacuated domains responds. */
+static bool has_outside(const struct failover_fsm *s,
+			const struct failover_fsm_env *env)
+{
+	uint32_t i;
+
+	for (i = 0; i < env->n; i++) {
+		if (failover_is_eligible(env, i) && i != s->old_primary &&
+		    env->db[i].answers && !env->db[i].evacuated)
+			return true;
+	}
+	return false;
+}
--- a/src/decide/failover_fsm.c
+++ b/src/decide/failover_fsm.c
@@ -11,6 +11,9 @@
 		 uint32_t db, uint64_t term);
 static void enter_phase(struct failover_fsm *s, usec_t now,
 			enum failover_fsm_phase phase);
+static void follow_cause(struct failover_fsm *s,
+			 const struct failover_fsm_env *env);
+static bool is_planned(const struct failover_fsm *s);
 static bool retry_is_due(struct failover_fsm *s, usec_t now);
 static void give_up(struct failover_fsm *s, const struct failover_fsm_env *env,
 		    struct failover_fsm_actions *out);
@@ -21,6 +24,8 @@
 			struct failover_fsm_actions *out);
 static bool primary_exists(const struct failover_fsm *s,
 			   const struct failover_fsm_env *env);
+static bool may_pause(const struct failover_fsm *s,
+		      const struct failover_fsm_env *env);
 static bool fence_is_done(const struct failover_fsm *s,
 			  const struct failover_fsm_env *env);
 static void wait_for_guard(struct failover_fsm *s,
@@ -65,13 +70,16 @@
 	}
 	switch (s->phase) {
 	case FAILOVER_IDLE:
-		if (!failover_should_start(s, env))
+		if (failover_fsm_hold(s, env) != FAILOVER_HOLD_NONE)
 			break;
 		s->cause = env->cause;
 		s->old_primary = env->primary;
 		s->base_term = env->term;
 		s->began_at = env->now;
 		s->failed_mask = 0;
+		s->paused_mask = 0;
+		s->stepped_down = false;
+		s->end_known_at = 0;
 		s->maybe_promoted = DB_NONE;
 		s->attempts = 0;
 		s->result_pending = true;
@@ -81,10 +89,17 @@
 	case FAILOVER_CLAIM:
 		if (s->result_pending || s->token == 0)
 			break;
+		follow_cause(s, env);
+		if (s->cause == FAILOVER_CAUSE_EVACUATED &&
+		    env->cause != FAILOVER_CAUSE_EVACUATED) {
+			give_up(s, env, out);
+			break;
+		}
 		begin_fence(s, env);
 		fence_group(s, env, out);
 		break;
 	case FAILOVER_FENCE:
+		follow_cause(s, env);
 		fence_group(s, env, out);
 		break;
 	case FAILOVER_GUARD:
@@ -168,14 +183,15 @@
 			 uint64_t term, bool stepped_down,
 			 struct log_pos received)
 {
-	(void)now;
 	if ((s->phase != FAILOVER_FENCE && s->phase != FAILOVER_GUARD) ||
 	    term != s->term)
 		return;
 	if (!stepped_down) {
 		s->paused_mask |= 1U << db;
-	} else if (db == s->old_primary && s->is_base_certain) {
-		s->stepped_down = true;
+	} else if (db == s->old_primary) {
+		s->stepped_down |= s->is_base_certain;
+		if (s->end_known_at == 0)
+			s->end_known_at = now;
 		s->old_primary_end = received;
 	}
 }
@@ -244,11 +260,34 @@
 		[FAILOVER_CAUSE_REFUSED] = "refused",
 		[FAILOVER_CAUSE_DEPARTING] = "departing",
 		[FAILOVER_CAUSE_NO_PRIMARY] = "nobody",
+		[FAILOVER_CAUSE_EVACUATED] = "evacuated",
 	};
 
 	return names[cause];
 }
 
+/* Returns what holds an attempt back, for logs. */
+const char *failover_fsm_hold_name(enum failover_fsm_hold hold)
+{
+	static const char *const names[] = {
+		[FAILOVER_HOLD_NONE] = "nothing",
+		[FAILOVER_HOLD_NO_CAUSE] = "no cause",
+		[FAILOVER_HOLD_BACK_OFF] = "an attempt has just ended",
+		[FAILOVER_HOLD_UNKNOWN_DBS] = "not all databases may be known",
+		[FAILOVER_HOLD_STORE] = "the store does not answer",
+		[FAILOVER_HOLD_ALONE] = "this VM hears too few others",
+		[FAILOVER_HOLD_PEER] = "another VM is acting",
+		[FAILOVER_HOLD_TURN] = "another VM has just promoted",
+		[FAILOVER_HOLD_HEARD] = "other VMs hear the primary",
+		[FAILOVER_HOLD_NO_TARGET] = "no database can take over",
+		[FAILOVER_HOLD_NO_STATUS] = "no status of a log",
+		[FAILOVER_HOLD_TARGET_BEHIND] = "no target has the whole log",
+		[FAILOVER_HOLD_RANK] = "VMs of a lower rank go first",
+	};
+
+	return names[hold];
+}
+
 /* Appends an action, or drops it if the table is full. */
 static void emit(struct failover_fsm_actions *out, enum failover_fsm_act act,
 		 uint32_t db, uint64_t term)
@@ -271,6 +310,30 @@
 		s->token = 0;
 }
 
+/*
+ * Continues a hand-over as an unplanned failover if the primary has failed, or
+ * departs, before it reported its step-down: its answer can't be waited for.
+ */
+static void follow_cause(struct failover_fsm *s,
+			 const struct failover_fsm_env *env)
+{
+	if (s->cause != FAILOVER_CAUSE_EVACUATED || s->end_known_at)
+		return;
+	if (env->cause == FAILOVER_CAUSE_DEPARTING)
+		s->cause = env->cause;
+	if ((env->cause == FAILOVER_CAUSE_SILENT ||
+	     env->cause == FAILOVER_CAUSE_REFUSED) &&
+	    env->peers_hearing < env->peers_missing + 1)
+		s->cause = env->cause;
+}
+
+/* Returns true if the primary that is replaced is asked to step down. */
+static bool is_planned(const struct failover_fsm *s)
+{
+	return s->cause == FAILOVER_CAUSE_DEPARTING ||
+	       s->cause == FAILOVER_CAUSE_EVACUATED;
+}
+
 /* Returns true and records the time if another round of requests is due. */
 static bool retry_is_due(struct failover_fsm *s, usec_t now)
 {
@@ -320,24 +383,23 @@
 	s->term = term + 1;
 	s->paused_mask = 0;
 	s->stepped_down = false;
+	s->end_known_at = 0;
 	s->old_primary_end = (struct log_pos){ 0 };
 	enter_phase(s, env->now, FAILOVER_FENCE);
 }
 
 /*
- * Fences the group. A departing primary still responds, so it is stepped down
- * and the replicas stay unpaused to receive its last commits; they are paused
- * only if the step-down takes too long. In every other case the replicas are
- * paused and the old primary is only asked for its status; if it responds as
- * primary, it is left in place.
+ * Fences the group. A departing or evacuated primary still responds, so it is
+ * stepped down and the replicas stay unpaused to receive its last commits; see
+ * may_pause() for when they are paused nevertheless. In every other case the
+ * replicas are paused and the old primary is only asked for its status; if it
+ * responds as primary, it is left in place.
  */
 static void fence_group(struct failover_fsm *s,
 			const struct failover_fsm_env *env,
 			struct failover_fsm_actions *out)
 {
-	const bool departing = s->cause == FAILOVER_CAUSE_DEPARTING;
-	const bool overdue = env->now - s->phase_at >
-			     STEP_DOWN_ATTEMPTS_MAX * s->policy.retry_interval;
+	const bool pauses = may_pause(s, env);
 	uint32_t i;
 
 	if (primary_exists(s, env)) {
@@ -356,19 +418,40 @@
 			continue;
 		if (i == s->old_primary)
 			emit(out,
-			     departing ? FAILOVER_ACT_STEP_DOWN
-				       : FAILOVER_ACT_PROBE,
+			     is_planned(s) ? FAILOVER_ACT_STEP_DOWN
+					   : FAILOVER_ACT_PROBE,
 			     i, s->term);
-		else if (!(s->paused_mask & (1U << i)) &&
-			 (!departing || overdue))
+		else if (pauses && !(s->paused_mask & (1U << i)))
 			emit(out, FAILOVER_ACT_PAUSE, i, s->term);
+		else if (s->end_known_at &&
+			 s->cause == FAILOVER_CAUSE_EVACUATED)
+			emit(out, FAILOVER_ACT_PROBE, i, 0);
 	}
 }
 
+/*
+ * Returns true if the replicas may be paused now. In a planned change they are
+ * paused only if the step-down takes too long, or does not prove that the
+ * primary was the only one. An evacuated primary goes on committing until it
+ * has stepped down, and a paused replica would not receive that; so it has to
+ * report its step-down first, and a replica outside gets time to catch up.
+ */
+static bool may_pause(const struct failover_fsm *s,
+		      const struct failover_fsm_env *env)
+{
+	if (s->cause == FAILOVER_CAUSE_EVACUATED)
+		return s->end_known_at &&
+		       (failover_caught_up(s, env) ||
+			env->now - s->end_known_at > s->policy.catch_up_max);
+	return s->cause != FAILOVER_CAUSE_DEPARTING ||
+	       env->now - s->phase_at >
+		       STEP_DOWN_ATTEMPTS_MAX * s->policy.retry_interval;
+}
+
 /*
  * Returns true if a database has reported itself as primary in this phase. The
- * old primary is exempt if it departs; if any other database is primary, a
- * failover is no longer needed.
+ * old primary is exempt if its replacement is planned; if any other database is
+ * primary, a failover is no longer needed.
  */
 static bool primary_exists(const struct failover_fsm *s,
 			   const struct failover_fsm_env *env)
@@ -376,7 +459,7 @@
 	uint32_t i;
 
 	for (i = 0; i < env->n; i++) {
-		if (i == s->old_primary && s->cause == FAILOVER_CAUSE_DEPARTING)
+		if (i == s->old_primary && is_planned(s))
 			continue;
 		if (env->db[i].present && env->db[i].has_new_report &&
 		    env->db[i].reports_primary && env->db[i].term >= env->term)
@@ -505,7 +588,12 @@
 		s->paused_mask = 0;
 		s->cause_since = 0;
 		enter_phase(s, env->now, FAILOVER_IDLE);
-		s->quiet_until = env->now + s->policy.back_off;
+		/* The replicas that fell behind need time to catch up. */
+		s->quiet_until =
+			env->now + (s->cause == FAILOVER_CAUSE_EVACUATED &&
+						    s->old_primary_kept
+					    ? s->policy.turn
+					    : s->policy.back_off);
 		return;
 	}
 	if (retry_is_due(s, env->now))
--- a/src/decide/failover_fsm.h
+++ b/src/decide/failover_fsm.h
@@ -21,6 +21,17 @@
  * compete for a failover, crash or resume in the middle of one do no harm: a
  * superseded token is detected before it is used, and no other token is issued
  * while a promotion may be in progress (decide/promotion_claim.h).
+ *
+ * A primary that answers in an evacuated failure domain is replaced by a
+ * hand-over, which may not lose a confirmed write:
+ *   - It begins only when a database outside is known to have the whole log.
+ *   - Replicas are paused, where the step-down proves nothing by itself, only
+ *     after the primary has reported its step-down and the end of its log.
+ *   - Only a database outside that has the log up to this end is promoted, or
+ *     else the old primary again.
+ * If the evacuation ends before the step-down was requested, nothing was
+ * changed and the attempt ends. Later it is completed, since the request may
+ * take effect at any time.
  */
 
 #define FAILOVER_DBS_MAX     8
@@ -42,6 +53,24 @@
 	FAILOVER_CAUSE_REFUSED,	   /* its address refuses connections */
 	FAILOVER_CAUSE_DEPARTING,  /* it is departing or not in the registry */
 	FAILOVER_CAUSE_NO_PRIMARY, /* no database reports itself as primary */
+	FAILOVER_CAUSE_EVACUATED, /* it responds, but its domain is evacuated */
+};
+
+/* Why no attempt begins although there is a cause. */
+enum failover_fsm_hold {
+	FAILOVER_HOLD_NONE, /* an attempt may begin */
+	FAILOVER_HOLD_NO_CAUSE,
+	FAILOVER_HOLD_BACK_OFF,	     /* an attempt has just ended */
+	FAILOVER_HOLD_UNKNOWN_DBS,   /* not all databases may be known */
+	FAILOVER_HOLD_STORE,	     /* the store does not answer */
+	FAILOVER_HOLD_ALONE,	     /* this VM hears too few others */
+	FAILOVER_HOLD_PEER,	     /* another VM is acting */
+	FAILOVER_HOLD_TURN,	     /* another VM has just promoted */
+	FAILOVER_HOLD_HEARD,	     /* other VMs hear the primary */
+	FAILOVER_HOLD_NO_TARGET,     /* no database can take over */
+	FAILOVER_HOLD_NO_STATUS,     /* its log, or the primary's, is unknown */
+	FAILOVER_HOLD_TARGET_BEHIND, /* it lacks a part of the log */
+	FAILOVER_HOLD_RANK,	     /* VMs of a lower rank go first */
 };
 
 enum failover_fsm_act {
@@ -77,7 +106,12 @@
 	bool has_new_report;  /* the report below was requested in this phase */
 	bool reports_primary; /* it reports that it is primary */
 	uint64_t term;
-	uint64_t held_term;	 /* term that paused it; 0: not paused */
+	bool evacuated; /* its failure domain is, as far as this VM knows */
+	/* the report below was requested since the primary's evacuation was
+	 * known */
+	bool has_evacuation_report;
+	bool led_term;	    /* it was primary of the group's highest term */
+	uint64_t held_term; /* term that paused it; 0: not paused */
 	struct log_pos received; /* end of its log */
 };
 
@@ -133,6 +167,7 @@
 	bool is_base_certain;	/* base_term was the group's newest at the claim
 				 */
 	bool old_primary_kept;	/* the last failover promoted it again */
+	usec_t end_known_at;	/* since when its end is known; 0: it is not */
 	struct log_pos old_primary_end; /* end of its log at the step-down */
 	uint32_t paused_mask;		/* replicas paused by this attempt */
 	uint32_t failed_mask;	 /* databases that refused the promotion */
@@ -170,6 +205,10 @@
  * that this VM paused are resumed by the VM that promoted, or by the caller.
  */
 void failover_fsm_superseded(struct failover_fsm *s, usec_t now);
+/* Returns what holds an attempt back, if the machine is idle. */
+enum failover_fsm_hold failover_fsm_hold(const struct failover_fsm *s,
+					 const struct failover_fsm_env *env);
+const char *failover_fsm_hold_name(enum failover_fsm_hold hold);
 const char *failover_fsm_phase_name(enum failover_fsm_phase phase);
 const char *failover_fsm_cause_name(enum failover_fsm_cause cause);
 
--- a/src/decide/failover_fsm_internal.h
+++ b/src/decide/failover_fsm_internal.h
@@ -8,8 +8,6 @@
  * decides when they begin and which database is promoted.
  */
 
-bool failover_should_start(const struct failover_fsm *s,
-			   const struct failover_fsm_env *env);
 bool failover_is_eligible(const struct failover_fsm_env *env, uint32_t i);
 bool failover_caught_up(const struct failover_fsm *s,
 			const struct failover_fsm_env *env);
--- a/tests/decide/failover_fsm_test.cc
+++ b/tests/decide/failover_fsm_test.cc
@@ -41,6 +41,9 @@
 				      .has_new_report = false,
 				      .reports_primary = i == 0,
 				      .term = 4,
+				      .evacuated = false,
+				      .has_evacuation_report = false,
+				      .led_term = i == 0,
 				      .held_term = 0,
 				      .received = { 4, 100 } };
 	}
