Send no statement to a database in an evacuated domain

Cause: from a known evacuation on, no new statement may reach a database of the domain, while its VMs and connections go on working. Change: such a database is not usable for statements, neither as this VM's choice nor for statements of other VMs, also not on a connection that was being opened or brought to the session's state. Statements for an evacuated primary wait or are refused as decide/evacuation says. Counters and the events 2011 and 3009 tell of it.

--- a/src/kernel/counters.h
+++ b/src/kernel/counters.h
@@ -43,6 +43,12 @@
 	X(FORWARDS, "forwards_total", "requests forwarded to peers")          \
 	X(DB_CONNECTS, "database_connects_total",                             \
 	  "connections opened to databases")                                  \
+	X(EVACUATION_HELD, "evacuation_held_total",                           \
+	  "statements that waited for a hand-over from an evacuated domain")  \
+	X(EVACUATION_REFUSED, "evacuation_refused_total",                     \
+	  "statements refused as their domain is evacuated")                  \
+	X(EVACUATION_ABORTED, "evacuation_transactions_ended_total",          \
+	  "transactions ended at databases of evacuated domains")             \
 	X(LOG_DROPPED, "log_lines_dropped_total",                             \
 	  "log lines left out to keep the volume bounded")
 
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -35,6 +35,7 @@
 	X(2008, STATEMENT_SERVED, INFO, "statement of another VM executed") \
 	X(2009, STATEMENT_RETURNED, INFO, "statement given back to its VM") \
 	X(2010, SESSION_REFUSED, INFO, "session refused by configuration")  \
+	X(2011, TRANSACTION_ENDED, INFO, "transaction ended, evacuation")   \
 	X(3001, DB_LOST, WARN, "database does not answer")                  \
 	X(3002, DB_BACK, INFO, "database answers again")                    \
 	X(3003, DB_SUSPECT, WARN, "connection closed after overdue reply")  \
@@ -43,6 +44,7 @@
 	X(3006, DB_DEPARTS, INFO, "database departs, or no longer does")    \
 	X(3007, BACKEND_OPENED, INFO, "connection to a database opened")    \
 	X(3008, BACKEND_CLOSED, INFO, "connection to a database closed")    \
+	X(3009, DB_EVACUATED, INFO, "database evacuated, or no longer")     \
 	X(4001, PROMOTE_SUSPECT, WARN, "primary suspected")                 \
 	X(4002, PROMOTE_CLAIM, INFO, "term claimed")                        \
 	X(4003, PROMOTE_FENCE, INFO, "group fenced by majority")            \
--- a/src/proxy/backend.c
+++ b/src/proxy/backend.c
@@ -48,6 +48,7 @@
 static void on_control(struct backend *b, usec_t requested_at);
 static void send_session_state(struct backend *b, struct session *s);
 static void send_prepare(struct backend *b, struct session *s);
+static void send_if_allowed(struct backend *b, struct session *s);
 static void send_statement(struct backend *b, struct session *s);
 static void prepared_name(const struct strmap_entry *p, char *out, size_t size);
 static void expect_reply(struct backend *b, enum expected_reply kind);
@@ -170,7 +171,7 @@
 	s->exec.stage = EXEC_PREPARING;
 	send_session_state(b, s);
 	if (b->n_expected == 0)
-		send_statement(b, s);
+		send_if_allowed(b, s);
 }
 
 /*
@@ -389,7 +390,7 @@
 	if (b->n_expected > 0)
 		return;
 	if (b->session && b->session->exec.stage == EXEC_PREPARING)
-		send_statement(b, b->session);
+		send_if_allowed(b, b->session);
 	else if (!b->session)
 		make_idle(b);
 }
@@ -541,6 +542,18 @@
 		b->needs_reset = true;
 }
 
+/*
+ * Sends the statement, unless the database's failure domain was evacuated while
+ * the session's state was being sent.
+ */
+static void send_if_allowed(struct backend *b, struct session *s)
+{
+	if (db_member_may_execute(b->db, s, proxy_now()))
+		send_statement(b, s);
+	else
+		dispatch_return_evacuated(s);
+}
+
 /* Sends the statement itself. */
 static void send_statement(struct backend *b, struct session *s)
 {
--- a/src/proxy/db_group.c
+++ b/src/proxy/db_group.c
@@ -53,7 +53,6 @@
 static void apply_database(struct db_group *g, const struct registry_db *r);
 static bool is_listed(const struct db_member *d, const struct registry_db *db,
 		      uint32_t n);
-static void note_evacuation(struct db_member *d, usec_t now);
 static void on_unlisted(struct db_member *d, usec_t now);
 static void remove_db(struct db_member *db, const char *reason);
 static void on_status(void *ctx, struct db_member *db, bool ok,
@@ -223,33 +222,6 @@
 	return false;
 }
 
-/* Takes over which failure domains are evacuated, for all databases. */
-void db_group_apply_evacuations(struct proxy *p, usec_t now)
-{
-	uint32_t i;
-	uint32_t j;
-
-	for (i = 0; i < p->n_groups; i++) {
-		for (j = 0; j < DB_GROUP_MEMBERS_MAX; j++) {
-			struct db_member *d = &p->groups[i]->db[j];
-
-			if (d->present)
-				note_evacuation(d, now);
-		}
-	}
-	for (i = 0; i < p->n_groups; i++)
-		dispatch_waiting(p->groups[i]);
-}
-
-/* Notes whether a database's failure domain is evacuated. */
-static void note_evacuation(struct db_member *d, usec_t now)
-{
-	if (!registry_domain_is_evacuated(d->group->proxy->registry, d->domain))
-		d->evacuated_since = 0;
-	else if (d->evacuated_since == 0)
-		d->evacuated_since = now;
-}
-
 /*
  * Does the periodic work of all groups: overdue replies, proofs, failover and
  * the queues.
@@ -269,6 +241,7 @@
 		if (g->n_waiting > 0)
 			dispatch_waiting(g);
 	}
+	db_group_evacuation_tick(p, now);
 }
 
 /*
@@ -558,7 +531,7 @@
 	d->announced_departure = r->departing;
 	d->unlisted_since = 0;
 	d->reports_primary = r->primary;
-	note_evacuation(d, proxy_now());
+	db_member_note_evacuation(d, proxy_now());
 }
 
 /*
--- a/src/proxy/dispatch.c
+++ b/src/proxy/dispatch.c
@@ -20,7 +20,8 @@
 
 static bool try_start(struct session *s, usec_t now);
 static bool try_start_served(struct session *s, usec_t now);
-static bool continue_transaction(struct session *s);
+static bool continue_transaction(struct session *s, usec_t now);
+static bool has_evacuated_primary(const struct db_group *g, usec_t now);
 static bool is_lagging_everywhere(const struct stmt_exec *t);
 static bool is_known_behind(const struct db_member *d, struct log_pos after,
 			    usec_t now);
@@ -52,7 +53,10 @@
 	}
 	s->exec.stage = EXEC_STARTING;
 	if (s->remote) {
-		remote_client_continue(s);
+		if (db_member_may_execute(remote_client_database(s), s, now))
+			remote_client_continue(s);
+		else
+			dispatch_abort_evacuated(s);
 		return;
 	}
 	/* dispatch_waiting() starts queued ones when resources become free. */
@@ -201,11 +205,12 @@
  */
 void dispatch_on_connected(struct session *s, struct backend *b)
 {
-	if (s->exec.stage == EXEC_CONNECTING) {
+	if (s->exec.stage != EXEC_CONNECTING)
+		backend_release(b);
+	else if (db_member_may_execute(b->db, s, proxy_now()))
 		backend_run(b, s);
-		return;
-	}
-	backend_release(b);
+	else
+		dispatch_return_evacuated(s);
 }
 
 /*
@@ -256,12 +261,23 @@
 	uint32_t db;
 
 	if (s->backend && s->tx_at_database)
-		return continue_transaction(s);
+		return continue_transaction(s, now);
 	if (s->stream)
 		return try_start_served(s, now);
+	switch (db_group_check_statement(g, t->needs_primary, now)) {
+	case EVACUATION_WAIT:
+		dispatch_wait_for_hand_over(s, now);
+		return false;
+	case EVACUATION_REFUSE:
+		dispatch_refuse_evacuated(s);
+		return true;
+	default:
+		break;
+	}
 	t->has_after = false;
 	db = t->needs_primary || s->consistency == READ_PRIMARY ||
-			     is_lagging_everywhere(t)
+			     (is_lagging_everywhere(t) &&
+			      !has_evacuated_primary(g, now))
 		     ? g->primary
 		     : choose_database(s, now);
 	if (db == DB_NONE) {
@@ -301,6 +317,10 @@
 	bool is_primary = t->db == g->primary;
 
 	t->has_after = false;
+	if (db_member_is_evacuated(d, now)) {
+		remote_server_refuse_evacuated(s);
+		return true;
+	}
 	if (!is_usable(d, now)) {
 		remote_server_refuse(s, REPLY_ERR_WRONG_DATABASE, 0);
 		return true;
@@ -384,9 +404,20 @@
 	       now - d->last_seen_at < POSITION_AGE_MAX_US;
 }
 
+/* True if the group's primary is known and in an evacuated domain. */
+static bool has_evacuated_primary(const struct db_group *g, usec_t now)
+{
+	return g->primary != DB_NONE &&
+	       db_member_is_evacuated(&g->db[g->primary], now);
+}
+
 /* Executes the next statement of a transaction once a slot is free. */
-static bool continue_transaction(struct session *s)
+static bool continue_transaction(struct session *s, usec_t now)
 {
+	if (!db_member_may_execute(s->backend->db, s, now)) {
+		dispatch_return_evacuated(s);
+		return true;
+	}
 	if (!conn_pool_has_free_slot(s->backend->db))
 		return false;
 	backend_run(s->backend, s);
@@ -501,7 +532,8 @@
 /* True if statements may be sent to the database now. */
 static bool is_usable(const struct db_member *db, usec_t now)
 {
-	return db->present && !db->departing && now >= db->retry_at;
+	return db->present && !db->departing && now >= db->retry_at &&
+	       !db_member_is_evacuated(db, now);
 }
 
 /* Adds the session to its group's queue, ordered by priority and age. */
--- a/src/proxy/proxy_internal.h
+++ b/src/proxy/proxy_internal.h
@@ -12,6 +12,7 @@
 #include "decide/connect_backoff.h"
 #include "decide/load_balance.h"
 #include "decide/rate_limit.h"
+#include "decide/evacuation.h"
 #include "decide/failover_fsm.h"
 #include "decide/shared_poll.h"
 #include "decide/unlisted_db.h"
@@ -67,6 +68,9 @@
 	bool announced_departure; /* by its last entry */
 	/* its failure domain is evacuated, known since then; 0: it is not */
 	usec_t evacuated_since;
+	/* another VM gave a statement back then because its domain is
+	 * evacuated; 0: none did */
+	usec_t evacuation_told_at;
 	bool reports_primary;
 	/* its entry is missing since this time; 0: it has one */
 	usec_t unlisted_since;
@@ -231,6 +235,7 @@
 	uint32_t db;	     /* index of the database it was last sent to */
 	const char *via;     /* VM that it was forwarded to; NULL: none */
 	uint32_t attempts;
+	bool was_held; /* has waited for a hand-over */
 	usec_t began_at;
 	usec_t arrived_at; /* at this VM; as began_at unless forwarded */
 	usec_t deadline;
@@ -469,6 +474,19 @@
 /* Takes the connection or stream from a session. */
 void dispatch_release(struct session *s);
 
+/* dispatch_evacuation.c */
+/*
+ * Takes a statement back that was not sent to its database, as the database's
+ * failure domain is evacuated.
+ */
+void dispatch_return_evacuated(struct session *s);
+/* Notes that a statement waits for the hand-over of the primary. */
+void dispatch_wait_for_hand_over(struct session *s, usec_t now);
+/* Refuses a statement that no database outside evacuated domains can run. */
+void dispatch_refuse_evacuated(struct session *s);
+/* Ends a transaction that had its time, before its next statement is sent. */
+void dispatch_abort_evacuated(struct session *s);
+
 /* backend.c */
 struct backend *backend_open(struct db_member *db, const char *team);
 void backend_close(struct backend *b, const char *reason);
@@ -513,8 +531,6 @@
  */
 usec_t db_group_apply_databases(struct proxy *p, const struct registry_db *db,
 				uint32_t n, usec_t requested_at);
-/* Takes over which failure domains are evacuated. */
-void db_group_apply_evacuations(struct proxy *p, usec_t now);
 void db_group_tick(struct proxy *p, usec_t now);
 void db_group_note_position(struct db_member *db, usec_t requested_at,
 			    const struct log_pos *at);
@@ -543,6 +559,20 @@
 /* Statements that run and wait at this VM for the database. */
 uint32_t db_member_load(const struct db_member *db);
 
+/* db_group_evacuation.c */
+/* Takes over which failure domains are evacuated. */
+void db_group_apply_evacuations(struct proxy *p, usec_t now);
+void db_member_note_evacuation(struct db_member *d, usec_t now);
+/* True if this VM, or lately another one, takes its domain for evacuated. */
+bool db_member_is_evacuated(const struct db_member *d, usec_t now);
+/* True if the session's next statement may be sent to the database. */
+bool db_member_may_execute(const struct db_member *d, const struct session *s,
+			   usec_t now);
+/* What becomes of a statement that no database was chosen for. */
+enum evacuation_verdict
+db_group_check_statement(struct db_group *g, bool needs_primary, usec_t now);
+void db_group_evacuation_tick(struct proxy *p, usec_t now);
+
 /* failover.c */
 void failover_init(struct db_group *g);
 void failover_tick(struct db_group *g, usec_t now);
@@ -662,6 +692,8 @@
 bool remote_client_start(struct session *s, uint32_t db, const char *owner);
 void remote_client_continue(struct session *s);
 void remote_client_release(struct session *s);
+/* The database that the session's stream is for. */
+struct db_member *remote_client_database(const struct session *s);
 
 /* remote_server.c; a session with a stream stands for one of another VM */
 void remote_server_on_result(struct session *s, enum exec_result result,
@@ -674,6 +706,7 @@
 void remote_server_refuse_unserved(struct session *s);
 void remote_server_refuse_overloaded(struct session *s);
 void remote_server_refuse_not_primary(struct session *s);
+void remote_server_refuse_evacuated(struct session *s);
 void remote_server_on_lost(struct session *s);
 bool remote_server_is_overdue(const struct session *s, usec_t now);
 
--- a/src/proxy/remote.h
+++ b/src/proxy/remote.h
@@ -46,6 +46,8 @@
 	DONE_NOT_PRIMARY = 8,
 	/* it could not start before its deadline */
 	DONE_OVERLOADED = 16,
+	/* the database's failure domain is evacuated */
+	DONE_EVACUATED = 32,
 };
 
 /* One end of a link. */
--- a/src/proxy/remote_client.c
+++ b/src/proxy/remote_client.c
@@ -95,6 +95,12 @@
 	free_stream(r);
 }
 
+/* Returns the database that the session's stream is for. */
+struct db_member *remote_client_database(const struct session *s)
+{
+	return &s->group->db[s->remote->db];
+}
+
 /* Handles a result: [stream, ...], see remote_server.c. */
 void remote_client_on_done(struct peer_link *l, struct wire_reader *r)
 {
@@ -342,8 +348,11 @@
 		if (m->code == REPLY_ERR_LAGGING)
 			s->group->db[s->exec.db].behind_until =
 				proxy_now() + LAGGING_US;
-		if (m->code == REPLY_ERR_NONE ||
-		    m->code == REPLY_ERR_WRONG_DATABASE)
+		if (m->flags & DONE_EVACUATED)
+			s->group->db[s->exec.db].evacuation_told_at =
+				proxy_now();
+		else if (m->code == REPLY_ERR_NONE ||
+			 m->code == REPLY_ERR_WRONG_DATABASE)
 			s->group->db[s->exec.db].retry_at =
 				proxy_now() + UNUSABLE_US;
 		if (s->exec.deadline - proxy_now() < RETRY_MIN_US &&
--- a/src/proxy/remote_server.c
+++ b/src/proxy/remote_server.c
@@ -220,6 +220,15 @@
 	remote_server_refuse(s, REPLY_ERR_READ_ONLY, DONE_NOT_PRIMARY);
 }
 
+/*
+ * Gives a statement back whose database is in an evacuated domain; its VM
+ * chooses another database or waits for one.
+ */
+void remote_server_refuse_evacuated(struct session *s)
+{
+	remote_server_refuse(s, REPLY_ERR_WRONG_DATABASE, DONE_EVACUATED);
+}
+
 /* Tells the stream's VM that its transaction was lost while it was idle. */
 void remote_server_on_lost(struct session *s)
 {
@@ -332,6 +341,7 @@
 	t->tried_mask = 0;
 	t->attempts = 0;
 	t->retry_at = 0;
+	t->was_held = false;
 	t->last_refusal = REPLY_ERR_BUSY;
 	t->began_at = now - (usec_t)m->age;
 	t->arrived_at = now;
--- a/src/proxy/session.c
+++ b/src/proxy/session.c
@@ -281,6 +281,7 @@
 	t->attempts = 0;
 	t->tried_mask = 0;
 	t->retry_at = 0;
+	t->was_held = false;
 	t->db = DB_NONE;
 	t->last_refusal = REPLY_ERR_BUSY;
 	t->is_commit = false;
