Hand an evacuated primary over to a database outside

Cause: the failover's machine can plan a hand-over, but nothing tells it of evacuations. Change: failover.c feeds it; a primary that is dead, silent or departing keeps that cause. VMs of the first three ranks request the statuses that an attempt needs until it begins, and log what holds it back once that has lasted 500 ms, at most one line a second and group, and its end. The events 4008 and 4012 and handover_seconds tell of a hand-over.

--- a/src/kernel/latency.h
+++ b/src/kernel/latency.h
@@ -13,6 +13,8 @@
 	X(CONNECT, "connect_seconds", "new connections to databases")       \
 	X(PLATFORM, "platform_seconds", "calls to the platform")            \
 	X(LIMIT, "limit_seconds", "questions for tokens of team limits")    \
+	X(HANDOVER, "handover_seconds",                                     \
+	  "from a known evacuation to another primary")                     \
 	X(CONFIRM, "config_unconfirmed_seconds",                            \
 	  "between reads of the configuration, by this VM or a peer")
 
--- a/src/proxy/failover.c
+++ b/src/proxy/failover.c
@@ -110,7 +110,11 @@
 	uint32_t i;
 
 	collect_state(g, now, &env);
+	failover_handover_tick(g, &env);
 	failover_fsm_tick(s, &env, &out);
+	if (old_phase == FAILOVER_CLAIM && s->phase == FAILOVER_FENCE &&
+	    s->cause == FAILOVER_CAUSE_EVACUATED)
+		failover_handover_begun(g);
 	if (s->phase != old_phase)
 		log_event(EV_SUCCESSION,
 			  "service=%s phase=%s cause=%s token=%llu term=%llu "
@@ -184,6 +188,8 @@
 		return FAILOVER_CAUSE_REFUSED;
 	if (p->unanswered_since && now - p->unanswered_since > UNANSWERED_US)
 		return FAILOVER_CAUSE_SILENT;
+	if (p->evacuated_since)
+		return FAILOVER_CAUSE_EVACUATED;
 	return FAILOVER_CAUSE_NONE;
 }
 
@@ -193,6 +199,8 @@
 {
 	struct heartbeat_peer_reports o =
 		heartbeat_peer_reports(g->proxy->heartbeat, g->service);
+	usec_t evacuated_since =
+		g->primary == DB_NONE ? 0 : g->db[g->primary].evacuated_since;
 	uint32_t i;
 
 	memset(env, 0, sizeof(*env));
@@ -223,6 +231,12 @@
 				    now - d->unanswered_since < RESPONSIVE_US),
 			.has_new_report =
 				d->status_requested_at > g->succession.phase_at,
+			.has_evacuation_report =
+				evacuated_since &&
+				d->status_requested_at > evacuated_since,
+			.evacuated = d->evacuated_since != 0,
+			.led_term = d->primary_term &&
+				    d->primary_term == g->proof.term,
 			.reports_primary = d->status.is_primary,
 			.term = d->status.term,
 			.held_term = d->status.paused_term,
@@ -294,6 +308,8 @@
 			  g->service, g->db[a->db].id,
 			  (unsigned long long)a->term);
 		counter_add(CTR_PROMOTIONS, 1);
+		if (g->succession.cause == FAILOVER_CAUSE_EVACUATED)
+			failover_handover_done(g, a->db);
 		db_group_set_primary(g, a->db, a->term, "promoted");
 		/*
 		 * When this VM sent the request to mark its claim, no later
--- a/src/proxy/proxy_internal.h
+++ b/src/proxy/proxy_internal.h
@@ -130,6 +130,15 @@
 	uint64_t paused_for; /* that term */
 };
 
+/* What holds the hand-over of an evacuated primary back, as it was logged. */
+struct failover_held {
+	enum failover_fsm_hold by;
+	usec_t since;
+	usec_t logged_at;
+	bool is_reported; /* "by" was logged */
+	bool is_logged;	  /* a line was written that has no end yet */
+};
+
 /*
  * One service: its databases, its primary, and the sessions that wait for it.
  */
@@ -154,6 +163,7 @@
 	bool claim_check_pending; /* a claim is being read */
 	bool promoted_here; /* this VM promoted the primary of this term */
 	struct failover_fsm succession;
+	struct failover_held held; /* a hand-over that does not begin */
 	/* when a database was last dropped that other VMs may still use */
 	usec_t dropped_at;
 	/* when this VM last requested to mark its claim as promoting */
@@ -573,6 +583,12 @@
 db_group_check_statement(struct db_group *g, bool needs_primary, usec_t now);
 void db_group_evacuation_tick(struct proxy *p, usec_t now);
 
+/* failover_handover.c */
+void failover_handover_tick(struct db_group *g,
+			    const struct failover_fsm_env *env);
+void failover_handover_begun(const struct db_group *g);
+void failover_handover_done(const struct db_group *g, uint32_t db);
+
 /* failover.c */
 void failover_init(struct db_group *g);
 void failover_tick(struct db_group *g, usec_t now);
