Merge routing around evacuated domains and the hand-over of their primaries

Cause: a domain that the operator evacuated went on to get statements. The end of an evacuation is told to placement.c, which waits for a newer list of cold databases.

--- a/src/decide/failover_fsm.c
+++ b/src/decide/failover_fsm.c
@@ -1,4 +1,4 @@
-#include "decide/failover_fsm.h"
+#include "decide/failover_fsm_internal.h"
 
 #include <string.h>
 
@@ -11,8 +11,9 @@
 		 uint32_t db, uint64_t term);
 static void enter_phase(struct failover_fsm *s, usec_t now,
 			enum failover_fsm_phase phase);
-static bool should_start(struct failover_fsm *s,
+static void follow_cause(struct failover_fsm *s,
 			 const struct failover_fsm_env *env);
+static bool is_planned(const struct failover_fsm *s);
 static bool retry_is_due(struct failover_fsm *s, usec_t now);
 static void give_up(struct failover_fsm *s, const struct failover_fsm_env *env,
 		    struct failover_fsm_actions *out);
@@ -23,6 +24,8 @@
 			struct failover_fsm_actions *out);
 static bool primary_exists(const struct failover_fsm *s,
 			   const struct failover_fsm_env *env);
+static bool may_pause(const struct failover_fsm *s,
+		      const struct failover_fsm_env *env);
 static bool fence_is_done(const struct failover_fsm *s,
 			  const struct failover_fsm_env *env);
 static void wait_for_guard(struct failover_fsm *s,
@@ -32,14 +35,9 @@
 			   const struct failover_fsm_env *env);
 static bool all_reported(const struct failover_fsm *s,
 			 const struct failover_fsm_env *env);
-static bool replica_caught_up(const struct failover_fsm *s,
-			      const struct failover_fsm_env *env);
-static uint32_t choose_target(const struct failover_fsm *s,
-			      const struct failover_fsm_env *env);
 static void confirm_primary(struct failover_fsm *s,
 			    const struct failover_fsm_env *env,
 			    struct failover_fsm_actions *out);
-static bool is_eligible(const struct failover_fsm_env *env, uint32_t i);
 
 /* Initializes the state machine in the idle phase. */
 void failover_fsm_init(struct failover_fsm *s,
@@ -72,13 +70,16 @@
 	}
 	switch (s->phase) {
 	case FAILOVER_IDLE:
-		if (!should_start(s, env))
+		if (failover_fsm_hold(s, env) != FAILOVER_HOLD_NONE)
 			break;
 		s->cause = env->cause;
 		s->old_primary = env->primary;
 		s->base_term = env->term;
 		s->began_at = env->now;
 		s->failed_mask = 0;
+		s->paused_mask = 0;
+		s->stepped_down = false;
+		s->end_known_at = 0;
 		s->maybe_promoted = DB_NONE;
 		s->attempts = 0;
 		s->result_pending = true;
@@ -88,10 +89,17 @@
 	case FAILOVER_CLAIM:
 		if (s->result_pending || s->token == 0)
 			break;
+		follow_cause(s, env);
+		if (s->cause == FAILOVER_CAUSE_EVACUATED &&
+		    env->cause != FAILOVER_CAUSE_EVACUATED) {
+			give_up(s, env, out);
+			break;
+		}
 		begin_fence(s, env);
 		fence_group(s, env, out);
 		break;
 	case FAILOVER_FENCE:
+		follow_cause(s, env);
 		fence_group(s, env, out);
 		break;
 	case FAILOVER_GUARD:
@@ -101,7 +109,7 @@
 	case FAILOVER_PROMOTE:
 		if (s->result_pending)
 			break;
-		s->target = choose_target(s, env);
+		s->target = failover_choose_target(s, env);
 		/* Other VMs may resume the replicas after attempt_max. */
 		if (s->target == DB_NONE ||
 		    (s->maybe_promoted != DB_NONE &&
@@ -175,14 +183,15 @@
 			 uint64_t term, bool stepped_down,
 			 struct log_pos received)
 {
-	(void)now;
 	if ((s->phase != FAILOVER_FENCE && s->phase != FAILOVER_GUARD) ||
 	    term != s->term)
 		return;
 	if (!stepped_down) {
 		s->paused_mask |= 1U << db;
-	} else if (db == s->old_primary && s->is_base_certain) {
-		s->stepped_down = true;
+	} else if (db == s->old_primary) {
+		s->stepped_down |= s->is_base_certain;
+		if (s->end_known_at == 0)
+			s->end_known_at = now;
 		s->old_primary_end = received;
 	}
 }
@@ -251,11 +260,34 @@
 		[FAILOVER_CAUSE_REFUSED] = "refused",
 		[FAILOVER_CAUSE_DEPARTING] = "departing",
 		[FAILOVER_CAUSE_NO_PRIMARY] = "nobody",
+		[FAILOVER_CAUSE_EVACUATED] = "evacuated",
 	};
 
 	return names[cause];
 }
 
+/* Returns what holds an attempt back, for logs. */
+const char *failover_fsm_hold_name(enum failover_fsm_hold hold)
+{
+	static const char *const names[] = {
+		[FAILOVER_HOLD_NONE] = "nothing",
+		[FAILOVER_HOLD_NO_CAUSE] = "no cause",
+		[FAILOVER_HOLD_BACK_OFF] = "an attempt has just ended",
+		[FAILOVER_HOLD_UNKNOWN_DBS] = "not all databases may be known",
+		[FAILOVER_HOLD_STORE] = "the store does not answer",
+		[FAILOVER_HOLD_ALONE] = "this VM hears too few others",
+		[FAILOVER_HOLD_PEER] = "another VM is acting",
+		[FAILOVER_HOLD_TURN] = "another VM has just promoted",
+		[FAILOVER_HOLD_HEARD] = "other VMs hear the primary",
+		[FAILOVER_HOLD_NO_TARGET] = "no database can take over",
+		[FAILOVER_HOLD_NO_STATUS] = "no status of a log",
+		[FAILOVER_HOLD_TARGET_BEHIND] = "no target has the whole log",
+		[FAILOVER_HOLD_RANK] = "VMs of a lower rank go first",
+	};
+
+	return names[hold];
+}
+
 /* Appends an action, or drops it if the table is full. */
 static void emit(struct failover_fsm_actions *out, enum failover_fsm_act act,
 		 uint32_t db, uint64_t term)
@@ -279,42 +311,27 @@
 }
 
 /*
- * Returns true if this VM should start a failover now: its rank's delay has
- * passed and a replica can take over. A primary that at least as many peers
- * hear as miss, counting this VM as one that misses it, is left in place unless
- * it departs. A VM that hears few others may be partitioned itself and does not
- * act. Nor does one that may not know all replicas: it would leave some of them
- * unpaused, and they would continue to prove the primary. A VM that has just
- * learned of another VM's promotion leaves the next one to that VM for a while,
- * so that two VMs never promote in turn.
+ * Continues a hand-over as an unplanned failover if the primary has failed, or
+ * departs, before it reported its step-down: its answer can't be waited for.
  */
-static bool should_start(struct failover_fsm *s,
+static void follow_cause(struct failover_fsm *s,
 			 const struct failover_fsm_env *env)
 {
-	bool has_successor = false;
-	uint32_t i;
-
-	if (s->cause_since == 0 || env->now < s->quiet_until ||
-	    !env->knows_all_dbs || !env->platform_up || !env->hears_most_vms ||
-	    env->peer_is_acting)
-		return false;
-	if (!env->promoted_here && env->term_known_at &&
-	    env->now - env->term_known_at < s->policy.turn)
-		return false;
-	if (env->cause != FAILOVER_CAUSE_DEPARTING &&
-	    env->cause != FAILOVER_CAUSE_NO_PRIMARY &&
-	    env->peers_hearing >= env->peers_missing + 1)
-		return false;
-	for (i = 0; i < env->n; i++)
-		has_successor |= is_eligible(env, i) && env->db[i].answers;
-	return has_successor && env->now - s->cause_since >=
-					(usec_t)env->rank * s->policy.stagger;
+	if (s->cause != FAILOVER_CAUSE_EVACUATED || s->end_known_at)
+		return;
+	if (env->cause == FAILOVER_CAUSE_DEPARTING)
+		s->cause = env->cause;
+	if ((env->cause == FAILOVER_CAUSE_SILENT ||
+	     env->cause == FAILOVER_CAUSE_REFUSED) &&
+	    env->peers_hearing < env->peers_missing + 1)
+		s->cause = env->cause;
 }
 
-/* Returns true if the database is registered, not primary and not departing. */
-static bool is_eligible(const struct failover_fsm_env *env, uint32_t i)
+/* Returns true if the primary that is replaced is asked to step down. */
+static bool is_planned(const struct failover_fsm *s)
 {
-	return i != env->primary && env->db[i].present && !env->db[i].departing;
+	return s->cause == FAILOVER_CAUSE_DEPARTING ||
+	       s->cause == FAILOVER_CAUSE_EVACUATED;
 }
 
 /* Returns true and records the time if another round of requests is due. */
@@ -366,24 +383,23 @@
 	s->term = term + 1;
 	s->paused_mask = 0;
 	s->stepped_down = false;
+	s->end_known_at = 0;
 	s->old_primary_end = (struct log_pos){ 0 };
 	enter_phase(s, env->now, FAILOVER_FENCE);
 }
 
 /*
- * Fences the group. A departing primary still responds, so it is stepped down
- * and the replicas stay unpaused to receive its last commits; they are paused
- * only if the step-down takes too long. In every other case the replicas are
- * paused and the old primary is only asked for its status; if it responds as
- * primary, it is left in place.
+ * Fences the group. A departing or evacuated primary still responds, so it is
+ * stepped down and the replicas stay unpaused to receive its last commits; see
+ * may_pause() for when they are paused nevertheless. In every other case the
+ * replicas are paused and the old primary is only asked for its status; if it
+ * responds as primary, it is left in place.
  */
 static void fence_group(struct failover_fsm *s,
 			const struct failover_fsm_env *env,
 			struct failover_fsm_actions *out)
 {
-	const bool departing = s->cause == FAILOVER_CAUSE_DEPARTING;
-	const bool overdue = env->now - s->phase_at >
-			     STEP_DOWN_ATTEMPTS_MAX * s->policy.retry_interval;
+	const bool pauses = may_pause(s, env);
 	uint32_t i;
 
 	if (primary_exists(s, env)) {
@@ -402,19 +418,40 @@
 			continue;
 		if (i == s->old_primary)
 			emit(out,
-			     departing ? FAILOVER_ACT_STEP_DOWN
-				       : FAILOVER_ACT_PROBE,
+			     is_planned(s) ? FAILOVER_ACT_STEP_DOWN
+					   : FAILOVER_ACT_PROBE,
 			     i, s->term);
-		else if (!(s->paused_mask & (1U << i)) &&
-			 (!departing || overdue))
+		else if (pauses && !(s->paused_mask & (1U << i)))
 			emit(out, FAILOVER_ACT_PAUSE, i, s->term);
+		else if (s->end_known_at &&
+			 s->cause == FAILOVER_CAUSE_EVACUATED)
+			emit(out, FAILOVER_ACT_PROBE, i, 0);
 	}
 }
 
+/*
+ * Returns true if the replicas may be paused now. In a planned change they are
+ * paused only if the step-down takes too long, or does not prove that the
+ * primary was the only one. An evacuated primary goes on committing until it
+ * has stepped down, and a paused replica would not receive that; so it has to
+ * report its step-down first, and a replica outside gets time to catch up.
+ */
+static bool may_pause(const struct failover_fsm *s,
+		      const struct failover_fsm_env *env)
+{
+	if (s->cause == FAILOVER_CAUSE_EVACUATED)
+		return s->end_known_at &&
+		       (failover_caught_up(s, env) ||
+			env->now - s->end_known_at > s->policy.catch_up_max);
+	return s->cause != FAILOVER_CAUSE_DEPARTING ||
+	       env->now - s->phase_at >
+		       STEP_DOWN_ATTEMPTS_MAX * s->policy.retry_interval;
+}
+
 /*
  * Returns true if a database has reported itself as primary in this phase. The
- * old primary is exempt if it departs; if any other database is primary, a
- * failover is no longer needed.
+ * old primary is exempt if its replacement is planned; if any other database is
+ * primary, a failover is no longer needed.
  */
 static bool primary_exists(const struct failover_fsm *s,
 			   const struct failover_fsm_env *env)
@@ -422,7 +459,7 @@
 	uint32_t i;
 
 	for (i = 0; i < env->n; i++) {
-		if (i == s->old_primary && s->cause == FAILOVER_CAUSE_DEPARTING)
+		if (i == s->old_primary && is_planned(s))
 			continue;
 		if (env->db[i].present && env->db[i].has_new_report &&
 		    env->db[i].reports_primary && env->db[i].term >= env->term)
@@ -478,7 +515,7 @@
 		return;
 	}
 	if (s->stepped_down) {
-		if ((replica_caught_up(s, env) && all_reported(s, env)) ||
+		if ((failover_caught_up(s, env) && all_reported(s, env)) ||
 		    waited >= s->policy.catch_up_max) {
 			s->result_pending = false;
 			enter_phase(s, env->now, FAILOVER_VERIFY);
@@ -494,7 +531,7 @@
 	if (!retry_is_due(s, env->now))
 		return;
 	for (i = 0; i < env->n; i++) {
-		if (is_eligible(env, i) || i == s->old_primary)
+		if (failover_is_eligible(env, i) || i == s->old_primary)
 			emit(out, FAILOVER_ACT_PROBE, i, 0);
 	}
 }
@@ -514,21 +551,6 @@
 	return false;
 }
 
-/* Returns true if a replica has the whole log of the old primary. */
-static bool replica_caught_up(const struct failover_fsm *s,
-			      const struct failover_fsm_env *env)
-{
-	uint32_t i;
-
-	for (i = 0; i < env->n; i++) {
-		if (is_eligible(env, i) && i != s->old_primary &&
-		    env->db[i].has_new_report &&
-		    log_pos_cmp(env->db[i].received, s->old_primary_end) >= 0)
-			return true;
-	}
-	return false;
-}
-
 /* Returns true if all other databases that respond have reported in this phase.
  */
 static bool all_reported(const struct failover_fsm *s,
@@ -544,40 +566,6 @@
 	return true;
 }
 
-/*
- * Returns the database to promote, or DB_NONE: of those that respond, do not
- * depart and have not refused a promotion in this attempt, the one with the
- * most complete log. Unless the old primary stepped down, it must be paused. If
- * the old primary stepped down and no replica has its whole log, it is promoted
- * again, but not twice in succession: it departs and must be free of work in
- * time.
- */
-static uint32_t choose_target(const struct failover_fsm *s,
-			      const struct failover_fsm_env *env)
-{
-	uint32_t best = DB_NONE;
-	uint32_t i;
-
-	for (i = 0; i < env->n; i++) {
-		if (i == s->old_primary || !env->db[i].present ||
-		    env->db[i].departing || (s->failed_mask & (1U << i)) ||
-		    !env->db[i].answers)
-			continue;
-		if (!s->stepped_down && !(s->paused_mask & (1U << i)))
-			continue;
-		if (best == DB_NONE || log_pos_cmp(env->db[i].received,
-						   env->db[best].received) > 0)
-			best = i;
-	}
-	if (s->stepped_down && s->old_primary < env->n &&
-	    !s->old_primary_kept &&
-	    !(s->failed_mask & (1U << s->old_primary)) &&
-	    (best == DB_NONE ||
-	     log_pos_cmp(env->db[best].received, s->old_primary_end) < 0))
-		return s->old_primary;
-	return best;
-}
-
 /*
  * Polls the promoted database until it reports itself as primary; then adopts
  * it and resumes the other replicas.
@@ -600,7 +588,12 @@
 		s->paused_mask = 0;
 		s->cause_since = 0;
 		enter_phase(s, env->now, FAILOVER_IDLE);
-		s->quiet_until = env->now + s->policy.back_off;
+		/* The replicas that fell behind need time to catch up. */
+		s->quiet_until =
+			env->now + (s->cause == FAILOVER_CAUSE_EVACUATED &&
+						    s->old_primary_kept
+					    ? s->policy.turn
+					    : s->policy.back_off);
 		return;
 	}
 	if (retry_is_due(s, env->now))
--- a/src/proxy/db_group.c
+++ b/src/proxy/db_group.c
@@ -56,7 +56,6 @@
 		      usec_t listed_at);
 static bool is_listed(const struct db_member *d, const struct registry_db *db,
 		      uint32_t n);
-static void note_evacuation(struct db_member *d, usec_t now);
 static void on_unlisted(struct db_member *d, usec_t now);
 static void remove_db(struct db_member *db, const char *reason);
 static void on_status(void *ctx, struct db_member *db, bool ok,
@@ -246,40 +245,6 @@
 	return false;
 }
 
-/* Takes over which failure domains are evacuated, for all databases. */
-void db_group_apply_evacuations(struct proxy *p, usec_t now)
-{
-	uint32_t i;
-	uint32_t j;
-
-	for (i = 0; i < p->n_groups; i++) {
-		for (j = 0; j < DB_GROUP_MEMBERS_MAX; j++) {
-			struct db_member *d = &p->groups[i]->db[j];
-
-			if (d->present)
-				note_evacuation(d, now);
-		}
-	}
-	for (i = 0; i < p->n_groups; i++)
-		dispatch_waiting(p->groups[i]);
-}
-
-/* Notes whether a database's failure domain is evacuated. */
-static void note_evacuation(struct db_member *d, usec_t now)
-{
-	struct registry *r = d->group->proxy->registry;
-	bool is_evacuated = registry_domain_is_evacuated(r, d->domain);
-
-	if (!is_evacuated && d->evacuated_since && d->group->cold_milli_per_s) {
-		d->relisted_from = now;
-		registry_poll_fast(r, now);
-	}
-	if (!is_evacuated)
-		d->evacuated_since = 0;
-	else if (d->evacuated_since == 0)
-		d->evacuated_since = now;
-}
-
 /*
  * Does the periodic work of all groups: overdue replies, proofs, failover and
  * the queues.
@@ -299,6 +264,7 @@
 		if (g->n_waiting > 0)
 			dispatch_waiting(g);
 	}
+	db_group_evacuation_tick(p, now);
 }
 
 /*
@@ -588,7 +554,7 @@
 	d->announced_departure = r->departing;
 	d->unlisted_since = 0;
 	d->reports_primary = r->primary;
-	note_evacuation(d, proxy_now());
+	db_member_note_evacuation(d, proxy_now());
 }
 
 /*
--- a/src/proxy/placement.c
+++ b/src/proxy/placement.c
@@ -60,6 +60,15 @@
 		d->relisted_from = 0;
 }
 
+/* Lets a list requested from now on tell whether the database is cold. */
+void placement_on_evacuation_end(struct db_member *d, usec_t now)
+{
+	if (d->group->cold_milli_per_s == 0)
+		return;
+	d->relisted_from = now;
+	registry_poll_fast(d->group->proxy->registry, now);
+}
+
 /*
  * Returns true if statements to the database are limited. After an evacuation
  * the list from before does not tell whether it is cold, so it counts as cold.
--- a/src/proxy/proxy_internal.h
+++ b/src/proxy/proxy_internal.h
@@ -13,6 +13,7 @@
 #include "decide/connect_backoff.h"
 #include "decide/load_balance.h"
 #include "decide/rate_limit.h"
+#include "decide/evacuation.h"
 #include "decide/failover_fsm.h"
 #include "decide/shared_poll.h"
 #include "decide/unlisted_db.h"
@@ -76,6 +77,9 @@
 	/* its owner could send it no more, as it is cold: no reads until then
 	 */
 	usec_t cold_retry_at;
+	/* another VM gave a statement back then because its domain is
+	 * evacuated; 0: none did */
+	usec_t evacuation_told_at;
 	bool reports_primary;
 	/* its entry is missing since this time; 0: it has one */
 	usec_t unlisted_since;
@@ -137,6 +141,15 @@
 	uint64_t paused_for; /* that term */
 };
 
+/* What holds the hand-over of an evacuated primary back, as it was logged. */
+struct failover_held {
+	enum failover_fsm_hold by;
+	usec_t since;
+	usec_t logged_at;
+	bool is_reported; /* "by" was logged */
+	bool is_logged;	  /* a line was written that has no end yet */
+};
+
 /*
  * One service: its databases, its primary, and the sessions that wait for it.
  */
@@ -162,6 +175,7 @@
 	bool claim_check_pending; /* a claim is being read */
 	bool promoted_here; /* this VM promoted the primary of this term */
 	struct failover_fsm succession;
+	struct failover_held held; /* a hand-over that does not begin */
 	/* when a database was last dropped that other VMs may still use */
 	usec_t dropped_at;
 	/* when this VM last requested to mark its claim as promoting */
@@ -243,6 +257,7 @@
 	uint32_t db;	     /* index of the database it was last sent to */
 	const char *via;     /* VM that it was forwarded to; NULL: none */
 	uint32_t attempts;
+	bool was_held; /* has waited for a hand-over */
 	usec_t began_at;
 	usec_t arrived_at; /* at this VM; as began_at unless forwarded */
 	usec_t deadline;
@@ -492,6 +507,8 @@
 /* Takes over from an entry how long the database is cold. */
 void placement_note_cold(struct db_member *d, uint32_t cold_left_ms,
 			 usec_t listed_at);
+/* Takes note that the evacuation of the database's domain has ended. */
+void placement_on_evacuation_end(struct db_member *d, usec_t now);
 /* True if statements to the database are limited, as it is cold. */
 bool placement_is_cold(const struct db_member *d, usec_t now);
 /* True if it is cold and can take no more reads now, as far as known. */
@@ -502,6 +519,19 @@
  */
 bool placement_take_cold(struct db_member *d, usec_t now);
 
+/* dispatch_evacuation.c */
+/*
+ * Takes a statement back that was not sent to its database, as the database's
+ * failure domain is evacuated.
+ */
+void dispatch_return_evacuated(struct session *s);
+/* Notes that a statement waits for the hand-over of the primary. */
+void dispatch_wait_for_hand_over(struct session *s, usec_t now);
+/* Refuses a statement that no database outside evacuated domains can run. */
+void dispatch_refuse_evacuated(struct session *s);
+/* Ends a transaction that had its time, before its next statement is sent. */
+void dispatch_abort_evacuated(struct session *s);
+
 /* backend.c */
 struct backend *backend_open(struct db_member *db, const char *team);
 void backend_close(struct backend *b, const char *reason);
@@ -548,8 +578,6 @@
  */
 usec_t db_group_apply_databases(struct proxy *p, const struct registry_db *db,
 				uint32_t n, usec_t requested_at);
-/* Takes over which failure domains are evacuated. */
-void db_group_apply_evacuations(struct proxy *p, usec_t now);
 void db_group_tick(struct proxy *p, usec_t now);
 void db_group_note_position(struct db_member *db, usec_t requested_at,
 			    const struct log_pos *at);
@@ -578,6 +606,26 @@
 /* Statements that run and wait at this VM for the database. */
 uint32_t db_member_load(const struct db_member *db);
 
+/* db_group_evacuation.c */
+/* Takes over which failure domains are evacuated. */
+void db_group_apply_evacuations(struct proxy *p, usec_t now);
+void db_member_note_evacuation(struct db_member *d, usec_t now);
+/* True if this VM, or lately another one, takes its domain for evacuated. */
+bool db_member_is_evacuated(const struct db_member *d, usec_t now);
+/* True if the session's next statement may be sent to the database. */
+bool db_member_may_execute(const struct db_member *d, const struct session *s,
+			   usec_t now);
+/* What becomes of a statement that no database was chosen for. */
+enum evacuation_verdict
+db_group_check_statement(struct db_group *g, bool needs_primary, usec_t now);
+void db_group_evacuation_tick(struct proxy *p, usec_t now);
+
+/* failover_handover.c */
+void failover_handover_tick(struct db_group *g,
+			    const struct failover_fsm_env *env);
+void failover_handover_begun(const struct db_group *g);
+void failover_handover_done(const struct db_group *g, uint32_t db);
+
 /* failover.c */
 void failover_init(struct db_group *g);
 void failover_tick(struct db_group *g, usec_t now);
@@ -715,6 +763,8 @@
 bool remote_client_start(struct session *s, uint32_t db, const char *owner);
 void remote_client_continue(struct session *s);
 void remote_client_release(struct session *s);
+/* The database that the session's stream is for. */
+struct db_member *remote_client_database(const struct session *s);
 
 /* remote_server.c; a session with a stream stands for one of another VM */
 void remote_server_on_result(struct session *s, enum exec_result result,
@@ -727,6 +777,7 @@
 void remote_server_refuse_unserved(struct session *s);
 void remote_server_refuse_overloaded(struct session *s);
 void remote_server_refuse_not_primary(struct session *s);
+void remote_server_refuse_evacuated(struct session *s);
 void remote_server_on_lost(struct session *s);
 bool remote_server_is_overdue(const struct session *s, usec_t now);
 
--- a/src/proxy/remote.h
+++ b/src/proxy/remote.h
@@ -54,6 +54,8 @@
 	DONE_OVERLOADED = 16,
 	/* the database is cold and can take no more reads now */
 	DONE_COLD = 32,
+	/* the database's failure domain is evacuated */
+	DONE_EVACUATED = 64,
 };
 
 /* A cold database that could take no more reads is not chosen for this long. */
