Decode evacuations and the changes of a watch

Cause: the operator's evacuations are objects of a further kind of the platform's store, whose names are the domains; a deletion reaches a watch as an event. Change: the collection "evacuations"; a decoder of its lists, in which an object that is being deleted is still in force, and one of the number of changes in a reply to a watch. Conclusion: nothing calls them yet.

--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -12,10 +12,11 @@
  */
 
 /* Names of these collections in calls of kernel/platform.h. */
-#define REGISTRY_CATALOG   "catalog"
-#define REGISTRY_DATABASES "databases"
-#define REGISTRY_VMS	   "vms"
-#define REGISTRY_CLAIM	   "duty"
+#define REGISTRY_CATALOG     "catalog"
+#define REGISTRY_DATABASES   "databases"
+#define REGISTRY_VMS	     "vms"
+#define REGISTRY_CLAIM	     "duty"
+#define REGISTRY_EVACUATIONS "evacuations"
 
 /* A database's entry in the registry. */
 struct registry_db {
@@ -65,6 +66,8 @@
 
 typedef void (*registry_db_fn)(void *ctx, const struct registry_db *db);
 typedef void (*registry_vm_fn)(void *ctx, const struct registry_vm *vm);
+/* Returns false if the entry can't be taken; it counts as skipped then. */
+typedef bool (*registry_domain_fn)(void *ctx, const char *domain);
 
 struct registry_codec {
 	/*
@@ -82,7 +85,14 @@
 			 struct registry_page *page, struct error *e);
 	int (*vms)(const char *reply, registry_vm_fn fn, void *ctx,
 		   struct registry_page *page, struct error *e);
+	int (*evacuations)(const char *reply, registry_domain_fn fn, void *ctx,
+			   struct registry_page *page, struct error *e);
 	int (*claim)(const char *reply, struct registry_claim_record *out);
+	/*
+	 * The number of changes in the reply to a watch of any collection, and
+	 * the revision up to which it tells them; -1: it is malformed.
+	 */
+	int (*changes)(const char *reply, uint64_t *revision, struct error *e);
 	/* Writers of object bodies; the result is malloc'd. */
 	char *(*vm_body)(const struct registry_vm *vm);
 	char *(*claim_body)(const struct registry_claim_record *duty);
--- a/tests/platform/object_codec_test.cc
+++ b/tests/platform/object_codec_test.cc
@@ -263,6 +263,84 @@
 	EXPECT_EQ(object_codec_wrap("svc", 0, "{"), nullptr);
 }
 
+bool collect_domain(void *ctx, const char *domain)
+{
+	auto *to = static_cast<std::vector<std::string> *>(ctx);
+	if (!*domain)
+		return false;
+	to->push_back(domain);
+	return true;
+}
+
+TEST(ObjectCodec, Evacuations)
+{
+	const std::string good = object("z-1", 4, "{}");
+	const struct {
+		const char *name;
+		std::string item;
+		bool is_valid;
+	} cases[] = {
+		{ "another domain", object("z-2", 5, "{}"), true },
+		{ "with a field of a later version",
+		  object("z-2", 5, "{\"since\":4}"), true },
+		{ "being deleted: still in force",
+		  "{\"meta\":{\"name\":\"z-2\",\"deleting\":true},\"spec\":{}}",
+		  true },
+		{ "no name", "{\"meta\":{},\"spec\":{}}", false },
+		{ "empty name", object("", 5, "{}"), false },
+		{ "a number for a name", "{\"meta\":{\"name\":7},\"spec\":{}}",
+		  false },
+		{ "longest name that is too long",
+		  object(std::string(NAME_MAX_BYTES, 'z'), 5, "{}"), false },
+		{ "no spec", "{\"meta\":{\"name\":\"z-2\"}}", false },
+		{ "no object", "7", false },
+	};
+	for (const auto &c : cases) {
+		const std::string list = "{\"items\":[" + c.item + "," + good +
+					 "],\"more\":true,\"currentRev\":9}";
+		struct registry_page page = {};
+		struct error e;
+		std::vector<std::string> got;
+		ASSERT_EQ(object_codec_evacuations(list.c_str(), collect_domain,
+						   &got, &page, &e),
+			  0)
+			<< c.name;
+		EXPECT_EQ(got.size(), c.is_valid ? 2u : 1u) << c.name;
+		EXPECT_EQ(got.back(), "z-1") << c.name;
+		EXPECT_EQ(page.skipped, c.is_valid ? 0u : 1u) << c.name;
+		EXPECT_TRUE(page.more) << c.name;
+		EXPECT_EQ(page.revision, 9u) << c.name;
+	}
+}
+
+TEST(ObjectCodec, Changes)
+{
+	const struct {
+		const char *name;
+		const char *reply;
+		int n;
+		uint64_t revision;
+	} cases[] = {
+		{ "none", R"({"events":[],"currentRev":7})", 0, 7 },
+		{ "a write and a deletion",
+		  R"({"events":[{"deleted":false,"object":{}},
+			{"deleted":true,"object":{}}],"currentRev":9})",
+		  2, 9 },
+		{ "without a revision", R"({"events":[{}]})", 1, 0 },
+		{ "no events", R"({"currentRev":9})", -1, 0 },
+		{ "events of another type", R"({"events":{}})", -1, 0 },
+		{ "no JSON", "{", -1, 0 },
+		{ "empty", "", -1, 0 },
+	};
+	for (const auto &c : cases) {
+		uint64_t revision = 0;
+		struct error e;
+		EXPECT_EQ(object_codec_changes(c.reply, &revision, &e), c.n)
+			<< c.name;
+		EXPECT_EQ(revision, c.revision) << c.name;
+	}
+}
+
 TEST(ObjectCodec, Mutations)
 {
 	std::string list = "{\"items\":[" + object("main", 12, kConfig) +
@@ -277,6 +355,10 @@
 		error_clear(&e);
 		catalog_destroy(object_codec_catalog(s.c_str(), &revision, &e));
 		object_codec_databases(s.c_str(), collect, &t, &page, &e);
+		std::vector<std::string> domains;
+		object_codec_evacuations(s.c_str(), collect_domain, &domains,
+					 &page, &e);
+		object_codec_changes(s.c_str(), &revision, &e);
 	}
 }
 } // namespace
