Let the fake platform evacuate domains and count statements

Cause: tests of evacuations need the operator's writes and deletions, and have to tell when the last statement reached a database. Change: the control actions evacuate and return, with events of deletions to watches, kept and written again across a restoration of the store; counters of the calls for that kind, and of the statements that arrive at each database with the time since the last one; vm_settings takes evacuate_ms. The counters of statements have no test yet.

--- a/tests/process/lib.sh
+++ b/tests/process/lib.sh
@@ -153,15 +153,17 @@
 	done
 }
 
-# vm_settings NAME NUMBER PLATFORM TIMEOUT_MS: writes the settings of a VM of the
-# form "sessions"; its failure domain is one of three, by its number
+# vm_settings NAME NUMBER PLATFORM TIMEOUT_MS [EVACUATE_MS]: writes the settings of
+# a VM of the form "sessions"; its failure domain is one of three, by its number
 vm_settings() {
+	evacuations=
+	[ -z "${5:-}" ] || evacuations=", \"evacuate_ms\": $5"
 	cat >"$T/$1.json" <<END
 { "form": "sessions", "vm": "$1", "domain": "z-$((($2 - 1) % 3 + 1))",
   "region": "r", "caller_listen": "127.0.0.1:0",
   "ready_listen": "127.0.0.1:0", "peer_listen": "127.0.0.1:0",
   "metrics_listen": "127.0.0.1:0", "platform": "$3",
-  "promotion": "$PLATFORM", "grace_s": 6, "platform_timeout_ms": $4 }
+  "promotion": "$PLATFORM", "grace_s": 6, "platform_timeout_ms": $4$evacuations }
 END
 }
 
--- a/tests/sessions/control.cc
+++ b/tests/sessions/control.cc
@@ -7,7 +7,8 @@
 //	/control?do=ACTION[&db=ID][&n=NUMBER][&key=KEY]
 // injects a fault or changes the configuration; the reply holds the counters.
 // "exchange_key" writes a configuration with other contents under the version
-// of the newest one.
+// of the newest one. "evacuate" and "return" write and delete the evacuation of
+// the failure domain "zone".
 
 void FakePlatform::on_control(evhttp_request *req, void *ctx)
 {
@@ -31,6 +32,8 @@
 		keys.insert(request_query(req, "key"));
 		config_version--;
 		write_config();
+	} else if (what == "evacuate" || what == "return") {
+		set_evacuated(request_query(req, "zone"), what == "evacuate");
 	} else if (what == "rate") {
 		rate = (uint32_t)n;
 		write_config();
@@ -150,7 +153,16 @@
 	add("revision", revision);
 	add("restored", n_restored);
 	add("away", away);
-	add("to_write_again", waiting_databases.size() + config_waits);
+	add("to_write_again",
+	    waiting_databases.size() + config_waits + evacuations_wait);
+	add("evacuations",
+	    kinds.count("evacuations") ? kinds.at("evacuations").size() : 0);
+	add("evacuation_calls", n_evacuation_calls);
+	for (const auto *db : databases) {
+		add(("arrived_" + db->id).c_str(), db->n_arrived);
+		add(("idle_ms_" + db->id).c_str(),
+		    (uint64_t)(now_ms() - db->arrived_at));
+	}
 	add("old_commits", old_commits);
 	add("config", config_version - 1);
 	return out;
--- a/tests/sessions/database.cc
+++ b/tests/sessions/database.cc
@@ -148,11 +148,15 @@
 	std::string first = text.substr(0, text.find(' '));
 	if (first == "AFTER") {
 		word(text);
-		if (!has_position(position(word(text)))) {
+		Position at = position(word(text));
+		count(text.substr(0, text.find(' ')));
+		if (!has_position(at)) {
 			refuse(c, "LAGGING");
 			ready(c);
 			return;
 		}
+	} else {
+		count(first);
 	}
 	if (refuse_busy > 0 && name != "-") {
 		refuse_busy--;
@@ -173,6 +177,16 @@
 	ready(c);
 }
 
+// Counts a statement that has arrived, unless it is a control request.
+void Database::count(const std::string &verb)
+{
+	if (verb == "STATUS" || verb == "PAUSE" || verb == "RESUME" ||
+	    verb == "STEPDOWN")
+		return;
+	n_arrived++;
+	arrived_at = FakePlatform::now_ms();
+}
+
 void Database::statement(Connection *c, const std::string &name,
 			 const std::string &text)
 {
--- a/tests/sessions/fake_platform.cc
+++ b/tests/sessions/fake_platform.cc
@@ -157,6 +157,39 @@
 	notify_watches("config", "main");
 }
 
+// Evacuates a failure domain, or withdraws that.
+void FakePlatform::set_evacuated(const std::string &zone, bool is_evacuated)
+{
+	if (is_evacuated)
+		evacuated.insert(zone);
+	else
+		evacuated.erase(zone);
+	put_evacuations();
+}
+
+// Writes and deletes the operator's evacuations where the store has others, or
+// keeps that until the store is back.
+void FakePlatform::put_evacuations()
+{
+	evacuations_wait = away;
+	if (away)
+		return;
+	auto &o = kinds["evacuations"];
+	std::set<std::string> names = evacuated;
+	for (const auto &e : o)
+		names.insert(e.first);
+	for (const auto &name : names) {
+		bool is_there = o.count(name) != 0;
+		if (is_there == (evacuated.count(name) != 0))
+			continue;
+		if (is_there)
+			o.erase(name);
+		else
+			o[name].spec = "{}";
+		notify_watches("evacuations", name);
+	}
+}
+
 // Copies the primary's log to the replicas that are running, connected to it
 // and not paused for a later term. They apply it after their lag.
 void FakePlatform::replicate(Database *from)
@@ -216,6 +249,8 @@
 	std::string path =
 		evhttp_uri_get_path(evhttp_request_get_evhttp_uri(req));
 	keep_store_connection(req);
+	if (path.rfind(std::string(kObjects) + "evacuations", 0) == 0)
+		n_evacuation_calls++;
 	if (away) {
 		refuse_while_away(req);
 		return;
@@ -349,6 +384,12 @@
 				  ("{\"deleted\":false,\"object\":" +
 				   object(o.first, o.second) + "}");
 	}
+	for (const auto &o : deleted[kind]) {
+		if (o.second.revision > from && !watches_deaf)
+			events += (events.empty() ? "" : ",") +
+				  ("{\"deleted\":true,\"object\":" +
+				   object(o.first, o.second) + "}");
+	}
 	if (!events.empty()) {
 		store_reply(req, 200,
 			    "{\"events\":[" + events + "],\"currentRev\":" +
@@ -407,25 +448,30 @@
 void FakePlatform::notify_watches(const std::string &kind,
 				  const std::string &name)
 {
-	auto o = kinds[kind].find(name);
+	auto found = kinds[kind].find(name);
+	bool is_deleted = found == kinds[kind].end();
 	revision++;
-	if (o != kinds[kind].end()) {
-		o->second.revision = revision;
-		history.written(now_ms(), kind, name, o->second);
-	} else {
+	Object changed = { "{}", revision };
+	if (is_deleted) {
+		deleted[kind][name] = changed;
 		history.deleted(now_ms(), kind, name, revision);
+	} else {
+		deleted[kind].erase(name);
+		found->second.revision = revision;
+		changed = found->second;
+		history.written(now_ms(), kind, name, changed);
 	}
 	for (size_t i = 0; i < watches.size();) {
-		if (watches[i].kind != kind || o == kinds[kind].end() ||
-		    watches_deaf) {
+		if (watches[i].kind != kind || watches_deaf) {
 			i++;
 			continue;
 		}
 		evhttp_request *req = watches[i].req;
 		watches.erase(watches.begin() + (long)i);
 		store_reply(req, 200,
-			    "{\"events\":[{\"deleted\":false,\"object\":" +
-				    object(name, o->second) +
+			    std::string("{\"events\":[{\"deleted\":") +
+				    (is_deleted ? "true" : "false") +
+				    ",\"object\":" + object(name, changed) +
 				    "}],\"currentRev\":" +
 				    std::to_string(revision) + "}");
 	}
--- a/tests/sessions/fake_platform.h
+++ b/tests/sessions/fake_platform.h
@@ -76,6 +76,10 @@
 	// number of statements to execute and then leave without a reply, by
 	// closing the connection
 	int lose_replies = 0;
+	// Statements that have arrived, in transactions too, and when the last
+	// one did; requests for the status or a promotion don't count.
+	uint64_t n_arrived = 0;
+	int64_t arrived_at = 0;
 	int refuse_busy = 0; // number of statements to refuse as BUSY
 	size_t max_connections = 40;
 	bool mute = false; // takes requests and answers none of them
@@ -96,6 +100,7 @@
 	static void on_event(bufferevent *bev, short what, void *ctx);
 	void line(Connection *c, const std::string &text);
 	void query(Connection *c, const std::string &id, std::string text);
+	void count(const std::string &verb);
 	void statement(Connection *c, const std::string &id,
 		       const std::string &text);
 	void read(Connection *c, const std::string &id, const std::string &item,
@@ -136,6 +141,8 @@
 
 	void replicate(Database *from);
 	void run_after(int ms, std::function<void()> fn);
+	// A steady clock, in milliseconds.
+	static int64_t now_ms();
 	void register_db(Database *db);
 	// Returns the primary of the newest term, or NULL.
 	Database *newest_primary() const;
@@ -166,6 +173,8 @@
 	bool control_database(evhttp_request *req, const std::string &what,
 			      int n);
 	bool control_store(evhttp_request *req, const std::string &what, int n);
+	void set_evacuated(const std::string &zone, bool evacuated);
+	void put_evacuations();
 	std::string counters() const;
 	void write_config();
 	void put_config();
@@ -191,12 +200,13 @@
 	void write_again();
 	void restore_after(const std::string &event);
 	uint32_t random();
-	static int64_t now_ms();
 
 	evhttp *http;
 	int http_port = 0;
 	int second_port = 0; // of the store, for VMs that it may turn away
 	Objects kinds;
+	// Deleted objects, with the revision of the deletion.
+	Objects deleted;
 	ObjectHistory history;
 	uint64_t revision = 1;
 	// Watches from an earlier revision fail, as if the platform had
@@ -220,6 +230,9 @@
 	// What is to be written again, or was not accepted while it was away.
 	std::set<std::string> waiting_databases;
 	bool config_waits = false;
+	std::set<std::string> evacuated; // as the operator wants it
+	bool evacuations_wait = false;
+	uint64_t n_evacuation_calls = 0; // for that kind, answered or not
 	Restoration armed;
 	uint64_t n_restored = 0;
 	uint32_t seed = 1;
--- a/tests/sessions/restoration.cc
+++ b/tests/sessions/restoration.cc
@@ -79,6 +79,7 @@
 {
 	kinds = history.copy(at, &revision);
 	history.cut(at);
+	deleted.clear();
 	history_from = std::min(history_from, revision);
 	if (tells_era)
 		era++;
@@ -88,6 +89,10 @@
 	old_replies_next = 0;
 	if (kinds["config"]["main"].spec != config_spec)
 		config_waits = true;
+	std::set<std::string> copied;
+	for (const auto &o : kinds["evacuations"])
+		copied.insert(o.first);
+	evacuations_wait |= copied != evacuated;
 	for (auto *db : databases) {
 		const auto &then = kinds["servers"];
 		const auto &before = old_kinds["servers"];
@@ -112,6 +117,8 @@
 				       waiting_databases.end());
 	if (config_waits)
 		names.push_back("");
+	if (evacuations_wait)
+		put_evacuations();
 	for (size_t i = names.size(); i > 1; i--)
 		std::swap(names[i - 1], names[random() % i]);
 	for (const auto &name : names) {
