Follow which failure domains are evacuated

Cause: no statement may reach a database of a domain that the operator has evacuated, so all VMs have to know the evacuations, also those that the store turns away or that have just started. Change: with the setting evacuate_ms, VMs that read for their domain list the evacuations in turn and watch them. After a change that a watch tells, the kind is listed again, as positions order whole sets only. Heartbeats pass on the newest known set with its position and the age of its read, to which each VM adds a fixed transit time. A change is told to the whole domain, by readers to all readers, and applied to the databases. A VM that knows no set is not ready: it waits for a peer's or for a list of a store whose era it has known for 2.5 s, since an earlier list may lack entries after a restoration. Events 6011 and 6012, two counters and a histogram tell of it. Conclusion: statements do not depend on the set yet.

--- a/src/kernel/counters.h
+++ b/src/kernel/counters.h
@@ -29,6 +29,10 @@
 	  "new eras of the platform's store heard of")                        \
 	X(STORE_PAST, "platform_past_replies_total",                          \
 	  "replies of an earlier era of the platform's store")                \
+	X(EVACUATIONS_STARTED, "evacuations_started_total",                   \
+	  "evacuations of failure domains learned of")                        \
+	X(EVACUATIONS_ENDED, "evacuations_ended_total",                       \
+	  "ends of evacuations learned of")                                   \
 	X(PEER_SENT, "peer_messages_sent_total", "messages sent to peers")    \
 	X(PEER_SENT_BYTES, "peer_sent_bytes_total", "bytes sent to peers")    \
 	X(PEER_RECEIVED, "peer_messages_received_total",                      \
--- a/src/kernel/latency.h
+++ b/src/kernel/latency.h
@@ -14,7 +14,9 @@
 	X(PLATFORM, "platform_seconds", "calls to the platform")            \
 	X(LIMIT, "limit_seconds", "questions for tokens of team limits")    \
 	X(CONFIRM, "config_unconfirmed_seconds",                            \
-	  "between reads of the configuration, by this VM or a peer")
+	  "between reads of the configuration, by this VM or a peer")       \
+	X(EVACUATION_AGE, "evacuations_unconfirmed_seconds",                \
+	  "between reads of the evacuations, by this VM or a peer")
 
 enum latency {
 #define X(id, name, help) LATENCY_##id,
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -66,6 +66,8 @@
 	X(6008, STORE_PAST, WARN, "reply of an earlier era")                \
 	X(6009, CONFIG_UNCONFIRMED, WARN, "configuration not read lately")  \
 	X(6010, CONFIG_CONFIRMED, INFO, "configuration read again")         \
+	X(6011, EVACUATION_STARTED, WARN, "failure domain is evacuated")    \
+	X(6012, EVACUATION_ENDED, WARN, "evacuation was withdrawn")         \
 	X(7001, PEER_BAD_MESSAGE, WARN, "message of a peer refused")        \
 	X(7002, PEER_JOINED, INFO, "VM joined")                             \
 	X(7003, PEER_GONE, WARN, "VM gone")                                 \
--- a/src/kernel/wire.c
+++ b/src/kernel/wire.c
@@ -43,6 +43,21 @@
 	return o ? o->via.u64 : 0;
 }
 
+/*
+ * Skips a field that is nil; one that is missing, as senders of an earlier
+ * version leave it out, counts as nil.
+ */
+bool wire_skip_nil(struct wire_reader *r)
+{
+	if (r->bad || r->left == 0)
+		return true;
+	if (r->next->type != MSGPACK_OBJECT_NIL)
+		return false;
+	r->next++;
+	r->left--;
+	return true;
+}
+
 /* Reads a signed integer of 64 bits. */
 int64_t wire_i64(struct wire_reader *r)
 {
--- a/src/kernel/wire.h
+++ b/src/kernel/wire.h
@@ -22,6 +22,8 @@
 struct wire_reader wire_array(const msgpack_object *o, uint32_t min);
 uint64_t wire_u64(struct wire_reader *r);
 int64_t wire_i64(struct wire_reader *r);
+/* Skips a field that is nil or missing; false if there is another one. */
+bool wire_skip_nil(struct wire_reader *r);
 bool wire_bool(struct wire_reader *r);
 /*
  * Copies a string without NULs that is shorter than "size"; otherwise the
--- a/src/proxy/heartbeat_codec.c
+++ b/src/proxy/heartbeat_codec.c
@@ -41,6 +41,7 @@
 static bool decode_heartbeat(struct heartbeat *b, struct wire_reader *r,
 			     const struct sockaddr_storage *from,
 			     socklen_t from_len);
+static usec_t datagram_waited(const struct heartbeat *b);
 static void read_digest(const struct heartbeat *b, struct wire_reader *r,
 			struct registry_digest *out);
 static uint64_t longer_age(uint64_t age_ms, uint64_t by_ms);
@@ -52,7 +53,8 @@
 
 /*
  * Encodes [type, name, domain, incarnation, draining, digest, groups, news,
- * share of a core in hundredths, ready, the platform does not answer].
+ * share of a core in hundredths, ready, the platform does not answer,
+ * evacuations].
  */
 void heartbeat_encode(struct heartbeat *b, msgpack_sbuffer *buf, usec_t now)
 {
@@ -69,7 +71,7 @@
 			reported[n++] = p->groups[i];
 	}
 	msgpack_packer_init(&packer, buf, msgpack_sbuffer_write);
-	msgpack_pack_array(&packer, 11);
+	msgpack_pack_array(&packer, 12);
 	msgpack_pack_uint32(&packer, PEER_MSG_HEARTBEAT);
 	wire_put_str(&packer, s->vm);
 	wire_put_str(&packer, s->domain);
@@ -86,6 +88,7 @@
 	msgpack_pack_uint32(&packer, heartbeat_own_capacity(b));
 	msgpack_pack_uint32(&packer, proxy_can_execute(p));
 	msgpack_pack_uint32(&packer, b->own_platform_fails);
+	registry_pack_evacuations(p->registry, &packer, now);
 }
 
 /*
@@ -322,7 +325,18 @@
 	heartbeat_on_received(b, v, prev_seen_at);
 	registry_on_peer_digest(b->proxy->registry, v->name, &digest,
 				v->last_seen_at);
-	return true;
+	return registry_on_peer_evacuations(b->proxy->registry, v->name, r,
+					    datagram_waited(b),
+					    v->last_seen_at);
+}
+
+/*
+ * Returns how long a datagram may have waited: since the last tick, which is
+ * long ago if this VM was suspended.
+ */
+static usec_t datagram_waited(const struct heartbeat *b)
+{
+	return b->arrived_after ? proxy_now() - b->arrived_after : 0;
 }
 
 /*
--- a/src/proxy/proxy.c
+++ b/src/proxy/proxy.c
@@ -162,11 +162,14 @@
 	return !p->draining && proxy_can_execute(p) && p->limits_known;
 }
 
-/* Returns true if this VM knows the configuration, the databases and the VMs.
+/*
+ * Returns true if this VM knows the configuration, the databases, the VMs and
+ * the evacuations.
  */
 bool proxy_can_execute(const struct proxy *p)
 {
-	return p->catalog && p->databases_known && p->vms_known;
+	return p->catalog && p->databases_known && p->vms_known &&
+	       registry_evacuations_known(p->registry);
 }
 
 /*
--- a/src/proxy/registry.c
+++ b/src/proxy/registry.c
@@ -120,6 +120,10 @@
 		  registry_handle_databases);
 	poll_init(r, &r->vms, REGISTRY_VMS, handle_vms);
 	poll_init(r, &r->self, REGISTRY_VMS, handle_self);
+	poll_init(r, &r->evacuations.list, REGISTRY_EVACUATIONS,
+		  registry_handle_evacuation_list);
+	poll_init(r, &r->evacuations.watch, REGISTRY_EVACUATIONS,
+		  registry_handle_evacuation_watch);
 	return r;
 }
 
@@ -149,6 +153,7 @@
 	registry_catalog_tick(r, now);
 	registry_confirm_tick(r, now);
 	registry_list_tick(r, now);
+	registry_evacuation_tick(r, now);
 	probe(r, now);
 	check_outdated(&r->old_catalog, &r->read, now);
 	check_outdated(&r->old_databases, &r->databases, now);
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -3,6 +3,7 @@
 
 #include "decide/error.h"
 #include "decide/promotion_claim.h"
+#include "kernel/wire.h"
 #include "proxy/catalog.h"
 
 /*
@@ -161,6 +162,17 @@
  * has no evacuations (setting evacuate_ms).
  */
 bool registry_evacuations_known(const struct registry *r);
+/* Encodes the newest known evacuations for a heartbeat; nil if there are none.
+ */
+void registry_pack_evacuations(const struct registry *r, msgpack_packer *p,
+			       usec_t now);
+/*
+ * Decodes what a peer encoded so. Returns false if it is malformed; "waited" is
+ * how long the message may have waited here.
+ */
+bool registry_on_peer_evacuations(struct registry *r, const char *peer,
+				  struct wire_reader *in, usec_t waited,
+				  usec_t now);
 /* Obtains the newest list of databases, from a peer if possible. */
 void registry_refresh_databases(struct registry *r, usec_t now);
 /* Lists the databases now, or right after the list in progress. */
--- a/src/proxy/registry_internal.h
+++ b/src/proxy/registry_internal.h
@@ -1,6 +1,7 @@
 #ifndef PROXY_REGISTRY_INTERNAL_H
 #define PROXY_REGISTRY_INTERNAL_H
 
+#include "decide/evacuated_set.h"
 #include "kernel/platform.h"
 #include "proxy/proxy_internal.h"
 
@@ -43,6 +44,25 @@
 	char *reply;	   /* copy made on the platform's thread */
 };
 
+/* What this VM knows of evacuations; see registry_evacuation.c. */
+struct evacuations {
+	struct evacuated_set known;
+	struct poll list;
+	struct poll watch;
+	/* the list in progress, and when its first page was requested */
+	struct evacuated_set reading;
+	usec_t reading_since;
+	uint32_t n_pages; /* of the list in progress */
+	/* a watch told of a change at this position */
+	struct store_position changed_at;
+	uint64_t watch_era; /* of the position that the watch began at */
+	/* the store has no history from the known position on */
+	bool history_gone;
+	struct shared_poll poll; /* lists of this VM and its peers */
+	usec_t started_at;
+	uint32_t logged_skipped; /* entries of a list that were not taken */
+};
+
 struct registry {
 	struct proxy *proxy;
 	struct poll read;  /* reads the whole catalogue */
@@ -98,6 +118,7 @@
 	bool list_is_turn;   /* the list in progress is this VM's turn */
 	bool was_reader;     /* this VM read for its domain at the last tick */
 	bool is_unconfirmed; /* for too long; logged */
+	struct evacuations evacuations;
 };
 
 /* registry.c */
@@ -138,6 +159,12 @@
  */
 void registry_confirm_tick(struct registry *r, usec_t now);
 
+/* registry_evacuation.c */
+void registry_handle_evacuation_list(struct registry *r, struct poll *p);
+void registry_handle_evacuation_watch(struct registry *r, struct poll *p);
+/* Lists and watches the evacuations when it is due. */
+void registry_evacuation_tick(struct registry *r, usec_t now);
+
 /* registry_list.c */
 void registry_request_databases(struct registry *r, const char *after_id,
 				usec_t now);
