--- a/src/kernel/latency.h
+++ b/src/kernel/latency.h
@@ -16,7 +16,9 @@
 	X(HANDOVER, "handover_seconds",                                     \
 	  "from a known evacuation to another primary")                     \
 	X(CONFIRM, "config_unconfirmed_seconds",                            \
-	  "between reads of the configuration, by this VM or a peer")
+	  "between reads of the configuration, by this VM or a peer")       \
+	X(EVACUATION_AGE, "evacuations_unconfirmed_seconds",                \
+	  "between reads of the evacuations, by this VM or a peer")
 
 enum latency {
 #define X(id, name, help) LATENCY_##id,
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -4,6 +4,7 @@
 #include "decide/confirmation.h"
 #include "decide/error.h"
 #include "decide/promotion_claim.h"
+#include "kernel/wire.h"
 #include "proxy/catalog.h"
 
 /*
@@ -13,10 +14,11 @@
  */
 
 /* Names of these collections in calls of kernel/platform.h. */
-#define REGISTRY_CATALOG   "catalog"
-#define REGISTRY_DATABASES "databases"
-#define REGISTRY_VMS	   "vms"
-#define REGISTRY_CLAIM	   "duty"
+#define REGISTRY_CATALOG     "catalog"
+#define REGISTRY_DATABASES   "databases"
+#define REGISTRY_VMS	     "vms"
+#define REGISTRY_CLAIM	     "duty"
+#define REGISTRY_EVACUATIONS "evacuations"
 
 /* A database's entry in the registry. */
 struct registry_db {
@@ -67,6 +69,8 @@
 
 typedef void (*registry_db_fn)(void *ctx, const struct registry_db *db);
 typedef void (*registry_vm_fn)(void *ctx, const struct registry_vm *vm);
+/* Returns false if the entry can't be taken; it counts as skipped then. */
+typedef bool (*registry_domain_fn)(void *ctx, const char *domain);
 
 struct registry_codec {
 	/*
@@ -84,7 +88,14 @@
 			 struct registry_page *page, struct error *e);
 	int (*vms)(const char *reply, registry_vm_fn fn, void *ctx,
 		   struct registry_page *page, struct error *e);
+	int (*evacuations)(const char *reply, registry_domain_fn fn, void *ctx,
+			   struct registry_page *page, struct error *e);
 	int (*claim)(const char *reply, struct registry_claim_record *out);
+	/*
+	 * The number of changes in the reply to a watch of any collection, and
+	 * the revision up to which it tells them; -1: it is malformed.
+	 */
+	int (*changes)(const char *reply, uint64_t *revision, struct error *e);
 	/* Writers of object bodies; the result is malloc'd. */
 	char *(*vm_body)(const struct registry_vm *vm);
 	char *(*claim_body)(const struct registry_claim_record *duty);
@@ -155,6 +166,17 @@
  * has no evacuations (setting evacuate_ms).
  */
 bool registry_evacuations_known(const struct registry *r);
+/* Encodes the newest known evacuations for a heartbeat; nil if there are none.
+ */
+void registry_pack_evacuations(const struct registry *r, msgpack_packer *p,
+			       usec_t now);
+/*
+ * Decodes what a peer encoded so. Returns false if it is malformed; "waited" is
+ * how long the message may have waited here.
+ */
+bool registry_on_peer_evacuations(struct registry *r, const char *peer,
+				  struct wire_reader *in, usec_t waited,
+				  usec_t now);
 /* Obtains the newest list of databases, from a peer if possible. */
 void registry_refresh_databases(struct registry *r, usec_t now);
 /* Lists the databases now, or right after the list in progress. */
