Test a VM that starts with a store that lacks an evacuation

Cause: a VM that starts right after a restoration of the store has not known the store before, so its list counted as complete would end the evacuation. Conclusion: none.

--- a/tests/process/evacuation.sh
+++ b/tests/process/evacuation.sh
@@ -49,6 +49,7 @@
 }
 
 knows_evacuation() { grep -q " evacuation_started .*domain=$2 " "$T/$1.out"; }
+platform_has() { curl -s "http://$PLATFORM/control?do=count" | grep -q "^$1\$"; }
 tell_platform() { curl -s -o /dev/null "http://$PLATFORM/control?$1"; }
 
 topology_begin
@@ -69,6 +70,16 @@
     eventually 30 knows_evacuation q2 z-4
 tell_platform "do=store_down&n=0"
 ok "q2 gets ready" eventually 200 vm_ready q2
+# Guards against a VM that starts with a store that lacks the evacuation.
+tell_platform "do=restore&age=100000000&down=100&rewrite=2000"
+ok "the store is an older copy" eventually 20 platform_has "away 0"
+restart_vm q3
+ok "q3, started with an older copy, learns of the evacuation" \
+    eventually 20 knows_evacuation q3 z-4
+ok "the copy still lacks the evacuation" platform_has "evacuations 0"
+ok "q3 gets ready" eventually 200 vm_ready q3
+ok "q1 does not believe that the evacuation ended" \
+    not grep -q " evacuation_ended .*domain=z-4 " "$T/q1.out"
 stop_fleet
 
 # Two VMs of each failure domain read for it here; r4 is none of them at first.
