Count a list as known when all VMs start, and execute nothing before

And sessions and forwarded statements did not ask whether evacuations are known. Change: without a peer's set for 0.6 s a VM's own list counts; sessions and forwarded statements are refused before.

--- a/src/proxy/registry_evacuation.c
+++ b/src/proxy/registry_evacuation.c
@@ -36,6 +36,13 @@
  * evacuations whether it reads for its domain or not.
  */
 #define PEER_SET_US USEC_PER_SEC
+/*
+ * A VM that starts, and gets no set from a peer in this time, counts its own
+ * list as known though the store may just have been restored: all VMs have
+ * started then, and to wait until the list is settled would keep the whole
+ * fleet from serving for 1.6 s more.
+ */
+#define ALONE_US (600 * USEC_PER_MSEC)
 /*
  * Added to the age of a read with each VM that tells it, more than a heartbeat
  * takes: a read that is passed on becomes older, never younger.
@@ -80,7 +87,10 @@
 /* Returns true if evacuations are known, or if there are none. */
 bool registry_evacuations_known(const struct registry *r)
 {
-	return !is_enabled(r) || r->evacuations.known.is_known;
+	const struct evacuations *v = &r->evacuations;
+
+	return !is_enabled(r) || v->known.is_known ||
+	       (v->poll.asked_at && proxy_now() - v->started_at >= ALONE_US);
 }
 
 /* Sends the requests that are due. */
@@ -354,7 +364,7 @@
 	const struct evacuated_set *s = &r->evacuations.known;
 	uint32_t i;
 
-	if (!is_enabled(r) || !s->is_known) {
+	if (!is_enabled(r) || !registry_evacuations_known(r)) {
 		msgpack_pack_nil(p);
 		return;
 	}
--- a/src/proxy/remote_server.c
+++ b/src/proxy/remote_server.c
@@ -88,7 +88,9 @@
 	v->number = m.number;
 	g = db_group_find(l->proxy, m.service);
 	db = g ? db_group_find_member(g, m.database) : DB_NONE;
-	if (!g || db == DB_NONE || !load_statement(&v->session, &m)) {
+	if (!g || db == DB_NONE ||
+	    !registry_evacuations_known(l->proxy->registry) ||
+	    !load_statement(&v->session, &m)) {
 		remote_server_refuse(&v->session, REPLY_ERR_WRONG_DATABASE, 0);
 		return;
 	}
--- a/src/proxy/session.c
+++ b/src/proxy/session.c
@@ -284,6 +284,11 @@
 		fail_and_close(s, REPLY_ERR_BUSY, "no configuration yet");
 		return;
 	}
+	if (!registry_evacuations_known(s->proxy->registry)) {
+		fail_and_close(s, REPLY_ERR_BUSY,
+			       "evacuated domains not known yet");
+		return;
+	}
 	if (!load_route(s, &code)) {
 		code = unconfigured_code(s, code);
 		log_refused_session(s, code);
