Show that all VMs begin a failover at once when the store is back

Cause: the delay of a rank counts from the cause of a failover. When the store, or whatever keeps all VMs from acting, comes back later than that, the delays of all ranks are over. Change: a table of what may hold VMs back; no change of the code. Result: fails at each rank above 0.

--- a/tests/decide/failover_fsm_test.cc
+++ b/tests/decide/failover_fsm_test.cc
@@ -155,6 +155,50 @@
 	}
 }
 
+// Guards against VMs that begin failovers of one group at the same moment, and
+// supersede each other's claims: what had kept them back ends for all at once,
+// long after the cause began.
+TEST(FailoverFsm, RanksCountFromTheEndOfWhatHeldAllBack)
+{
+	const struct {
+		const char *name;
+		void (*hold)(struct failover_fsm_env *env, bool held);
+	} cases[] = {
+		{ "the store was away",
+		  [](struct failover_fsm_env *env, bool held) {
+			  env->platform_up = !held;
+		  } },
+		{ "the databases were not all known",
+		  [](struct failover_fsm_env *env, bool held) {
+			  env->knows_all_dbs = !held;
+		  } },
+		{ "the fleet was split",
+		  [](struct failover_fsm_env *env, bool held) {
+			  env->hears_most_vms = !held;
+		  } },
+		{ "a peer acted and failed",
+		  [](struct failover_fsm_env *env, bool held) {
+			  env->peer_is_acting = held;
+		  } },
+	};
+	for (const auto &c : cases) {
+		for (uint32_t rank = 0; rank < 4; rank++) {
+			Group g;
+			const usec_t delay = rank * kPolicy.stagger;
+			g.env.cause = FAILOVER_CAUSE_DEPARTING;
+			g.env.rank = rank;
+			c.hold(&g.env, true);
+			EXPECT_EQ(g.run(5 * USEC_PER_SEC), "") << c.name;
+			c.hold(&g.env, false);
+			if (rank > 0) {
+				EXPECT_EQ(g.run(delay - 20 * kMs), "")
+					<< c.name << rank;
+			}
+			EXPECT_EQ(g.run(50 * kMs), "C ") << c.name << rank;
+		}
+	}
+}
+
 // Guards against two VMs that promote in turn: a departing primary that was
 // promoted again, since no replica had its log, departs as seen from all VMs.
 TEST(FailoverFsm, PromotionByAnotherVmLeavesItTheNextOne)
