Count the delays of ranks from when a failover can begin

Beside it, in a large fleet the VM that acts told those of the first ranks by hash, while ranks leave out VMs that the store does not answer; so the VMs that would act next did not hear of it. Change: the delay of a rank counts from when nothing else keeps the VM from acting (able_since). The VMs told are those of the first ranks in the order that counts. VMs of later ranks, which hear of no attempt in a large fleet, wait 1.5 s more, what an attempt takes.

--- a/src/decide/failover_choice.c
+++ b/src/decide/failover_choice.c
@@ -29,8 +29,24 @@
 enum failover_fsm_hold failover_fsm_hold(const struct failover_fsm *s,
 					 const struct failover_fsm_env *env)
 {
-	enum failover_fsm_hold hold;
+	enum failover_fsm_hold hold = failover_hold_of_vm(s, env);
 
+	if (hold == FAILOVER_HOLD_NONE)
+		hold = hold_of_successor(env);
+	if (hold != FAILOVER_HOLD_NONE)
+		return hold;
+	return env->now - s->able_since < (usec_t)env->rank * s->policy.stagger
+		       ? FAILOVER_HOLD_RANK
+		       : FAILOVER_HOLD_NONE;
+}
+
+/*
+ * Returns what keeps this VM from acting at all. That may end for all VMs at
+ * the same moment, so the delays of their ranks count from there.
+ */
+enum failover_fsm_hold failover_hold_of_vm(const struct failover_fsm *s,
+					   const struct failover_fsm_env *env)
+{
 	if (s->cause_since == 0)
 		return FAILOVER_HOLD_NO_CAUSE;
 	if (env->now < s->quiet_until)
@@ -46,12 +62,7 @@
 	if (!env->promoted_here && env->term_known_at &&
 	    env->now - env->term_known_at < s->policy.turn)
 		return FAILOVER_HOLD_TURN;
-	hold = hold_of_successor(env);
-	if (hold != FAILOVER_HOLD_NONE)
-		return hold;
-	return env->now - s->cause_since < (usec_t)env->rank * s->policy.stagger
-		       ? FAILOVER_HOLD_RANK
-		       : FAILOVER_HOLD_NONE;
+	return FAILOVER_HOLD_NONE;
 }
 
 /* Returns whether the primary may be replaced, and by any of the others. */
--- a/src/decide/failover_fsm.c
+++ b/src/decide/failover_fsm.c
@@ -60,6 +60,10 @@
 		s->cause_since = 0;
 	else if (s->cause_since == 0)
 		s->cause_since = env->now;
+	if (failover_hold_of_vm(s, env) != FAILOVER_HOLD_NONE)
+		s->able_since = 0;
+	else if (s->able_since == 0)
+		s->able_since = env->now;
 	if (s->phase != FAILOVER_IDLE &&
 	    env->now - s->phase_at > s->policy.phase_max &&
 	    !(s->phase == FAILOVER_GUARD &&
--- a/src/decide/failover_fsm.h
+++ b/src/decide/failover_fsm.h
@@ -153,7 +153,10 @@
 	struct failover_fsm_policy policy;
 	enum failover_fsm_phase phase;
 	enum failover_fsm_cause cause;
-	usec_t cause_since;	/* start of the current cause; 0: no cause */
+	usec_t cause_since; /* start of the current cause; 0: no cause */
+	/* nothing but its rank has kept this VM from acting since; 0: something
+	 * does */
+	usec_t able_since;
 	usec_t phase_at;	/* start of the phase */
 	usec_t began_at;	/* start of the attempt */
 	usec_t asked_at;	/* time of the phase's last requests; 0: none */
--- a/src/decide/failover_fsm_internal.h
+++ b/src/decide/failover_fsm_internal.h
@@ -8,6 +8,9 @@
  * decides when they begin and which database is promoted.
  */
 
+/* What keeps this VM from acting at all, whatever the databases are like. */
+enum failover_fsm_hold failover_hold_of_vm(const struct failover_fsm *s,
+					   const struct failover_fsm_env *env);
 bool failover_is_eligible(const struct failover_fsm_env *env, uint32_t i);
 bool failover_caught_up(const struct failover_fsm *s,
 			const struct failover_fsm_env *env);
--- a/src/proxy/failover.c
+++ b/src/proxy/failover.c
@@ -34,6 +34,10 @@
  * counted from when this VM learned of the promotion, which is later.
  */
 #define TURN_US (3 * USEC_PER_SEC)
+/*
+ * Steps of the delay of a rank in 1.5 s: a failover with its guard takes less.
+ */
+#define UNHEARD_RANKS 6
 /* Interval between attempts to resume replicas. */
 #define RESUME_RETRY_US (300 * USEC_PER_MSEC)
 /*
@@ -246,8 +250,9 @@
 }
 
 /*
- * Returns this VM's rank for the group; it changes with the live VMs and those
- * that the platform answers.
+ * Returns this VM's rank for the group; it changes with the live VMs and with
+ * those that the store answers. VMs that would not hear of a failover in
+ * progress come later by what one takes.
  */
 static uint32_t own_rank(struct db_group *g)
 {
@@ -255,6 +260,9 @@
 
 	if (g->rank_version != heartbeat_rank_version(b) + 1) {
 		g->rank = heartbeat_rank(b, g->service);
+		if (g->rank >= FAILOVER_FIRST_RANKS &&
+		    !heartbeat_is_full_mesh(b))
+			g->rank += UNHEARD_RANKS;
 		g->rank_version = heartbeat_rank_version(b) + 1;
 	}
 	return g->rank;
--- a/src/proxy/heartbeat.c
+++ b/src/proxy/heartbeat.c
@@ -22,9 +22,7 @@
  * db_group_proof.c, and the reads of heartbeat_confirm.c.
  */
 
-/* VMs that take part in a failover of a group by their rank. */
-#define FAILOVER_RANKS 3
-#define PEERS_MAX      RATE_LIMIT_PEERS_MAX
+#define PEERS_MAX RATE_LIMIT_PEERS_MAX
 /*
  * A VM that has been silent for this long was removed; a pause or a network
  * fault lasts seconds.
@@ -304,28 +302,12 @@
 static void add_failover_peers(struct heartbeat *b, struct db_group *g,
 			       bool *targets)
 {
-	XXH64_hash_t limit = UINT64_MAX;
-	uint32_t rank;
+	uint32_t picked[FAILOVER_FIRST_RANKS];
+	uint32_t n = heartbeat_first_ranks(b, g->service, picked);
 	uint32_t i;
 
-	for (rank = 0; rank < FAILOVER_RANKS; rank++) {
-		uint32_t next = b->n;
-		XXH64_hash_t best = 0;
-
-		for (i = 0; i < b->n; i++) {
-			XXH64_hash_t h = heartbeat_rank_hash(b->peers[i]->name,
-							     g->service);
-
-			if (!b->peers[i]->silent && h < limit && h >= best) {
-				best = h;
-				next = i;
-			}
-		}
-		if (next == b->n)
-			break;
-		targets[next] = true;
-		limit = best;
-	}
+	for (i = 0; i < n; i++)
+		targets[picked[i]] = true;
 	for (i = 0; i < DB_GROUP_MEMBERS_MAX; i++) {
 		const char *owner =
 			g->db[i].present ? db_member_owner(&g->db[i]) : NULL;
--- a/src/proxy/heartbeat_internal.h
+++ b/src/proxy/heartbeat_internal.h
@@ -105,6 +105,12 @@
 /* Finds a peer by the hash of its name, or NULL. */
 struct peer_vm *heartbeat_find_hash(const struct heartbeat *b, uint32_t hash);
 uint32_t heartbeat_name_hash(const char *name);
+/*
+ * Finds the peers that begin a failover of the service first, by their indexes;
+ * returns how many, at most FAILOVER_FIRST_RANKS.
+ */
+uint32_t heartbeat_first_ranks(const struct heartbeat *b, const char *service,
+			       uint32_t out[FAILOVER_FIRST_RANKS]);
 /* The rendezvous hash of a VM for a service. */
 uint64_t heartbeat_rank_hash(const char *vm, const char *service);
 /* Applies newer news of a peer that another one passed on. */
--- a/src/proxy/heartbeat_view.c
+++ b/src/proxy/heartbeat_view.c
@@ -15,6 +15,8 @@
  * report of primaries.
  */
 
+static struct failover_rank_vm rank_of_peer(const struct peer_vm *v,
+					    const char *service);
 static bool reads_for_domain(const struct heartbeat *b,
 			     const struct peer_vm *v);
 static uint32_t add_vm(struct reader_vm *vm, uint32_t n, const char *name,
@@ -65,11 +67,7 @@
 
 	for (i = 0; i < b->n; i++) {
 		const struct peer_vm *v = b->peers[i];
-		const struct failover_rank_vm peer = {
-			.hash = heartbeat_rank_hash(v->name, service),
-			.is_draining = v->draining,
-			.fails = v->platform_fails,
-		};
+		const struct failover_rank_vm peer = rank_of_peer(v, service);
 
 		rank += v->ready && !v->silent &&
 			failover_rank_is_before(&peer, &own);
@@ -77,6 +75,49 @@
 	return rank;
 }
 
+/* Describes a peer for the order in which VMs begin a failover. */
+static struct failover_rank_vm rank_of_peer(const struct peer_vm *v,
+					    const char *service)
+{
+	return (struct failover_rank_vm){
+		.hash = heartbeat_rank_hash(v->name, service),
+		.is_draining = v->draining,
+		.fails = v->platform_fails,
+	};
+}
+
+/* Finds the peers that begin a failover first, in the order of their ranks. */
+uint32_t heartbeat_first_ranks(const struct heartbeat *b, const char *service,
+			       uint32_t out[FAILOVER_FIRST_RANKS])
+{
+	struct failover_rank_vm best[FAILOVER_FIRST_RANKS];
+	uint32_t n = 0;
+	uint32_t i;
+	uint32_t at;
+
+	for (i = 0; i < b->n; i++) {
+		const struct peer_vm *v = b->peers[i];
+		const struct failover_rank_vm peer = rank_of_peer(v, service);
+
+		if (!v->ready || v->silent)
+			continue;
+		for (at = n; at > 0; at--) {
+			if (!failover_rank_is_before(&peer, &best[at - 1]))
+				break;
+			if (at < FAILOVER_FIRST_RANKS) {
+				best[at] = best[at - 1];
+				out[at] = out[at - 1];
+			}
+		}
+		if (at == FAILOVER_FIRST_RANKS)
+			continue;
+		best[at] = peer;
+		out[at] = i;
+		n += n < FAILOVER_FIRST_RANKS;
+	}
+	return n;
+}
+
 /* Returns a number that changes whenever heartbeat_rank() may change. */
 uint64_t heartbeat_rank_version(const struct heartbeat *b)
 {
--- a/src/proxy/proxy_internal.h
+++ b/src/proxy/proxy_internal.h
@@ -639,6 +639,11 @@
 uint64_t heartbeat_members_hash(const struct heartbeat *b);
 /* Number of known peers that are not silent. */
 uint32_t heartbeat_n_live(const struct heartbeat *b);
+/*
+ * In a large fleet only the VMs of the first ranks hear of a failover in
+ * progress.
+ */
+#define FAILOVER_FIRST_RANKS 3
 /* Rank of this VM for a service among the live VMs; 0 is the first. */
 uint32_t heartbeat_rank(const struct heartbeat *b, const char *service);
 /* The live peer that ranks first for a service; NULL if this VM does. */
