Let a fleet that starts own databases and proofs as soon as before

Cause: VMs told others that they can execute only once they knew the evacuations, 0.6 s after a start. After a start of all VMs each took itself for the owner of all proofs meanwhile and opened a connection to each database; 59 VMs kept one of the 66 that a database accepts, so the owners were left with few, for good. Change: ownership does not wait for evacuations, readiness for callers does; a VM that starts lists them at once, and its own list counts; in a fleet of more VMs than half of a database's connections a VM that does not own them closes its last idle one after 3 s.

--- a/src/proxy/conn_pool.c
+++ b/src/proxy/conn_pool.c
@@ -35,6 +35,13 @@
 #define CONTROL_CONNS 4
 /* A VM that is no longer the owner closes its idle connections after this. */
 #define TRIM_IDLE_US (500 * USEC_PER_MSEC)
+/*
+ * In a fleet of more VMs than this part of a database's connections, a VM that
+ * does not own them closes its last idle one as well after this time: if all
+ * VMs kept one, the owner would be left without.
+ */
+#define TRIM_FLEET_DIVISOR 2
+#define TRIM_LAST_US	   (3 * USEC_PER_SEC)
 /*
  * A team that has a connection takes another team's only if that has been idle
  * for this long, several times what a statement takes.
@@ -46,6 +53,7 @@
 					   const struct session *s);
 static uint32_t count_opening(const struct db_member *db);
 static bool is_served_here(const struct db_member *db);
+static bool gives_up_last(const struct db_member *db);
 
 /*
  * Returns the idle connection of the session's team whose variables need the
@@ -176,20 +184,32 @@
 void conn_pool_trim(struct db_member *db, usec_t now)
 {
 	struct backend *oldest = NULL;
+	usec_t most = TRIM_IDLE_US;
 	struct backend *b;
 
-	if (db->n_conns <= fair_share(db))
-		return;
+	if (db->n_conns <= fair_share(db)) {
+		if (db->n_conns == 0 || !gives_up_last(db))
+			return;
+		most = TRIM_LAST_US;
+	}
 	TAILQ_FOREACH(b, &db->conns, link)
 	{
 		if (b->state == BACKEND_IDLE &&
 		    (!oldest || b->used_at < oldest->used_at))
 			oldest = b;
 	}
-	if (oldest && now - oldest->used_at > TRIM_IDLE_US)
+	if (oldest && now - oldest->used_at > most)
 		backend_close(oldest, "not the owner");
 }
 
+/* True if this VM keeps no idle connection to the database at all. */
+static bool gives_up_last(const struct db_member *db)
+{
+	return !is_served_here(db) &&
+	       proxy_fleet_size(db->group->proxy) >
+		       db->group->max_connections / TRIM_FLEET_DIVISOR;
+}
+
 /* Returns any idle connection, for the proxy's own requests, or NULL. */
 struct backend *conn_pool_any_idle(struct db_member *db)
 {
--- a/src/proxy/proxy.c
+++ b/src/proxy/proxy.c
@@ -159,17 +159,19 @@
 /* Returns true if this VM can serve new callers. */
 bool proxy_is_ready(const struct proxy *p)
 {
-	return !p->draining && proxy_can_execute(p) && p->limits_known;
+	return !p->draining && proxy_can_execute(p) && p->limits_known &&
+	       registry_evacuations_known(p->registry);
 }
 
 /*
- * Returns true if this VM knows the configuration, the databases, the VMs and
- * the evacuations.
+ * Returns true if this VM knows the configuration, the databases and the VMs.
+ * Others take it for an owner then. That does not wait for the evacuations:
+ * after a start of all VMs each would take itself for the owner of all proofs
+ * meanwhile, and open a connection to each database.
  */
 bool proxy_can_execute(const struct proxy *p)
 {
-	return p->catalog && p->databases_known && p->vms_known &&
-	       registry_evacuations_known(p->registry);
+	return p->catalog && p->databases_known && p->vms_known;
 }
 
 /*
--- a/src/proxy/registry_evacuation.c
+++ b/src/proxy/registry_evacuation.c
@@ -31,18 +31,6 @@
  * part of evacuate_ms: most of them learn the set from the first one instead.
  */
 #define CHANGE_PART 25
-/*
- * A VM that knows of no set, and gets none from a peer in this time, lists the
- * evacuations whether it reads for its domain or not.
- */
-#define PEER_SET_US USEC_PER_SEC
-/*
- * A VM that starts, and gets no set from a peer in this time, counts its own
- * list as known though the store may just have been restored: all VMs have
- * started then, and to wait until the list is settled would keep the whole
- * fleet from serving for 1.6 s more.
- */
-#define ALONE_US (600 * USEC_PER_MSEC)
 /*
  * Added to the age of a read with each VM that tells it, more than a heartbeat
  * takes: a read that is passed on becomes older, never younger.
@@ -56,7 +44,7 @@
 static bool is_enabled(const struct registry *r);
 static usec_t part_of_time(const struct registry *r, uint32_t part);
 static struct shared_poll_policy list_policy(const struct registry *r);
-static bool may_list(const struct registry *r, usec_t now);
+static bool may_list(const struct registry *r);
 static void plan_list(struct registry *r, usec_t now);
 static bool needs_list(const struct registry *r, usec_t now);
 static bool is_current(const struct registry *r);
@@ -84,13 +72,18 @@
 	return evacuated_set_contains(&r->evacuations.known, domain);
 }
 
-/* Returns true if evacuations are known, or if there are none. */
+/*
+ * Returns true if evacuations are known, or if there are none. At the start of
+ * a VM its own list counts, though it may be of a store that was just restored:
+ * to wait until it is settled would keep a fleet that starts from serving for
+ * seconds, and peers that run tell what such a list lacks with their first
+ * heartbeat.
+ */
 bool registry_evacuations_known(const struct registry *r)
 {
 	const struct evacuations *v = &r->evacuations;
 
-	return !is_enabled(r) || v->known.is_known ||
-	       (v->poll.asked_at && proxy_now() - v->started_at >= ALONE_US);
+	return !is_enabled(r) || v->known.is_known || v->poll.asked_at;
 }
 
 /* Sends the requests that are due. */
@@ -100,9 +93,7 @@
 
 	if (!is_enabled(r))
 		return;
-	if (v->started_at == 0)
-		v->started_at = now;
-	if (!may_list(r, now))
+	if (!may_list(r))
 		return;
 	plan_list(r, now);
 	if (is_due(&v->list, now))
@@ -136,14 +127,13 @@
 
 /*
  * Returns true if this VM may list the evacuations: it reads for its domain, or
- * no peer has told it a set in time.
+ * has just started and knows none.
  */
-static bool may_list(const struct registry *r, usec_t now)
+static bool may_list(const struct registry *r)
 {
 	const struct evacuations *v = &r->evacuations;
 
-	return r->was_reader || v->list.busy ||
-	       (!v->known.is_known && now - v->started_at >= PEER_SET_US);
+	return r->was_reader || v->list.busy || !registry_evacuations_known(r);
 }
 
 /* Plans the next list if one is needed or if it is this VM's turn. */
@@ -156,7 +146,9 @@
 
 	if (v->list.busy || v->list.due_at)
 		return;
-	if (needs_list(r, now)) {
+	if (v->list.requested_at == 0) {
+		v->list.due_at = now;
+	} else if (needs_list(r, now)) {
 		v->list.due_at =
 			now + (usec_t)registry_random_delay(r, (uint64_t)step);
 		if (v->list.due_at < v->list.requested_at + step)
--- a/src/proxy/registry_internal.h
+++ b/src/proxy/registry_internal.h
@@ -59,7 +59,6 @@
 	/* the store has no history from the known position on */
 	bool history_gone;
 	struct shared_poll poll; /* lists of this VM and its peers */
-	usec_t started_at;
 	uint32_t logged_skipped; /* entries of a list that were not taken */
 };
 
