Refuse forwarded statements with times out of range

Cause: the time to the deadline and the age in RUN were added to the clock unchecked. A malformed message with a very large one overflowed a signed sum: undefined, and with the sanitizers the end of the VM.

Change: more than an hour counts as malformed, which closes the link. links_silent.sh sends two such messages.

--- a/src/proxy/remote_server.c
+++ b/src/proxy/remote_server.c
@@ -19,6 +19,11 @@
 #define GIVE_BACK_US (30 * USEC_PER_MSEC)
 /* Delay before a statement is sent again that found the database busy. */
 #define BUSY_RETRY_US (5 * USEC_PER_MSEC)
+/*
+ * Longest time to a deadline and age of a statement; larger ones are malformed,
+ * and sums with them could overflow.
+ */
+#define RUN_TIME_MAX_US (3600 * USEC_PER_SEC)
 /* Streams of all links; one more is dropped, and times out at its VM. */
 #define SERVED_MAX 8192
 
@@ -304,7 +309,8 @@
 	m->variables = wire_nested_array(r, 2 * STRMAP_ENTRIES_MAX);
 	m->prepared = wire_nested_array(r, 3);
 	m->line = wire_bin(r, MESSAGE_MAX_BYTES, &m->line_len);
-	if (m->consistency > READ_YOUR_WRITES || !m->line)
+	if (m->consistency > READ_YOUR_WRITES || !m->line ||
+	    m->time_left > RUN_TIME_MAX_US || m->age > RUN_TIME_MAX_US)
 		r->bad = true;
 }
 
--- a/tests/process/links_silent.pl
+++ b/tests/process/links_silent.pl
@@ -173,6 +173,14 @@
 	PING => "\x91\x05",
 	PONG => "\x91\x06",
 };
+# A read at a database of the service, with so many microseconds to its deadline
+# and since it began, as eight bytes each.
+sub run_message {
+	my ($left, $age) = @_;
+	return "\xdc\x00\x14\x01\x07\x08" . "\xa6quotes\xa4db-1\xa1t" . "\x00"
+	    . "\xcf$left\xcf$age" . "\x00" x 4 . "\xa0" . "\x00" x 3
+	    . "\x90\x90\xc4\x13QUERY q-1 READ item";
+}
 my @messages = (
 	["HELLO is taken", PONG, HELLO, PING],
 	["another message before HELLO", "", PING],
@@ -192,6 +200,10 @@
 	["RESUME after another message", "", HELLO, PING, "\x93\x0a\x05\x90"],
 	["a type that does not exist", "", HELLO, "\x91\x7f"],
 	["no array", "", HELLO, "\xa1x"],
+	["RUN whose deadline is too far away", "", HELLO,
+	    run_message("\x7f" . "\xff" x 7, "\x00" x 8)],
+	["RUN whose age is too large", "", HELLO,
+	    run_message("\x00" x 8, "\x80" . "\x00" x 7)],
 );
 
 # The answer of so many bytes; 0: what arrives until the link is closed, without a
