Wait longer each time before a read leaves a silent connection

Cause: a read was taken from its connection after 300 ms, or four usual times, once a later one had been answered elsewhere. A read that takes longer than that among short ones was taken from each connection in turn: it ran again and again at all databases of the group, each run ended unanswered, and the usual time stayed low as it counts answers only.

Change: a statement waits on a connection at least as long as it has waited before it was sent there, so the time doubles.

A long read still runs several times where short ones are usual; a limit for each route would need their usual times.

--- a/src/decide/read_silence.h
+++ b/src/decide/read_silence.h
@@ -10,8 +10,9 @@
  * dealt with as a whole, and a slow one has a longer usual time.
  */
 struct read_silence_view {
-	usec_t sent_at; /* of the oldest request without an answer */
-	usec_t latency; /* moving average of the database's answers */
+	usec_t began_at; /* of the statement that waits */
+	usec_t sent_at;	 /* of the oldest request without an answer */
+	usec_t latency;	 /* moving average of the database's answers */
 	/* when the newest statement was sent that was answered; 0: none */
 	usec_t answered_sent_at;
 };
--- a/src/proxy/backend_silence.c
+++ b/src/proxy/backend_silence.c
@@ -34,6 +34,7 @@
 		if (b->n_expected == 0 || !may_move(b))
 			continue;
 		v.sent_at = b->expected[0].sent_at;
+		v.began_at = b->session->exec.began_at;
 		if (read_silence_is_likely(&v, now))
 			return b;
 	}
