Repeat no calls to a store that is unevenly slow

Cause: after a repeated call was overdue, too, any answer within the limit let calls be repeated again. The limit rises to 750 ms with the time of the answers, so a slow store whose answers take different times met it now and then, and an answer that a repeated call got within the limit counted as help, although it took as long as others.

Change: only an answer within 250 ms, the least limit, shows that the store is not slow; a repeated call that takes longer shows that it is.

At a store that takes more than 250 ms for each answer, silent connections are found by time-outs and keep-alives only, once a repeated call was slow.

--- a/src/decide/call_retry.c
+++ b/src/decide/call_retry.c
@@ -18,12 +18,17 @@
 
 /*
  * A long time counts at once, a short one by a quarter: calls of several kinds
- * take different times. An answer in time shows that the store is not slow.
+ * take different times. Only an answer within the least limit shows that the
+ * store is not slow: the limit rises with the times, so that some answers of a
+ * slow store are within it. A slow one on a new connection shows that the store
+ * is slow.
  */
-void call_retry_answered(struct call_retry *r, usec_t took)
+void call_retry_answered(struct call_retry *r, usec_t took, bool is_repeat)
 {
-	if (took < call_retry_limit(r))
+	if (took < CALL_RETRY_OVERDUE_MIN_US)
 		r->is_no_help = false;
+	else if (is_repeat)
+		r->is_no_help = true;
 	if (took > r->took)
 		r->took = took;
 	else
@@ -33,7 +38,7 @@
 /*
  * If a call is overdue on a second connection as well, the store is slow or
  * does not answer this VM at all: no other call is repeated until one is
- * answered in time.
+ * answered within the least limit.
  */
 enum call_retry_act call_retry_on_overdue(struct call_retry *r,
 					  enum call_retry_kind kind,
--- a/src/decide/call_retry.h
+++ b/src/decide/call_retry.h
@@ -19,7 +19,7 @@
 
 struct call_retry {
 	usec_t took;	 /* of recent answers, the longest; older ones fade */
-	bool is_no_help; /* a call on a new connection was overdue, too */
+	bool is_no_help; /* a call on a new connection was slow, too */
 };
 
 /* What may be done with a call that is overdue. */
@@ -38,8 +38,11 @@
 
 /* Returns the time after which a call in progress counts as overdue. */
 usec_t call_retry_limit(const struct call_retry *r);
-/* Takes note of an answer that arrived after "took". */
-void call_retry_answered(struct call_retry *r, usec_t took);
+/*
+ * Takes note of an answer that arrived after "took"; "is_repeat": on the second
+ * connection of its call.
+ */
+void call_retry_answered(struct call_retry *r, usec_t took, bool is_repeat);
 /* Decides on a call that is overdue; "is_repeat": on its second connection. */
 enum call_retry_act call_retry_on_overdue(struct call_retry *r,
 					  enum call_retry_kind kind,
--- a/src/kernel/platform_client.c
+++ b/src/kernel/platform_client.c
@@ -307,7 +307,7 @@
 	struct platform_client *p = j->client;
 	usec_t took = clock_now() - j->sent_at;
 
-	call_retry_answered(&p->retry, took);
+	call_retry_answered(&p->retry, took, j->is_repeat);
 	if (j->is_repeat && took < j->limit)
 		renew_watches(j);
 }
--- a/tests/decide/call_retry_test.cc
+++ b/tests/decide/call_retry_test.cc
@@ -28,7 +28,7 @@
 	for (const auto &c : cases) {
 		struct call_retry r = {};
 		for (usec_t took : c.took)
-			call_retry_answered(&r, took * kMs);
+			call_retry_answered(&r, took * kMs, false);
 		EXPECT_EQ(call_retry_limit(&r) / kMs, c.limit) << c.name;
 	}
 }
@@ -75,23 +75,88 @@
 	for (const auto &c : cases) {
 		struct call_retry r = {};
 		int repeated = 0;
-		call_retry_answered(&r, 4 * kMs);
+		call_retry_answered(&r, 4 * kMs, false);
 		for (int i = 0; i < 100; i++) {
+			bool is_repeat = false;
 			if (c.took * kMs >= call_retry_limit(&r) &&
 			    call_retry_on_overdue(&r, CALL_RETRY_REPEAT,
 						  false) ==
 				    CALL_RETRY_ACT_REPEAT) {
 				repeated++;
+				is_repeat = true;
 				if (c.took * kMs >= call_retry_limit(&r))
 					call_retry_on_overdue(
 						&r, CALL_RETRY_REPEAT, true);
 			}
-			call_retry_answered(&r, c.took * kMs);
+			call_retry_answered(&r, c.took * kMs, is_repeat);
 		}
 		EXPECT_EQ(repeated, c.repeated) << c.took;
 	}
 }
 
+// Guards against the same where answers of a slow store take different times,
+// and some arrive within the limit.
+TEST(CallRetry, UnevenlySlowStoreGetsNoSecondCallForEach)
+{
+	const struct {
+		const char *name;
+		std::vector<usec_t> took; // of the answers in turn, in ms
+		int repeated;		  // of 400 calls, at most
+	} cases[] = {
+		{ "60 times as slow", { 240, 600, 360, 480 }, 1 },
+		{ "120 times as slow", { 480, 1200, 600, 960, 720 }, 1 },
+		{ "around the limit", { 700, 800 }, 1 },
+		{ "one call in eight",
+		  { 300, 300, 300, 300, 300, 300, 300, 1000 },
+		  1 },
+	};
+	for (const auto &c : cases) {
+		struct call_retry r = {};
+		size_t n = 0;
+		int repeated = 0;
+		call_retry_answered(&r, 4 * kMs, false);
+		for (int i = 0; i < 400; i++) {
+			usec_t took = c.took[n++ % c.took.size()] * kMs;
+			bool is_repeat = false;
+			if (took >= call_retry_limit(&r) &&
+			    call_retry_on_overdue(&r, CALL_RETRY_REPEAT,
+						  false) ==
+				    CALL_RETRY_ACT_REPEAT) {
+				repeated++;
+				is_repeat = true;
+				took = c.took[n++ % c.took.size()] * kMs;
+				if (took >= call_retry_limit(&r))
+					call_retry_on_overdue(
+						&r, CALL_RETRY_REPEAT, true);
+			}
+			call_retry_answered(&r, took, is_repeat);
+		}
+		EXPECT_LE(repeated, c.repeated) << c.name;
+	}
+}
+
+// Guards against a store whose silent connections are not noticed any more
+// after it was slow.
+TEST(CallRetry, FastAnswerShowsThatTheStoreIsNotSlowAnyMore)
+{
+	const struct {
+		const char *name;
+		usec_t took; // in ms
+		enum call_retry_act act;
+	} cases[] = {
+		{ "usual answer", 4, CALL_RETRY_ACT_REPEAT },
+		{ "just below the least limit", 249, CALL_RETRY_ACT_REPEAT },
+		{ "slow, but within the limit", 600, CALL_RETRY_ACT_WAIT },
+	};
+	for (const auto &c : cases) {
+		struct call_retry r = { 900 * kMs, true };
+		call_retry_answered(&r, c.took * kMs, false);
+		EXPECT_EQ(call_retry_on_overdue(&r, CALL_RETRY_REPEAT, false),
+			  c.act)
+			<< c.name;
+	}
+}
+
 TEST(CallRetry, WriteIsJudgedByTheObjectReadBack)
 {
 	const struct {
