Sort no empty list of VMs

Cause: reader_choice() handed a null pointer to qsort() when no VM was known, which is undefined; the unit tests ended there under the undefined-behaviour sanitizer ("null pointer passed as argument 1", case "no VM").

Change: an empty list is left alone.

--- a/src/decide/reader_choice.c
+++ b/src/decide/reader_choice.c
@@ -12,6 +12,9 @@
 	uint32_t first;
 	uint32_t i;
 
+	/* qsort() takes no null pointer, also not for an empty list. */
+	if (n == 0)
+		return;
 	qsort(vm, n, sizeof(*vm), compare);
 	for (first = 0; first < n; first = i) {
 		i = first + 1;
