--- a/tests/sessions/control.cc
+++ b/tests/sessions/control.cc
@@ -11,7 +11,10 @@
 // store silent for good, while new ones work; "listed_ms" and "claimed_ms" tell
 // when the newest departure of a primary was first listed and claimed for.
 // "evacuate" and "return" write and delete the evacuation of the failure domain
-// "zone".
+// "zone". "cold" makes a database cold for n ms, which its entry tells, and
+// "cold_per_s" configures the limit; "peak_reset" starts the count of
+// "peak_ID" again, the most statements that a database got in one second.
+// "homes" binds the route or team "of" to "region", or to none.
 
 void FakePlatform::on_control(evhttp_request *req, void *ctx)
 {
@@ -40,6 +43,12 @@
 	} else if (what == "rate") {
 		rate = (uint32_t)n;
 		write_config();
+	} else if (what == "cold_per_s") {
+		cold_per_s = (uint32_t)n;
+		write_config();
+	} else if (what == "homes") {
+		set_homes(request_query(req, "of"),
+			  request_query(req, "region"));
 	} else if (what == "no_fence") {
 		checks_token = n == 0;
 	} else if (what == "relay_peers") {
@@ -78,6 +87,12 @@
 		db->departing = what == "depart";
 		register_db(db);
 		note_departure(db);
+	} else if (what == "cold") {
+		db->cold_until = now_ms() + n;
+		check_in_while_cold(db);
+	} else if (what == "peak_reset") {
+		db->last_arrivals.clear();
+		db->peak_per_s = 0;
 	} else if (what == "lose_replies") {
 		db->lose_replies = n;
 	} else if (what == "busy") {
@@ -173,6 +188,7 @@
 	add("evacuation_calls", n_evacuation_calls);
 	for (const auto *db : databases) {
 		add(("arrived_" + db->id).c_str(), db->n_arrived);
+		add(("peak_" + db->id).c_str(), db->peak_per_s);
 		add(("idle_ms_" + db->id).c_str(),
 		    (uint64_t)(now_ms() - db->arrived_at));
 	}
--- a/tests/sessions/database.cc
+++ b/tests/sessions/database.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <cstdlib>
 #include <cstring>
 #include <netinet/in.h>
@@ -8,6 +9,9 @@
 
 namespace
 {
+// The window in which the statements of a database are counted.
+const int64_t kWindowMs = 1000;
+
 // Takes the first word off a text.
 std::string word(std::string &text)
 {
@@ -185,6 +189,10 @@
 		return;
 	n_arrived++;
 	arrived_at = FakePlatform::now_ms();
+	last_arrivals.push_back(arrived_at);
+	while (arrived_at - last_arrivals.front() >= kWindowMs)
+		last_arrivals.pop_front();
+	peak_per_s = std::max(peak_per_s, last_arrivals.size());
 }
 
 void Database::statement(Connection *c, const std::string &name,
--- a/tests/sessions/fake_platform.cc
+++ b/tests/sessions/fake_platform.cc
@@ -12,6 +12,8 @@
 {
 const char *const kObjects = "/gypsumcleat/objects/";
 const char *const kDuties = "proxy-duties";
+// Interval at which a cold database writes its entry.
+const int kCheckInMs = 500;
 
 // Returns what a write does to a promotion claim: "claim" if it makes one,
 // "mark" if it marks it as promoting, else "none". The kind may be one of an
@@ -102,13 +104,15 @@
 		return;
 	}
 	char spec[512];
+	int64_t cold_left = db->cold_until - now_ms();
 	snprintf(spec, sizeof(spec),
 		 "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\","
 		 "\"zone\":\"z-%s\",\"version\":\"v1\",\"slots\":5,"
-		 "\"state\":\"%s\",\"coldLeftMs\":0,\"dbRole\":\"%s\","
+		 "\"state\":\"%s\",\"coldLeftMs\":%lld,\"dbRole\":\"%s\","
 		 "\"sequence\":%llu,\"born\":%llu}",
 		 service.c_str(), db->port, db->id.c_str() + 3,
 		 db->departing ? "draining" : "ready",
+		 (long long)(cold_left > 0 ? cold_left : 0),
 		 db->primary ? "primary" : "replica",
 		 (unsigned long long)++db->sequence,
 		 (unsigned long long)db->born);
@@ -116,7 +120,32 @@
 	notify_watches("servers", db->id);
 }
 
-// Writes the configuration with the current keys and rate.
+void FakePlatform::check_in_while_cold(Database *db)
+{
+	register_db(db);
+	if (db->cold_until > now_ms())
+		run_after(kCheckInMs, [this, db] { check_in_while_cold(db); });
+}
+
+// Returns the field with the regions of a route or team; empty if it names
+// none.
+std::string FakePlatform::homes_field(const std::string &of) const
+{
+	auto found = homes.find(of);
+	return found == homes.end() ? "" : ",\"homes\":" + found->second;
+}
+
+// Binds a route or the team to one region, or to none if that is empty.
+void FakePlatform::set_homes(const std::string &of, const std::string &region)
+{
+	if (region.empty())
+		homes.erase(of);
+	else
+		homes[of] = "[\"" + region + "\"]";
+	write_config();
+}
+
+// Writes the configuration with the current keys, rates and homes.
 void FakePlatform::write_config()
 {
 	std::string list;
@@ -133,16 +162,21 @@
 			   "\",\"timeoutMs\":1500,\"targetLatencyMs\":200,"
 			   "\"priority\":1,\"service\":\"" +
 			   service +
-			   "\",\"maxStalenessMs\":1500,\"public\":false}");
+			   "\",\"maxStalenessMs\":1500,\"public\":false" +
+			   homes_field(k[0]) + "}");
 	}
 	config_spec = "{\"version\":" + std::to_string(config_version++) +
 		      ",\"routes\":[" + routes +
 		      "],\"services\":[{\"name\":\"" + service +
-		      "\",\"maxConns\":40,\"syncReplicas\":0}],"
+		      "\",\"maxConns\":40,\"syncReplicas\":0,"
+		      "\"coldPerS\":" +
+		      std::to_string(cold_per_s) +
+		      "}],"
 		      "\"limits\":{\"txIdleMs\":1000},\"tenants\":[{\"name\":"
 		      "\"team\",\"apiKeys\":[" +
 		      list + "],\"ratePerS\":" + std::to_string(rate) +
-		      ",\"burst\":" + std::to_string(rate) + "}]}";
+		      ",\"burst\":" + std::to_string(rate) +
+		      homes_field("team") + "}]}";
 	put_config();
 }
 
--- a/tests/sessions/fake_platform.h
+++ b/tests/sessions/fake_platform.h
@@ -2,6 +2,7 @@
 #define TESTS_SESSIONS_FAKE_PLATFORM_H
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <set>
@@ -80,7 +81,11 @@
 	// one did; requests for the status or a promotion don't count.
 	uint64_t n_arrived = 0;
 	int64_t arrived_at = 0;
-	int refuse_busy = 0; // number of statements to refuse as BUSY
+	// The arrivals of the last second, and the most of any second.
+	std::deque<int64_t> last_arrivals;
+	size_t peak_per_s = 0;
+	int64_t cold_until = 0; // its entry says that it is cold until then
+	int refuse_busy = 0;	// number of statements to refuse as BUSY
 	size_t max_connections = 40;
 	bool mute = false; // takes requests and answers none of them
 	// Does not hear of promotions or of the other databases, nor they of
@@ -144,6 +149,8 @@
 	// A steady clock, in milliseconds.
 	static int64_t now_ms();
 	void register_db(Database *db);
+	// Registers a cold database again at intervals, until it is not.
+	void check_in_while_cold(Database *db);
 	// Returns the primary of the newest term, or NULL.
 	Database *newest_primary() const;
 
@@ -284,6 +291,11 @@
 	std::string config_spec; // the newest one that the operator wrote
 	std::set<std::string> keys = { "key-1", "key-2" };
 	uint32_t rate = 1000;
+	uint32_t cold_per_s = 0;
+	// Regions in which a route, or the team "team", may run; as JSON.
+	std::map<std::string, std::string> homes;
+	std::string homes_field(const std::string &of) const;
+	void set_homes(const std::string &of, const std::string &region);
 	std::vector<std::function<void()> *> timers;
 };
 
