Refuse what no database in its regions can run at once

Cause: a write or a read of the primary waited to its deadline where the primary leads in a region that is not allowed, also after a failover, and a read did where all databases of its regions are evacuated: only databases that are present were asked for, and only as a statement began. A read without a known position went to the primary in any region.

Change: try_start() asks for each try, also of queued statements, whether a database in the regions can run the statement; what needs the primary does not wait for one elsewhere. A read goes to the primary only where that is allowed.

--- a/src/proxy/dispatch.c
+++ b/src/proxy/dispatch.c
@@ -21,6 +21,8 @@
 static bool try_start(struct session *s, usec_t now);
 static bool try_start_served(struct session *s, usec_t now);
 static bool continue_transaction(struct session *s, usec_t now);
+static void refuse_outside_regions(struct session *s);
+static bool start_at_primary(struct session *s, usec_t now);
 static bool has_evacuated_primary(const struct db_group *g, usec_t now);
 static bool is_lagging_everywhere(const struct stmt_exec *t);
 static bool is_known_behind(const struct db_member *d, struct log_pos after,
@@ -60,13 +62,6 @@
 			dispatch_abort_evacuated(s);
 		return;
 	}
-	if (!placement_has_db(s)) {
-		session_send_error(
-			s, s->in_tx ? REPLY_ERR_ABORTED : REPLY_ERR_BUSY,
-			"no database in a region of its route and team, not "
-			"run, retry after 1000 ms");
-		return;
-	}
 	/* dispatch_waiting() starts queued ones when resources become free. */
 	if (try_start(s, now))
 		return;
@@ -272,6 +267,10 @@
 		return continue_transaction(s, now);
 	if (s->stream)
 		return try_start_served(s, now);
+	if (!placement_has_db(s, now)) {
+		refuse_outside_regions(s);
+		return true;
+	}
 	switch (db_group_check_statement(g, t->needs_primary, now)) {
 	case EVACUATION_WAIT:
 		dispatch_wait_for_hand_over(s, now);
@@ -303,18 +302,39 @@
 		return true;
 	if (!t->needs_primary)
 		db_group_proof_refresh_position(g, now);
-	if (t->needs_primary || !set_min_position(s)) {
-		/* Only the primary is known to have what the read may need. */
-		if (!db_group_primary_is_usable(g, now) ||
-		    !is_usable(&g->db[g->primary], now))
-			return false;
-		return start_at(s, g->primary);
-	}
+	if (t->needs_primary || !set_min_position(s))
+		return start_at_primary(s, now);
 	/* A primary with a valid proof has every position: none is sent. */
 	t->has_after = db != g->primary || !db_group_primary_is_usable(g, now);
 	return start_at(s, db);
 }
 
+/*
+ * Refuses a statement that no database can run in the regions of its route and
+ * team.
+ */
+static void refuse_outside_regions(struct session *s)
+{
+	session_send_error(s, s->in_tx ? REPLY_ERR_ABORTED : REPLY_ERR_BUSY,
+			   "no database in a region of its route and team, "
+			   "not run, retry after 1000 ms");
+}
+
+/*
+ * Starts a statement at the primary, which has what every statement needs, if
+ * that is in a region that is allowed.
+ */
+static bool start_at_primary(struct session *s, usec_t now)
+{
+	struct db_group *g = s->group;
+
+	if (!db_group_primary_is_usable(g, now) ||
+	    !is_usable(&g->db[g->primary], now) ||
+	    !placement_allows_db(s, &g->db[g->primary]))
+		return false;
+	return start_at(s, g->primary);
+}
+
 /*
  * Starts a statement of another VM at the database that this VM chose for it,
  * or gives it back if it can't be executed there.
--- a/src/proxy/placement.c
+++ b/src/proxy/placement.c
@@ -29,17 +29,26 @@
 	return domain && homes_allow(&s->homes, region_of(s->proxy, domain));
 }
 
-/* Returns true if a database of the group is in a region that is allowed. */
-bool placement_has_db(const struct session *s)
+/*
+ * Returns true if a database in a region that is allowed may run the session's
+ * statement, now or later. What needs the primary does not wait for one that
+ * leads in another region, since only a failover would change that.
+ */
+bool placement_has_db(const struct session *s, usec_t now)
 {
+	const struct db_group *g = s->group;
 	uint32_t i;
 
 	if (!s->homes.is_bound)
 		return true;
+	if (s->exec.needs_primary && g->primary != DB_NONE &&
+	    !placement_allows_db(s, &g->db[g->primary]))
+		return false;
 	for (i = 0; i < DB_GROUP_MEMBERS_MAX; i++) {
-		const struct db_member *d = &s->group->db[i];
+		const struct db_member *d = &g->db[i];
 
-		if (d->present && placement_allows_db(s, d))
+		if (d->present && !db_member_is_evacuated(d, now) &&
+		    placement_allows_db(s, d))
 			return true;
 	}
 	return false;
--- a/src/proxy/proxy_internal.h
+++ b/src/proxy/proxy_internal.h
@@ -502,8 +502,8 @@
 bool placement_allows_db(const struct session *s, const struct db_member *d);
 /* True if a statement may be forwarded to the peer. */
 bool placement_allows_peer(const struct session *s, const char *peer);
-/* True if the group has a database where the session's statements may run. */
-bool placement_has_db(const struct session *s);
+/* True if the group has a database that may run the session's statement. */
+bool placement_has_db(const struct session *s, usec_t now);
 /* Takes over from an entry how long the database is cold. */
 void placement_note_cold(struct db_member *d, uint32_t cold_left_ms,
 			 usec_t listed_at);
