Let reads that no other database can run wait for a cold one

Cause: the owner of a cold database gave every read back that came too early, and its VM then avoided the database for 0.5 s. Where no other database can run the read, as others are in other regions, it waited there while the database got less than it may.

Change: a forwarded read tells whether another database could run it; if not, it waits at the owner, as writes do. The region of a database is looked up only for statements that are bound to some.

--- a/src/proxy/dispatch.c
+++ b/src/proxy/dispatch.c
@@ -493,11 +493,13 @@
 
 /*
  * A read that another VM forwarded to a cold database goes back, as it may find
- * another one; what needs the primary waits. Returns true if it was given back.
+ * another one; what only this one can run waits. Returns true if it was given
+ * back.
  */
 static bool refuse_cold_read(struct session *s, struct db_member *d)
 {
-	if (!s->stream || s->exec.needs_primary || s->tx_at_database)
+	if (!s->stream || s->exec.needs_primary || s->exec.has_no_choice ||
+	    s->tx_at_database)
 		return false;
 	d->cold_retry_at = proxy_now() + COLD_RETRY_US;
 	remote_server_refuse(s, REPLY_ERR_BUSY, DONE_COLD);
--- a/src/proxy/placement.c
+++ b/src/proxy/placement.c
@@ -12,6 +12,8 @@
 /* Returns true if the statement may run at the database. */
 bool placement_allows_db(const struct session *s, const struct db_member *d)
 {
+	if (!s->homes.is_bound)
+		return true;
 	return homes_allow(&s->homes, region_of(s->proxy, d->domain));
 }
 
@@ -99,6 +101,30 @@
 		(d->cold.owner_since && now < d->cold.next_at));
 }
 
+/*
+ * Returns true if the session's statement, which is at the cold database "at",
+ * can run at no other one: those are in other regions, gone or cold too. One
+ * that can't be connected to is gone only when its entry is.
+ */
+bool placement_has_no_choice(const struct session *s, uint32_t at, usec_t now)
+{
+	const struct db_group *g = s->group;
+	uint32_t i;
+
+	if (!placement_is_cold(&g->db[at], now))
+		return false;
+	for (i = 0; i < DB_GROUP_MEMBERS_MAX; i++) {
+		const struct db_member *d = &g->db[i];
+
+		if (i != at && d->present && !d->departing &&
+		    !db_member_is_evacuated(d, now) &&
+		    !placement_is_exhausted(d, now) &&
+		    placement_allows_db(s, d))
+			return false;
+	}
+	return true;
+}
+
 /* Returns true if one statement may be sent now, and counts it. */
 bool placement_take_cold(struct db_member *d, usec_t now)
 {
--- a/src/proxy/proxy_internal.h
+++ b/src/proxy/proxy_internal.h
@@ -258,6 +258,8 @@
 	const char *via;     /* VM that it was forwarded to; NULL: none */
 	uint32_t attempts;
 	bool was_held; /* has waited for a hand-over */
+	/* a forwarded read that no other database can run */
+	bool has_no_choice;
 	usec_t began_at;
 	usec_t arrived_at; /* at this VM; as began_at unless forwarded */
 	usec_t deadline;
@@ -513,6 +515,8 @@
 bool placement_is_cold(const struct db_member *d, usec_t now);
 /* True if it is cold and can take no more reads now, as far as known. */
 bool placement_is_exhausted(const struct db_member *d, usec_t now);
+/* True if a read at the cold database "at" can run at no other one now. */
+bool placement_has_no_choice(const struct session *s, uint32_t at, usec_t now);
 /*
  * Takes the right to send one statement to the database; false if it is cold
  * and may get none now.
--- a/src/proxy/remote.h
+++ b/src/proxy/remote.h
@@ -39,6 +39,7 @@
 	RUN_WRITE = 8,
 	RUN_COMMIT = 16,
 	RUN_NEEDS_PRIMARY = 32,
+	RUN_NO_CHOICE = 64, /* no other database can run it */
 };
 
 /* Bits of the flags of LINK_MSG_DONE. */
--- a/src/proxy/remote_client.c
+++ b/src/proxy/remote_client.c
@@ -265,6 +265,8 @@
 		flags |= RUN_COMMIT;
 	if (s->exec.needs_primary)
 		flags |= RUN_NEEDS_PRIMARY;
+	if (placement_has_no_choice(s, s->remote->db, proxy_now()))
+		flags |= RUN_NO_CHOICE;
 	return flags;
 }
 
--- a/src/proxy/remote_server.c
+++ b/src/proxy/remote_server.c
@@ -359,6 +359,7 @@
 	t->is_write = (m->flags & RUN_WRITE) != 0;
 	t->is_commit = (m->flags & RUN_COMMIT) != 0;
 	t->needs_primary = (m->flags & RUN_NEEDS_PRIMARY) != 0;
+	t->has_no_choice = (m->flags & RUN_NO_CHOICE) != 0;
 	t->has_after = false;
 	t->tried_mask = 0;
 	t->attempts = 0;
