Refuse what a cold database can't start before the deadline

Cause: statements that wait for the limit of a cold database were given back 30 ms before their deadline, found by a tick of 25 ms. On a busy machine some came too late, so that writes which had not run were answered in doubt.

Change: a forwarded statement is refused when it arrives if those that wait before it take all its time at the rate of the cold database. A read that is refused so is tried again only at databases in its regions.

Conclusion: what arrives in time and then waits longer than expected still has only these 30 ms.

--- a/src/decide/cold_limit.c
+++ b/src/decide/cold_limit.c
@@ -5,8 +5,11 @@
 #define WINDOW_US USEC_PER_SEC
 /* Parts into which the limit is divided: see the header. */
 #define OWNERS_MAX 2
+/* Longest time that is counted; longer than any database is cold. */
+#define WAIT_MAX_US (3600 * USEC_PER_SEC)
 
 static usec_t interval(const struct cold_limit_policy *policy);
+static usec_t later_by(const struct cold_limit_policy *policy, uint32_t n);
 
 /* A VM that loses the database and owns it again later is a new owner. */
 void cold_limit_set_owner(struct cold_limit *c, bool is_owner, usec_t now)
@@ -46,6 +49,28 @@
 	return true;
 }
 
+/* Statements go at the interval from next_at on, if that is not over. */
+usec_t cold_limit_wait(const struct cold_limit *c,
+		       const struct cold_limit_policy *policy, uint32_t ahead,
+		       usec_t now)
+{
+	usec_t wait = c->next_at > now ? c->next_at - now : 0;
+
+	if (policy->milli_per_s == 0)
+		return 0;
+	return wait + later_by(policy, ahead);
+}
+
+/* Returns the time of n statements; at most WAIT_MAX_US. */
+static usec_t later_by(const struct cold_limit_policy *policy, uint32_t n)
+{
+	usec_t each = interval(policy);
+
+	if (n == 0)
+		return 0;
+	return each > WAIT_MAX_US / n ? WAIT_MAX_US : each * n;
+}
+
 /*
  * Returns the time between two statements of one owner, in microseconds: at the
  * rate that the database is made for, or at this owner's part of the limit if
--- a/src/decide/cold_limit.h
+++ b/src/decide/cold_limit.h
@@ -34,6 +34,10 @@
 /* Returns the time from which one more statement may be sent; -1: never. */
 usec_t cold_limit_next_at(const struct cold_limit *c,
 			  const struct cold_limit_policy *policy);
+/* Returns how long one more statement waits if "ahead" others go first. */
+usec_t cold_limit_wait(const struct cold_limit *c,
+		       const struct cold_limit_policy *policy, uint32_t ahead,
+		       usec_t now);
 /* Takes the right to send one statement; false if there is none now. */
 bool cold_limit_take(struct cold_limit *c,
 		     const struct cold_limit_policy *policy, usec_t now);
--- a/src/proxy/dispatch.c
+++ b/src/proxy/dispatch.c
@@ -37,6 +37,8 @@
 static void start_waiting(struct db_group *g, bool is_on_time, usec_t now);
 static bool meets_target(const struct session *s, usec_t now);
 static bool is_too_late(const struct session *s, usec_t now);
+static uint32_t count_ahead(const struct session *s, bool only_on_time,
+			    usec_t now);
 static void enqueue(struct session *s);
 static void dequeue(struct session *s);
 static bool goes_before(const struct session *a, const struct session *b);
@@ -230,7 +232,8 @@
 	if (s->exec.db < DB_GROUP_MEMBERS_MAX)
 		refused |= 1U << s->exec.db;
 	for (i = 0; i < DB_GROUP_MEMBERS_MAX; i++) {
-		if (is_usable(&g->db[i], now) && !(refused & (1U << i)))
+		if (is_usable(&g->db[i], now) && !(refused & (1U << i)) &&
+		    placement_allows_db(s, &g->db[i]))
 			return true;
 	}
 	return false;
@@ -391,25 +394,41 @@
  */
 static bool is_too_late(const struct session *s, usec_t now)
 {
-	const struct db_group *g = s->group;
-	const struct db_member *d = &g->db[s->exec.db];
+	const struct db_member *d = &s->group->db[s->exec.db];
+	usec_t time_left = s->exec.deadline - now;
 	struct queue_wait q = {
 		.slots = d->slots,
 		.running = d->running,
 		.service = d->latency,
 	};
-	const struct session *at;
 
+	if (placement_is_cold(d, now))
+		return placement_cold_wait(d, count_ahead(s, false, now), now) >
+		       time_left;
 	if (conn_pool_has_free_slot(d))
 		return false;
-	TAILQ_FOREACH(at, &g->waiting, queue_entry)
+	q.ahead = count_ahead(s, true, now);
+	return queue_wait_is_too_long(&q, time_left);
+}
+
+/*
+ * Counts the forwarded statements that wait for the same database and go before
+ * this one: all, or only those that can still meet their latency target.
+ */
+static uint32_t count_ahead(const struct session *s, bool only_on_time,
+			    usec_t now)
+{
+	const struct session *at;
+	uint32_t n = 0;
+
+	TAILQ_FOREACH(at, &s->group->waiting, queue_entry)
 	{
 		if (goes_before(s, at))
 			break;
-		q.ahead += at->stream && at->exec.db == s->exec.db &&
-			   meets_target(at, now);
+		n += at->stream && at->exec.db == s->exec.db &&
+		     (!only_on_time || meets_target(at, now));
 	}
-	return queue_wait_is_too_long(&q, s->exec.deadline - now);
+	return n;
 }
 
 /*
--- a/src/proxy/placement.c
+++ b/src/proxy/placement.c
@@ -138,6 +138,18 @@
 	return cold_limit_take(&d->cold, &policy, now);
 }
 
+/*
+ * Returns how long a statement waits for the limit of a database if "ahead"
+ * others go first. This VM owns the database.
+ */
+usec_t placement_cold_wait(const struct db_member *d, uint32_t ahead,
+			   usec_t now)
+{
+	const struct cold_limit_policy policy = cold_policy(d);
+
+	return cold_limit_wait(&d->cold, &policy, ahead, now);
+}
+
 /* Returns the limit of a cold database. */
 static struct cold_limit_policy cold_policy(const struct db_member *d)
 {
--- a/src/proxy/proxy_internal.h
+++ b/src/proxy/proxy_internal.h
@@ -522,6 +522,9 @@
  * and may get none now.
  */
 bool placement_take_cold(struct db_member *d, usec_t now);
+/* Returns how long a statement behind "ahead" others waits for its right. */
+usec_t placement_cold_wait(const struct db_member *d, uint32_t ahead,
+			   usec_t now);
 
 /* dispatch_evacuation.c */
 /*
--- a/tests/decide/cold_limit_test.cc
+++ b/tests/decide/cold_limit_test.cc
@@ -108,4 +108,35 @@
 		n += cold_limit_take(&limit, &kPolicy, now);
 	EXPECT_NEAR((double)n, 200, 10);
 }
+
+// Guards against statements that wait for a turn that comes after their end.
+TEST(ColdLimit, Wait)
+{
+	constexpr struct cold_limit_policy kLimited = { 10000, 2000 };
+	constexpr struct cold_limit_policy kNone = { 0, 2000 };
+	constexpr struct cold_limit_policy kNothing = { 10000, 0 };
+	const struct {
+		const char *name;
+		struct cold_limit_policy policy;
+		usec_t owner_for;
+		uint32_t ahead;
+		usec_t wait;
+	} cases[] = {
+		{ "no limit", kNone, 0, 100, 0 },
+		{ "a new owner", kLimited, 0, 0, 1000 * kMs },
+		{ "a new owner, others go first", kLimited, 200 * kMs, 5,
+		  1300 * kMs },
+		{ "its turn", kLimited, 2 * kS, 0, 0 },
+		{ "others go first", kLimited, 2 * kS, 5, 500 * kMs },
+		{ "never", kNothing, 2 * kS, UINT32_MAX, 3600 * kS },
+	};
+	for (const auto &c : cases) {
+		struct cold_limit limit = {};
+		cold_limit_set_owner(&limit, true, 100 * kS);
+		EXPECT_NEAR((double)cold_limit_wait(&limit, &c.policy, c.ahead,
+						    100 * kS + c.owner_for),
+			    (double)c.wait, (double)kMs)
+			<< c.name;
+	}
+}
 } // namespace
