Count what is sent along with statements to cold databases

Cause: a statement may need RESET, SET, PREPARE and BEGIN on its connection. The limit of a cold database counted only the statement itself.

Change: these requests count too; the next statement waits for their time.

Conclusion: a roll-back of a released connection is not counted.

--- a/src/decide/cold_limit.c
+++ b/src/decide/cold_limit.c
@@ -61,6 +61,17 @@
 	return wait + later_by(policy, ahead);
 }
 
+/*
+ * What a connection lacks of a session's state and the begin of a transaction
+ * reach the database too, so the next statement waits for their time as well.
+ */
+void cold_limit_add(struct cold_limit *c,
+		    const struct cold_limit_policy *policy, uint32_t n)
+{
+	if (policy->milli_per_s && c->owner_since)
+		c->next_at += later_by(policy, n);
+}
+
 /* Returns the time of n statements; at most WAIT_MAX_US. */
 static usec_t later_by(const struct cold_limit_policy *policy, uint32_t n)
 {
--- a/src/decide/cold_limit.h
+++ b/src/decide/cold_limit.h
@@ -38,6 +38,9 @@
 usec_t cold_limit_wait(const struct cold_limit *c,
 		       const struct cold_limit_policy *policy, uint32_t ahead,
 		       usec_t now);
+/* Counts n more requests, which are sent along with the last statement. */
+void cold_limit_add(struct cold_limit *c,
+		    const struct cold_limit_policy *policy, uint32_t n);
 /* Takes the right to send one statement; false if there is none now. */
 bool cold_limit_take(struct cold_limit *c,
 		     const struct cold_limit_policy *policy, usec_t now);
--- a/src/proxy/backend.c
+++ b/src/proxy/backend.c
@@ -170,6 +170,7 @@
 	s->exec.db = (uint32_t)(b->db - b->db->group->db);
 	s->exec.stage = EXEC_PREPARING;
 	send_session_state(b, s);
+	placement_add_cold(b->db, b->n_expected, b->used_at);
 	if (b->n_expected == 0)
 		send_if_allowed(b, s);
 }
--- a/src/proxy/placement.c
+++ b/src/proxy/placement.c
@@ -150,6 +150,15 @@
 	return cold_limit_wait(&d->cold, &policy, ahead, now);
 }
 
+/* Counts requests that are sent to a database along with a statement. */
+void placement_add_cold(struct db_member *d, uint32_t n, usec_t now)
+{
+	const struct cold_limit_policy policy = cold_policy(d);
+
+	if (n > 0 && placement_is_cold(d, now))
+		cold_limit_add(&d->cold, &policy, n);
+}
+
 /* Returns the limit of a cold database. */
 static struct cold_limit_policy cold_policy(const struct db_member *d)
 {
--- a/src/proxy/proxy_internal.h
+++ b/src/proxy/proxy_internal.h
@@ -525,6 +525,8 @@
 /* Returns how long a statement behind "ahead" others waits for its right. */
 usec_t placement_cold_wait(const struct db_member *d, uint32_t ahead,
 			   usec_t now);
+/* Counts requests that are sent along with a statement. */
+void placement_add_cold(struct db_member *d, uint32_t n, usec_t now);
 
 /* dispatch_evacuation.c */
 /*
--- a/tests/decide/cold_limit_test.cc
+++ b/tests/decide/cold_limit_test.cc
@@ -139,4 +139,23 @@
 			<< c.name;
 	}
 }
+
+// Guards against statements whose connections lack much of their sessions'
+// state: what is sent along counts too.
+TEST(ColdLimit, RequestsSentAlongCount)
+{
+	constexpr struct cold_limit_policy kPolicy = { 10000, 2000 };
+	constexpr uint32_t kAlong = 4;
+	struct cold_limit limit = {};
+	std::vector<usec_t> sent;
+	cold_limit_set_owner(&limit, true, kS);
+	for (usec_t now = 2 * kS; now < 12 * kS; now += kMs) {
+		if (!cold_limit_take(&limit, &kPolicy, now))
+			continue;
+		cold_limit_add(&limit, &kPolicy, kAlong);
+		sent.insert(sent.end(), kAlong + 1, now);
+	}
+	EXPECT_NEAR((double)sent.size(), 100, 10);
+	EXPECT_LE(most_in_a_second(sent), 15U);
+}
 } // namespace
