End transactions at a cold database that another VM owns

Cause: only the owner may send to a cold database. When the owner changed, the statements of a transaction that was open at the former one waited there to their deadline and were then aborted.

Change: such a transaction ends at once, as aborted and not run, and its connection is closed, since a roll-back would be sent to the database too. A statement that has only begun its transaction goes to the owner.

--- a/src/proxy/dispatch.c
+++ b/src/proxy/dispatch.c
@@ -471,6 +471,11 @@
 		dispatch_return_evacuated(s);
 		return true;
 	}
+	if (placement_is_cold(s->backend->db, now) &&
+	    db_member_owner(s->backend->db)) {
+		dispatch_return_cold(s);
+		return true;
+	}
 	if (!conn_pool_has_free_slot(s->backend->db) ||
 	    !placement_take_cold(s->backend->db, now))
 		return false;
--- a/src/proxy/dispatch_evacuation.c
+++ b/src/proxy/dispatch_evacuation.c
@@ -3,7 +3,10 @@
 #include "kernel/counters.h"
 #include "proxy/proxy_internal.h"
 
-/* How statements end or wait that an evacuated database may not get. */
+/*
+ * How statements end or wait that a database may not get: an evacuated one, or
+ * a cold one that another VM owns.
+ */
 
 /*
  * Takes a statement back that was not sent to its database, as the database's
@@ -67,3 +70,32 @@
 				   "failure domain evacuated, not run, "
 				   "transaction rolled back");
 }
+
+/*
+ * Takes a statement back that waits for a cold database which another VM owns
+ * now, since only the owner may send to it. A transaction that other statements
+ * have begun there ends.
+ */
+void dispatch_return_cold(struct session *s)
+{
+	bool is_begun = s->tx_answered;
+
+	if (is_begun) {
+		/* A roll-back would be sent to the database too. */
+		s->backend->must_close = true;
+	} else {
+		s->tx_at_database = false;
+		backend_release(s->backend);
+	}
+	if (s->stream)
+		remote_server_refuse(s,
+				     is_begun ? REPLY_ERR_ABORTED
+					      : REPLY_ERR_WRONG_DATABASE,
+				     0);
+	else if (is_begun)
+		session_send_error(s, REPLY_ERR_ABORTED,
+				   "another VM owns the cold database, not "
+				   "run, transaction rolled back");
+	else
+		dispatch_retry(s, REPLY_ERR_NONE);
+}
--- a/src/proxy/proxy_internal.h
+++ b/src/proxy/proxy_internal.h
@@ -534,6 +534,8 @@
  * failure domain is evacuated.
  */
 void dispatch_return_evacuated(struct session *s);
+/* Takes a statement back that waits for a cold database of another owner. */
+void dispatch_return_cold(struct session *s);
 /* Notes that a statement waits for the hand-over of the primary. */
 void dispatch_wait_for_hand_over(struct session *s, usec_t now);
 /* Refuses a statement that no database outside evacuated domains can run. */
--- a/tests/process/placement.pl
+++ b/tests/process/placement.pl
@@ -181,6 +181,34 @@
 	within_limit($name, "db-2");
 }
 
+# Guards against a transaction that waits in vain at a former owner, which may send
+# nothing to the cold database any more.
+sub owner_returns {
+	my ($owner) = @_;
+	my $name = "a transaction whose VM no longer owns the cold database";
+	my ($second) = grep { $_ ne $owner && /p[25]/ } @live;
+	my $c;
+	kill "STOP", $pid{$owner};
+	my $is_begun = await(sub {
+		$c = start("b-db", "key-1", $at{p1});
+		query($c, "BEGIN READ");
+		query($c, "READ x") if $c->{ready} eq "T";
+		return $c->{ready} eq "T" && done($c);
+	});
+	kill "CONT", $pid{$owner};
+	ok("$name: it begins", $is_begun, $c->{end});
+	my $end;
+	ok("$name: it ends", await(sub {
+		$end = query($c, "READ x");
+		sleep 2 * $POLL_S;
+		return $c->{ready} ne "T";
+	}), $end);
+	ok("$name: it is aborted", $end =~ /^ERROR ABORTED/, $end);
+	# The route's timeout is 1.5 s.
+	my $n = logged($second, " statement_returned .*id=$c->{id} .*waited_us=1[0-9]{6} ");
+	ok("$name: it does not wait for its deadline", $n == 0, $n);
+}
+
 # Guards against a cold replica that gets more than its limit, also as its owner is
 # replaced, and against reads that wait for it. First no other database may serve the
 # reads, then all may.
@@ -191,6 +219,8 @@
 	within_limit("$name, transactions", "db-2");
 	peak_reset("db-2");
 	my $owner = owner("db-2");
+	owner_returns($owner);
+	peak_reset("db-2");
 	my @lines = load("b-db", $LOAD_S, \&read_step, sub {
 		sleep 1;
 		kill_vm($owner);
