Limit a database that may just have restarted until a list tells

Cause: VMs list the databases about once a second. A database that restarted within that time was used at full rate by VMs whose list was from before, and its entry said that it is cold.

Change: after a connection that could not be opened, a database counts as cold until a list requested later tells, for at most 1.5 s, and that list is requested sooner. This is done only where the configuration has a rate for cold databases.

Conclusion: a database that restarts so fast that no connection to it fails is not covered.

--- a/src/proxy/backend.c
+++ b/src/proxy/backend.c
@@ -285,6 +285,7 @@
 		db->failures++;
 		db->connect_failed_at = now;
 		db->retry_at = now + RECONNECT_DELAY_US;
+		placement_on_connect_failed(db, now);
 	}
 	backend_close(b, what & BEV_EVENT_EOF ? "closed by the database"
 					      : "connection broken");
--- a/src/proxy/placement.c
+++ b/src/proxy/placement.c
@@ -6,6 +6,13 @@
  * for (decide/cold_limit.h).
  */
 
+/*
+ * Longest wait for a list after a connection that failed: some VM lists the
+ * databases at least once a second.
+ */
+#define RELIST_MAX_US (1500 * USEC_PER_MSEC)
+
+static bool awaits_list(const struct db_member *d, usec_t now);
 static const char *region_of(const struct proxy *p, const char *domain);
 static struct cold_limit_policy cold_policy(const struct db_member *d);
 
@@ -77,17 +84,43 @@
 	if (d->group->cold_milli_per_s == 0)
 		return;
 	d->relisted_from = now;
+	d->relisted_by = 0;
 	registry_poll_fast(d->group->proxy->registry, now);
 }
 
+/*
+ * A database that refuses connections may be about to start, and the list from
+ * before then does not tell that it is cold. If no list comes, the limit ends:
+ * a store that is away may not keep it up for good.
+ */
+void placement_on_connect_failed(struct db_member *d, usec_t now)
+{
+	bool awaited = awaits_list(d, now);
+
+	if (d->group->cold_milli_per_s == 0)
+		return;
+	if (!awaited)
+		registry_poll_fast(d->group->proxy->registry, now);
+	if (!awaited || d->relisted_by)
+		d->relisted_by = now + RELIST_MAX_US;
+	d->relisted_from = now;
+}
+
 /*
  * Returns true if statements to the database are limited. After an evacuation
- * the list from before does not tell whether it is cold, so it counts as cold.
+ * or a connection that failed the list from before does not tell whether it is
+ * cold, so it counts as cold.
  */
 bool placement_is_cold(const struct db_member *d, usec_t now)
 {
 	return d->group->cold_milli_per_s &&
-	       (d->relisted_from || now < d->cold_until);
+	       (awaits_list(d, now) || now < d->cold_until);
+}
+
+/* Returns true if the newest list does not tell whether it is cold. */
+static bool awaits_list(const struct db_member *d, usec_t now)
+{
+	return d->relisted_from && (!d->relisted_by || now < d->relisted_by);
 }
 
 /*
--- a/src/proxy/proxy_internal.h
+++ b/src/proxy/proxy_internal.h
@@ -69,9 +69,11 @@
 	bool announced_departure; /* by its last entry */
 	/* its failure domain is evacuated, known since then; 0: it is not */
 	usec_t evacuated_since;
-	/* after an evacuation only a list requested from this time on tells
-	 * whether it is cold; 0: any does */
+	/* after an evacuation or a connection that failed, only a list
+	 * requested from this time on tells whether it is cold; 0: any does */
 	usec_t relisted_from;
+	/* without such a list it counts as cold until then; 0: without end */
+	usec_t relisted_by;
 	usec_t cold_until; /* slow after its start; 0: it is not */
 	struct cold_limit cold;
 	/* its owner could send it no more, as it is cold: no reads until then
@@ -511,6 +513,8 @@
 			 usec_t listed_at);
 /* Takes note that the evacuation of the database's domain has ended. */
 void placement_on_evacuation_end(struct db_member *d, usec_t now);
+/* Takes note that no connection to the database could be opened. */
+void placement_on_connect_failed(struct db_member *d, usec_t now);
 /* True if statements to the database are limited, as it is cold. */
 bool placement_is_cold(const struct db_member *d, usec_t now);
 /* True if it is cold and can take no more reads now, as far as known. */
--- a/tests/process/placement.pl
+++ b/tests/process/placement.pl
@@ -22,6 +22,8 @@
 my $LOAD_S = 2;
 # Time for a change of the list of databases, which VMs read each second, to arrive.
 my $LIST_S = 1.5;
+# How long a database is down that restarts: so short that most lists miss it.
+my $DOWN_S = 0.1;
 
 my $dir;
 ($platform, $dir, my @vms) = @ARGV;
@@ -241,7 +243,7 @@
 	ok("$name: the route is bound to it", configure("do=homes&of=b-db&region=south"));
 	load("b-db", 2, \&read_step, sub {
 		control("do=stop&db=db-2");
-		sleep 0.5;
+		sleep $DOWN_S;
 		peak_reset("db-2");
 		control("do=cold&db=db-2&n=60000");
 		control("do=start&db=db-2");
