--- a/src/proxy/dispatch.c
+++ b/src/proxy/dispatch.c
@@ -21,6 +21,8 @@
 static bool try_start(struct session *s, usec_t now);
 static bool try_start_served(struct session *s, usec_t now);
 static bool continue_transaction(struct session *s, usec_t now);
+static void refuse_outside_regions(struct session *s);
+static bool start_at_primary(struct session *s, usec_t now);
 static bool has_evacuated_primary(const struct db_group *g, usec_t now);
 static bool is_lagging_everywhere(const struct stmt_exec *t);
 static bool is_known_behind(const struct db_member *d, struct log_pos after,
@@ -35,6 +37,8 @@
 static void start_waiting(struct db_group *g, bool is_on_time, usec_t now);
 static bool meets_target(const struct session *s, usec_t now);
 static bool is_too_late(const struct session *s, usec_t now);
+static uint32_t count_ahead(const struct session *s, bool only_on_time,
+			    usec_t now);
 static void enqueue(struct session *s);
 static void dequeue(struct session *s);
 static bool goes_before(const struct session *a, const struct session *b);
@@ -60,13 +64,6 @@
 			dispatch_abort_evacuated(s);
 		return;
 	}
-	if (!placement_has_db(s)) {
-		session_send_error(
-			s, s->in_tx ? REPLY_ERR_ABORTED : REPLY_ERR_BUSY,
-			"no database in a region of its route and team, not "
-			"run, retry after 1000 ms");
-		return;
-	}
 	/* dispatch_waiting() starts queued ones when resources become free. */
 	if (try_start(s, now))
 		return;
@@ -235,7 +232,8 @@
 	if (s->exec.db < DB_GROUP_MEMBERS_MAX)
 		refused |= 1U << s->exec.db;
 	for (i = 0; i < DB_GROUP_MEMBERS_MAX; i++) {
-		if (is_usable(&g->db[i], now) && !(refused & (1U << i)))
+		if (is_usable(&g->db[i], now) && !(refused & (1U << i)) &&
+		    placement_allows_db(s, &g->db[i]))
 			return true;
 	}
 	return false;
@@ -272,6 +270,10 @@
 		return continue_transaction(s, now);
 	if (s->stream)
 		return try_start_served(s, now);
+	if (!placement_has_db(s, now)) {
+		refuse_outside_regions(s);
+		return true;
+	}
 	switch (db_group_check_statement(g, t->needs_primary, now)) {
 	case EVACUATION_WAIT:
 		dispatch_wait_for_hand_over(s, now);
@@ -303,18 +305,39 @@
 		return true;
 	if (!t->needs_primary)
 		db_group_proof_refresh_position(g, now);
-	if (t->needs_primary || !set_min_position(s)) {
-		/* Only the primary is known to have what the read may need. */
-		if (!db_group_primary_is_usable(g, now) ||
-		    !is_usable(&g->db[g->primary], now))
-			return false;
-		return start_at(s, g->primary);
-	}
+	if (t->needs_primary || !set_min_position(s))
+		return start_at_primary(s, now);
 	/* A primary with a valid proof has every position: none is sent. */
 	t->has_after = db != g->primary || !db_group_primary_is_usable(g, now);
 	return start_at(s, db);
 }
 
+/*
+ * Refuses a statement that no database can run in the regions of its route and
+ * team.
+ */
+static void refuse_outside_regions(struct session *s)
+{
+	session_send_error(s, s->in_tx ? REPLY_ERR_ABORTED : REPLY_ERR_BUSY,
+			   "no database in a region of its route and team, "
+			   "not run, retry after 1000 ms");
+}
+
+/*
+ * Starts a statement at the primary, which has what every statement needs, if
+ * that is in a region that is allowed.
+ */
+static bool start_at_primary(struct session *s, usec_t now)
+{
+	struct db_group *g = s->group;
+
+	if (!db_group_primary_is_usable(g, now) ||
+	    !is_usable(&g->db[g->primary], now) ||
+	    !placement_allows_db(s, &g->db[g->primary]))
+		return false;
+	return start_at(s, g->primary);
+}
+
 /*
  * Starts a statement of another VM at the database that this VM chose for it,
  * or gives it back if it can't be executed there.
@@ -371,25 +394,41 @@
  */
 static bool is_too_late(const struct session *s, usec_t now)
 {
-	const struct db_group *g = s->group;
-	const struct db_member *d = &g->db[s->exec.db];
+	const struct db_member *d = &s->group->db[s->exec.db];
+	usec_t time_left = s->exec.deadline - now;
 	struct queue_wait q = {
 		.slots = d->slots,
 		.running = d->running,
 		.service = d->latency,
 	};
-	const struct session *at;
 
+	if (placement_is_cold(d, now))
+		return placement_cold_wait(d, count_ahead(s, false, now), now) >
+		       time_left;
 	if (conn_pool_has_free_slot(d))
 		return false;
-	TAILQ_FOREACH(at, &g->waiting, queue_entry)
+	q.ahead = count_ahead(s, true, now);
+	return queue_wait_is_too_long(&q, time_left);
+}
+
+/*
+ * Counts the forwarded statements that wait for the same database and go before
+ * this one: all, or only those that can still meet their latency target.
+ */
+static uint32_t count_ahead(const struct session *s, bool only_on_time,
+			    usec_t now)
+{
+	const struct session *at;
+	uint32_t n = 0;
+
+	TAILQ_FOREACH(at, &s->group->waiting, queue_entry)
 	{
 		if (goes_before(s, at))
 			break;
-		q.ahead += at->stream && at->exec.db == s->exec.db &&
-			   meets_target(at, now);
+		n += at->stream && at->exec.db == s->exec.db &&
+		     (!only_on_time || meets_target(at, now));
 	}
-	return queue_wait_is_too_long(&q, s->exec.deadline - now);
+	return n;
 }
 
 /*
@@ -432,6 +471,11 @@
 		dispatch_return_evacuated(s);
 		return true;
 	}
+	if (placement_is_cold(s->backend->db, now) &&
+	    db_member_owner(s->backend->db)) {
+		dispatch_return_cold(s);
+		return true;
+	}
 	if (!conn_pool_has_free_slot(s->backend->db) ||
 	    !placement_take_cold(s->backend->db, now))
 		return false;
@@ -473,11 +517,13 @@
 
 /*
  * A read that another VM forwarded to a cold database goes back, as it may find
- * another one; what needs the primary waits. Returns true if it was given back.
+ * another one; what only this one can run waits. Returns true if it was given
+ * back.
  */
 static bool refuse_cold_read(struct session *s, struct db_member *d)
 {
-	if (!s->stream || s->exec.needs_primary || s->tx_at_database)
+	if (!s->stream || s->exec.needs_primary || s->exec.has_no_choice ||
+	    s->tx_at_database)
 		return false;
 	d->cold_retry_at = proxy_now() + COLD_RETRY_US;
 	remote_server_refuse(s, REPLY_ERR_BUSY, DONE_COLD);
--- a/src/proxy/proxy_internal.h
+++ b/src/proxy/proxy_internal.h
@@ -69,9 +69,11 @@
 	bool announced_departure; /* by its last entry */
 	/* its failure domain is evacuated, known since then; 0: it is not */
 	usec_t evacuated_since;
-	/* after an evacuation only a list requested from this time on tells
-	 * whether it is cold; 0: any does */
+	/* after an evacuation or a connection that failed, only a list
+	 * requested from this time on tells whether it is cold; 0: any does */
 	usec_t relisted_from;
+	/* without such a list it counts as cold until then; 0: without end */
+	usec_t relisted_by;
 	usec_t cold_until; /* slow after its start; 0: it is not */
 	struct cold_limit cold;
 	/* its owner could send it no more, as it is cold: no reads until then
@@ -258,6 +260,8 @@
 	const char *via;     /* VM that it was forwarded to; NULL: none */
 	uint32_t attempts;
 	bool was_held; /* has waited for a hand-over */
+	/* a forwarded read that no other database can run */
+	bool has_no_choice;
 	usec_t began_at;
 	usec_t arrived_at; /* at this VM; as began_at unless forwarded */
 	usec_t deadline;
@@ -502,22 +506,31 @@
 bool placement_allows_db(const struct session *s, const struct db_member *d);
 /* True if a statement may be forwarded to the peer. */
 bool placement_allows_peer(const struct session *s, const char *peer);
-/* True if the group has a database where the session's statements may run. */
-bool placement_has_db(const struct session *s);
+/* True if the group has a database that may run the session's statement. */
+bool placement_has_db(const struct session *s, usec_t now);
 /* Takes over from an entry how long the database is cold. */
 void placement_note_cold(struct db_member *d, uint32_t cold_left_ms,
 			 usec_t listed_at);
 /* Takes note that the evacuation of the database's domain has ended. */
 void placement_on_evacuation_end(struct db_member *d, usec_t now);
+/* Takes note that no connection to the database could be opened. */
+void placement_on_connect_failed(struct db_member *d, usec_t now);
 /* True if statements to the database are limited, as it is cold. */
 bool placement_is_cold(const struct db_member *d, usec_t now);
 /* True if it is cold and can take no more reads now, as far as known. */
 bool placement_is_exhausted(const struct db_member *d, usec_t now);
+/* True if a read at the cold database "at" can run at no other one now. */
+bool placement_has_no_choice(const struct session *s, uint32_t at, usec_t now);
 /*
  * Takes the right to send one statement to the database; false if it is cold
  * and may get none now.
  */
 bool placement_take_cold(struct db_member *d, usec_t now);
+/* Returns how long a statement behind "ahead" others waits for its right. */
+usec_t placement_cold_wait(const struct db_member *d, uint32_t ahead,
+			   usec_t now);
+/* Counts requests that are sent along with a statement. */
+void placement_add_cold(struct db_member *d, uint32_t n, usec_t now);
 
 /* dispatch_evacuation.c */
 /*
@@ -525,6 +538,8 @@
  * failure domain is evacuated.
  */
 void dispatch_return_evacuated(struct session *s);
+/* Takes a statement back that waits for a cold database of another owner. */
+void dispatch_return_cold(struct session *s);
 /* Notes that a statement waits for the hand-over of the primary. */
 void dispatch_wait_for_hand_over(struct session *s, usec_t now);
 /* Refuses a statement that no database outside evacuated domains can run. */
--- a/src/proxy/remote_client.c
+++ b/src/proxy/remote_client.c
@@ -265,6 +265,8 @@
 		flags |= RUN_COMMIT;
 	if (s->exec.needs_primary)
 		flags |= RUN_NEEDS_PRIMARY;
+	if (placement_has_no_choice(s, s->remote->db, proxy_now()))
+		flags |= RUN_NO_CHOICE;
 	return flags;
 }
 
@@ -349,7 +351,9 @@
 				  m->term, PRIMARY_PROOF_PEER);
 	if (m->result != RESULT_REPLY)
 		return;
-	d->latency += (now - r->sent_at - d->latency) / LATENCY_DIVISOR;
+	/* Else a wait for the limit would outlast it in the estimate. */
+	if (!placement_is_cold(d, now))
+		d->latency += (now - r->sent_at - d->latency) / LATENCY_DIVISOR;
 	db_group_note_position(d, r->sent_at,
 			       m->ready.has_position ? &m->ready.at : NULL);
 }
