Continue a hand-over if its old primary is learned of again

Cause: a VM forgets the primary that refuses a write as read-only after its step-down. If a peer then named it again, for the same term, the VM took that for the promotion of another VM and ended its own attempt, with no primary left. An evacuation withdrawn between step-down and promotion led to that, as statements for the primary are sent again then. Change: failover_fsm_superseded() gets the primary and its term; those that a planned attempt replaces do not end it. Result: the new test of failover_evacuation_test.cc failed before (no promotion in a second, for evacuated and departing primaries) and passes. Conclusion: the group is left without a primary for the promotion only.

--- a/src/decide/failover_fsm.c
+++ b/src/decide/failover_fsm.c
@@ -226,10 +226,16 @@
 
 /*
  * Ends the attempt because another VM has replaced the primary. An attempt that
- * only waits for its new primary's confirmation continues.
+ * only waits for its new primary's confirmation continues. So does a planned
+ * one if the primary is the one that it replaces: a VM forgets a primary that
+ * refuses a write after its step-down, and peers may name it again.
  */
-void failover_fsm_superseded(struct failover_fsm *s, usec_t now)
+void failover_fsm_superseded(struct failover_fsm *s, usec_t now, uint32_t db,
+			     uint64_t term)
 {
+	if (s->phase != FAILOVER_IDLE && is_planned(s) &&
+	    db == s->old_primary && term <= s->base_term)
+		return;
 	s->cause_since = 0;
 	if (s->phase == FAILOVER_IDLE || s->phase == FAILOVER_CONFIRM)
 		return;
--- a/src/decide/failover_fsm.h
+++ b/src/decide/failover_fsm.h
@@ -201,10 +201,12 @@
 void failover_fsm_promoted(struct failover_fsm *s, usec_t now,
 			   enum failover_fsm_answer a);
 /*
- * Ends this VM's attempt because another VM's new primary is known. Replicas
- * that this VM paused are resumed by the VM that promoted, or by the caller.
+ * Ends this VM's attempt because "db" is now known as primary of "term", unless
+ * that is the primary that it replaces. Replicas that this VM paused are
+ * resumed by the VM that promoted, or by the caller.
  */
-void failover_fsm_superseded(struct failover_fsm *s, usec_t now);
+void failover_fsm_superseded(struct failover_fsm *s, usec_t now, uint32_t db,
+			     uint64_t term);
 /* Returns what holds an attempt back, if the machine is idle. */
 enum failover_fsm_hold failover_fsm_hold(const struct failover_fsm *s,
 					 const struct failover_fsm_env *env);
--- a/src/proxy/db_group.c
+++ b/src/proxy/db_group.c
@@ -318,7 +318,7 @@
 	g->primary_changed_at = now;
 	g->db[db].reports_primary = true;
 	g->db[db].primary_term = term;
-	failover_fsm_superseded(&g->succession, now);
+	failover_fsm_superseded(&g->succession, now, db, term);
 	db_group_proof_refresh(g, now);
 	dispatch_waiting(g);
 }
--- a/tests/decide/failover_evacuation_test.cc
+++ b/tests/decide/failover_evacuation_test.cc
@@ -489,6 +489,45 @@
 	}
 }
 
+// Guards against a group left without a primary: a statement that the old
+// primary refuses after its step-down makes the VM forget it, and a peer that
+// does not know of the step-down yet names it again.
+TEST(FailoverEvacuation, PrimaryLearnedDuringAttempt)
+{
+	const struct {
+		const char *name;
+		uint32_t primary;
+		uint64_t later_by; // its term, from that of the old primary
+		uint32_t target;   // DB_NONE: the attempt ends
+	} cases[] = {
+		{ "the old primary", 0, 0, 1 },
+		{ "the old primary in a later term", 0, 1, DB_NONE },
+		{ "another one", 2, 1, DB_NONE },
+	};
+	for (const auto &c : cases) {
+		for (auto cause :
+		     { FAILOVER_CAUSE_EVACUATED, FAILOVER_CAUSE_DEPARTING }) {
+			Group g;
+			g.evacuate(1);
+			g.env.cause = cause;
+			g.verifies = false;
+			g.run(USEC_PER_SEC, 'V');
+			uint64_t term = g.env.term + c.later_by;
+			failover_fsm_superseded(&g.s, g.env.now, c.primary,
+						term);
+			g.env.primary = c.primary;
+			g.env.term = term;
+			g.env.cause = FAILOVER_CAUSE_NONE;
+			failover_fsm_verified(&g.s, g.env.now, true, 78);
+			std::string acts = g.run(USEC_PER_SEC);
+			EXPECT_EQ(promoted(acts), c.target)
+				<< c.name << ", "
+				<< failover_fsm_cause_name(cause) << ": "
+				<< acts;
+		}
+	}
+}
+
 // A VM that acted fails in some phase; what another VM finds must still end
 // with one primary that lacks no confirmed write.
 TEST(FailoverEvacuation, ContinuedAfterVmFailed)
