End transactions at evacuated databases that a suspension outlasted

Cause: a transaction goes on for a quarter of evacuate_ms after this VM knows of the evacuation. A VM that was suspended meanwhile learns of it only then, and sent the next statement of a transaction of before, 5.4 s after the evacuation was written. It also sent ROLLBACK for the transactions that it ended. Change: the time of transactions counts from when the news may have waited at this VM. A connection with an open transaction to an evacuated database is closed in place of being rolled back. Conclusion: what is not covered: a statement of an open transaction that the VM reads before the first heartbeat that waited.

--- a/src/proxy/backend.c
+++ b/src/proxy/backend.c
@@ -649,6 +649,11 @@
 		backend_close(b, "no longer needed");
 		return;
 	}
+	/* A ROLLBACK would be a statement that reaches the domain. */
+	if (b->in_tx && b->db->evacuated_since) {
+		backend_close(b, "domain is evacuated");
+		return;
+	}
 	if (b->in_tx || b->remote_state != STATE_IDLE) {
 		b->in_tx = false;
 		b->remote_state = STATE_IDLE;
--- a/src/proxy/db_group.c
+++ b/src/proxy/db_group.c
@@ -554,7 +554,7 @@
 	d->announced_departure = r->departing;
 	d->unlisted_since = 0;
 	d->reports_primary = r->primary;
-	db_member_note_evacuation(d, proxy_now());
+	db_member_note_evacuation(d, 0, proxy_now());
 }
 
 /*
--- a/src/proxy/db_group_evacuation.c
+++ b/src/proxy/db_group_evacuation.c
@@ -29,7 +29,7 @@
  */
 #define STORE_READ_MAX_US (2 * USEC_PER_SEC)
 
-static usec_t time_limit(const struct proxy *p);
+static bool ends_transactions(const struct db_member *d, usec_t now);
 static usec_t known_since(const struct db_member *d, usec_t now);
 static bool is_outside(const struct db_member *d, usec_t now);
 static bool store_answers(const struct proxy *p, usec_t now);
@@ -40,8 +40,11 @@
 		      usec_t now);
 static bool is_open_and_idle(const struct session *s);
 
-/* Takes over which failure domains are evacuated, for all databases. */
-void db_group_apply_evacuations(struct proxy *p, usec_t now)
+/*
+ * Takes over which failure domains are evacuated, for all databases. The news
+ * may have waited for as long as "waited", as this VM stood still.
+ */
+void db_group_apply_evacuations(struct proxy *p, usec_t waited, usec_t now)
 {
 	uint32_t i;
 	uint32_t j;
@@ -51,15 +54,18 @@
 			struct db_member *d = &p->groups[i]->db[j];
 
 			if (d->present)
-				db_member_note_evacuation(d, now);
+				db_member_note_evacuation(d, waited, now);
 		}
 	}
 	for (i = 0; i < p->n_groups; i++)
 		dispatch_waiting(p->groups[i]);
 }
 
-/* Notes whether a database's failure domain is evacuated, and logs changes. */
-void db_member_note_evacuation(struct db_member *d, usec_t now)
+/*
+ * Notes whether a database's failure domain is evacuated, which may have become
+ * known here "waited" ago, and logs changes.
+ */
+void db_member_note_evacuation(struct db_member *d, usec_t waited, usec_t now)
 {
 	struct db_group *g = d->group;
 	bool was_evacuated = d->evacuated_since != 0;
@@ -69,6 +75,7 @@
 	if (is_evacuated == was_evacuated)
 		return;
 	d->evacuated_since = is_evacuated ? now : 0;
+	d->evacuation_waited = waited;
 	d->evacuation_told_at = 0;
 	if (!is_evacuated)
 		placement_on_evacuation_end(d, now);
@@ -98,8 +105,7 @@
 {
 	if (!s->in_tx || !s->tx_answered)
 		return !db_member_is_evacuated(d, now);
-	return !evacuation_ends_transaction(d->evacuated_since,
-					    time_limit(d->group->proxy), now);
+	return !ends_transactions(d, now);
 }
 
 /*
@@ -159,10 +165,19 @@
 		end_remote_transactions(p, now);
 }
 
-/* Returns the time within which no statement may reach an evacuated domain. */
-static usec_t time_limit(const struct proxy *p)
+/*
+ * Returns true if open transactions of the database have to end. Their time
+ * counts from when this VM would have known of the evacuation, had it not stood
+ * still; otherwise they would go on after all statements must have stopped.
+ */
+static bool ends_transactions(const struct db_member *d, usec_t now)
 {
-	return (usec_t)p->kernel->settings.evacuate_ms * USEC_PER_MSEC;
+	const struct settings *settings = &d->group->proxy->kernel->settings;
+
+	return d->evacuated_since &&
+	       evacuation_ends_transaction(
+		       d->evacuated_since - d->evacuation_waited,
+		       (usec_t)settings->evacuate_ms * USEC_PER_MSEC, now);
 }
 
 /* Returns since when the database is known to be evacuated; 0: it is not. */
@@ -201,9 +216,7 @@
 	struct backend *b;
 
 	/* The list may change whenever a transaction ends. */
-	while (evacuation_ends_transaction(d->evacuated_since,
-					   time_limit(d->group->proxy), now) &&
-	       (b = find_open_transaction(d))) {
+	while (ends_transactions(d, now) && (b = find_open_transaction(d))) {
 		struct session *s = b->session;
 
 		log_ended(s, d, now);
@@ -247,8 +260,7 @@
 		if (!s->remote || !is_open_and_idle(s))
 			continue;
 		d = remote_client_database(s);
-		if (!evacuation_ends_transaction(d->evacuated_since,
-						 time_limit(p), now))
+		if (!ends_transactions(d, now))
 			continue;
 		log_ended(s, d, now);
 		dispatch_release(s);
--- a/src/proxy/proxy_internal.h
+++ b/src/proxy/proxy_internal.h
@@ -69,6 +69,8 @@
 	bool announced_departure; /* by its last entry */
 	/* its failure domain is evacuated, known since then; 0: it is not */
 	usec_t evacuated_since;
+	/* the news of that may have waited here for so long */
+	usec_t evacuation_waited;
 	/* after an evacuation only a list requested from this time on tells
 	 * whether it is cold; 0: any does */
 	usec_t relisted_from;
@@ -608,8 +610,8 @@
 
 /* db_group_evacuation.c */
 /* Takes over which failure domains are evacuated. */
-void db_group_apply_evacuations(struct proxy *p, usec_t now);
-void db_member_note_evacuation(struct db_member *d, usec_t now);
+void db_group_apply_evacuations(struct proxy *p, usec_t waited, usec_t now);
+void db_member_note_evacuation(struct db_member *d, usec_t waited, usec_t now);
 /* True if this VM, or lately another one, takes its domain for evacuated. */
 bool db_member_is_evacuated(const struct db_member *d, usec_t now);
 /* True if the session's next statement may be sent to the database. */
--- a/src/proxy/registry_evacuation.c
+++ b/src/proxy/registry_evacuation.c
@@ -70,7 +70,7 @@
 static void log_skipped(struct registry *r, uint32_t skipped);
 static void finish_list(struct registry *r, bool is_complete, usec_t now);
 static void take(struct registry *r, const struct evacuated_set *set,
-		 usec_t read_at, const char *from, usec_t now);
+		 usec_t read_at, const char *from, usec_t waited, usec_t now);
 static void note_age(struct registry *r, usec_t read_at);
 static bool log_changes(struct registry *r, const struct evacuated_set *former,
 			const char *from, usec_t now);
@@ -318,7 +318,7 @@
 				     REREGISTER_MAX_US);
 	v->reading.is_known = v->reading.is_settled;
 	v->history_gone = false;
-	take(r, &v->reading, v->reading_since, "platform", now);
+	take(r, &v->reading, v->reading_since, "platform", 0, now);
 	heartbeat_tell_readers(r->proxy->heartbeat);
 }
 
@@ -421,18 +421,19 @@
 		read_at = now - (usec_t)age_ms * USEC_PER_MSEC - waited -
 			  TRANSIT_US;
 	if (is_enabled(r))
-		take(r, &set, read_at, peer, now);
+		take(r, &set, read_at, peer, waited, now);
 	return true;
 }
 
 /*
  * Merges a set that was read at "read_at" (0: too long ago to tell) into the
- * known one. A change applies to the databases at once, and is told to the
- * domain, by VMs that read also to all others that read. A list that was
- * planned is left out if the set makes it unnecessary.
+ * known one. "waited" is how long it may have waited here. A change applies to
+ * the databases at once, and is told to the domain, by VMs that read also to
+ * all others that read. A list that was planned is left out if the set makes it
+ * unnecessary.
  */
 static void take(struct registry *r, const struct evacuated_set *set,
-		 usec_t read_at, const char *from, usec_t now)
+		 usec_t read_at, const char *from, usec_t waited, usec_t now)
 {
 	struct evacuations *v = &r->evacuations;
 	struct proxy *x = r->proxy;
@@ -445,7 +446,7 @@
 		v->list.due_at = 0;
 	if (!log_changes(r, &former, from, now))
 		return;
-	db_group_apply_evacuations(x, now);
+	db_group_apply_evacuations(x, waited, now);
 	heartbeat_tell_domain(x->heartbeat);
 	if (r->was_reader)
 		heartbeat_tell_readers(x->heartbeat);
