Test statements of callers while failure domains are evacuated

The fake platform lists its writes, and a database that is no longer cut off receives the log at once; before, it waited for the next commit, which an evacuated primary never gets.

--- a/tests/sessions/control.cc
+++ b/tests/sessions/control.cc
@@ -11,7 +11,8 @@
 // store silent for good, while new ones work; "listed_ms" and "claimed_ms" tell
 // when the newest departure of a primary was first listed and claimed for.
 // "evacuate" and "return" write and delete the evacuation of the failure domain
-// "zone".
+// "zone". The reply to "writes" lists how often each write was executed, as
+// "ran ID NUMBER", and the log of the primary, as "log ITEM DATA", instead.
 
 void FakePlatform::on_control(evhttp_request *req, void *ctx)
 {
@@ -46,6 +47,9 @@
 		relay_peers = n != 0;
 	} else if (what == "effect_ms") {
 		effect_ms = n;
+	} else if (what == "writes") {
+		request_reply(req, 200, writes());
+		return;
 	} else if (!known && what != "count") {
 		request_reply(req, 400, "unknown action " + what + "\n");
 		return;
@@ -86,6 +90,8 @@
 		db->lag_ms = n;
 	} else if (what == "cut_off") {
 		db->cut_off = n != 0;
+		if (Database *leader = newest_primary())
+			replicate(leader);
 	} else if (what == "mute") {
 		db->mute = n != 0;
 		db->close_all();
@@ -143,6 +149,20 @@
 	return true;
 }
 
+// Lists the writes that were executed, and those in the log of the primary.
+std::string FakePlatform::writes() const
+{
+	const Database *primary = newest_primary();
+	std::string out;
+	for (const auto &w : write_counts)
+		out += "ran " + w.first + " " + std::to_string(w.second) + "\n";
+	if (!primary)
+		return out;
+	for (const auto &e : primary->log)
+		out += "log " + e.item + " " + e.data + "\n";
+	return out;
+}
+
 std::string FakePlatform::counters() const
 {
 	int n_twice = 0;
--- a/tests/sessions/fake_platform.h
+++ b/tests/sessions/fake_platform.h
@@ -178,6 +178,7 @@
 	void set_evacuated(const std::string &zone, bool evacuated);
 	void put_evacuations();
 	std::string counters() const;
+	std::string writes() const;
 	void write_config();
 	void put_config();
 	static void relay_peer(std::string *spec);
