--- a/src/proxy/db_group.c
+++ b/src/proxy/db_group.c
@@ -318,7 +318,7 @@
 	g->primary_changed_at = now;
 	g->db[db].reports_primary = true;
 	g->db[db].primary_term = term;
-	failover_fsm_superseded(&g->succession, now);
+	failover_fsm_superseded(&g->succession, now, db, term);
 	db_group_proof_refresh(g, now);
 	dispatch_waiting(g);
 }
@@ -554,7 +554,7 @@
 	d->announced_departure = r->departing;
 	d->unlisted_since = 0;
 	d->reports_primary = r->primary;
-	db_member_note_evacuation(d, proxy_now());
+	db_member_note_evacuation(d, 0, proxy_now());
 }
 
 /*
