List the databases each second in large fleets, as before

Change: the shorter times hold in fleets in which all hear each other. Conclusion: to hold 0.7 s in large fleets the departure has to be told in another way than by a list.

--- a/src/proxy/proxy.c
+++ b/src/proxy/proxy.c
@@ -117,6 +117,14 @@
 		.min_age = 200 * USEC_PER_MSEC,
 		.spread = 300 * USEC_PER_MSEC,
 	},
+	/*
+	 * In a large fleet more VMs list before they hear of the first: with
+	 * the times above 63 VMs made 246 calls more on a calm day, of 665.
+	 */
+	.list_poll_large = {
+		.min_age = 400 * USEC_PER_MSEC,
+		.spread = 600 * USEC_PER_MSEC,
+	},
 	.costs = {
 		/* The handshake in a slot, and three one-way network delays. */
 		.open = 16 * USEC_PER_MSEC,
--- a/src/proxy/proxy_internal.h
+++ b/src/proxy/proxy_internal.h
@@ -396,6 +396,7 @@
 	usec_t registry_fast_interval;
 	struct shared_poll_policy catalog_poll;
 	struct shared_poll_policy list_poll;
+	struct shared_poll_policy list_poll_large; /* of a large fleet */
 	struct load_balance_costs costs;
 };
 
--- a/src/proxy/registry_list.c
+++ b/src/proxy/registry_list.c
@@ -19,6 +19,7 @@
 /* A peer's list that is older than this tells nothing. */
 #define LIST_AGE_MAX_MS (2 * LIST_INTERVAL_MAX_US / USEC_PER_MSEC)
 
+static const struct shared_poll_policy *list_policy(const struct registry *r);
 static void note_listed(struct registry *r, usec_t listed_at);
 static void on_list_failed(struct registry *r, struct poll *p, usec_t now);
 static void copy_if_late(struct registry *r, usec_t now);
@@ -251,11 +252,20 @@
 	p->due_at = now + list_interval(r, now);
 }
 
+/* Returns when VMs list the databases in turn. */
+static const struct shared_poll_policy *list_policy(const struct registry *r)
+{
+	const struct proxy_policy *p = &r->proxy->policy;
+
+	return heartbeat_is_full_mesh(r->proxy->heartbeat)
+		       ? &p->list_poll
+		       : &p->list_poll_large;
+}
+
 /* Lists the databases if it is this VM's turn; copies a list that is late. */
 void registry_list_tick(struct registry *r, usec_t now)
 {
-	usec_t due_at =
-		shared_poll_due_at(&r->list_poll, &r->proxy->policy.list_poll);
+	usec_t due_at = shared_poll_due_at(&r->list_poll, list_policy(r));
 
 	if (due_at && r->was_reader && now >= due_at &&
 	    now >= r->databases.retry_at && r->databases.due_at > now) {
@@ -270,8 +280,8 @@
 {
 	struct proxy *x = r->proxy;
 
-	(void)shared_poll_answered(&r->list_poll, &x->policy.list_poll,
-				   listed_at, heartbeat_n_readers(x->heartbeat),
+	(void)shared_poll_answered(&r->list_poll, list_policy(r), listed_at,
+				   heartbeat_n_readers(x->heartbeat),
 				   proxy_random_unit(x));
 }
 
