Resume idle transactions together in links_silent.sh

Traced by its output: the statements came one after the other, those at the second and third VM took 194 and 208 ms, and the next three transactions, idle for more than a second by then, were answered ABORTED after 0 ms, as the test's configuration ends idle transactions after 1 s. That is allowed. Change: all statements are sent at once; the checks are the same. Conclusion: a fault of the test.

--- a/tests/process/links_silent.pl
+++ b/tests/process/links_silent.pl
@@ -143,9 +143,12 @@
 	}
 	relay_command("silence both");
 	sleep(0.6);
+	# All at once: one after the other the last ones would be idle for longer than
+	# the configuration lets them, as each link takes 0.2 s to be replaced.
+	my $began = time;
+	send_query($open[$_], "WRITE idle-$_ two") for 0 .. $#open;
 	for my $n (0 .. $#open) {
-		my $began = time;
-		query($open[$n], "WRITE idle-$n two");
+		read_reply($open[$n]);
 		printf "# idle: the next statement took %.0f ms\n", 1000 * (time - $began);
 		query($open[$n], "COMMIT");
 		ok("an idle transaction goes on, $n", done($open[$n]), $open[$n]{end});
--- a/tests/process/sessions_lib.pl
+++ b/tests/process/sessions_lib.pl
@@ -68,13 +68,18 @@
 	return $c;
 }
 
-sub query {
+# Sends a statement without waiting for its reply.
+sub send_query {
 	my ($c, $text) = @_;
 	my $id = sprintf("%s%06d", $id_prefix, ++$ids);
 	my $s = $c->{s};
 	print $s "QUERY $id $text\r\n";
-	read_reply($c);
 	$c->{id} = $id;
+}
+sub query {
+	my ($c, $text) = @_;
+	send_query($c, $text);
+	read_reply($c);
 	return $c->{end};
 }
 sub value { my ($c, $item) = @_; query($c, "READ $item"); return $c->{rows}[0] // $c->{end} }
