Keep reads off the primary while its replicas' queues are short

Cause: with one team at six times its load the primaries' slots were busy 0.94 of the time and the replicas' 0.80, and 11 of 45 s of work at the primaries were reads that a replica could have run. The average response time of a primary is short, as its statements are, so it looked cheap, and the 10 ms added to it were less than one read. Change: what is added is four of the primary's own response times. The case of both replicas busy with 5 statements at 5 slots now expects a replica, and one with 25 at each expects the primary. Conclusion: kept with four, as eight would leave an idle primary unused while reads wait for eight statements.

--- a/src/decide/load_balance.c
+++ b/src/decide/load_balance.c
@@ -42,7 +42,7 @@
 	if (!db->local)
 		cost += costs->remote;
 	if (db->primary)
-		cost += costs->primary;
+		cost += db->latency * (usec_t)costs->primary_latencies;
 	if (db->behind)
 		cost += costs->behind;
 	if (db->conn == LOAD_BALANCE_CONN_NEW)
--- a/src/decide/load_balance.h
+++ b/src/decide/load_balance.h
@@ -30,13 +30,17 @@
 	bool behind; /* not known to have replayed the required position */
 };
 
-/* Added costs in microseconds. */
+/* Added costs, in microseconds where nothing else is said. */
 struct load_balance_costs {
-	usec_t open;	/* opening a connection */
-	usec_t evict;	/* that, and closing one that another team may need */
-	usec_t remote;	/* round trip to another failure domain */
-	usec_t behind;	/* waiting for, or refusal by, a lagging replica */
-	usec_t primary; /* loading the primary with a replica's work */
+	usec_t open;   /* opening a connection */
+	usec_t evict;  /* that, and closing one that another team may need */
+	usec_t remote; /* round trip to another failure domain */
+	usec_t behind; /* waiting for, or refusal by, a lagging replica */
+	/*
+	 * Work that a replica could do, added to the primary's queue: in
+	 * average response times of the primary.
+	 */
+	uint32_t primary_latencies;
 };
 
 /* Returns the index of the database to use, or DB_NONE. */
--- a/src/proxy/proxy.c
+++ b/src/proxy/proxy.c
@@ -131,7 +131,11 @@
 		.evict = 24 * USEC_PER_MSEC,
 		.remote = 6 * USEC_PER_MSEC,
 		.behind = 20 * USEC_PER_MSEC,
-		.primary = 10 * USEC_PER_MSEC,
+		/*
+		 * Only the primary runs writes, so a read goes there when the
+		 * replicas' queues are longer by several statements.
+		 */
+		.primary_latencies = 4,
 	},
 };
 
