Wait longer before another team's connection is taken

Change: a team that has a connection takes another one's only after 32 average response times without use there, which is 0.26 to 0.5 s on that site, not after a fixed 200 ms. The rule is a function of its own (decide/conn_evict).

--- a/src/proxy/conn_pool.c
+++ b/src/proxy/conn_pool.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "decide/conn_evict.h"
 #include "proxy/proxy_internal.h"
 
 /*
@@ -42,11 +43,6 @@
  */
 #define TRIM_FLEET_DIVISOR 2
 #define TRIM_LAST_US	   (3 * USEC_PER_SEC)
-/*
- * A team that has a connection takes another team's only if that has been idle
- * for this long, several times what a statement takes.
- */
-#define EVICT_IDLE_US (200 * USEC_PER_MSEC)
 
 static uint32_t fair_share(const struct db_member *db);
 static struct backend *least_recently_used(struct db_member *db,
@@ -245,28 +241,29 @@
 
 /*
  * Returns the idle connection of another team that has been unused for the
- * longest time, or NULL.
+ * longest time, or NULL if there is none that may be closed for the session.
  */
 static struct backend *least_recently_used(struct db_member *db,
 					   const struct session *s)
 {
+	struct conn_evict_view v = { .latency = db->latency };
 	struct backend *oldest = NULL;
 	usec_t now = proxy_now();
-	bool has_own = false;
 	struct backend *b;
 
 	TAILQ_FOREACH(b, &db->conns, link)
 	{
-		has_own |= strcmp(b->team, s->team) == 0;
+		v.has_own |= strcmp(b->team, s->team) == 0;
 		if (!b->has_served && now - b->opened_at < UNUSED_PROTECT_US)
 			continue;
 		if (b->state == BACKEND_IDLE && strcmp(b->team, s->team) != 0 &&
 		    (!oldest || b->used_at < oldest->used_at))
 			oldest = b;
 	}
-	if (has_own && oldest && now - oldest->used_at < EVICT_IDLE_US)
+	if (!oldest)
 		return NULL;
-	return oldest;
+	v.idle = now - oldest->used_at;
+	return conn_evict_is_worthwhile(&v) ? oldest : NULL;
 }
 
 /* True if this VM owns the database's connections or works as its owner. */
