Free the slots of statements whose answers are lost

Cause: an owner counted a statement as running until its answer came or 5 s had passed. If the database has answered a statement or a status request that was sent later, the slot counts as free after that time; after three times as long a read is made again, as before, and a transaction is answered as aborted while its caller can still repeat it. The outcome of writes stays unknown until their time-out. A connection for which nobody waits is closed, and one whose answer is overdue is no reason for its team to wait for it.

--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -45,6 +45,7 @@
 	X(3007, BACKEND_OPENED, INFO, "connection to a database opened")    \
 	X(3008, BACKEND_CLOSED, INFO, "connection to a database closed")    \
 	X(3009, DB_EVACUATED, INFO, "database evacuated, or no longer")     \
+	X(3010, ANSWER_OVERDUE, WARN, "answer of a database is overdue")    \
 	X(4001, PROMOTE_SUSPECT, WARN, "primary suspected")                 \
 	X(4002, PROMOTE_CLAIM, INFO, "term claimed")                        \
 	X(4003, PROMOTE_FENCE, INFO, "group fenced by majority")            \
--- a/src/proxy/backend.c
+++ b/src/proxy/backend.c
@@ -45,6 +45,8 @@
 static void on_ready(struct backend *b, const struct reply_msg *m);
 static void on_started(struct backend *b);
 static void on_statement(struct backend *b, const struct reply_msg *m);
+static void note_answered(struct db_member *db, usec_t sent_at);
+static void note_latency(struct db_member *db, usec_t took);
 static void on_control(struct backend *b, usec_t requested_at);
 static void send_session_state(struct backend *b, struct session *s);
 static void send_prepare(struct backend *b, struct session *s);
@@ -121,7 +123,8 @@
 	TAILQ_REMOVE(&db->conns, b, link);
 	db->n_conns--;
 	for (i = 0; i < b->n_expected; i++)
-		db->running -= b->expected[i].kind == EXPECT_STATEMENT;
+		db->running -= b->expected[i].kind == EXPECT_STATEMENT &&
+			       !b->is_overdue;
 	b->session = NULL;
 	b->control = NULL;
 	b->closed = true;
@@ -381,8 +384,7 @@
 		break;
 	case EXPECT_STATEMENT:
 		b->failed = failed;
-		if (e.sent_at > b->db->answered_sent_at)
-			b->db->answered_sent_at = e.sent_at;
+		note_answered(b->db, e.sent_at);
 		on_statement(b, m);
 		return;
 	case EXPECT_CONTROL:
@@ -435,7 +437,8 @@
 	usec_t took;
 
 	b->failed = false;
-	b->db->running--;
+	b->db->running -= !b->is_overdue;
+	b->is_overdue = false;
 	b->in_tx = m->state != STATE_IDLE;
 	if (!s) {
 		evbuffer_drain(b->reply, evbuffer_get_length(b->reply));
@@ -444,7 +447,7 @@
 	}
 	took = proxy_now() - s->exec.sent_at;
 	latency_add(LATENCY_DATABASE, took);
-	b->db->latency += (took - b->db->latency) / LATENCY_DIVISOR;
+	note_latency(b->db, took);
 	if (failed) {
 		enum exec_result end = RESULT_NOT_RUN;
 
@@ -457,6 +460,23 @@
 	session_on_result(s, RESULT_REPLY, REPLY_ERR_NONE, b->reply, m);
 }
 
+/* Notes that the database has answered what was sent at this time. */
+static void note_answered(struct db_member *db, usec_t sent_at)
+{
+	if (sent_at > db->answered_sent_at)
+		db->answered_sent_at = sent_at;
+}
+
+/* Adds a response time to the average, and to the mean deviation from it. */
+static void note_latency(struct db_member *db, usec_t took)
+{
+	usec_t off = took - db->latency;
+
+	db->deviation +=
+		((off < 0 ? -off : off) - db->deviation) / LATENCY_DIVISOR;
+	db->latency += off / LATENCY_DIVISOR;
+}
+
 /* Handles the reply to a control request. */
 static void on_control(struct backend *b, usec_t requested_at)
 {
@@ -472,6 +492,7 @@
 	if (ok) {
 		db->status = report;
 		db->status_requested_at = requested_at;
+		note_answered(db, requested_at);
 	}
 	make_idle(b);
 	if (fn)
--- a/src/proxy/conn_pool.c
+++ b/src/proxy/conn_pool.c
@@ -253,7 +253,7 @@
 
 	TAILQ_FOREACH(b, &db->conns, link)
 	{
-		v.has_own |= strcmp(b->team, s->team) == 0;
+		v.has_own |= !b->is_overdue && strcmp(b->team, s->team) == 0;
 		if (!b->has_served && now - b->opened_at < UNUSED_PROTECT_US)
 			continue;
 		if (b->state == BACKEND_IDLE && strcmp(b->team, s->team) != 0 &&
--- a/src/proxy/db_group.c
+++ b/src/proxy/db_group.c
@@ -539,6 +539,7 @@
 			d->trusted_from = proxy_now() + TRUST_DELAY_US;
 		d->conn_limit = UINT32_MAX;
 		d->latency = LATENCY_INITIAL_US;
+		d->deviation = LATENCY_INITIAL_US;
 		log_event(EV_DB_JOINED,
 			  "service=%s database=%s address=%s domain=%s "
 			  "primary=%d",
@@ -671,7 +672,7 @@
 		else
 			backend_tick(b, now);
 	}
-	backend_close_silent(db, now);
+	backend_check_answers(db, now);
 	if (db->present && db_member_is_silent(db, now)) {
 		give_up_reads(db);
 		db_member_probe(db, now);
--- a/src/proxy/proxy_internal.h
+++ b/src/proxy/proxy_internal.h
@@ -133,8 +133,10 @@
 	usec_t retry_at;
 	/* connection attempts that failed, in a row */
 	uint32_t failures;
-	usec_t latency; /* moving average of its response time */
-	/* when the newest statement was sent that it has answered; 0: none */
+	usec_t latency;	  /* moving average of its response time */
+	usec_t deviation; /* mean deviation from it, at the owner */
+	/* when the newest statement or status request was sent that it has
+	 * answered; 0: none */
 	usec_t answered_sent_at;
 	usec_t probed_at;		/* time of the last status request */
 	struct db_status_report status; /* last status it reported */
@@ -362,8 +364,11 @@
 	struct session *session;
 	struct strmap vars;
 	struct strmap prepared;
-	bool needs_reset;  /* its variables are uncertain until a RESET */
-	bool in_tx;	   /* a transaction is open on it at the database */
+	bool needs_reset; /* its variables are uncertain until a RESET */
+	bool in_tx;	  /* a transaction is open on it at the database */
+	/* its statement is no longer counted as running: its answer is
+	 * probably lost */
+	bool is_overdue;
 	bool must_close;   /* closed instead of returned to the pool */
 	bool closed;	   /* waits for backend_reap() */
 	char remote_state; /* state in the last READY; idle once a
@@ -563,7 +568,7 @@
 /* Disables Nagle's algorithm and detects a dead peer within a few seconds. */
 void backend_set_socket_options(evutil_socket_t fd);
 /* Closes connections that are probably silent, where nothing is lost by it. */
-void backend_close_silent(struct db_member *db, usec_t now);
+void backend_check_answers(struct db_member *db, usec_t now);
 
 /* conn_pool.c */
 struct backend *conn_pool_find_idle(struct db_member *db,
