Leave out replicas that lacked a position lately

Cause: while both replicas of a group lag, each read went to one, was returned after a round trip, went to the other, and then to the primary: 110 statements returned in a second from one group. A replica that had returned one within 100 ms cost only 20 ms in the choice. Change: such a replica is not chosen.

--- a/src/proxy/dispatch.c
+++ b/src/proxy/dispatch.c
@@ -540,6 +540,10 @@
 	for (i = 0; i < DB_GROUP_MEMBERS_MAX; i++) {
 		struct db_member *d = &g->db[i];
 
+		/* A replica that lacked a position lately costs a round trip.
+		 */
+		if (i != g->primary && now < d->behind_until)
+			continue;
 		if (is_usable(d, now) && !db_member_is_silent(d, now) &&
 		    !placement_is_exhausted(d, now) &&
 		    placement_allows_db(s, d) &&
