Give an owner two more connections, and close those of other VMs

Cause: of 16 connections of a database an owner used 8; the other VMs of a small fleet kept an idle one each, up to six, after their first status request. After a loss of power the database keeps all of these for 3 s, so the new owner found none: 20 refused openings in the first 0.2 s and 2 databases without a connection until the 3 s were over. Change: VMs of fleets of any size close their last idle connection to a database they don't own after 3 s, and an owner leaves 6 and not 8 connections of 16 (decide/conn_share).

--- a/src/proxy/conn_pool.c
+++ b/src/proxy/conn_pool.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "decide/conn_evict.h"
+#include "decide/conn_share.h"
 #include "proxy/proxy_internal.h"
 
 /*
@@ -21,35 +22,19 @@
  * team for this long.
  */
 #define UNUSED_PROTECT_US (300 * USEC_PER_MSEC)
-/*
- * One in this many of a database's connections is shared by VMs that do not own
- * them, for statements that can't reach the owner.
- */
-#define RESERVE_DIVISOR 8
-/*
- * An owner leaves this many connections for each of the database's slots, so
- * that its successor can work at once: a database keeps the connections of a VM
- * that lost power for seconds.
- */
-#define SUCCESSOR_PER_SLOT 2
-/* It also leaves some for the status requests and failovers of other VMs. */
-#define CONTROL_CONNS 4
 /* A VM that is no longer the owner closes its idle connections after this. */
 #define TRIM_IDLE_US (500 * USEC_PER_MSEC)
 /*
- * In a fleet of more VMs than this part of a database's connections, a VM that
- * does not own them closes its last idle one as well after this time: if all
- * VMs kept one, the owner would be left without.
+ * A VM that does not own a database's connections closes its last idle one as
+ * well after this time: the successor of an owner that lost power needs them.
  */
-#define TRIM_FLEET_DIVISOR 2
-#define TRIM_LAST_US	   (3 * USEC_PER_SEC)
+#define TRIM_LAST_US (3 * USEC_PER_SEC)
 
 static uint32_t fair_share(const struct db_member *db);
 static struct backend *least_recently_used(struct db_member *db,
 					   const struct session *s);
 static uint32_t count_opening(const struct db_member *db);
 static bool is_served_here(const struct db_member *db);
-static bool gives_up_last(const struct db_member *db);
 
 /*
  * Returns the idle connection of the session's team whose variables need the
@@ -184,7 +169,7 @@
 	struct backend *b;
 
 	if (db->n_conns <= fair_share(db)) {
-		if (db->n_conns == 0 || !gives_up_last(db))
+		if (db->n_conns == 0 || is_served_here(db))
 			return;
 		most = TRIM_LAST_US;
 	}
@@ -198,14 +183,6 @@
 		backend_close(oldest, "not the owner");
 }
 
-/* True if this VM keeps no idle connection to the database at all. */
-static bool gives_up_last(const struct db_member *db)
-{
-	return !is_served_here(db) &&
-	       proxy_fleet_size(db->group->proxy) >
-		       db->group->max_connections / TRIM_FLEET_DIVISOR;
-}
-
 /* Returns any idle connection, for the proxy's own requests, or NULL. */
 struct backend *conn_pool_any_idle(struct db_member *db)
 {
@@ -219,24 +196,21 @@
 	return NULL;
 }
 
-/*
- * Returns how many of the connections that the database accepts this VM may
- * hold, at least one: all but what a successor needs as owner, else an even
- * share of the reserve.
- */
+/* Returns how many connections to the database this VM may hold. */
 static uint32_t fair_share(const struct db_member *db)
 {
 	const struct proxy *p = db->group->proxy;
-	uint32_t reserve = db->group->max_connections / RESERVE_DIVISOR + 1;
-	uint32_t left = SUCCESSOR_PER_SLOT * db->slots + CONTROL_CONNS;
-	uint32_t share = reserve / proxy_fleet_size(p);
-
-	if (is_served_here(db) && db->group->max_connections > left)
-		share = db->group->max_connections - left;
+	const struct conn_share_view v = {
+		.max_connections = db->group->max_connections,
+		.slots = db->slots,
+		.fleet_size = proxy_fleet_size(p),
+		.is_owner = is_served_here(db),
+	};
+	uint32_t share = conn_share(&v);
 
 	if (!p->vms_known && share > SHARE_FLEET_UNKNOWN_MAX)
 		return SHARE_FLEET_UNKNOWN_MAX;
-	return share ? share : 1;
+	return share;
 }
 
 /*
