Give a team's last tokens to operations that are still on time

Cause: with one hot team 3.5 attempts were refused for each one granted. Callers repeat a refused operation on the same session 98 ms later (median; 48 to 238, whatever time the refusal names), and a token went to whoever asked when there was one, so that most went to operations that were late by then: in those 8 s 14 to 18 of 100 answers came after the latency target. Change: a session knows when the operation began that it repeats. A keeper keeps the last tokens, of 25 ms of the rate, for operations that can still meet their route's target, and as many again for those of the highest priority. An operation that was refused before counts as late after half of its target. The test of such a load fails without ranks: three to five of six tokens are late, and a third of the urgent operations gets one. Found by a test before it landed: a team with a burst of 1 got no token. What is granted in sum is the same.

--- a/src/decide/rate_limit.c
+++ b/src/decide/rate_limit.c
@@ -12,6 +12,12 @@
  * only by a little.
  */
 #define RESERVE_US (200 * USEC_PER_MSEC)
+/*
+ * A rank leaves the tokens of this time to each rank before it, at least one,
+ * but no more than this part of what the bucket holds beyond one.
+ */
+#define RANK_US		    (25 * USEC_PER_MSEC)
+#define RANK_BUCKET_DIVISOR 4
 /* Time after which a new keeper's buckets count as filled. */
 #define WARM_UP_US (1 * USEC_PER_SEC)
 /* Stands for this VM where a peer's index is expected. */
@@ -63,6 +69,8 @@
 			 usec_t now);
 static void update_quorum(struct rate_limit *q, bool fell_silent, usec_t now);
 static uint32_t vm_count(const struct rate_limit *q);
+static double kept_for_others(enum rate_limit_rank rank, double per_s,
+			      double max);
 static void refill(struct bucket *b, double per_s, double max, usec_t now);
 
 /* Creates an empty table for the VM named "self"; NULL if memory is short. */
@@ -223,28 +231,51 @@
  * less an even share for each VM that is not heard from.
  */
 enum rate_limit_result rate_limit_take(struct rate_limit *q, const char *team,
-				       usec_t now, usec_t *retry_after)
+				       enum rate_limit_rank rank, usec_t now,
+				       usec_t *retry_after)
 {
 	struct team *t = find_team(q, team);
 	double heard_share;
+	double per_s;
+	double max;
+	double needed;
 
 	if (!t)
 		return RATE_LIMIT_GRANTED;
 	if (t->keeper != SELF || !q->has_quorum || q->leaving)
 		return RATE_LIMIT_NOT_KEEPER;
 	heard_share = (double)(1 + q->n_heard) / vm_count(q);
-	refill(&t->whole, t->rate * heard_share, t->burst * heard_share, now);
-	if (t->whole.tokens >= 1) {
+	per_s = t->rate * heard_share;
+	max = t->burst * heard_share;
+	refill(&t->whole, per_s, max, now);
+	needed = 1 + kept_for_others(rank, per_s, max);
+	if (t->whole.tokens >= needed) {
 		t->whole.tokens -= 1;
 		return RATE_LIMIT_GRANTED;
 	}
-	*retry_after =
-		t->rate > 0 ? (usec_t)((1 - t->whole.tokens) /
-				       (t->rate * heard_share) * USEC_PER_SEC)
-			    : USEC_PER_SEC;
+	*retry_after = t->rate > 0 ? (usec_t)((needed - t->whole.tokens) /
+					      per_s * USEC_PER_SEC)
+				   : USEC_PER_SEC;
 	return RATE_LIMIT_REFUSED;
 }
 
+/*
+ * Returns how many tokens an operation leaves to those that go first. "per_s"
+ * and "max" are the rate and the size of the bucket.
+ */
+static double kept_for_others(enum rate_limit_rank rank, double per_s,
+			      double max)
+{
+	double each = per_s * RANK_US / USEC_PER_SEC;
+	double most = (max - 1) / RANK_BUCKET_DIVISOR;
+
+	if (each < 1)
+		each = 1;
+	if (each > most)
+		each = most > 0 ? most : 0;
+	return each * rank;
+}
+
 /*
  * Takes a token from this VM's local reserve. With many VMs the reserve holds
  * far less than one token, so a fraction of a token admits an operation with
--- a/src/decide/rate_limit.h
+++ b/src/decide/rate_limit.h
@@ -61,12 +61,26 @@
 };
 
 /*
- * Takes one token for an operation of a team; call at the team's keeper. If
- * refused, "retry_after" is the time until the next token. A team that has no
- * limit is always granted.
+ * What a team that asks for more than its rate gets first. A caller that was
+ * refused comes back later than a token would have, so when tokens go to
+ * whoever asks first, many go to operations that are late by then.
+ */
+enum rate_limit_rank {
+	RATE_LIMIT_URGENT,  /* on time, of a route of the highest priority */
+	RATE_LIMIT_ON_TIME, /* can still meet its route's latency target */
+	RATE_LIMIT_LATE,
+	RATE_LIMIT_RANKS
+};
+
+/*
+ * Takes one token for an operation of a team; call at the team's keeper. The
+ * last tokens are kept for operations that go first. If refused, "retry_after"
+ * is the time until there is a token for this one, if no other takes it. A team
+ * that has no limit is always granted.
  */
 enum rate_limit_result rate_limit_take(struct rate_limit *q, const char *team,
-				       usec_t now, usec_t *retry_after);
+				       enum rate_limit_rank rank, usec_t now,
+				       usec_t *retry_after);
 /*
  * Takes one token from this VM's local reserve, for use when no keeper
  * responds. "draw" is a fresh random number from 0 to 1, which decides on
--- a/src/proxy/catalog.c
+++ b/src/proxy/catalog.c
@@ -59,6 +59,7 @@
 
 	qsort(c->routes, c->n_routes, sizeof(*c->routes), compare_hosts);
 	qsort(c->keys, c->n_keys, sizeof(*c->keys), compare_keys);
+	c->top_priority = UINT32_MAX;
 	for (i = 0; i < c->n_routes; i++) {
 		const struct catalog_route *r = &c->routes[i];
 		const uint32_t numbers[] = {
@@ -67,6 +68,8 @@
 			r->max_staleness_ms,  r->is_public
 		};
 
+		if (r->priority < c->top_priority)
+			c->top_priority = r->priority;
 		hash = hash_text(hash, r->host);
 		hash = hash_text(hash, r->service);
 		hash = XXH3_64bits_withSeed(numbers, sizeof(numbers), hash);
--- a/src/proxy/catalog.h
+++ b/src/proxy/catalog.h
@@ -71,6 +71,7 @@
 	struct catalog_team *teams;
 	struct catalog_key *keys; /* sorted by key */
 	uint32_t transaction_idle_ms;
+	uint32_t top_priority; /* the first one among those of the routes */
 };
 
 struct catalog *catalog_create(uint32_t routes, uint32_t services,
--- a/src/proxy/proxy_internal.h
+++ b/src/proxy/proxy_internal.h
@@ -322,6 +322,10 @@
 	uint32_t max_staleness_ms;
 	uint32_t latency_target_ms; /* of an operation; 0: none */
 	uint32_t tx_idle_ms;
+	/* when the operation began; if it is probably one that was refused
+	 * before, when that did */
+	usec_t operation_began_at;
+	usec_t refused_at;  /* the last operation ended so; 0: it did not */
 	struct homes homes; /* regions in which it may run */
 	struct stmt_exec exec;
 };
@@ -471,6 +475,7 @@
 void session_accept(struct proxy *p, int fd);
 void session_close(struct session *s);
 /* Delivers the response to an operation that waited for a rate limit token. */
+enum rate_limit_rank session_rank(const struct session *s, usec_t now);
 void session_on_rate_result(struct session *s, bool granted,
 			    usec_t retry_after);
 void session_reap(struct proxy *p);
--- a/src/proxy/rate_limit_client.c
+++ b/src/proxy/rate_limit_client.c
@@ -43,7 +43,7 @@
 			 usec_t now);
 static void decide_locally(struct rate_limiter *l, struct token_request *t,
 			   usec_t now);
-static bool take_local_token(struct rate_limiter *l, const char *team,
+static bool take_local_token(struct rate_limiter *l, const struct session *s,
 			     usec_t now, usec_t *retry_after);
 static void free_request(struct rate_limiter *l, struct token_request *t);
 
@@ -79,7 +79,7 @@
 		return RATE_LIMIT_CLIENT_REFUSED;
 	}
 	if (!rate_limit_keeper(l->proxy->rate_limit, s->team))
-		return take_local_token(l, s->team, now, retry_after)
+		return take_local_token(l, s, now, retry_after)
 			       ? RATE_LIMIT_CLIENT_GRANTED
 			       : RATE_LIMIT_CLIENT_REFUSED;
 	t = calloc(1, sizeof(*t));
@@ -126,7 +126,7 @@
 	}
 }
 
-/* Handles a peer's request for one token: [id, team]. */
+/* Handles a peer's request for one token: [id, team, rank]. */
 void rate_limit_client_on_request(struct rate_limiter *l, struct wire_reader *r,
 				  const struct sockaddr *from,
 				  socklen_t from_len)
@@ -134,14 +134,17 @@
 	uint64_t request_id = wire_u64(r);
 	char team[NAME_MAX_BYTES];
 	enum rate_limit_result result;
+	uint64_t rank;
 	msgpack_sbuffer buf;
 	msgpack_packer p;
 	usec_t retry_after = 0;
 
 	wire_str(r, team, sizeof(team));
-	if (r->bad)
+	rank = wire_u64(r);
+	if (r->bad || rank >= RATE_LIMIT_RANKS)
 		return;
-	result = rate_limit_take(l->proxy->rate_limit, team, proxy_now(),
+	result = rate_limit_take(l->proxy->rate_limit, team,
+				 (enum rate_limit_rank)rank, proxy_now(),
 				 &retry_after);
 	msgpack_sbuffer_init(&buf);
 	msgpack_packer_init(&p, &buf, msgpack_sbuffer_write);
@@ -204,10 +207,11 @@
 	}
 	msgpack_sbuffer_init(&buf);
 	msgpack_packer_init(&p, &buf, msgpack_sbuffer_write);
-	msgpack_pack_array(&p, 3);
+	msgpack_pack_array(&p, 4);
 	msgpack_pack_uint32(&p, PEER_MSG_TOKEN_REQUEST);
 	msgpack_pack_uint64(&p, t->id);
 	wire_put_str(&p, team);
+	msgpack_pack_uint32(&p, session_rank(t->session, now));
 	heartbeat_send(l->proxy->heartbeat, keeper, buf.data, buf.size);
 	msgpack_sbuffer_destroy(&buf);
 }
@@ -219,7 +223,7 @@
 	struct session *s = t->session;
 	const char *keeper = rate_limit_keeper(l->proxy->rate_limit, s->team);
 	usec_t retry_after = 0;
-	bool ok = take_local_token(l, s->team, now, &retry_after);
+	bool ok = take_local_token(l, s, now, &retry_after);
 
 	log_event(EV_LIMIT_ALONE,
 		  "id=%s team=%s keeper=%s waited_us=%lld granted=%d",
@@ -233,16 +237,17 @@
  * Takes a token from this VM's bucket if it is the team's keeper, otherwise
  * from its own even share of the team's rate.
  */
-static bool take_local_token(struct rate_limiter *l, const char *team,
+static bool take_local_token(struct rate_limiter *l, const struct session *s,
 			     usec_t now, usec_t *retry_after)
 {
 	struct rate_limit *q = l->proxy->rate_limit;
-	enum rate_limit_result result =
-		rate_limit_take(q, team, now, retry_after);
+	enum rate_limit_result result = rate_limit_take(
+		q, s->team, session_rank(s, now), now, retry_after);
 
 	if (result == RATE_LIMIT_NOT_KEEPER)
-		return rate_limit_take_local(
-			q, team, now, proxy_random_unit(l->proxy), retry_after);
+		return rate_limit_take_local(q, s->team, now,
+					     proxy_random_unit(l->proxy),
+					     retry_after);
 	return result == RATE_LIMIT_GRANTED;
 }
 
--- a/src/proxy/session.c
+++ b/src/proxy/session.c
@@ -26,6 +26,11 @@
 #define UNACKED_MAX_MS	     10000
 /* Sessions refused by the configuration that are logged in one second. */
 #define REFUSED_LINES_PER_S 20
+/*
+ * An operation that begins within this time of a refusal is probably the one
+ * that was refused. Callers wait 50 to 250 ms before they repeat one.
+ */
+#define REPEAT_MAX_US (500 * USEC_PER_MSEC)
 /* Nothing more is read from a caller that leaves this much output unread. */
 #define OUTPUT_MAX_BYTES (4 * MESSAGE_MAX_BYTES)
 
@@ -45,6 +50,7 @@
 static void dispatch_statement(struct session *s);
 static void refuse_over_rate(struct session *s, usec_t retry_after);
 static bool begin_operation(struct session *s);
+static void note_operation(struct session *s);
 static bool load_route(struct session *s, enum reply_error_code *code);
 static enum reply_error_code unconfigured_code(const struct session *s,
 					       enum reply_error_code code);
@@ -524,6 +530,7 @@
 	}
 	if (!s->team[0])
 		return true;
+	note_operation(s);
 	switch (rate_limit_client_acquire(s->proxy->rate_limiter, s,
 					  &retry_after)) {
 	case RATE_LIMIT_CLIENT_GRANTED:
@@ -541,6 +548,37 @@
 	return false;
 }
 
+/*
+ * Notes when the operation began. A caller repeats what was refused on the same
+ * session after a while, with a new id.
+ */
+static void note_operation(struct session *s)
+{
+	usec_t now = s->exec.began_at;
+
+	if (s->refused_at == 0 || now - s->refused_at > REPEAT_MAX_US ||
+	    now - s->operation_began_at > (usec_t)s->timeout_ms * USEC_PER_MSEC)
+		s->operation_began_at = now;
+	s->refused_at = 0;
+}
+
+/*
+ * Returns how the session's operation ranks among those of its team. One that
+ * was refused before has to run yet, so it counts as late after half of the
+ * latency target.
+ */
+enum rate_limit_rank session_rank(const struct session *s, usec_t now)
+{
+	const struct catalog *c = s->proxy->catalog;
+
+	if (s->latency_target_ms &&
+	    2 * (now - s->operation_began_at) >=
+		    (usec_t)s->latency_target_ms * USEC_PER_MSEC)
+		return RATE_LIMIT_LATE;
+	return c && s->priority <= c->top_priority ? RATE_LIMIT_URGENT
+						   : RATE_LIMIT_ON_TIME;
+}
+
 /* Continues an operation whose token was granted, or refuses it. */
 void session_on_rate_result(struct session *s, bool granted, usec_t retry_after)
 {
@@ -563,6 +601,7 @@
 	const char *keeper = rate_limit_keeper(s->proxy->rate_limit, s->team);
 	char reason[96];
 
+	s->refused_at = proxy_now();
 	counter_add(CTR_OVER_RATE, 1);
 	log_event(EV_STATEMENT_REFUSED,
 		  "id=%s team=%s code=BUSY keeper=%s retry_ms=%lld "
--- a/tests/decide/rate_limit_test.cc
+++ b/tests/decide/rate_limit_test.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <map>
 #include <memory>
 #include <random>
 #include <string>
@@ -142,8 +143,8 @@
 			timeouts.push_back({ now + kTimeout, i });
 			return;
 		}
-		enum rate_limit_result a =
-			rate_limit_take(vms[to], "team", now, &later);
+		enum rate_limit_result a = rate_limit_take(
+			vms[to], "team", RATE_LIMIT_URGENT, now, &later);
 		if (a == RATE_LIMIT_NOT_KEEPER && to != i)
 			timeouts.push_back({ now + kTimeout, i });
 		else if (a == RATE_LIMIT_NOT_KEEPER)
@@ -362,8 +363,8 @@
 	rate_limit_remove_peer(q, "b", 0);
 	rate_limit_remove_peer(q, "c", 0);
 	uint32_t n = 0;
-	while (rate_limit_take(q, "team", 10 * USEC_PER_SEC, &later) ==
-	       RATE_LIMIT_GRANTED)
+	while (rate_limit_take(q, "team", RATE_LIMIT_URGENT, 10 * USEC_PER_SEC,
+			       &later) == RATE_LIMIT_GRANTED)
 		n++;
 	EXPECT_EQ(n, 10u);
 	rate_limit_destroy(q);
@@ -449,14 +450,15 @@
 		now += 5 * USEC_PER_SEC;
 		rate_limit_set_peer(q, "b", false, false, now);
 		rate_limit_peers_listed(q, now);
-		EXPECT_EQ(rate_limit_take(q, "team", now, &later),
+		EXPECT_EQ(rate_limit_take(q, "team", RATE_LIMIT_URGENT, now,
+					  &later),
 			  RATE_LIMIT_NOT_KEEPER)
 			<< c.name;
 		// The peer is heard but leaving: this VM is the keeper.
 		rate_limit_set_peer(q, "b", true, true, now);
 		uint32_t n = 0;
-		while (rate_limit_take(q, "team", now, &later) ==
-		       RATE_LIMIT_GRANTED)
+		while (rate_limit_take(q, "team", RATE_LIMIT_URGENT, now,
+				       &later) == RATE_LIMIT_GRANTED)
 			n++;
 		EXPECT_EQ(n, c.tokens) << c.name;
 		EXPECT_FALSE(rate_limit_is_warm(q, now)) << c.name;
@@ -470,13 +472,94 @@
 {
 	struct rate_limit *q = rate_limit_create("a");
 	usec_t later = 0;
-	EXPECT_EQ(rate_limit_take(q, "nobody", 1, &later), RATE_LIMIT_GRANTED);
+	EXPECT_EQ(rate_limit_take(q, "nobody", RATE_LIMIT_URGENT, 1, &later),
+		  RATE_LIMIT_GRANTED);
 	EXPECT_EQ(rate_limit_keeper(q, "nobody"), nullptr);
 	ASSERT_TRUE(rate_limit_set(q, "team", 0, 0, 1));
-	EXPECT_EQ(rate_limit_take(q, "team", 1, &later), RATE_LIMIT_REFUSED);
+	EXPECT_EQ(rate_limit_take(q, "team", RATE_LIMIT_URGENT, 1, &later),
+		  RATE_LIMIT_REFUSED);
 	EXPECT_GT(later, 0);
 	EXPECT_FALSE(
 		rate_limit_take_local(q, "team", USEC_PER_SEC, 0.5, &later));
 	rate_limit_destroy(q);
 }
+// Guards against tokens that go to operations that are late by then: one team
+// asks for three times its rate, callers that are refused come back twice, 50
+// to 250 ms later, and must have their answer within 200 ms. A fifth of the
+// operations is urgent, which is 0.6 of the rate; without ranks a third of them
+// got a token. Holds for teams of any size.
+TEST(RateLimit, HotTeamGetsItsTokensInTime)
+{
+	const uint32_t rates[] = { 5, 20, 200, 2000 };
+
+	for (uint32_t rate : rates) {
+		struct rate_limit *q = rate_limit_create("a");
+		const usec_t end = 20 * USEC_PER_SEC;
+		const usec_t gap = USEC_PER_SEC / (3 * rate);
+		std::mt19937_64 random(rate);
+		std::multimap<usec_t, std::pair<usec_t, bool>> arrivals;
+		double granted = 0, late = 0, urgent = 0, urgent_granted = 0;
+
+		for (usec_t at = 0; at < end; at += gap)
+			arrivals.insert({ at, { at, random() % 5 == 0 } });
+		rate_limit_set(q, "team", rate, rate, 0);
+		rate_limit_peers_listed(q, 0);
+		while (!arrivals.empty()) {
+			const auto [now, op] = *arrivals.begin();
+			const auto [began_at, is_urgent] = op;
+			usec_t waited = now - began_at;
+			usec_t later = 0;
+			enum rate_limit_rank rank = RATE_LIMIT_ON_TIME;
+
+			arrivals.erase(arrivals.begin());
+			if (waited >= 100 * USEC_PER_MSEC)
+				rank = RATE_LIMIT_LATE;
+			else if (is_urgent)
+				rank = RATE_LIMIT_URGENT;
+			urgent += is_urgent && waited == 0;
+			if (rate_limit_take(q, "team", rank, now, &later) ==
+			    RATE_LIMIT_GRANTED) {
+				granted++;
+				late += rank == RATE_LIMIT_LATE;
+				urgent_granted += is_urgent;
+			} else if (waited < 250 * USEC_PER_MSEC) {
+				usec_t wait = 50 + random() % 200;
+
+				arrivals.insert(
+					{ now + wait * USEC_PER_MSEC, op });
+			}
+		}
+		EXPECT_GE(granted, 0.95 * rate * 20) << rate;
+		EXPECT_LE(granted, rate * 21 + 1) << rate;
+		EXPECT_LE(late, 0.05 * granted) << rate;
+		EXPECT_GE(urgent_granted, 0.8 * urgent) << rate;
+		rate_limit_destroy(q);
+	}
+}
+
+// Guards against a small burst that is kept for operations that never come.
+TEST(RateLimit, SmallBurstServesAllRanks)
+{
+	const uint32_t bursts[] = { 1, 2, 8, 100 };
+
+	for (uint32_t burst : bursts) {
+		for (int rank = 0; rank < RATE_LIMIT_RANKS; rank++) {
+			struct rate_limit *q = rate_limit_create("a");
+			usec_t later = 0;
+			usec_t now = 0;
+			uint32_t n = 0;
+
+			rate_limit_set(q, "team", 10, burst, 0);
+			rate_limit_peers_listed(q, 0);
+			for (; now < 20 * USEC_PER_SEC; now += 20000)
+				n += rate_limit_take(q, "team",
+						     (enum rate_limit_rank)rank,
+						     now, &later) ==
+				     RATE_LIMIT_GRANTED;
+			EXPECT_GE(n, 170u) << burst << " " << rank;
+			EXPECT_LE(n, 200 + burst) << burst << " " << rank;
+			rate_limit_destroy(q);
+		}
+	}
+}
 } // namespace
