Order the queue of a database by what can still be in time

An owner prepared the connections of all that waited and then sent the database up to nine statements for two slots. Change: among equal priorities the shorter target goes first; a statement is on time if it can end in time, by the age of its operation (decide/queue_order). Late ones are refused once 16 others for each slot have passed them and none of them was started, until there is room (decide/late_queue). One statement beyond the slots is prepared, not all. Replicas that lag are no other choice for a read that is refused.

--- a/src/proxy/conn_pool.c
+++ b/src/proxy/conn_pool.c
@@ -34,6 +34,7 @@
 static struct backend *least_recently_used(struct db_member *db,
 					   const struct session *s);
 static uint32_t count_opening(const struct db_member *db);
+static uint32_t count_preparing(const struct db_member *db);
 static bool is_served_here(const struct db_member *db);
 
 /*
@@ -149,13 +150,16 @@
 /*
  * Returns true if this VM may send one more statement to the database. Its
  * owner may use all slots, another VM one. A connection that is being opened
- * occupies a slot too.
+ * occupies a slot too. One more statement may wait for its connection to be
+ * brought to the session's state, so that the slot does not idle meanwhile;
+ * more would find the database full, and be overtaken by later ones.
  */
 bool conn_pool_has_free_slot(const struct db_member *db)
 {
 	uint32_t most = is_served_here(db) && db->slots ? db->slots : 1;
+	uint32_t taken = db->running + count_opening(db);
 
-	return db->running + count_opening(db) < most;
+	return taken < most && taken + count_preparing(db) <= most;
 }
 
 /*
@@ -246,6 +250,20 @@
 	return db_member_is_served_here((struct db_member *)db, proxy_now());
 }
 
+/* Returns the number of statements that are sent after the session's state. */
+static uint32_t count_preparing(const struct db_member *db)
+{
+	const struct backend *b;
+	uint32_t n = 0;
+
+	TAILQ_FOREACH(b, &db->conns, link)
+	{
+		n += b->state == BACKEND_BUSY && b->session &&
+		     b->session->exec.stage == EXEC_PREPARING;
+	}
+	return n;
+}
+
 /* Returns the number of connections being opened. */
 static uint32_t count_opening(const struct db_member *db)
 {
--- a/src/proxy/dispatch.c
+++ b/src/proxy/dispatch.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "decide/queue_order.h"
 #include "decide/queue_wait.h"
 #include "kernel/counters.h"
 #include "kernel/log.h"
@@ -35,6 +36,10 @@
 static void view_database(struct session *s, struct db_member *d, usec_t now,
 			  struct load_balance_db *out);
 static void start_waiting(struct db_group *g, bool is_on_time, usec_t now);
+static struct queue_order order_of(const struct session *s);
+static void note_room(struct db_group *g);
+static struct db_member *slots_of(const struct session *s);
+static void refuse_overloaded(struct session *s);
 static bool meets_target(const struct session *s, usec_t now);
 static bool is_too_late(const struct session *s, usec_t now);
 static uint32_t count_ahead(const struct session *s, bool only_on_time,
@@ -84,7 +89,7 @@
 /*
  * Starts queued statements as far as databases and connections are available:
  * first those that can still meet their latency target, so that an overload
- * does not make all of them late; then by priority and age.
+ * does not make all of them late.
  */
 void dispatch_waiting(struct db_group *g)
 {
@@ -94,6 +99,7 @@
 		return;
 	g->is_dispatching = true;
 	start_waiting(g, true, now);
+	note_room(g);
 	start_waiting(g, false, now);
 	g->is_dispatching = false;
 }
@@ -108,6 +114,7 @@
 {
 	uint32_t left = g->n_waiting;
 	struct session *next;
+	struct db_member *d;
 	struct session *s;
 
 	for (s = TAILQ_FIRST(&g->waiting); s && left > 0; s = next) {
@@ -122,11 +129,62 @@
 		    meets_target(s, now) != is_on_time)
 			continue;
 		dequeue(s);
-		if (!try_start(s, now))
+		d = slots_of(s);
+		if (d && !is_on_time && d->late.refuses) {
+			refuse_overloaded(s);
+			continue;
+		}
+		if (!try_start(s, now)) {
 			enqueue(s);
+			if (d && !is_on_time && !conn_pool_has_free_slot(d))
+				late_queue_on_waiting(&d->late);
+		} else if (d && is_on_time) {
+			late_queue_on_passed(&d->late, d->slots);
+		} else if (d) {
+			late_queue_on_room(&d->late);
+		}
+	}
+}
+
+/* Notes which databases have room after the statements that are on time. */
+static void note_room(struct db_group *g)
+{
+	uint32_t i;
+
+	for (i = 0; i < DB_GROUP_MEMBERS_MAX; i++) {
+		if (g->db[i].present && conn_pool_has_free_slot(&g->db[i]))
+			late_queue_on_room(&g->db[i].late);
 	}
 }
 
+/*
+ * Returns the database whose slots the statement waits for at this VM; NULL if
+ * it may go to several.
+ */
+static struct db_member *slots_of(const struct session *s)
+{
+	struct db_group *g = s->group;
+
+	if (s->stream)
+		return &g->db[s->exec.db];
+	if (s->exec.needs_primary && g->primary != DB_NONE)
+		return &g->db[g->primary];
+	return NULL;
+}
+
+/* Refuses a statement that waits for slots that others take. */
+static void refuse_overloaded(struct session *s)
+{
+	const struct db_member *d = slots_of(s);
+
+	if (s->stream)
+		remote_server_refuse_overloaded(s);
+	else
+		session_refuse_overloaded(
+			s, d->latency * (usec_t)db_member_load(d) /
+				   (usec_t)(d->slots ? d->slots : 1));
+}
+
 /*
  * Removes the session's statement. One that is executing continues at the
  * database without the session.
@@ -220,7 +278,7 @@
 
 /*
  * Returns true if a database is left that has not refused the statement, the
- * one that it was last sent to included.
+ * one that it was last sent to included, and is not known to lag.
  */
 bool dispatch_has_choice(const struct session *s)
 {
@@ -233,6 +291,7 @@
 		refused |= 1U << s->exec.db;
 	for (i = 0; i < DB_GROUP_MEMBERS_MAX; i++) {
 		if (is_usable(&g->db[i], now) && !(refused & (1U << i)) &&
+		    (i == g->primary || now >= g->db[i].behind_until) &&
 		    placement_allows_db(s, &g->db[i]))
 			return true;
 	}
@@ -407,6 +466,8 @@
 		       time_left;
 	if (conn_pool_has_free_slot(d))
 		return false;
+	if (d->late.refuses && !meets_target(s, now))
+		return true;
 	q.ahead = count_ahead(s, true, now);
 	return queue_wait_is_too_long(&q, time_left);
 }
@@ -431,15 +492,25 @@
 	return n;
 }
 
-/*
- * True if the statement began less than its route's latency target ago, or has
- * begun a transaction, which occupies a connection.
- */
+/* Describes the session's statement for its place in the queue. */
+static struct queue_order order_of(const struct session *s)
+{
+	return (struct queue_order){
+		.is_in_tx = s->tx_at_database,
+		.priority = s->priority,
+		.latency_target_ms = s->latency_target_ms,
+		.began_at = s->in_tx ? s->exec.began_at : s->operation_began_at,
+	};
+}
+
+/* True if the statement can still meet its route's latency target. */
 static bool meets_target(const struct session *s, usec_t now)
 {
-	return s->tx_at_database || s->latency_target_ms == 0 ||
-	       now - s->exec.began_at <
-		       (usec_t)s->latency_target_ms * USEC_PER_MSEC;
+	const struct queue_order q = order_of(s);
+	uint32_t db = s->exec.db;
+	usec_t work = db < DB_GROUP_MEMBERS_MAX ? s->group->db[db].latency : 0;
+
+	return queue_order_is_on_time(&q, work, now);
 }
 
 /* True if several databases lacked the position that the read needs. */
@@ -618,7 +689,7 @@
 	       !db_member_is_evacuated(db, now);
 }
 
-/* Adds the session to its group's queue, ordered by priority and age. */
+/* Adds the session to its group's queue. */
 static void enqueue(struct session *s)
 {
 	struct db_group *g = s->group;
@@ -650,15 +721,11 @@
 		g->db[s->exec.db].n_queued--;
 }
 
-/*
- * True if session "a" is served before "b". A transaction that has begun goes
- * first, since it occupies a connection.
- */
+/* True if session "a" is served before "b". */
 static bool goes_before(const struct session *a, const struct session *b)
 {
-	if (a->tx_at_database != b->tx_at_database)
-		return a->tx_at_database;
-	if (a->priority != b->priority)
-		return a->priority < b->priority;
-	return a->exec.began_at < b->exec.began_at;
+	const struct queue_order first = order_of(a);
+	const struct queue_order second = order_of(b);
+
+	return queue_order_goes_before(&first, &second);
 }
--- a/src/proxy/proxy_internal.h
+++ b/src/proxy/proxy_internal.h
@@ -11,6 +11,7 @@
 #include "decide/primary_proof.h"
 #include "decide/cold_limit.h"
 #include "decide/connect_backoff.h"
+#include "decide/late_queue.h"
 #include "decide/load_balance.h"
 #include "decide/rate_limit.h"
 #include "decide/evacuation.h"
@@ -133,7 +134,8 @@
 	usec_t retry_at;
 	/* connection attempts that failed, in a row */
 	uint32_t failures;
-	usec_t latency;	  /* moving average of its response time */
+	usec_t latency; /* moving average of its response time */
+	struct late_queue late;
 	usec_t deviation; /* mean deviation from it, at the owner */
 	/* when the newest statement or status request was sent that it has
 	 * answered; 0: none */
--- a/src/proxy/remote_client.c
+++ b/src/proxy/remote_client.c
@@ -198,10 +198,10 @@
 
 /*
  * Sends [type, stream, number, service, database, team, flags, time to the
- * deadline, age, consistency, staleness bound, priority, latency target, last
- * commit (service, term, position), term if the database is known as primary,
- * variables, prepared statement, line]; times in microseconds, but the bound
- * and the target in milliseconds.
+ * deadline, age, age of the operation, consistency, staleness bound, priority,
+ * latency target, last commit (service, term, position), term if the database
+ * is known as primary, variables, prepared statement, line]; times in
+ * microseconds, but the bound and the target in milliseconds.
  */
 static void send_run(struct remote_stream *r)
 {
@@ -213,7 +213,7 @@
 	msgpack_packer p;
 
 	r->number = s->proxy->next_stream_id++;
-	peer_link_begin(&buf, &p, 20, LINK_MSG_RUN);
+	peer_link_begin(&buf, &p, 21, LINK_MSG_RUN);
 	msgpack_pack_uint64(&p, r->id);
 	msgpack_pack_uint64(&p, r->number);
 	wire_put_str(&p, g->service);
@@ -223,6 +223,7 @@
 	msgpack_pack_uint64(
 		&p, t->deadline > now ? (uint64_t)(t->deadline - now) : 0);
 	msgpack_pack_uint64(&p, (uint64_t)(now - t->began_at));
+	msgpack_pack_uint64(&p, (uint64_t)(now - s->operation_began_at));
 	msgpack_pack_uint32(&p, s->consistency);
 	msgpack_pack_uint32(&p, s->max_staleness_ms);
 	msgpack_pack_uint32(&p, s->priority);
--- a/src/proxy/remote_server.c
+++ b/src/proxy/remote_server.c
@@ -43,6 +43,7 @@
 	uint64_t flags; /* enum run_flag */
 	uint64_t time_left;
 	uint64_t age;
+	uint64_t operation_age;
 	uint64_t consistency;
 	uint64_t max_staleness_ms;
 	uint64_t priority;
@@ -308,6 +309,7 @@
 	m->flags = wire_u64(r);
 	m->time_left = wire_u64(r);
 	m->age = wire_u64(r);
+	m->operation_age = wire_u64(r);
 	m->consistency = wire_u64(r);
 	m->max_staleness_ms = wire_u64(r);
 	m->priority = wire_u64(r);
@@ -320,7 +322,8 @@
 	m->prepared = wire_nested_array(r, 3);
 	m->line = wire_bin(r, MESSAGE_MAX_BYTES, &m->line_len);
 	if (m->consistency > READ_YOUR_WRITES || !m->line ||
-	    m->time_left > RUN_TIME_MAX_US || m->age > RUN_TIME_MAX_US)
+	    m->time_left > RUN_TIME_MAX_US || m->age > RUN_TIME_MAX_US ||
+	    m->operation_age > RUN_TIME_MAX_US)
 		r->bad = true;
 }
 
@@ -383,6 +386,7 @@
 	t->was_held = false;
 	t->last_refusal = REPLY_ERR_BUSY;
 	t->began_at = now - (usec_t)m->age;
+	s->operation_began_at = now - (usec_t)m->operation_age;
 	t->arrived_at = now;
 	t->deadline = now + (usec_t)m->time_left;
 	return true;
--- a/src/proxy/session.c
+++ b/src/proxy/session.c
@@ -528,9 +528,9 @@
 		session_send_ready(s, NULL);
 		return false;
 	}
+	note_operation(s);
 	if (!s->team[0])
 		return true;
-	note_operation(s);
 	switch (rate_limit_client_acquire(s->proxy->rate_limiter, s,
 					  &retry_after)) {
 	case RATE_LIMIT_CLIENT_GRANTED:
--- a/src/proxy/session_outcome.c
+++ b/src/proxy/session_outcome.c
@@ -148,6 +148,8 @@
 		  s->proxy->protocol->code_name(code), s->exec.attempts,
 		  (long long)(proxy_now() - s->exec.began_at), reason);
 	counter_add(code == REPLY_ERR_IN_DOUBT ? CTR_UNKNOWN : CTR_NOT_RUN, 1);
+	if (code != REPLY_ERR_IN_DOUBT)
+		s->refused_at = proxy_now();
 	s->proxy->protocol->put_error(out, code, reason);
 	if (s->in_tx && !s->exec.is_commit) {
 		if (s->backend) {
