Resume replicas when a failover ends because its primary leads on

Cause: after a split of the VMs a VM that knew no primary began a failover, paused both replicas, and learned then from a status that the primary leads on in the same term. The attempt ended as if another VM had promoted, and nobody resumed the replicas; while they are paused nothing proves the primary. Change: the attempt is given up, which resumes what it has paused if no other VM has made a later claim. That includes replicas paused for an earlier term of the same attempt. An attempt still ends without it if the known primary has a later term, since that promotion lets the replicas go. The new cases fail without the change. Why that VM did not hear of the primary from those that had proved it 0.2 s before is open.

--- a/src/decide/failover_fsm.c
+++ b/src/decide/failover_fsm.c
@@ -72,6 +72,10 @@
 		give_up(s, env, out);
 		return;
 	}
+	if (s->is_abandoned && s->phase != FAILOVER_IDLE) {
+		give_up(s, env, out);
+		return;
+	}
 	switch (s->phase) {
 	case FAILOVER_IDLE:
 		if (failover_fsm_hold(s, env) != FAILOVER_HOLD_NONE)
@@ -82,6 +86,8 @@
 		s->began_at = env->now;
 		s->failed_mask = 0;
 		s->paused_mask = 0;
+		s->ever_paused_mask = 0;
+		s->is_abandoned = false;
 		s->stepped_down = false;
 		s->end_known_at = 0;
 		s->maybe_promoted = DB_NONE;
@@ -192,6 +198,7 @@
 		return;
 	if (!stepped_down) {
 		s->paused_mask |= 1U << db;
+		s->ever_paused_mask |= 1U << db;
 	} else if (db == s->old_primary) {
 		s->stepped_down |= s->is_base_certain;
 		if (s->end_known_at == 0)
@@ -229,7 +236,10 @@
 }
 
 /*
- * Ends the attempt because another VM has replaced the primary. An attempt that
+ * Ends the attempt because another VM has replaced the primary, or because a
+ * primary that was not known leads on in the term in which the attempt began:
+ * its replicas are resumed then, as none else does that soon and nothing proves
+ * the primary before. An attempt that
  * only waits for its new primary's confirmation continues. So does a planned
  * one if the primary is the one that it replaces: a VM forgets a primary that
  * refuses a write after its step-down, and peers may name it again.
@@ -243,6 +253,10 @@
 	s->cause_since = 0;
 	if (s->phase == FAILOVER_IDLE || s->phase == FAILOVER_CONFIRM)
 		return;
+	if (term <= s->base_term) {
+		s->is_abandoned = true;
+		return;
+	}
 	enter_phase(s, now, FAILOVER_IDLE);
 	s->result_pending = false;
 	s->quiet_until = now + s->policy.back_off;
@@ -368,7 +382,7 @@
 	uint32_t i;
 
 	for (i = 0; i < env->n && !may_take_effect; i++) {
-		if (s->paused_mask & (1U << i))
+		if (s->ever_paused_mask & (1U << i))
 			emit(out, FAILOVER_ACT_RESUME_IF_NEWEST, i, s->token);
 	}
 	s->paused_mask = 0;
@@ -592,7 +606,7 @@
 		s->old_primary_kept = s->target == s->old_primary;
 		emit(out, FAILOVER_ACT_ADOPT, s->target, db->term);
 		for (i = 0; i < env->n; i++) {
-			if (i != s->target && (s->paused_mask & (1U << i)))
+			if (i != s->target && (s->ever_paused_mask & (1U << i)))
 				emit(out, FAILOVER_ACT_RESUME, i, 0);
 		}
 		s->paused_mask = 0;
--- a/src/decide/failover_fsm.h
+++ b/src/decide/failover_fsm.h
@@ -172,7 +172,10 @@
 	bool old_primary_kept;	/* the last failover promoted it again */
 	usec_t end_known_at;	/* since when its end is known; 0: it is not */
 	struct log_pos old_primary_end; /* end of its log at the step-down */
-	uint32_t paused_mask;		/* replicas paused by this attempt */
+	uint32_t paused_mask;		/* replicas paused for this term */
+	/* replicas paused by this attempt, for any of its terms */
+	uint32_t ever_paused_mask;
+	bool is_abandoned;	 /* the primary that it replaces leads on */
 	uint32_t failed_mask;	 /* databases that refused the promotion */
 	uint32_t maybe_promoted; /* its promotion had no answer; or DB_NONE */
 	uint32_t target;	 /* database to promote, or DB_NONE */
--- a/tests/decide/failover_fsm_test.cc
+++ b/tests/decide/failover_fsm_test.cc
@@ -613,6 +613,48 @@
 	EXPECT_EQ(acts.find('M'), std::string::npos);
 }
 
+// Guards against a group that is unusable for seconds, as its replicas stay
+// paused: an attempt begins without a known primary, pauses them, fences once
+// more in a later term, and learns then that the primary leads on.
+TEST(FailoverFsm, ResumesReplicasIfThePrimaryLeadsOn)
+{
+	const struct {
+		const char *name;
+		usec_t runs;	   // from the pause until that is known
+		uint64_t later_by; // the primary's term, from that of before
+		uint32_t again;	   // replicas that are paused again by then
+		bool resumes;
+	} cases[] = {
+		{ "after the pause", 20 * kMs, 0, 6, true },
+		{ "while waiting for the guard", 300 * kMs, 0, 6, true },
+		{ "while the claim is verified", 750 * kMs, 0, 6, true },
+		{ "during the second fence", 20 * kMs, 0, 0, true },
+		{ "another VM has promoted", 300 * kMs, 1, 6, false },
+	};
+	for (const auto &c : cases) {
+		Group g;
+		g.env.cause = FAILOVER_CAUSE_NO_PRIMARY;
+		g.env.primary = DB_NONE;
+		g.env.db[0].reports_primary = false;
+		g.run(20 * kMs);
+		g.claim();
+		g.run(20 * kMs);
+		for (uint32_t i = 0; i < 3; i++)
+			g.pause(i);
+		if (!c.again) // a pause was lost, so all are paused again
+			g.env.db[1].has_new_report = true;
+		g.run(c.runs);
+		failover_fsm_superseded(&g.s, g.env.now, 0,
+					g.env.term + c.later_by);
+		std::string acts = g.run(50 * kMs);
+		for (const char *act : { "F1 ", "F2 " })
+			EXPECT_EQ(acts.find(act) != std::string::npos,
+				  c.resumes)
+				<< c.name << ": " << acts;
+		EXPECT_EQ(acts.find('M'), std::string::npos) << c.name;
+	}
+}
+
 TEST(FailoverFsm, LateAndUnexpectedResultsAreIgnored)
 {
 	Group g;
