Leave the databases' connections to their owners when a fleet starts

Until a VM hears of others it takes itself for the owner of all proofs, so that each probed all 24 databases; they took the connections that were left for the owners, which were refused 400 times. Change: a VM probes only once it hears half of the others, or 300 ms after it knows the list of VMs (decide/fleet_start).

--- a/src/decide/late_queue.h
+++ b/src/decide/late_queue.h
@@ -12,8 +12,8 @@
  * a failover, refuses nobody.
  */
 struct late_queue {
-	bool is_waiting; /* a late statement waits for a slot */
 	uint32_t passed; /* statements started since, none of them late */
+	bool is_waiting; /* a late statement waits for a slot */
 	bool refuses;
 };
 
--- a/src/proxy/db_group_proof.c
+++ b/src/proxy/db_group_proof.c
@@ -1,6 +1,7 @@
 #include <msgpack.h>
 #include <stdio.h>
 
+#include "decide/fleet_start.h"
 #include "kernel/log.h"
 #include "kernel/platform.h"
 #include "kernel/wire.h"
@@ -55,6 +56,7 @@
  */
 #define CLAIM_PROOF_US (200 * USEC_PER_MSEC)
 
+static bool knows_fleet(const struct proxy *p, usec_t now);
 static void probe_databases(struct db_group *g, usec_t now);
 static void request_proof(struct db_group *g, usec_t now);
 static void check_claim(struct db_group *g, usec_t now);
@@ -72,7 +74,21 @@
  */
 bool db_group_proof_is_local(struct db_group *g, usec_t now)
 {
-	return now < g->probe_directly_until || !proof_owner(g);
+	return now < g->probe_directly_until ||
+	       (!proof_owner(g) && knows_fleet(g->proxy, now));
+}
+
+/* True unless this VM has just started and hears few of the others. */
+static bool knows_fleet(const struct proxy *p, usec_t now)
+{
+	const struct fleet_start f = {
+		.is_listed = p->vms_known,
+		.known_for = now - p->vms_known_at,
+		.n_peers = heartbeat_n_peers(p->heartbeat),
+		.n_live = heartbeat_n_live(p->heartbeat),
+	};
+
+	return fleet_start_is_settled(&f);
 }
 
 /*
--- a/src/proxy/proxy_internal.h
+++ b/src/proxy/proxy_internal.h
@@ -64,6 +64,7 @@
 	usec_t trusted_from;
 	usec_t joined_at; /* time of the list that first had it */
 	uint32_t slots;
+	struct late_queue late; /* of the statements that wait for a slot */
 	bool departing;
 	bool listed;		  /* in the newest list of the registry */
 	bool probing;		  /* a status request is outstanding */
@@ -134,8 +135,7 @@
 	usec_t retry_at;
 	/* connection attempts that failed, in a row */
 	uint32_t failures;
-	usec_t latency; /* moving average of its response time */
-	struct late_queue late;
+	usec_t latency;	  /* moving average of its response time */
 	usec_t deviation; /* mean deviation from it, at the owner */
 	/* when the newest statement or status request was sent that it has
 	 * answered; 0: none */
@@ -450,6 +450,7 @@
 	bool draining;
 	bool closing_idle; /* sessions are closed as they become idle */
 	usec_t drain_at;
+	usec_t vms_known_at;
 	bool databases_known;
 	bool vms_known;
 	bool limits_known; /* this VM's share of the team limits is known */
--- a/src/proxy/registry.c
+++ b/src/proxy/registry.c
@@ -523,6 +523,7 @@
 	if (!r->proxy->vms_known)
 		rate_limit_peers_listed(r->proxy->rate_limit, proxy_now());
 	r->proxy->vms_known = true;
+	r->proxy->vms_known_at = proxy_now();
 }
 
 /* Passes a listed VM to the heartbeats as a peer. */
