End no transaction before half of its statement's time

Cause: a statement of a transaction that takes 0.3 s among short ones was ended by the rule for lost answers, and would be again each time its caller repeats it. Seen by reading. Change: such a transaction ends only after half of the time that its statement may take, and three times the limit for overdue answers as before.

--- a/src/decide/lost_answer.c
+++ b/src/decide/lost_answer.c
@@ -35,11 +35,16 @@
  */
 static usec_t close_after(const struct lost_answer_view *v)
 {
-	usec_t before = v->sent_at - v->began_at;
 	usec_t limit = overdue_after(v);
+	usec_t least = 0;
 
 	if (v->kind == LOST_ANSWER_ABANDONED)
 		return limit;
+	if (v->kind == LOST_ANSWER_READ)
+		least = v->sent_at - v->began_at;
+	if (v->kind == LOST_ANSWER_ROLLBACK)
+		least = (v->deadline - v->sent_at) /
+			LOST_ANSWER_ROLLBACK_DIVISOR;
 	limit *= LOST_ANSWER_CLOSE_LIMITS;
-	return v->kind == LOST_ANSWER_READ && limit < before ? before : limit;
+	return limit < least ? least : limit;
 }
--- a/src/decide/lost_answer.h
+++ b/src/decide/lost_answer.h
@@ -23,7 +23,8 @@
 
 struct lost_answer_view {
 	enum lost_answer_kind kind;
-	usec_t began_at;  /* of the statement that waits */
+	usec_t began_at; /* of the statement that waits */
+	usec_t deadline;
 	usec_t sent_at;	  /* of the oldest request without an answer */
 	usec_t latency;	  /* moving average of the database's answers */
 	usec_t deviation; /* mean deviation from that average */
@@ -45,6 +46,11 @@
 #define LOST_ANSWER_MIN_US     (100 * USEC_PER_MSEC)
 /* A read is made again, or a transaction ended, after this many such times. */
 #define LOST_ANSWER_CLOSE_LIMITS 3
+/*
+ * A transaction ends only after this part of the time that its statement may
+ * take: repeated, a long one would be ended again and again.
+ */
+#define LOST_ANSWER_ROLLBACK_DIVISOR 2
 
 enum lost_answer_action lost_answer_check(const struct lost_answer_view *v,
 					  usec_t now);
--- a/src/proxy/backend_silence.c
+++ b/src/proxy/backend_silence.c
@@ -70,6 +70,7 @@
 	v.kind = kind_of(b);
 	v.sent_at = b->expected[0].sent_at;
 	v.began_at = b->session ? b->session->exec.began_at : v.sent_at;
+	v.deadline = b->session ? b->session->exec.deadline : v.sent_at;
 	return lost_answer_check(&v, now);
 }
 
