--- a/src/decide/failover_fsm.c
+++ b/src/decide/failover_fsm.c
@@ -236,13 +236,13 @@
 }
 
 /*
- * Ends the attempt because another VM has replaced the primary, or because a
- * primary that was not known leads on in the term in which the attempt began:
- * its replicas are resumed then, as none else does that soon and nothing proves
- * the primary before. An attempt that
- * only waits for its new primary's confirmation continues. So does a planned
- * one if the primary is the one that it replaces: a VM forgets a primary that
- * refuses a write after its step-down, and peers may name it again.
+ * Ends the attempt because another VM has replaced the primary. If the term is
+ * that of before, a primary that was not known leads on, and the next tick
+ * resumes its replicas: nothing proves it while they are paused, and nobody
+ * else resumes them soon. An attempt that only waits for its new primary's
+ * confirmation continues. So does a planned one if the primary is the one that
+ * it replaces: a VM forgets a primary that refuses a write after its step-down,
+ * and peers may name it again.
  */
 void failover_fsm_superseded(struct failover_fsm *s, usec_t now, uint32_t db,
 			     uint64_t term)
--- a/src/proxy/dispatch.c
+++ b/src/proxy/dispatch.c
@@ -611,8 +611,7 @@
 	for (i = 0; i < DB_GROUP_MEMBERS_MAX; i++) {
 		struct db_member *d = &g->db[i];
 
-		/* A replica that lacked a position lately costs a round trip.
-		 */
+		/* A replica that lacked a position costs a round trip. */
 		if (i != g->primary && now < d->behind_until)
 			continue;
 		if (is_usable(d, now) && !db_member_is_silent(d, now) &&
