--- a/review/stand-in/recovery.c
+++ b/review/stand-in/recovery.c
@@ -89,6 +89,8 @@
 	int64_t from = back_at + RECOVERY_MS, to = from + WINDOW_MS;
 	int before, before_ok, after, after_ok;
 
+	traffic_note_all();
+	note_arrivals();
 	before = traffic_count(fault_at - 5000, fault_at - 500, &before_ok);
 	after = traffic_count(from, to, &after_ok);
 	traffic_note_unserved(from, to, 10);
--- a/review/stand-in/traffic.c
+++ b/review/stand-in/traffic.c
@@ -15,8 +15,10 @@
 static volatile bool stopping;
 static struct op {
 	int64_t sent_at;
+	int64_t ended_at;
 	bool served;
 	int kind;
+	char id[32]; /* of the operation; attempts count on with a letter */
 	char end[80];
 } ops[OPS_MAX];
 static int n_ops;
@@ -46,7 +48,7 @@
 
 		if (attempt)
 			sleep_ms(100);
-		snprintf(id, sizeof(id), "c%dn%da%u", me, n, attempt);
+		snprintf(id, sizeof(id), "c%dn%d%c", me, n, (int)('a' + attempt));
 		snprintf(text, sizeof(text), writes ? "WRITE k%d v%d" :
 						      "READ k%d", n % 50, n);
 		if (vm >= 0 &&
@@ -89,7 +91,9 @@
 		pthread_mutex_lock(&lock);
 		o = &ops[n_ops < OPS_MAX - 1 ? n_ops++ : n_ops];
 		o->sent_at = at;
+		o->ended_at = now_ms();
 		o->served = ok;
+		snprintf(o->id, sizeof(o->id), "c%dn%d", me, n);
 		o->kind = kind;
 		strcpy(o->end, end);
 		pthread_mutex_unlock(&lock);
@@ -145,3 +149,15 @@
 		     kinds[ops[i].kind].db, ops[i].end);
 	}
 }
+
+void traffic_note_all(void)
+{
+	int i;
+
+	note("what callers sent, and the last answer of each operation:");
+	for (i = 0; i < n_ops; i++)
+		note_at(ops[i].sent_at, "%s sent to %s, answered after %lld ms: "
+			"%s", ops[i].id, kinds[ops[i].kind].db,
+			(long long)(ops[i].ended_at - ops[i].sent_at),
+			ops[i].end);
+}
--- a/review/stand-in/traffic.h
+++ b/review/stand-in/traffic.h
@@ -11,5 +11,7 @@
 int traffic_count(int64_t from, int64_t to, int *served);
 /* Writes the first operations of a span that were not served to the record. */
 void traffic_note_unserved(int64_t from, int64_t to, int most);
+/* Writes all operations to the record. */
+void traffic_note_all(void);
 
 #endif
--- a/review/stand-in/world.c
+++ b/review/stand-in/world.c
@@ -74,7 +74,7 @@
 int n_arrivals;
 FILE *record_file;
 const char *service_name = "quotes";
-char store_address[32];
+char store_address[64];
 
 static struct object objects[OBJECTS_MAX];
 static int n_objects;
@@ -102,22 +102,54 @@
 	nanosleep(&t, NULL);
 }
 
-void note(const char *fmt, ...)
+static void write_line(int64_t at, const char *fmt, va_list ap)
 {
 	static pthread_mutex_t write_lock = PTHREAD_MUTEX_INITIALIZER;
 	char text[1024];
-	va_list ap;
+	int i;
 
-	va_start(ap, fmt);
 	vsnprintf(text, sizeof(text), fmt, ap);
-	va_end(ap);
+	for (i = 0; text[i]; i++)
+		if (text[i] == '\n')
+			text[i] = '~';
 	pthread_mutex_lock(&write_lock);
-	fprintf(record_file, "%8.3f %s\n",
-		(double)(now_ms() - started_at) / 1000, text);
+	fprintf(record_file, "%8.3f %s\n", (double)(at - started_at) / 1000,
+		text);
 	fflush(record_file);
 	pthread_mutex_unlock(&write_lock);
 }
 
+void note(const char *fmt, ...)
+{
+	va_list ap;
+
+	va_start(ap, fmt);
+	write_line(now_ms(), fmt, ap);
+	va_end(ap);
+}
+
+void note_at(int64_t at, const char *fmt, ...)
+{
+	va_list ap;
+
+	va_start(ap, fmt);
+	write_line(at, fmt, ap);
+	va_end(ap);
+}
+
+void note_arrivals(void)
+{
+	int i;
+
+	note("what arrived at the databases, ~ for LF:");
+	pthread_mutex_lock(&lock);
+	for (i = 0; i < n_arrivals; i++)
+		note_at(arrivals[i].at, "ran at %s for %s: id %s, %s",
+			databases[arrivals[i].db].id, arrivals[i].team,
+			arrivals[i].id, arrivals[i].text);
+	pthread_mutex_unlock(&lock);
+}
+
 static void start_thread(void *(*fn)(void *), void *ctx)
 {
 	pthread_attr_t attr;
@@ -131,6 +163,21 @@
 	pthread_attr_destroy(&attr);
 }
 
+/*
+ * The loopback address of this run, in 127.0.0.0/8: two scripts that run at the
+ * same time don't take each other's ports.
+ */
+static const char *own_address(void)
+{
+	static char text[32];
+	int n = (int)getpid();
+
+	if (!text[0])
+		snprintf(text, sizeof(text), "127.%d.%d.1", 10 + n % 200,
+			 1 + n / 200 % 250);
+	return text;
+}
+
 /* Listens on a free port of the loopback address. */
 static int listen_any(int *port)
 {
@@ -138,7 +185,7 @@
 	socklen_t len = sizeof(at);
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 
-	at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	at.sin_addr.s_addr = inet_addr(own_address());
 	if (fd == -1 || bind(fd, (struct sockaddr *)&at, sizeof(at)) ||
 	    listen(fd, 256) || getsockname(fd, (struct sockaddr *)&at, &len))
 		exit(2);
@@ -553,11 +600,11 @@
 
 	d->sequence++;
 	snprintf(spec, sizeof(spec),
-		 "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\","
+		 "{\"service\":\"%s\",\"address\":\"%s:%d\","
 		 "\"zone\":\"%s\",\"version\":\"v1\",\"slots\":5,"
 		 "\"state\":\"%s\",\"coldLeftMs\":0,\"dbRole\":\"%s\","
 		 "\"sequence\":%llu,\"born\":1700000000000}",
-		 service_name, d->port, d->zone,
+		 service_name, own_address(), d->port, d->zone,
 		 d->draining ? "draining" : "ready",
 		 d->primary ? "primary" : "replica",
 		 (unsigned long long)d->sequence);
@@ -972,17 +1019,34 @@
 	return put_object("config", "main", spec);
 }
 
+/* Leaves no VM behind if the script is ended. */
+static void on_ended(int sig)
+{
+	int i;
+
+	(void)sig;
+	for (i = 0; i < n_vms; i++)
+		if (vms[i].pid > 0)
+			kill(vms[i].pid, SIGKILL);
+	_exit(2);
+}
+
 void world_start(int n, const char *const *zones)
 {
 	int port, fd, i;
 
+	signal(SIGTERM, on_ended);
+	signal(SIGINT, on_ended);
+	atexit(vms_kill_all);
+
 	started_at = now_ms();
 	arrivals = calloc(ARRIVALS_MAX, sizeof(*arrivals));
 	if (!arrivals)
 		exit(2);
 	signal(SIGPIPE, SIG_IGN);
 	fd = listen_any(&port);
-	snprintf(store_address, sizeof(store_address), "127.0.0.1:%d", port);
+	snprintf(store_address, sizeof(store_address), "%s:%d", own_address(),
+		 port);
 	start_thread(accept_store, (void *)(intptr_t)fd);
 	for (i = 0; i < n; i++) {
 		struct database *d = &databases[i];
@@ -1027,7 +1091,7 @@
 	struct sockaddr_in at = { .sin_family = AF_INET };
 	int fd, udp, port, i;
 
-	at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	at.sin_addr.s_addr = inet_addr(own_address());
 	for (i = 0; i < 50; i++) {
 		fd = listen_any(&port);
 		udp = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
@@ -1065,23 +1129,29 @@
 	fprintf(f,
 		"{\"form\":\"sessions\",\"vm\":\"%s\",\"domain\":\"%s\","
 		"\"region\":\"kr-south\","
-		"\"caller_listen\":\"127.0.0.1:%d\","
-		"\"ready_listen\":\"127.0.0.1:%d\","
-		"\"peer_listen\":\"127.0.0.1:%d\","
-		"\"metrics_listen\":\"127.0.0.1:%d\",\"platform\":\"%s\","
+		"\"caller_listen\":\"%s:%d\","
+		"\"ready_listen\":\"%s:%d\","
+		"\"peer_listen\":\"%s:%d\","
+		"\"metrics_listen\":\"%s:%d\",\"platform\":\"%s\","
 		"\"promotion\":\"%s\",\"grace_s\":6,"
 		"\"domains\":{\"kr-south-a\":\"kr-south\","
 		"\"kr-south-b\":\"kr-south\",\"kr-south-c\":\"kr-south\"},"
 		"\"cpu_share\":0.25,\"platform_timeout_ms\":1500,"
 		"\"timeline_events\":1024}\n",
-		name, zone, v->ports[0], v->ports[1], v->ports[2], v->ports[3],
-		store_address, store_address);
+		name, zone, own_address(), v->ports[0], own_address(),
+		v->ports[1], own_address(), v->ports[2], own_address(),
+		v->ports[3], store_address, store_address);
 	fclose(f);
 	out = open(v->log, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0644);
 	if (out < 0)
 		return false;
+	if (vm >= n_vms)
+		n_vms = vm + 1;
 	v->pid = fork();
 	if (v->pid == 0) {
+		signal(SIGTERM, SIG_DFL);
+		signal(SIGINT, SIG_DFL);
+		signal(SIGPIPE, SIG_DFL);
 		dup2(out, 1);
 		dup2(out, 2);
 		setenv("GYPSUMCLEAT_CONFIG", settings, 1);
@@ -1094,8 +1164,6 @@
 		v->pid = 0;
 		return false;
 	}
-	if (vm >= n_vms)
-		n_vms = vm + 1;
 	v->in_rotation = true;
 	v->misses = 0;
 	note("%s started as a process in %s", name, zone);
@@ -1158,7 +1226,7 @@
 
 	if (fd < 0 || !colon)
 		return -1;
-	to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	to.sin_addr.s_addr = inet_addr(own_address());
 	to.sin_port = htons((uint16_t)atoi(colon + 1));
 	if (connect(fd, (struct sockaddr *)&to, sizeof(to))) {
 		close(fd);
--- a/review/stand-in/world.h
+++ b/review/stand-in/world.h
@@ -65,12 +65,17 @@
 extern int n_arrivals;
 extern FILE *record_file;
 extern const char *service_name;
-extern char store_address[32];
+extern char store_address[64];
 
 int64_t now_ms(void);
 void sleep_ms(int ms);
 /* Writes one line with the time to record.txt. */
 void note(const char *fmt, ...) __attribute__((format(printf, 1, 2)));
+/* The same for something that happened at "at". */
+void note_at(int64_t at, const char *fmt, ...)
+	__attribute__((format(printf, 2, 3)));
+/* Writes what arrived at the databases, in order. */
+void note_arrivals(void);
 
 /* Starts the store, and the databases, one in each zone; the first leads. */
 void world_start(int n, const char *const *zones);
