Log what holds a failover back, whatever its cause

Why an attempt does not begin was logged for evacuated primaries only (4011), so that four hypotheses looked the same: the databases are not all known, the VM hears too few others, the replicas don't answer, or nobody asks them.

The code moves from failover_handover.c to failover_held.c.

--- a/src/proxy/failover.c
+++ b/src/proxy/failover.c
@@ -115,6 +115,7 @@
 
 	collect_state(g, now, &env);
 	failover_handover_tick(g, &env);
+	failover_note_hold(g, &env);
 	failover_fsm_tick(s, &env, &out);
 	if (old_phase == FAILOVER_CLAIM && s->phase == FAILOVER_FENCE &&
 	    s->cause == FAILOVER_CAUSE_EVACUATED)
--- a/src/proxy/failover_handover.c
+++ b/src/proxy/failover_handover.c
@@ -4,40 +4,21 @@
 
 /*
  * Follows the hand-over of a primary whose failure domain is evacuated: obtains
- * the statuses that it needs before it begins, and logs what holds it back.
+ * the statuses that it needs before it begins.
  */
 
-/* VMs of these ranks watch over a hand-over; the others leave it to them. */
-#define WATCHING_RANKS 3
-/*
- * A condition that lasts no longer is not logged: statuses and an attempt of
- * another VM take less.
- */
-#define HELD_LOGGED_US (500 * USEC_PER_MSEC)
-/* Shortest interval between two lines of a group. */
-#define HELD_INTERVAL_US (1 * USEC_PER_SEC)
+/* VMs of these ranks prepare a hand-over; the others leave it to them. */
+#define PREPARING_RANKS 3
 
 static void probe_group(struct db_group *g, usec_t now);
-static void note_hold(struct db_group *g, enum failover_fsm_hold by,
-		      usec_t now);
-static void log_held(const struct db_group *g, bool is_held, usec_t now);
 
-/* Watches over a hand-over that has not begun. */
+/* Obtains the statuses for a hand-over that has not begun. */
 void failover_handover_tick(struct db_group *g,
 			    const struct failover_fsm_env *env)
 {
-	enum failover_fsm_hold by = FAILOVER_HOLD_NONE;
-
 	if (env->cause == FAILOVER_CAUSE_EVACUATED &&
-	    env->rank < WATCHING_RANKS &&
-	    g->succession.phase == FAILOVER_IDLE) {
+	    env->rank < PREPARING_RANKS && g->succession.phase == FAILOVER_IDLE)
 		probe_group(g, env->now);
-		by = failover_fsm_hold(&g->succession, env);
-	}
-	/* An attempt of another VM is the hand-over itself. */
-	if (by == FAILOVER_HOLD_PEER)
-		by = FAILOVER_HOLD_NONE;
-	note_hold(g, by, env->now);
 }
 
 /* Logs that a hand-over begins here, as the claim was obtained. */
@@ -85,43 +66,3 @@
 			db_member_probe(d, now);
 	}
 }
-
-/*
- * Notes what holds the hand-over back now, and logs it once it has lasted, and
- * again if it changes; and that nothing does any more.
- */
-static void note_hold(struct db_group *g, enum failover_fsm_hold by, usec_t now)
-{
-	struct failover_held *h = &g->held;
-
-	if (by != h->by) {
-		if (by == FAILOVER_HOLD_NONE && h->is_logged) {
-			log_held(g, false, now);
-			h->is_logged = false;
-		}
-		if (h->by == FAILOVER_HOLD_NONE)
-			h->since = now;
-		h->by = by;
-		h->is_reported = false;
-	}
-	if (by == FAILOVER_HOLD_NONE || h->is_reported ||
-	    now - h->since < HELD_LOGGED_US ||
-	    now - h->logged_at < HELD_INTERVAL_US)
-		return;
-	h->is_logged = true;
-	h->is_reported = true;
-	h->logged_at = now;
-	log_held(g, true, now);
-}
-
-/* Logs that a hand-over is held back, or no longer. */
-static void log_held(const struct db_group *g, bool is_held, usec_t now)
-{
-	const struct failover_held *h = &g->held;
-
-	log_event(EV_HANDOVER_HELD,
-		  "service=%s database=%s held=%d lasted_us=%lld reason=\"%s\"",
-		  g->service,
-		  g->primary == DB_NONE ? "-" : g->db[g->primary].id, is_held,
-		  (long long)(now - h->since), failover_fsm_hold_name(h->by));
-}
--- a/src/proxy/proxy_internal.h
+++ b/src/proxy/proxy_internal.h
@@ -149,9 +149,10 @@
 	uint64_t paused_for; /* that term */
 };
 
-/* What holds the hand-over of an evacuated primary back, as it was logged. */
+/* What holds a failover back, as it was logged. */
 struct failover_held {
 	enum failover_fsm_hold by;
+	enum failover_fsm_cause cause;
 	usec_t since;
 	usec_t logged_at;
 	bool is_reported; /* "by" was logged */
@@ -183,7 +184,7 @@
 	bool claim_check_pending; /* a claim is being read */
 	bool promoted_here; /* this VM promoted the primary of this term */
 	struct failover_fsm succession;
-	struct failover_held held; /* a hand-over that does not begin */
+	struct failover_held held; /* a failover that does not begin */
 	/* when a database was last dropped that other VMs may still use */
 	usec_t dropped_at;
 	/* when this VM last requested to mark its claim as promoting */
@@ -657,6 +658,9 @@
 void failover_handover_begun(const struct db_group *g);
 void failover_handover_done(const struct db_group *g, uint32_t db);
 
+/* failover_held.c */
+void failover_note_hold(struct db_group *g, const struct failover_fsm_env *env);
+
 /* failover.c */
 void failover_init(struct db_group *g);
 void failover_tick(struct db_group *g, usec_t now);
