Ask databases that could take over when only their answers are lacking

What callers saw: a primary that is lost while all VMs restart was never replaced.

Cause: a failover begins only with a replica that this VM has heard from, and without a primary nothing connects a VM that has just started to a replica: statements and the probes that prove a primary both need one.

Change: an attempt that lacks only a database that responds, or its first report, requests the status of those that could take over, in the order of the VMs' ranks. This stands before every cause, so a VM that has used no replica of a silent or departing primary is no longer held back either. The replicas' reports tell the term of the fence to a VM that knows none.

--- a/src/decide/failover_choice.c
+++ b/src/decide/failover_choice.c
@@ -35,9 +35,19 @@
 		hold = hold_of_successor(env);
 	if (hold != FAILOVER_HOLD_NONE)
 		return hold;
-	return env->now - s->able_since < (usec_t)env->rank * s->policy.stagger
-		       ? FAILOVER_HOLD_RANK
-		       : FAILOVER_HOLD_NONE;
+	return failover_rank_is_due(s, env) ? FAILOVER_HOLD_NONE
+					    : FAILOVER_HOLD_RANK;
+}
+
+/*
+ * Returns true if this VM's rank has waited for its delay since the VM was able
+ * to act.
+ */
+bool failover_rank_is_due(const struct failover_fsm *s,
+			  const struct failover_fsm_env *env)
+{
+	return env->now - s->able_since >=
+	       (usec_t)env->rank * s->policy.stagger;
 }
 
 /*
@@ -69,6 +79,7 @@
 static enum failover_fsm_hold
 hold_of_successor(const struct failover_fsm_env *env)
 {
+	enum failover_fsm_hold hold = FAILOVER_HOLD_NO_TARGET;
 	uint32_t i;
 
 	if (env->cause == FAILOVER_CAUSE_EVACUATED)
@@ -78,10 +89,24 @@
 	    env->peers_hearing >= env->peers_missing + 1)
 		return FAILOVER_HOLD_HEARD;
 	for (i = 0; i < env->n; i++) {
-		if (failover_is_eligible(env, i) && env->db[i].answers)
+		if (!failover_is_eligible(env, i) || !env->db[i].answers)
+			continue;
+		if (failover_may_take_over(env, i))
 			return FAILOVER_HOLD_NONE;
+		hold = FAILOVER_HOLD_NO_STATUS;
 	}
-	return FAILOVER_HOLD_NO_TARGET;
+	return hold;
+}
+
+/*
+ * Returns true if the database may take over and responds. A VM that knows no
+ * term of the group needs the database's report as well: a pause for a term
+ * that is not above the group's has no effect.
+ */
+bool failover_may_take_over(const struct failover_fsm_env *env, uint32_t i)
+{
+	return failover_is_eligible(env, i) && env->db[i].answers &&
+	       (env->term > 0 || env->db[i].term > 0);
 }
 
 /*
--- a/src/decide/failover_fsm.c
+++ b/src/decide/failover_fsm.c
@@ -11,6 +11,10 @@
 		 uint32_t db, uint64_t term);
 static void enter_phase(struct failover_fsm *s, usec_t now,
 			enum failover_fsm_phase phase);
+static void ask_successors(struct failover_fsm *s,
+			   const struct failover_fsm_env *env,
+			   enum failover_fsm_hold hold,
+			   struct failover_fsm_actions *out);
 static void follow_cause(struct failover_fsm *s,
 			 const struct failover_fsm_env *env);
 static bool is_planned(const struct failover_fsm *s);
@@ -55,6 +59,8 @@
 		       const struct failover_fsm_env *env,
 		       struct failover_fsm_actions *out)
 {
+	enum failover_fsm_hold hold;
+
 	out->n = 0;
 	if (env->cause == FAILOVER_CAUSE_NONE)
 		s->cause_since = 0;
@@ -78,8 +84,11 @@
 	}
 	switch (s->phase) {
 	case FAILOVER_IDLE:
-		if (failover_fsm_hold(s, env) != FAILOVER_HOLD_NONE)
+		hold = failover_fsm_hold(s, env);
+		if (hold != FAILOVER_HOLD_NONE) {
+			ask_successors(s, env, hold, out);
 			break;
+		}
 		s->cause = env->cause;
 		s->old_primary = env->primary;
 		s->base_term = env->term;
@@ -334,6 +343,35 @@
 		s->token = 0;
 }
 
+/*
+ * Requests the status of the databases that could take over but that this VM
+ * has not heard from, if only their lack holds the failover back. A VM that has
+ * just started need not have used any of them, and no statement reaches them
+ * without a primary. VMs ask in the order of their ranks, so that the first one
+ * that gets an answer acts before the others ask. A hand-over obtains its
+ * reports itself.
+ */
+static void ask_successors(struct failover_fsm *s,
+			   const struct failover_fsm_env *env,
+			   enum failover_fsm_hold hold,
+			   struct failover_fsm_actions *out)
+{
+	uint32_t i;
+
+	if ((hold != FAILOVER_HOLD_NO_TARGET &&
+	     hold != FAILOVER_HOLD_NO_STATUS) ||
+	    env->cause == FAILOVER_CAUSE_EVACUATED ||
+	    !failover_rank_is_due(s, env) ||
+	    (s->asked_at && env->now - s->asked_at < s->policy.ask_interval))
+		return;
+	s->asked_at = env->now;
+	for (i = 0; i < env->n; i++) {
+		if (failover_is_eligible(env, i) &&
+		    !failover_may_take_over(env, i))
+			emit(out, FAILOVER_ACT_PROBE, i, 0);
+	}
+}
+
 /*
  * Continues a hand-over as an unplanned failover if the primary has failed, or
  * departs, before it reported its step-down: its answer can't be waited for.
--- a/src/decide/failover_fsm.h
+++ b/src/decide/failover_fsm.h
@@ -102,10 +102,11 @@
 struct failover_fsm_db {
 	bool present; /* registered */
 	bool departing;
-	bool answers;	      /* has responded recently or was not asked */
+	/* has been heard from, and leaves no request unanswered for long */
+	bool answers;
 	bool has_new_report;  /* the report below was requested in this phase */
 	bool reports_primary; /* it reports that it is primary */
-	uint64_t term;
+	uint64_t term;	      /* that it reported; 0: it has not reported */
 	bool evacuated; /* its failure domain is, as far as this VM knows */
 	/* the report below was requested since the primary's evacuation was
 	 * known */
@@ -147,6 +148,8 @@
 	usec_t turn;	       /* time for which the VM that promoted last is
 				  the only one to promote again */
 	usec_t catch_up_max;   /* time for a replica to reach the last commit */
+	usec_t ask_interval;   /* between requests to databases that may take
+				  over but are not known to respond */
 };
 
 struct failover_fsm {
--- a/src/decide/failover_fsm_internal.h
+++ b/src/decide/failover_fsm_internal.h
@@ -11,6 +11,11 @@
 /* What keeps this VM from acting at all, whatever the databases are like. */
 enum failover_fsm_hold failover_hold_of_vm(const struct failover_fsm *s,
 					   const struct failover_fsm_env *env);
+/* True once VMs of a lower rank have had their time to act. */
+bool failover_rank_is_due(const struct failover_fsm *s,
+			  const struct failover_fsm_env *env);
+/* True if the database is known well enough to begin an attempt. */
+bool failover_may_take_over(const struct failover_fsm_env *env, uint32_t i);
 bool failover_is_eligible(const struct failover_fsm_env *env, uint32_t i);
 bool failover_caught_up(const struct failover_fsm *s,
 			const struct failover_fsm_env *env);
--- a/src/proxy/failover.c
+++ b/src/proxy/failover.c
@@ -72,6 +72,7 @@
 	.back_off = 700 * USEC_PER_MSEC,
 	.turn = TURN_US,
 	.catch_up_max = 400 * USEC_PER_MSEC,
+	.ask_interval = 200 * USEC_PER_MSEC,
 };
 
 static void collect_state(struct db_group *g, usec_t now,
--- a/tests/decide/failover_evacuation_test.cc
+++ b/tests/decide/failover_evacuation_test.cc
@@ -20,6 +20,7 @@
 	.back_off = 700 * kMs,
 	.turn = 3000 * kMs,
 	.catch_up_max = 400 * kMs,
+	.ask_interval = 200 * kMs,
 };
 constexpr uint32_t kBoth = 1U << 1 | 1U << 2;
 
--- a/tests/decide/failover_fsm_test.cc
+++ b/tests/decide/failover_fsm_test.cc
@@ -18,6 +18,7 @@
 	.back_off = 700 * kMs,
 	.turn = 3000 * kMs,
 	.catch_up_max = 400 * kMs,
+	.ask_interval = 200 * kMs,
 };
 
 // One VM's view of a group of three whose primary is database 0 in term 4.
@@ -155,6 +156,138 @@
 	}
 }
 
+// Guards against a failover that never begins because the VM has not heard from
+// any replica: it has just started, and nothing but the failover would ask
+// them.
+TEST(FailoverFsm, AsksTheDatabasesThatCouldTakeOver)
+{
+	enum { UNHEARD, UNREPORTED, KNOWN };
+	const struct {
+		const char *name;
+		enum failover_fsm_cause cause;
+		uint32_t rank;
+		uint64_t term;	// the group's, as this VM knows it
+		int replica[2]; // what it knows of each
+		bool alone;
+		usec_t time;
+		const char *acts;
+	} cases[] = {
+		{ "no primary, no replica heard",
+		  FAILOVER_CAUSE_NO_PRIMARY,
+		  0,
+		  0,
+		  { UNHEARD, UNHEARD },
+		  false,
+		  20 * kMs,
+		  "A1 A2 " },
+		{ "asked again",
+		  FAILOVER_CAUSE_NO_PRIMARY,
+		  0,
+		  0,
+		  { UNHEARD, UNHEARD },
+		  false,
+		  250 * kMs,
+		  "A1 A2 A1 A2 " },
+		{ "one heard, its status not known",
+		  FAILOVER_CAUSE_NO_PRIMARY,
+		  0,
+		  0,
+		  { UNREPORTED, UNHEARD },
+		  false,
+		  20 * kMs,
+		  "A1 A2 " },
+		{ "one has reported",
+		  FAILOVER_CAUSE_NO_PRIMARY,
+		  0,
+		  0,
+		  { UNHEARD, KNOWN },
+		  false,
+		  20 * kMs,
+		  "C " },
+		{ "the term is known",
+		  FAILOVER_CAUSE_NO_PRIMARY,
+		  0,
+		  4,
+		  { UNREPORTED, UNHEARD },
+		  false,
+		  20 * kMs,
+		  "C " },
+		{ "silent primary",
+		  FAILOVER_CAUSE_SILENT,
+		  0,
+		  4,
+		  { UNHEARD, UNHEARD },
+		  false,
+		  20 * kMs,
+		  "A1 A2 " },
+		{ "primary that refuses",
+		  FAILOVER_CAUSE_REFUSED,
+		  0,
+		  4,
+		  { UNHEARD, UNHEARD },
+		  false,
+		  20 * kMs,
+		  "A1 A2 " },
+		{ "departing primary",
+		  FAILOVER_CAUSE_DEPARTING,
+		  0,
+		  4,
+		  { UNHEARD, UNHEARD },
+		  false,
+		  20 * kMs,
+		  "A1 A2 " },
+		{ "rank 2 leaves it to others",
+		  FAILOVER_CAUSE_NO_PRIMARY,
+		  2,
+		  0,
+		  { UNHEARD, UNHEARD },
+		  false,
+		  2 * kPolicy.stagger,
+		  "" },
+		{ "rank 2 asks after its delay",
+		  FAILOVER_CAUSE_NO_PRIMARY,
+		  2,
+		  0,
+		  { UNHEARD, UNHEARD },
+		  false,
+		  2 * kPolicy.stagger + 20 * kMs,
+		  "A1 A2 " },
+		{ "a VM that hears few others",
+		  FAILOVER_CAUSE_NO_PRIMARY,
+		  0,
+		  0,
+		  { UNHEARD, UNHEARD },
+		  true,
+		  USEC_PER_SEC,
+		  "" },
+		{ "no cause",
+		  FAILOVER_CAUSE_NONE,
+		  0,
+		  4,
+		  { UNHEARD, UNHEARD },
+		  false,
+		  USEC_PER_SEC,
+		  "" },
+	};
+	for (const auto &c : cases) {
+		Group g;
+		g.env.cause = c.cause;
+		g.env.rank = c.rank;
+		g.env.term = c.term;
+		g.env.hears_most_vms = !c.alone;
+		if (c.cause == FAILOVER_CAUSE_NO_PRIMARY) {
+			g.env.primary = DB_NONE;
+			g.env.db[0].present = false;
+		}
+		for (uint32_t i = 0; i < 2; i++) {
+			g.env.db[i + 1].answers = c.replica[i] != UNHEARD;
+			if (c.replica[i] != KNOWN)
+				g.env.db[i + 1].term = 0;
+		}
+		EXPECT_EQ(g.run(c.time), c.acts) << c.name;
+	}
+}
+
 // Guards against VMs that begin failovers of one group at the same moment, and
 // supersede each other's claims: what had kept them back ends for all at once,
 // long after the cause began.
--- a/tests/process/lib.sh
+++ b/tests/process/lib.sh
@@ -172,6 +172,24 @@
 vm_address() { sed -n "s/^ready \(.*\) $2\$/\1/p" "$T/$1.out"; }
 vm_ready() { [ "$(curl -s -o /dev/null -w '%{http_code}' "http://$(vm_address "$1" probes)/")" = 200 ]; }
 
+# kill_vms NAME...: kills VMs at once. start_again NAME... starts them again
+kill_vms() {
+	for vm in "$@"; do
+		kill -9 "$(pid_of "$vm")"
+	done
+	for vm in "$@"; do
+		pid=$(pid_of "$vm")
+		wait "$pid" 2>/dev/null
+		PIDS=$(echo "$PIDS " | sed "s/ $pid / /")
+		cp "$T/$vm.out" "$T/$vm.out.killed"
+	done
+}
+start_again() {
+	for vm in "$@"; do
+		start "$vm" "$G" serve -f "$T/$vm.json" || exit 1
+	done
+}
+
 # start_sessions_platform NAME: starts the fake platform of that form; sets PLATFORM
 # and SECOND, the address at which it may turn VMs away
 start_sessions_platform() {
--- a/tests/process/store_restored.sh
+++ b/tests/process/store_restored.sh
@@ -39,23 +39,6 @@
 	done
 }
 
-# Kills all VMs at once and starts them again.
-kill_vms() {
-	for vm in $VMS; do
-		kill -9 "$(pid_of "$vm")"
-	done
-	for vm in $VMS; do
-		pid=$(pid_of "$vm")
-		wait "$pid" 2>/dev/null
-		PIDS=$(echo "$PIDS " | sed "s/ $pid / /")
-		cp "$T/$vm.out" "$T/$vm.out.killed"
-	done
-	for vm in $VMS; do
-		start "$vm" "$G" serve -f "$T/$vm.json" || exit 1
-	done
-	await_vms
-}
-
 # Runs cases of store_restored.pl and adds their counts.
 run_cases() { # cases
 	at=
@@ -81,7 +64,12 @@
 topology_begin
 start_vms r 3
 run_cases "first claim mark promote effect config twice before_kill"
-kill_vms
+# shellcheck disable=SC2086
+{
+	kill_vms $VMS
+	start_again $VMS
+}
+await_vms
 run_cases "after_kill"
 start_vms m 8
 run_cases "first claim"
