End lines at CR LF only, so that a line feed in a text is data

A row with a line feed could not be read.

Cause: sessions and connections to databases read lines with EVBUFFER_EOL_CRLF, which also ends a line at a bare line feed.

Change: both use EVBUFFER_EOL_CRLF_STRICT, as the tests' fake database does now. A bare LF or CR passes through unchanged; a NUL is refused as malformed, as before.

--- a/src/proxy/backend.c
+++ b/src/proxy/backend.c
@@ -259,7 +259,7 @@
 	b->db->connect_failed_at = 0;
 	b->db->failures = 0;
 	while (!b->closed &&
-	       (line = evbuffer_readln(in, &len, EVBUFFER_EOL_CRLF))) {
+	       (line = evbuffer_readln(in, &len, EVBUFFER_EOL_CRLF_STRICT))) {
 		on_line(b, line, len);
 		free(line);
 	}
--- a/src/proxy/session.c
+++ b/src/proxy/session.c
@@ -229,7 +229,7 @@
 		if (evbuffer_get_length(bufferevent_get_output(s->bev)) >
 		    OUTPUT_MAX_BYTES)
 			break;
-		line = evbuffer_readln(in, &len, EVBUFFER_EOL_CRLF);
+		line = evbuffer_readln(in, &len, EVBUFFER_EOL_CRLF_STRICT);
 		if (!line) {
 			if (evbuffer_get_length(in) > MESSAGE_MAX_BYTES)
 				fail_and_close(s, REPLY_ERR_TOO_BIG,
--- a/tests/sessions/database.cc
+++ b/tests/sessions/database.cc
@@ -100,7 +100,7 @@
 	size_t len;
 	while (!db->mute && db->connections.count(c)) {
 		char *s = evbuffer_readln(bufferevent_get_input(bev), &len,
-					  EVBUFFER_EOL_CRLF);
+					  EVBUFFER_EOL_CRLF_STRICT);
 		if (!s)
 			return;
 		std::string text(s, len);
