End a transaction whose key is withdrawn

Cause: only begin_operation() looks the key up.

Change: each statement of a transaction on a route that is not public looks its key up; if it is gone, or another team's, the transaction is rolled back and answered with ABORTED. A COMMIT is refused before it is sent, so the promise holds.

--- a/src/proxy/proxy_internal.h
+++ b/src/proxy/proxy_internal.h
@@ -306,6 +306,8 @@
 	bool tx_read_only; /* the transaction began with BEGIN READ */
 	/* BEGIN was sent to the database and acknowledged */
 	bool tx_at_database;
+	/* the operation's route is not public: its team rests on the key */
+	bool needs_key;
 	bool tx_wrote; /* a write was sent in the transaction */
 	/* it was lost between two statements, so the caller was not told */
 	bool tx_loss_untold;
--- a/src/proxy/session.c
+++ b/src/proxy/session.c
@@ -47,6 +47,7 @@
 static void end_transaction(struct session *s);
 static void open_transaction(struct session *s);
 static void run_statement(struct session *s);
+static bool key_is_withdrawn(const struct session *s);
 static void dispatch_statement(struct session *s);
 static void refuse_over_rate(struct session *s, usec_t retry_after);
 static bool begin_operation(struct session *s);
@@ -482,10 +483,30 @@
  */
 static void run_statement(struct session *s)
 {
+	if (s->in_tx && key_is_withdrawn(s)) {
+		session_send_error(s, REPLY_ERR_ABORTED,
+				   "key withdrawn, transaction rolled back");
+		return;
+	}
 	if (s->in_tx || begin_operation(s))
 		dispatch_statement(s);
 }
 
+/*
+ * Returns true if the key of the session's operation was withdrawn, or belongs
+ * to another team by now. A change to the route applies to the next operation
+ * only, but a withdrawn key ends a transaction too.
+ */
+static bool key_is_withdrawn(const struct session *s)
+{
+	const struct catalog_team *team;
+
+	if (!s->needs_key)
+		return false;
+	team = catalog_team(s->proxy->catalog, s->key);
+	return !team || strcmp(team->name, s->team) != 0;
+}
+
 /* Sets the statement's deadline and starts it. */
 static void dispatch_statement(struct session *s)
 {
@@ -634,6 +655,7 @@
 		*code = REPLY_ERR_NO_AUTH;
 		return false;
 	}
+	s->needs_key = !r->is_public;
 	if (!team)
 		team = c->n_teams ? &c->teams[0] : NULL;
 	snprintf(s->team, sizeof(s->team), "%s", team ? team->name : "open");
--- a/tests/process/sessions.pl
+++ b/tests/process/sessions.pl
@@ -155,12 +155,37 @@
 # Withdrawn keys, also when the history of the watch is gone.
 my $open = start("o-db", "key-2");
 ok("a valid key", value($open, "tx") eq "one");
+# Guards against a withdrawn key that goes on being accepted in a transaction that was
+# open then: each case is a statement after the withdrawal, and its item.
+my @withdrawn = map { [$_, start("o-db", "key-2", $vm2)] } "READ tx", "WRITE tx-key more", "COMMIT";
+for (@withdrawn) {
+	query($_->[1], "BEGIN");
+	query($_->[1], "WRITE tx-key data");
+	ok("a transaction under that key", $_->[1]{ready} eq "T" && done($_->[1]), $_->[1]{end});
+}
 control("do=drop_history");
 control("do=withdraw&key=key-2");
 my $left = 50;
 $left-- while $left > 0 && value($open, "tx") eq "one"
     && (select(undef, undef, undef, 0.1) // 1) < 2;
+my $probe = start("o-db", "key-2", $vm2);
+for (1 .. 50) {
+	last if !$probe || value($probe, "tx") ne "one";
+	$_->[1]{ready} eq "T" && query($_->[1], "READ tx") for @withdrawn;
+	select(undef, undef, undef, 0.1);
+}
 ok("stops working on an open session once withdrawn", $open->{end} =~ /^ERROR NOAUTH/, $open->{end});
+for (@withdrawn) {
+	my ($text, $c) = @$_;
+	# One that learned of the withdrawal while it was kept from idling has its answer.
+	query($c, $text) if $c->{ready} eq "T";
+	ok("$text in a transaction under a withdrawn key: rolled back",
+	    $c->{end} =~ /^ERROR ABORTED key withdrawn/, $c->{end});
+	query($c, "ROLLBACK") if $c->{ready} eq "E";
+	query($c, "READ tx");
+	ok("$text: the next operation is refused", $c->{end} =~ /^ERROR NOAUTH/, $c->{end});
+}
+ok("nothing of these transactions is kept", index(control("do=writes"), "log tx-key ") < 0);
 
 # Rate limits.
 control("do=rate&n=5");
