Grant nothing to a team that is not known, and release teams that are gone

What callers would see (from the review, by reading): beyond 4,096 teams in one lifetime of a VM a new team had no limit; a new team had none either at a keeper that had not heard of it yet.

Cause: rate_limit_take() and rate_limit_take_local() granted unknown teams, and a full table refused new ones though its teams were gone.

Change: a VM is not the keeper of a team that it doesn't know, so the VM that asks decides by its even share; without knowing the team it refuses. Teams that the newest configuration lacks give up their places when the table is full, and start empty if they return.

Tests: UnknownTeamsAndNoRate expected unknown teams to be granted, which is the fault; it expects NOT_KEEPER and a local refusal now.

--- a/src/decide/rate_limit.c
+++ b/src/decide/rate_limit.c
@@ -32,6 +32,7 @@
 	char name[NAME_MAX_BYTES];
 	uint32_t rate;
 	uint32_t burst;
+	uint64_t generation;   /* newest configuration that has it */
 	uint32_t keeper;       /* index of a peer, or SELF */
 	struct bucket whole;   /* used while this VM is the keeper */
 	struct bucket reserve; /* used while no keeper responds */
@@ -51,6 +52,7 @@
 	bool has_quorum;  /* at least half of the other VMs are heard */
 	usec_t quorum_at; /* when that began; 0: no quorum, or not known yet */
 	bool stale;	  /* other VMs may have been keepers of its teams */
+	uint64_t generation; /* of the configuration being set, or set last */
 	uint32_t n_teams;
 	uint32_t n_peers;
 	uint32_t n_heard;
@@ -59,6 +61,7 @@
 	struct peer *peers;
 };
 
+static struct team *add_team(struct rate_limit *q);
 static struct team *find_team(const struct rate_limit *q, const char *name);
 static uint32_t find_peer(struct rate_limit *q, const char *name, bool create);
 static uint64_t weight(const struct rate_limit *q, const struct team *t,
@@ -106,16 +109,11 @@
 		    uint32_t burst, usec_t now)
 {
 	struct team *t = find_team(q, team);
-	struct team *teams;
 
 	if (!t) {
-		if (q->n_teams == RATE_LIMIT_TEAMS_MAX)
+		t = add_team(q);
+		if (!t)
 			return false;
-		teams = realloc(q->teams, (q->n_teams + 1) * sizeof(*teams));
-		if (!teams)
-			return false;
-		q->teams = teams;
-		t = &q->teams[q->n_teams++];
 		memset(t, 0, sizeof(*t));
 		strncpy(t->name, team, sizeof(t->name) - 1);
 		t->keeper = SELF;
@@ -123,6 +121,7 @@
 		t->reserve.accrued_at = now;
 		pick_keeper(q, t, now);
 	}
+	t->generation = q->generation;
 	t->rate = rate_per_s;
 	t->burst = burst;
 	if (t->whole.tokens > burst)
@@ -130,6 +129,46 @@
 	return true;
 }
 
+/* Begins a new configuration, which has none of the teams yet. */
+void rate_limit_begin(struct rate_limit *q)
+{
+	q->generation++;
+}
+
+/* Keeps the place of a team that the new configuration has too. */
+void rate_limit_keep(struct rate_limit *q, const char *team)
+{
+	struct team *t = find_team(q, team);
+
+	if (t)
+		t->generation = q->generation;
+}
+
+/*
+ * Returns a place for another team, or NULL. If the table is full, a team that
+ * the configuration no longer has gives up its own. Its tokens are lost, as
+ * those of a new team, so that a team that returns is not granted its rate
+ * twice.
+ */
+static struct team *add_team(struct rate_limit *q)
+{
+	struct team *teams;
+	uint32_t i;
+
+	if (q->n_teams < RATE_LIMIT_TEAMS_MAX) {
+		teams = realloc(q->teams, (q->n_teams + 1) * sizeof(*teams));
+		if (!teams)
+			return NULL;
+		q->teams = teams;
+		return &q->teams[q->n_teams++];
+	}
+	for (i = 0; i < q->n_teams; i++) {
+		if (q->teams[i].generation != q->generation)
+			return &q->teams[i];
+	}
+	return NULL;
+}
+
 /* Records whether a peer is heard from and whether it is shutting down. */
 void rate_limit_set_peer(struct rate_limit *q, const char *peer, bool heard,
 			 bool leaves, usec_t now)
@@ -240,9 +279,7 @@
 	double max;
 	double needed;
 
-	if (!t)
-		return RATE_LIMIT_GRANTED;
-	if (t->keeper != SELF || !q->has_quorum || q->leaving)
+	if (!t || t->keeper != SELF || !q->has_quorum || q->leaving)
 		return RATE_LIMIT_NOT_KEEPER;
 	heard_share = (double)(1 + q->n_heard) / vm_count(q);
 	per_s = t->rate * heard_share;
@@ -287,8 +324,10 @@
 	struct team *t = find_team(q, team);
 	double rate;
 
-	if (!t)
-		return true;
+	if (!t) {
+		*retry_after = USEC_PER_SEC;
+		return false;
+	}
 	rate = (double)t->rate / vm_count(q);
 	refill(&t->reserve, rate,
 	       rate * (double)RESERVE_US / (double)USEC_PER_SEC, now);
--- a/src/decide/rate_limit.h
+++ b/src/decide/rate_limit.h
@@ -27,9 +27,15 @@
 struct rate_limit *rate_limit_create(const char *self);
 void rate_limit_destroy(struct rate_limit *q);
 
+/*
+ * Begins a new configuration. Call rate_limit_keep() for each team of it, then
+ * rate_limit_set(); teams that are not of it may give up their places.
+ */
+void rate_limit_begin(struct rate_limit *q);
+void rate_limit_keep(struct rate_limit *q, const char *team);
 /*
  * Sets a team's limit; tokens beyond a lower burst are dropped. Returns false
- * if the table is full or memory is short.
+ * if the table is full of other teams of the configuration or memory is short.
  */
 bool rate_limit_set(struct rate_limit *q, const char *team, uint32_t rate_per_s,
 		    uint32_t burst, usec_t now);
@@ -75,8 +81,8 @@
 /*
  * Takes one token for an operation of a team; call at the team's keeper. The
  * last tokens are kept for operations that go first. If refused, "retry_after"
- * is the time until there is a token for this one, if no other takes it. A team
- * that has no limit is always granted.
+ * is the time until there is a token for this one, if no other takes it. A VM
+ * is not the keeper of a team that it doesn't know.
  */
 enum rate_limit_result rate_limit_take(struct rate_limit *q, const char *team,
 				       enum rate_limit_rank rank, usec_t now,
@@ -84,7 +90,7 @@
 /*
  * Takes one token from this VM's local reserve, for use when no keeper
  * responds. "draw" is a fresh random number from 0 to 1, which decides on
- * fractions of a token.
+ * fractions of a token. A team that is not known is refused.
  */
 bool rate_limit_take_local(struct rate_limit *q, const char *team, usec_t now,
 			   double draw, usec_t *retry_after);
--- a/src/proxy/catalog.h
+++ b/src/proxy/catalog.h
@@ -12,6 +12,8 @@
 #define CATALOG_ROUTES_MAX   20000
 #define CATALOG_SERVICES_MAX 512
 #define CATALOG_TEAMS_MAX    4096
+/* Stands for the team of callers if the configuration has none. */
+#define CATALOG_NO_TEAM "open"
 
 /* Consistency of the reads on a route. */
 enum read_consistency {
--- a/src/proxy/db_group.c
+++ b/src/proxy/db_group.c
@@ -96,6 +96,13 @@
 		if (g)
 			apply_service(g, &c->services[i]);
 	}
+	rate_limit_begin(p->rate_limit);
+	for (i = 0; i < c->n_teams; i++)
+		rate_limit_keep(p->rate_limit, c->teams[i].name);
+	/* Callers of public routes, if the configuration has no team. */
+	if (c->n_teams == 0)
+		(void)rate_limit_set(p->rate_limit, CATALOG_NO_TEAM, UINT32_MAX,
+				     UINT32_MAX, now);
 	for (i = 0; i < c->n_teams; i++) {
 		if (!rate_limit_set(p->rate_limit, c->teams[i].name,
 				    c->teams[i].rate_per_s, c->teams[i].burst,
--- a/src/proxy/session.c
+++ b/src/proxy/session.c
@@ -658,7 +658,8 @@
 	s->needs_key = !r->is_public;
 	if (!team)
 		team = c->n_teams ? &c->teams[0] : NULL;
-	snprintf(s->team, sizeof(s->team), "%s", team ? team->name : "open");
+	snprintf(s->team, sizeof(s->team), "%s",
+		 team ? team->name : CATALOG_NO_TEAM);
 	s->group = db_group_find(s->proxy, r->service);
 	if (!s->group) {
 		*code = REPLY_ERR_NO_DATABASE;
--- a/tests/decide/rate_limit_test.cc
+++ b/tests/decide/rate_limit_test.cc
@@ -473,7 +473,8 @@
 	struct rate_limit *q = rate_limit_create("a");
 	usec_t later = 0;
 	EXPECT_EQ(rate_limit_take(q, "nobody", RATE_LIMIT_URGENT, 1, &later),
-		  RATE_LIMIT_GRANTED);
+		  RATE_LIMIT_NOT_KEEPER);
+	EXPECT_FALSE(rate_limit_take_local(q, "nobody", 1, 0.0, &later));
 	EXPECT_EQ(rate_limit_keeper(q, "nobody"), nullptr);
 	ASSERT_TRUE(rate_limit_set(q, "team", 0, 0, 1));
 	EXPECT_EQ(rate_limit_take(q, "team", RATE_LIMIT_URGENT, 1, &later),
@@ -562,4 +563,41 @@
 		}
 	}
 }
+
+// Guards against a table that fills up with teams that are gone, so that new
+// ones have no limit. The teams of the configuration keep their tokens.
+TEST(RateLimit, TeamsThatAreGoneMakeRoom)
+{
+	usec_t now = USEC_PER_SEC;
+	usec_t retry_after = 0;
+	std::unique_ptr<struct rate_limit, void (*)(struct rate_limit *)> q(
+		rate_limit_create("vm"), rate_limit_destroy);
+	auto name = [](int i) { return "team-" + std::to_string(i); };
+	auto take = [&](const std::string &team) {
+		return rate_limit_take(q.get(), team.c_str(), RATE_LIMIT_URGENT,
+				       now, &retry_after);
+	};
+	rate_limit_peers_listed(q.get(), now);
+	rate_limit_begin(q.get());
+	for (int i = 0; i < RATE_LIMIT_TEAMS_MAX; i++)
+		ASSERT_TRUE(
+			rate_limit_set(q.get(), name(i).c_str(), 10, 10, now));
+	EXPECT_FALSE(rate_limit_set(q.get(), "one more", 10, 10, now))
+		<< "no team of the configuration gives up its place";
+	now += 2 * USEC_PER_SEC;
+	EXPECT_EQ(take(name(0)), RATE_LIMIT_GRANTED);
+	// The next configuration has the first team and a new one.
+	rate_limit_begin(q.get());
+	rate_limit_keep(q.get(), name(0).c_str());
+	rate_limit_keep(q.get(), "one more");
+	ASSERT_TRUE(rate_limit_set(q.get(), "one more", 10, 10, now));
+	ASSERT_TRUE(rate_limit_set(q.get(), name(0).c_str(), 10, 10, now));
+	EXPECT_EQ(take(name(0)), RATE_LIMIT_GRANTED);
+	EXPECT_EQ(take("one more"), RATE_LIMIT_REFUSED) << "it starts empty";
+	now += USEC_PER_SEC;
+	int granted = 0;
+	for (int i = 0; i < 100; i++)
+		granted += take("one more") == RATE_LIMIT_GRANTED;
+	EXPECT_EQ(granted, 10) << "it has its limit";
+}
 } // namespace
