Reuse the place of a database only when no statement refers to it

What would be seen (review, from reading): a database that takes a place of the group while statements of other VMs wait for the former one makes n_queued wrap, and these statements would be sent to it.

Cause: a place counted as free without a database and connections; statements refer to their database by its place.

Change: decide/db_slot also asks for waiting statements and for those that the owner has.

--- a/src/proxy/db_group.c
+++ b/src/proxy/db_group.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "decide/db_slot.h"
 #include "decide/restored_list.h"
 #include "kernel/log.h"
 #include "proxy/proxy_internal.h"
@@ -52,6 +53,7 @@
 static enum restored_entry judge_entry(const struct db_group *g,
 				       const struct registry_db *r);
 static void apply_database(struct db_group *g, const struct registry_db *r);
+static uint32_t find_free_slot(const struct db_group *g);
 static void note_cold(struct proxy *p, const struct registry_db *r,
 		      usec_t listed_at);
 static bool is_listed(const struct db_member *d, const struct registry_db *db,
@@ -522,10 +524,7 @@
 		i = DB_NONE;
 	}
 	if (i == DB_NONE) {
-		for (i = 0; i < DB_GROUP_MEMBERS_MAX; i++) {
-			if (!g->db[i].present && TAILQ_EMPTY(&g->db[i].conns))
-				break;
-		}
+		i = find_free_slot(g);
 		if (i == DB_GROUP_MEMBERS_MAX) {
 			log_event(EV_CONFIG_REFUSED,
 				  "service=%s database=%s reason=\"group is "
@@ -565,6 +564,26 @@
 	db_member_note_evacuation(d, 0, proxy_now());
 }
 
+/* Returns a place for another database, or DB_GROUP_MEMBERS_MAX. */
+static uint32_t find_free_slot(const struct db_group *g)
+{
+	uint32_t i;
+
+	for (i = 0; i < DB_GROUP_MEMBERS_MAX; i++) {
+		const struct db_member *d = &g->db[i];
+		const struct db_slot slot = {
+			.is_present = d->present,
+			.has_conns = !TAILQ_EMPTY(&d->conns),
+			.n_queued = d->n_queued,
+			.n_remote = d->n_remote,
+		};
+
+		if (db_slot_is_free(&slot))
+			break;
+	}
+	return i;
+}
+
 /*
  * Handles a database without an entry: keeps it as a departing one or drops it.
  * See decide/unlisted_db.h.
