Keep a session's newest commit at each service

What callers saw: on a read_your_writes route that led to another service for a moment and back, a session did not see its own acknowledged write, as long as replicas lagged and up to the staleness bound of the route.

Cause: the session kept the position of its newest commit for one service only. A commit at the second service replaced it, and set_min_position() ignored it where the name of the service was another. view_database() did not compare the name, and took a position of one service for another's. Event 2003 showed what was demanded (after=1.1), the write's own line what had been committed (at=1.2); it has the field "own" now, so that one line tells both.

Statements that other VMs execute carry the commit at their own service, in the fields that were there; an unknown position travels as the staleness bound. Sessions at one service demand what they demanded before.

The fake platform can have several services for it.

--- a/src/proxy/db_group.c
+++ b/src/proxy/db_group.c
@@ -503,6 +503,7 @@
 		TAILQ_INIT(&g->db[i].conns);
 	}
 	failover_init(g);
+	g->handle = p->n_groups;
 	p->groups[p->n_groups++] = g;
 	return g;
 }
--- a/src/proxy/dispatch.c
+++ b/src/proxy/dispatch.c
@@ -632,6 +632,7 @@
 static void view_database(struct session *s, struct db_member *d, usec_t now,
 			  struct load_balance_db *out)
 {
+	const struct session_commit own = session_own_commit(s);
 	const char *domain = s->proxy->kernel->settings.domain;
 	uint32_t load = d->n_remote;
 
@@ -643,9 +644,8 @@
 		.latency = d->latency,
 		.conn = LOAD_BALANCE_CONN_IDLE,
 		.behind = now < d->behind_until ||
-			  (s->consistency == READ_YOUR_WRITES &&
-			   now - s->last_commit_at < COMMIT_LAG_US &&
-			   log_pos_cmp(d->position, s->last_commit) < 0),
+			  (own.has_position && now - own.at < COMMIT_LAG_US &&
+			   log_pos_cmp(d->position, own.position) < 0),
 	};
 	if (!db_member_owner(d)) {
 		out->running = db_member_load(d);
@@ -667,17 +667,17 @@
  */
 static bool set_min_position(struct session *s)
 {
+	const struct session_commit own = session_own_commit(s);
 	struct stmt_exec *t = &s->exec;
-	usec_t age = (usec_t)s->max_staleness_ms * USEC_PER_MSEC;
+	usec_t age = session_commit_bound(
+		&own, t->began_at, (usec_t)s->max_staleness_ms * USEC_PER_MSEC);
 
 	if (s->consistency == READ_PRIMARY ||
 	    !primary_proof_position_after(&s->group->proof, t->began_at - age,
 					  &t->after))
 		return false;
-	if (s->consistency == READ_YOUR_WRITES &&
-	    strcmp(s->last_commit_service, s->group->service) == 0 &&
-	    log_pos_cmp(s->last_commit, t->after) > 0)
-		t->after = s->last_commit;
+	if (own.has_position && log_pos_cmp(own.position, t->after) > 0)
+		t->after = own.position;
 	return true;
 }
 
--- a/src/proxy/proxy_internal.h
+++ b/src/proxy/proxy_internal.h
@@ -14,6 +14,7 @@
 #include "decide/late_queue.h"
 #include "decide/load_balance.h"
 #include "decide/rate_limit.h"
+#include "decide/session_commits.h"
 #include "decide/evacuation.h"
 #include "decide/failover_fsm.h"
 #include "decide/shared_poll.h"
@@ -164,6 +165,8 @@
  */
 struct db_group {
 	struct proxy *proxy;
+	/* its index in the proxy's groups, which are never freed */
+	group_handle handle;
 	char service[NAME_MAX_BYTES];
 	/* connections that one database accepts, from all VMs */
 	uint32_t max_connections;
@@ -294,12 +297,9 @@
 	 * team of the configuration, or "open" if it has none.
 	 */
 	char team[NAME_MAX_BYTES];
-	struct strmap vars;	/* values set by SET */
-	struct strmap prepared; /* PREPARE: name to statement shape */
-	/* log position of the session's newest commit */
-	struct log_pos last_commit;
-	usec_t last_commit_at;			  /* time of its reply */
-	char last_commit_service[NAME_MAX_BYTES]; /* service of last_commit */
+	struct strmap vars;		/* values set by SET */
+	struct strmap prepared;		/* PREPARE: name to statement shape */
+	struct session_commits commits; /* its newest ones */
 	char state;
 	/* State of the transaction: */
 	bool in_tx;	   /* the caller has begun a transaction */
@@ -480,8 +480,13 @@
 /* session.c */
 void session_accept(struct proxy *p, int fd);
 void session_close(struct session *s);
-/* Delivers the response to an operation that waited for a rate limit token. */
 enum rate_limit_rank session_rank(const struct session *s, usec_t now);
+/*
+ * The commit that a read of the session has to see; none unless its route
+ * promises a session its own writes.
+ */
+struct session_commit session_own_commit(const struct session *s);
+/* Delivers the response to an operation that waited for a rate limit token. */
 void session_on_rate_result(struct session *s, bool granted,
 			    usec_t retry_after);
 void session_reap(struct proxy *p);
--- a/src/proxy/remote_client.c
+++ b/src/proxy/remote_client.c
@@ -199,19 +199,24 @@
 /*
  * Sends [type, stream, number, service, database, team, flags, time to the
  * deadline, age, age of the operation, consistency, staleness bound, priority,
- * latency target, last commit (service, term, position), term if the database
- * is known as primary, variables, prepared statement, line]; times in
- * microseconds, but the bound and the target in milliseconds.
+ * latency target, own commit there (service, term, position; no service: none
+ * of a known position), term if the database is known as primary, variables,
+ * prepared statement, line]; times in microseconds, but the bound and the
+ * target in milliseconds. The bound covers a commit of unknown position.
  */
 static void send_run(struct remote_stream *r)
 {
 	struct session *s = r->session;
 	struct stmt_exec *t = &s->exec;
 	struct db_group *g = s->group;
+	const struct session_commit own = session_own_commit(s);
 	usec_t now = proxy_now();
+	usec_t bound;
 	msgpack_sbuffer buf;
 	msgpack_packer p;
 
+	bound = session_commit_bound(
+		&own, t->began_at, (usec_t)s->max_staleness_ms * USEC_PER_MSEC);
 	r->number = s->proxy->next_stream_id++;
 	peer_link_begin(&buf, &p, 21, LINK_MSG_RUN);
 	msgpack_pack_uint64(&p, r->id);
@@ -225,12 +230,12 @@
 	msgpack_pack_uint64(&p, (uint64_t)(now - t->began_at));
 	msgpack_pack_uint64(&p, (uint64_t)(now - s->operation_began_at));
 	msgpack_pack_uint32(&p, s->consistency);
-	msgpack_pack_uint32(&p, s->max_staleness_ms);
+	msgpack_pack_uint32(&p, (uint32_t)(bound / USEC_PER_MSEC));
 	msgpack_pack_uint32(&p, s->priority);
 	msgpack_pack_uint32(&p, s->latency_target_ms);
-	wire_put_str(&p, s->last_commit_service);
-	msgpack_pack_uint64(&p, s->last_commit.term);
-	msgpack_pack_uint64(&p, s->last_commit.position);
+	wire_put_str(&p, own.has_position ? g->service : "");
+	msgpack_pack_uint64(&p, own.position.term);
+	msgpack_pack_uint64(&p, own.position.position);
 	msgpack_pack_uint64(&p, r->db == g->primary ? g->proof.term : 0);
 	pack_variables(&p, s);
 	pack_prepared(&p, s);
--- a/src/proxy/remote_server.c
+++ b/src/proxy/remote_server.c
@@ -61,6 +61,7 @@
 static struct served_stream *open_stream(struct peer_link *l, uint64_t id);
 static bool load_statement(struct session *s, const struct run_msg *m);
 static bool load_names(struct session *s, const struct run_msg *m);
+static void load_commit(struct session *s, const struct run_msg *m);
 static void send_done(struct served_stream *v, enum exec_result result,
 		      enum reply_error_code code, uint32_t flags,
 		      struct evbuffer *reply, const struct reply_msg *ready);
@@ -111,6 +112,7 @@
 		return;
 	}
 	v->session.group = g;
+	load_commit(&v->session, &m);
 	v->session.exec.db = db;
 	g->db[db].served_at = proxy_now();
 	if (m.term > g->proof.term)
@@ -370,9 +372,6 @@
 	s->max_staleness_ms = (uint32_t)m->max_staleness_ms;
 	s->priority = (uint32_t)m->priority;
 	s->latency_target_ms = (uint32_t)m->latency_target_ms;
-	s->last_commit = m->commit;
-	snprintf(s->last_commit_service, sizeof(s->last_commit_service), "%s",
-		 m->commit_service);
 	s->in_tx = (m->flags & RUN_IN_TX) != 0;
 	s->tx_read_only = (m->flags & RUN_TX_READ_ONLY) != 0;
 	t->is_write = (m->flags & RUN_WRITE) != 0;
@@ -392,6 +391,16 @@
 	return true;
 }
 
+/* Replaces the commit that the session has to see. */
+static void load_commit(struct session *s, const struct run_msg *m)
+{
+	s->commits.n = 0;
+	/* A VM of an earlier version may name a commit at another service. */
+	if (strcmp(m->commit_service, s->group->service) == 0)
+		session_commits_note(&s->commits, s->group->handle, &m->commit,
+				     proxy_now());
+}
+
 /* Replaces the session's variables and prepared statement. */
 static bool load_names(struct session *s, const struct run_msg *m)
 {
--- a/src/proxy/session_outcome.c
+++ b/src/proxy/session_outcome.c
@@ -54,13 +54,9 @@
 					"the primary may be superseded");
 				return;
 			}
-			if (ready->has_position) {
-				s->last_commit = ready->at;
-				s->last_commit_at = now;
-				snprintf(s->last_commit_service,
-					 sizeof(s->last_commit_service), "%s",
-					 g->service);
-			}
+			session_commits_note(
+				&s->commits, g->handle,
+				ready->has_position ? &ready->at : NULL, now);
 		}
 		send_reply(s, reply, ready);
 		return;
@@ -111,6 +107,14 @@
 			   "transaction not begun");
 }
 
+/* Returns the newest commit of the session at the service of its route. */
+struct session_commit session_own_commit(const struct session *s)
+{
+	if (s->consistency != READ_YOUR_WRITES)
+		return (struct session_commit){ 0 };
+	return session_commits_find(&s->commits, s->group->handle);
+}
+
 /*
  * Fails the transaction, as its database connection was lost while it was idle.
  */
@@ -252,17 +256,20 @@
 static void send_reply(struct session *s, struct evbuffer *reply,
 		       const struct reply_msg *ready)
 {
+	const struct session_commit own = session_own_commit(s);
 	struct stmt_exec *t = &s->exec;
 
 	log_event(EV_STATEMENT_DONE,
 		  "id=%s team=%s tx=%d service=%s database=%s via=%s "
 		  "took_us=%lld "
-		  "attempts=%u after=%llu.%llu at=%llu.%llu",
+		  "attempts=%u after=%llu.%llu own=%llu.%llu at=%llu.%llu",
 		  t->id, s->team, s->in_tx, s->group->service,
 		  s->group->db[t->db].id, t->via ? t->via : "-",
 		  (long long)(proxy_now() - t->began_at), t->attempts,
 		  (unsigned long long)(t->has_after ? t->after.term : 0),
 		  (unsigned long long)(t->has_after ? t->after.position : 0),
+		  (unsigned long long)own.position.term,
+		  (unsigned long long)own.position.position,
 		  (unsigned long long)ready->at.term,
 		  (unsigned long long)ready->at.position);
 	counter_add(CTR_DONE, 1);
--- a/tests/sessions/control.cc
+++ b/tests/sessions/control.cc
@@ -16,6 +16,8 @@
 // "peak_ID" again, the most statements that a database got in one second.
 // "foreign" writes an entry of another writer: its kind, its name and spec as
 // they stand in the text of a list, or a spec nested n times.
+// "add_service" adds the service "of"; "lead" lets the route "of" lead to
+// "service".
 // "homes" binds the route or team "of" to "region", or to none. The reply
 // to "writes" lists how often each write was executed, as "ran ID NUMBER", and
 // the log of the primary, as "log ITEM DATA", instead.
@@ -53,6 +55,14 @@
 	} else if (what == "homes") {
 		set_homes(request_query(req, "of"),
 			  request_query(req, "region"));
+	} else if (what == "add_service") {
+		add_service(request_query(req, "of"), 2);
+		for (auto *db : databases)
+			register_db(db);
+		write_config();
+	} else if (what == "lead") {
+		leads[request_query(req, "of")] = request_query(req, "service");
+		write_config();
 	} else if (what == "no_fence") {
 		checks_token = n == 0;
 	} else if (what == "relay_peers") {
--- a/tests/sessions/database.cc
+++ b/tests/sessions/database.cc
@@ -36,8 +36,10 @@
 }
 } // namespace
 
-Database::Database(FakePlatform *w, std::string name, bool is_primary)
-    : platform(w), id(std::move(name)), primary(is_primary)
+Database::Database(FakePlatform *w, std::string name, std::string of,
+		   bool is_primary)
+    : platform(w), id(std::move(name)), service(std::move(of)),
+      primary(is_primary)
 {
 	sockaddr_in at = {};
 	socklen_t len = sizeof(at);
@@ -121,11 +123,11 @@
 	std::string rest = text;
 	std::string verb = word(rest);
 	if (verb == "START" && !c->started) {
-		std::string service = word(rest);
+		std::string wanted_service = word(rest);
 		std::string team = word(rest);
 		std::string wanted = word(rest);
 		const char *code = nullptr;
-		if (service != platform->service ||
+		if (wanted_service != service ||
 		    (!wanted.empty() && wanted != id))
 			code = "WRONGNODE";
 		else if (connections.size() > max_connections)
@@ -253,7 +255,7 @@
 		report(c);
 	} else if (verb == "RESUME") {
 		paused_term = 0;
-		if (Database *leader = platform->newest_primary())
+		if (Database *leader = platform->newest_primary(service))
 			platform->replicate(leader);
 		report(c);
 	} else if (verb == "STEPDOWN") {
@@ -324,7 +326,7 @@
 		refuse(c, "READONLY");
 		return;
 	}
-	if (!c->writes.empty() && platform->newest_primary() != this)
+	if (!c->writes.empty() && platform->newest_primary(service) != this)
 		platform->old_commits++;
 	for (auto &w : c->writes) {
 		w.at = { term, log.size() + 1 };
--- a/tests/sessions/fake_platform.cc
+++ b/tests/sessions/fake_platform.cc
@@ -51,15 +51,23 @@
 	evhttp_set_cb(http, "/promote", on_promote, this);
 	evhttp_set_cb(http, "/control", on_control, this);
 	evhttp_set_gencb(http, on_store, this);
-	for (int i = 1; i <= 3; i++)
-		databases.push_back(
-			new Database(this, "db-" + std::to_string(i), i == 1));
+	add_service(kMainService, 3);
 	write_config();
 	for (auto *db : databases)
 		register_db(db);
 	history.end_initial_state();
 }
 
+// Adds a service with so many databases; the first one is its primary.
+void FakePlatform::add_service(const std::string &name, int n)
+{
+	services.push_back(name);
+	for (int i = 0; i < n; i++)
+		databases.push_back(new Database(
+			this, "db-" + std::to_string(databases.size() + 1),
+			name, i == 0));
+}
+
 FakePlatform::~FakePlatform()
 {
 	evhttp_free(http);
@@ -107,10 +115,11 @@
 	int64_t cold_left = db->cold_until - now_ms();
 	snprintf(spec, sizeof(spec),
 		 "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\","
-		 "\"zone\":\"z-%s\",\"version\":\"v1\",\"slots\":5,"
+		 "\"zone\":\"z-%d\",\"version\":\"v1\",\"slots\":5,"
 		 "\"state\":\"%s\",\"coldLeftMs\":%lld,\"dbRole\":\"%s\","
 		 "\"sequence\":%llu,\"born\":%llu}",
-		 service.c_str(), db->port, db->id.c_str() + 3,
+		 db->service.c_str(), db->port,
+		 (atoi(db->id.c_str() + 3) - 1) % 3 + 1,
 		 db->departing ? "draining" : "ready",
 		 (long long)(cold_left > 0 ? cold_left : 0),
 		 db->primary ? "primary" : "replica",
@@ -161,17 +170,21 @@
 			   "\",\"host\":\"" + k[0] + "\",\"kind\":\"" + k[1] +
 			   "\",\"timeoutMs\":1500,\"targetLatencyMs\":200,"
 			   "\"priority\":1,\"service\":\"" +
-			   service +
+			   (leads.count(k[0]) ? leads.at(k[0]) : kMainService) +
 			   "\",\"maxStalenessMs\":1500,\"public\":false" +
 			   homes_field(k[0]) + "}");
 	}
+	std::string list_of_services;
+	for (const auto &s : services)
+		list_of_services += (list_of_services.empty() ? "" : ",") +
+				    ("{\"name\":\"" + s +
+				     "\",\"maxConns\":40,\"syncReplicas\":0,"
+				     "\"coldPerS\":" +
+				     std::to_string(cold_per_s) + "}");
 	config_spec = "{\"version\":" + std::to_string(config_version++) +
-		      ",\"routes\":[" + routes +
-		      "],\"services\":[{\"name\":\"" + service +
-		      "\",\"maxConns\":40,\"syncReplicas\":0,"
-		      "\"coldPerS\":" +
-		      std::to_string(cold_per_s) +
-		      "}],"
+		      ",\"routes\":[" + routes + "],\"services\":[" +
+		      list_of_services +
+		      "],"
 		      "\"limits\":{\"txIdleMs\":1000},\"tenants\":[{\"name\":"
 		      "\"team\",\"apiKeys\":[" +
 		      list + "],\"ratePerS\":" + std::to_string(rate) +
@@ -231,9 +244,10 @@
 	if (!from->primary)
 		return;
 	for (auto *to : databases) {
-		if (to == from || !to->running || to->cut_off ||
-		    to->unreachable || from->unreachable ||
-		    to->term > from->term || to->paused_term > from->term)
+		if (to == from || to->service != from->service ||
+		    !to->running || to->cut_off || to->unreachable ||
+		    from->unreachable || to->term > from->term ||
+		    to->paused_term > from->term)
 			continue;
 		to->term = from->term;
 		size_t same = 0;
--- a/tests/sessions/fake_platform.h
+++ b/tests/sessions/fake_platform.h
@@ -19,7 +19,8 @@
 
 // Fake platform for tests of the form "sessions": its object store, its
 // promotion call, and one service of three databases, in one process with one
-// event loop. Faults are injected over HTTP: see FakePlatform::control().
+// event loop. "add_service" adds services of two databases, which have no
+// failovers. Faults are injected over HTTP: see FakePlatform::control().
 
 struct Position {
 	uint64_t term = 1;
@@ -59,10 +60,12 @@
 class Database
 {
       public:
-	Database(FakePlatform *platform, std::string id, bool primary);
+	Database(FakePlatform *platform, std::string id, std::string service,
+		 bool primary);
 
 	FakePlatform *platform;
 	std::string id;
+	std::string service;
 	bool primary;
 	uint64_t term = 1;
 	uint64_t paused_term = 0;
@@ -134,8 +137,9 @@
 	void run();
 
 	event_base *base;
-	std::string service = "quotes";
-	std::vector<Database *> databases;
+	static constexpr const char *kMainService = "quotes";
+	std::vector<std::string> services;
+	std::vector<Database *> databases; // of all services
 	uint64_t statements_run = 0;
 	// Number of executions of each write by its id, to detect one that ran
 	// twice.
@@ -151,8 +155,9 @@
 	void register_db(Database *db);
 	// Registers a cold database again at intervals, until it is not.
 	void check_in_while_cold(Database *db);
-	// Returns the primary of the newest term, or NULL.
-	Database *newest_primary() const;
+	// Returns the service's primary of the newest term, or NULL.
+	Database *
+	newest_primary(const std::string &service = kMainService) const;
 
       private:
 	struct Watch {
@@ -188,6 +193,7 @@
 	void put_evacuations();
 	std::string counters() const;
 	std::string writes() const;
+	void add_service(const std::string &name, int n);
 	void write_config();
 	void put_config();
 	static void relay_peer(std::string *spec);
@@ -295,6 +301,8 @@
 	std::set<std::string> keys = { "key-1", "key-2" };
 	uint32_t rate = 1000;
 	uint32_t cold_per_s = 0;
+	// The service of a route that leads elsewhere than to the main one.
+	std::map<std::string, std::string> leads;
 	// Regions in which a route, or the team "team", may run; as JSON.
 	std::map<std::string, std::string> homes;
 	std::string homes_field(const std::string &of) const;
--- a/tests/sessions/promotion.cc
+++ b/tests/sessions/promotion.cc
@@ -7,12 +7,13 @@
 
 // The promotion call of the fake platform.
 
-// Returns the primary of the newest term, or NULL.
-Database *FakePlatform::newest_primary() const
+// Returns the service's primary of the newest term, or NULL.
+Database *FakePlatform::newest_primary(const std::string &service) const
 {
 	Database *found = nullptr;
 	for (auto *db : databases) {
-		if (db->primary && (!found || db->term > found->term))
+		if (db->service == service && db->primary &&
+		    (!found || db->term > found->term))
 			found = db;
 	}
 	return found;
@@ -78,14 +79,17 @@
 	uint64_t term = 0;
 	if (!to->running || to == newest_primary())
 		return;
-	for (auto *db : databases)
-		term = std::max(term, db->term);
+	for (auto *db : databases) {
+		if (db->service == to->service)
+			term = std::max(term, db->term);
+	}
 	to->term = term + 1;
 	to->primary = true;
 	to->paused_term = 0;
 	to->applied = to->log.size();
 	for (auto *db : databases) {
-		if (db == to || !db->running || db->unreachable)
+		if (db == to || db->service != to->service || !db->running ||
+		    db->unreachable)
 			continue;
 		db->primary = false;
 		db->paused_term = 0;
