Promote the most complete log where commits wait for a replica

Cause: the choice of the next primary leaves out databases that depart, that no longer respond or whose entry has lapsed, and prefers those outside evacuated domains, whatever their logs hold. With synchronous replicas any of them may be the only one with an acknowledged commit. syncReplicas was decoded and used by no decision.

Change: for such services failover_choose_target() promotes a database only if its log reaches the furthest end of all fenced databases, and the old primary's where it told it; a departing primary leads on until another one has its log. decide/replica_loss.c counts replicas that left, and databases just promoted, until another one is known to have followed; while as many are missing as receive each commit, no failover begins (4013, 4014).

--- a/src/decide/failover_choice.c
+++ b/src/decide/failover_choice.c
@@ -10,6 +10,16 @@
 			    const struct failover_fsm_env *env, bool evacuated);
 static uint32_t led_last(const struct failover_fsm *s,
 			 const struct failover_fsm_env *env, uint32_t best);
+static uint32_t choose_synchronous(const struct failover_fsm *s,
+				   const struct failover_fsm_env *env);
+static struct log_pos furthest_end(const struct failover_fsm *s,
+				   const struct failover_fsm_env *env);
+static uint32_t find_complete(const struct failover_fsm *s,
+			      const struct failover_fsm_env *env,
+			      struct log_pos end, bool departing,
+			      bool evacuated);
+static bool may_be_target(const struct failover_fsm *s,
+			  const struct failover_fsm_env *env, uint32_t i);
 static bool lacks_end(const struct failover_fsm *s,
 		      const struct failover_fsm_env *env, uint32_t i);
 static bool has_outside(const struct failover_fsm *s,
@@ -88,8 +98,10 @@
 	    env->cause != FAILOVER_CAUSE_NO_PRIMARY &&
 	    env->peers_hearing >= env->peers_missing + 1)
 		return FAILOVER_HOLD_HEARD;
+	if (env->replica_is_away && env->cause != FAILOVER_CAUSE_DEPARTING)
+		return FAILOVER_HOLD_REPLICA_AWAY;
 	for (i = 0; i < env->n; i++) {
-		if (!failover_is_eligible(env, i) || !env->db[i].answers)
+		if (!failover_may_succeed(env, i) || !env->db[i].answers)
 			continue;
 		if (failover_may_take_over(env, i))
 			return FAILOVER_HOLD_NONE;
@@ -99,13 +111,13 @@
 }
 
 /*
- * Returns true if the database may take over and responds. A VM that knows no
+ * Returns true if the database may be promoted and responds. A VM that knows no
  * term of the group needs the database's report as well: a pause for a term
  * that is not above the group's has no effect.
  */
 bool failover_may_take_over(const struct failover_fsm_env *env, uint32_t i)
 {
-	return failover_is_eligible(env, i) && env->db[i].answers &&
+	return failover_may_succeed(env, i) && env->db[i].answers &&
 	       (env->term > 0 || env->db[i].term > 0);
 }
 
@@ -146,12 +158,23 @@
 	return hold;
 }
 
-/* Returns true if the database is registered, not primary and not departing. */
+/* Departing databases are eligible only where failover_may_succeed() says so.
+ */
 bool failover_is_eligible(const struct failover_fsm_env *env, uint32_t i)
 {
 	return i != env->primary && env->db[i].present && !env->db[i].departing;
 }
 
+/*
+ * A departing database may be the only one with commits that were acknowledged
+ * once it had received them.
+ */
+bool failover_may_succeed(const struct failover_fsm_env *env, uint32_t i)
+{
+	return failover_is_eligible(env, i) ||
+	       (env->is_synchronous && i != env->primary && env->db[i].present);
+}
+
 /*
  * Returns true if a replica has the whole log of the old primary. It has to be
  * outside evacuated domains if any that responds is, or if it is to be handed
@@ -184,10 +207,13 @@
 uint32_t failover_choose_target(const struct failover_fsm *s,
 				const struct failover_fsm_env *env)
 {
-	uint32_t best = longest_log(s, env, false);
 	bool may_keep = s->old_primary < env->n &&
 			!(s->failed_mask & (1U << s->old_primary));
+	uint32_t best;
 
+	if (env->is_synchronous)
+		return choose_synchronous(s, env);
+	best = longest_log(s, env, false);
 	if (s->cause == FAILOVER_CAUSE_EVACUATED) {
 		if (best != DB_NONE && !lacks_end(s, env, best))
 			return best;
@@ -216,11 +242,8 @@
 	uint32_t i;
 
 	for (i = 0; i < env->n; i++) {
-		if (i == s->old_primary || !env->db[i].present ||
-		    env->db[i].departing || (s->failed_mask & (1U << i)) ||
-		    !env->db[i].answers || env->db[i].evacuated != evacuated)
-			continue;
-		if (!s->stepped_down && !(s->paused_mask & (1U << i)))
+		if (!may_be_target(s, env, i) || env->db[i].departing ||
+		    env->db[i].evacuated != evacuated)
 			continue;
 		if (best == DB_NONE || log_pos_cmp(env->db[i].received,
 						   env->db[best].received) > 0)
@@ -229,6 +252,89 @@
 	return best;
 }
 
+/*
+ * Returns true if the database is fenced like the others, responds, and has not
+ * refused a promotion in this attempt.
+ */
+static bool may_be_target(const struct failover_fsm *s,
+			  const struct failover_fsm_env *env, uint32_t i)
+{
+	return i != s->old_primary && env->db[i].present &&
+	       env->db[i].answers && !(s->failed_mask & (1U << i)) &&
+	       (s->stepped_down || (s->paused_mask & (1U << i)));
+}
+
+/*
+ * Returns the database to promote where an acknowledged commit may be held by
+ * one replica only, or DB_NONE. No database is promoted whose log ends before
+ * that of another one, also if that one no longer responds, or before that of
+ * the old primary if it told its end. Of the others those that stay are
+ * preferred, in domains that are not evacuated. If there is none, an old
+ * primary that stepped down is promoted again, as often as needed: a departing
+ * one gets no statements meanwhile. While a replica is away that may hold more,
+ * only the old primary's own end tells what the log has to contain.
+ */
+static uint32_t choose_synchronous(const struct failover_fsm *s,
+				   const struct failover_fsm_env *env)
+{
+	struct log_pos end = furthest_end(s, env);
+	uint32_t best;
+
+	if (env->replica_is_away && !s->end_known_at)
+		return DB_NONE;
+	best = find_complete(s, env, end, false, false);
+	if (best == DB_NONE && s->cause != FAILOVER_CAUSE_EVACUATED)
+		best = find_complete(s, env, end, false, true);
+	if (best != DB_NONE)
+		return best;
+	if (s->old_primary < env->n &&
+	    !(s->failed_mask & (1U << s->old_primary)) &&
+	    (s->stepped_down || s->cause == FAILOVER_CAUSE_EVACUATED))
+		return s->old_primary;
+	if (s->cause == FAILOVER_CAUSE_EVACUATED)
+		return DB_NONE;
+	best = find_complete(s, env, end, true, false);
+	return best == DB_NONE ? find_complete(s, env, end, true, true) : best;
+}
+
+/* Returns the furthest end of any fenced database's log. */
+static struct log_pos furthest_end(const struct failover_fsm *s,
+				   const struct failover_fsm_env *env)
+{
+	struct log_pos end = { 0 };
+	uint32_t i;
+
+	if (s->end_known_at)
+		end = s->old_primary_end;
+	for (i = 0; i < env->n; i++) {
+		if (i != s->old_primary && env->db[i].present &&
+		    log_pos_cmp(env->db[i].received, end) > 0)
+			end = env->db[i].received;
+	}
+	return end;
+}
+
+/*
+ * Returns a database that may be promoted, departs or is evacuated as
+ * requested, and has the log up to "end"; or DB_NONE.
+ */
+static uint32_t find_complete(const struct failover_fsm *s,
+			      const struct failover_fsm_env *env,
+			      struct log_pos end, bool departing,
+			      bool evacuated)
+{
+	uint32_t i;
+
+	for (i = 0; i < env->n; i++) {
+		if (may_be_target(s, env, i) &&
+		    env->db[i].departing == departing &&
+		    env->db[i].evacuated == evacuated &&
+		    log_pos_cmp(env->db[i].received, end) >= 0)
+			return i;
+	}
+	return DB_NONE;
+}
+
 /*
  * Returns the evacuated database that led last if its log is longer than that
  * of "best", else "best". If the VM that acted in a hand-over fails after the
--- a/src/decide/failover_fsm.c
+++ b/src/decide/failover_fsm.c
@@ -52,6 +52,7 @@
 	s->old_primary = DB_NONE;
 	s->target = DB_NONE;
 	s->maybe_promoted = DB_NONE;
+	s->requested = DB_NONE;
 }
 
 /* Advances the failover as far as the current state of the group allows. */
@@ -100,6 +101,7 @@
 		s->stepped_down = false;
 		s->end_known_at = 0;
 		s->maybe_promoted = DB_NONE;
+		s->requested = DB_NONE;
 		s->attempts = 0;
 		s->result_pending = true;
 		enter_phase(s, env->now, FAILOVER_CLAIM);
@@ -151,6 +153,8 @@
 		if (!s->stepped_down && env->listed_at < s->verify_asked_at)
 			break;
 		s->result_pending = true;
+		s->requested = s->target;
+		s->requested_end = env->db[s->target].received;
 		emit(out, FAILOVER_ACT_PROMOTE, s->target, 0);
 		break;
 	case FAILOVER_CONFIRM:
@@ -233,10 +237,12 @@
 		enter_phase(s, now, FAILOVER_CONFIRM);
 		return;
 	}
-	if (a == FAILOVER_ANSWER_REFUSED)
+	if (a == FAILOVER_ANSWER_REFUSED) {
 		s->failed_mask |= 1U << s->target;
-	else
+		s->requested = DB_NONE;
+	} else {
 		s->maybe_promoted = s->target;
+	}
 	enter_phase(s, now, FAILOVER_VERIFY);
 	if (s->attempts >= PROMOTE_ATTEMPTS_MAX) {
 		enter_phase(s, now, FAILOVER_IDLE);
@@ -244,6 +250,19 @@
 	}
 }
 
+/*
+ * The replicas are fenced, or the old primary has stepped down, so the log of
+ * the target does not grow any more before it leads.
+ */
+bool failover_fsm_promoted_end(const struct failover_fsm *s, uint32_t db,
+			       struct log_pos *end)
+{
+	if (s->requested == DB_NONE || s->requested != db)
+		return false;
+	*end = s->requested_end;
+	return true;
+}
+
 /*
  * Ends the attempt because another VM has replaced the primary. If the term is
  * that of before, a primary that was not known leads on, and the next tick
@@ -259,6 +278,8 @@
 	if (s->phase != FAILOVER_IDLE && is_planned(s) &&
 	    db == s->old_primary && term <= s->base_term)
 		return;
+	if (term > s->base_term)
+		s->requested = DB_NONE;
 	s->cause_since = 0;
 	if (s->phase == FAILOVER_IDLE || s->phase == FAILOVER_CONFIRM)
 		return;
@@ -315,6 +336,8 @@
 		[FAILOVER_HOLD_NO_TARGET] = "no database can take over",
 		[FAILOVER_HOLD_NO_STATUS] = "no status of a log",
 		[FAILOVER_HOLD_TARGET_BEHIND] = "no target has the whole log",
+		[FAILOVER_HOLD_REPLICA_AWAY] =
+			"a replica that left may hold acknowledged commits",
 		[FAILOVER_HOLD_RANK] = "VMs of a lower rank go first",
 	};
 
@@ -366,7 +389,7 @@
 		return;
 	s->asked_at = env->now;
 	for (i = 0; i < env->n; i++) {
-		if (failover_is_eligible(env, i) &&
+		if (failover_may_succeed(env, i) &&
 		    !failover_may_take_over(env, i))
 			emit(out, FAILOVER_ACT_PROBE, i, 0);
 	}
@@ -593,7 +616,7 @@
 	if (!retry_is_due(s, env->now))
 		return;
 	for (i = 0; i < env->n; i++) {
-		if (failover_is_eligible(env, i) || i == s->old_primary)
+		if (failover_may_succeed(env, i) || i == s->old_primary)
 			emit(out, FAILOVER_ACT_PROBE, i, 0);
 	}
 }
--- a/src/decide/failover_fsm.h
+++ b/src/decide/failover_fsm.h
@@ -29,6 +29,11 @@
  *     after the primary has reported its step-down and the end of its log.
  *   - Only a database outside that has the log up to this end is promoted, or
  *     else the old primary again.
+ * Where commits are acknowledged only once a replica has received them, no
+ * promotion may leave one out ("is_synchronous"): the most complete log of all
+ * databases is promoted, be it that of a departing or an evacuated one, or none
+ * is. It is handed over once another database has that log.
+ *
  * If the evacuation ends before the step-down was requested, nothing was
  * changed and the attempt ends. Later it is completed, since the request may
  * take effect at any time.
@@ -70,6 +75,7 @@
 	FAILOVER_HOLD_NO_TARGET,     /* no database can take over */
 	FAILOVER_HOLD_NO_STATUS,     /* its log, or the primary's, is unknown */
 	FAILOVER_HOLD_TARGET_BEHIND, /* it lacks a part of the log */
+	FAILOVER_HOLD_REPLICA_AWAY,  /* one that left may hold more of it */
 	FAILOVER_HOLD_RANK,	     /* VMs of a lower rank go first */
 };
 
@@ -133,6 +139,10 @@
 	bool hears_most_vms; /* has heard most VMs for some time */
 	bool knows_all_dbs;  /* all live databases are in the list */
 	usec_t listed_at;    /* request time of the newest database list */
+	/* a commit is acknowledged only once replicas have received it */
+	bool is_synchronous;
+	/* a replica that left may be the only one with such commits */
+	bool replica_is_away;
 };
 
 struct failover_fsm_policy {
@@ -182,6 +192,10 @@
 	uint32_t failed_mask;	 /* databases that refused the promotion */
 	uint32_t maybe_promoted; /* its promotion had no answer; or DB_NONE */
 	uint32_t target;	 /* database to promote, or DB_NONE */
+	/* database whose promotion was requested last and has not been seen to
+	 * take effect, and the end of its log then; or DB_NONE */
+	uint32_t requested;
+	struct log_pos requested_end;
 	bool result_pending; /* result of claim, verify or promote is pending */
 	uint32_t attempts;   /* promotion calls of this attempt */
 };
@@ -216,6 +230,12 @@
  */
 void failover_fsm_superseded(struct failover_fsm *s, usec_t now, uint32_t db,
 			     uint64_t term);
+/*
+ * Returns true if the newest attempt may have promoted the database, and the
+ * end of the log with which it leads then.
+ */
+bool failover_fsm_promoted_end(const struct failover_fsm *s, uint32_t db,
+			       struct log_pos *end);
 /* Returns what holds an attempt back, if the machine is idle. */
 enum failover_fsm_hold failover_fsm_hold(const struct failover_fsm *s,
 					 const struct failover_fsm_env *env);
--- a/src/decide/failover_fsm_internal.h
+++ b/src/decide/failover_fsm_internal.h
@@ -16,7 +16,10 @@
 			  const struct failover_fsm_env *env);
 /* True if the database is known well enough to begin an attempt. */
 bool failover_may_take_over(const struct failover_fsm_env *env, uint32_t i);
+/* True if the database is registered, not primary and not departing. */
 bool failover_is_eligible(const struct failover_fsm_env *env, uint32_t i);
+/* True if it may be promoted when nothing better is left. */
+bool failover_may_succeed(const struct failover_fsm_env *env, uint32_t i);
 bool failover_caught_up(const struct failover_fsm *s,
 			const struct failover_fsm_env *env);
 uint32_t failover_choose_target(const struct failover_fsm *s,
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -59,6 +59,7 @@
 	X(4011, HANDOVER_HELD, WARN, "planned hand-over held back, or not") \
 	X(4012, HANDOVER_DONE, INFO, "planned hand-over ended")             \
 	X(4013, FAILOVER_HELD, WARN, "failover held back, or not")          \
+	X(4014, REPLICA_AWAY, INFO, "replica left, or its log is covered")  \
 	X(5001, ESCROW_RECOUNT, INFO, "recount of a team limit")            \
 	X(5002, TEAM_REFUSED, DEBUG, "request over the team's rate")        \
 	X(5003, LIMIT_ALONE, INFO, "team limit decided without its keeper") \
--- a/src/proxy/db_group.c
+++ b/src/proxy/db_group.c
@@ -120,6 +120,7 @@
 static void apply_service(struct db_group *g, const struct catalog_service *s)
 {
 	g->max_connections = s->max_connections;
+	g->sync_replicas = s->sync_replicas;
 	g->cold_milli_per_s = s->cold_milli_per_s;
 }
 
@@ -316,8 +317,10 @@
 		  g->service, g->db[db].id, (unsigned long long)term,
 		  (unsigned long long)g->proof.term, source);
 	if (g->proof.term != term) {
-		if (g->proof.term > 0)
+		if (g->proof.term > 0) {
 			g->term_known_at = now;
+			failover_replica_promoted(&g->db[db], term);
+		}
 		primary_proof_begin_term(&g->proof, term);
 		g->promoted_here = false;
 		for (i = 0; i < DB_GROUP_MEMBERS_MAX; i++)
@@ -544,6 +547,8 @@
 		d->joined_at = proxy_now();
 		if (g->proof.term > 0)
 			d->trusted_from = proxy_now() + TRUST_DELAY_US;
+		d->incarnation = r->incarnation;
+		failover_replica_joined(d);
 		d->conn_limit = UINT32_MAX;
 		d->latency = LATENCY_INITIAL_US;
 		d->deviation = LATENCY_INITIAL_US;
@@ -630,6 +635,7 @@
 
 	log_event(EV_DB_LEFT, "service=%s database=%s reason=\"%s\"",
 		  g->service, db->id, reason);
+	failover_replica_left(db);
 	db->present = false;
 	if (member_index(db) == g->primary)
 		g->primary = DB_NONE;
@@ -652,6 +658,7 @@
 	db->probing = false;
 	if (!ok || !db->present)
 		return;
+	failover_replica_reported(db, report, requested_at);
 	if (report->is_primary) {
 		if (report->term > g->proof.term ||
 		    (report->term == g->proof.term && g->primary == DB_NONE))
--- a/src/proxy/failover.c
+++ b/src/proxy/failover.c
@@ -116,6 +116,7 @@
 
 	collect_state(g, now, &env);
 	failover_handover_tick(g, &env);
+	failover_replicas_tick(g, &env);
 	failover_note_hold(g, &env);
 	failover_fsm_tick(s, &env, &out);
 	if (old_phase == FAILOVER_CLAIM && s->phase == FAILOVER_FENCE &&
@@ -226,6 +227,9 @@
 	env->knows_all_dbs = registry_is_settled(g->proxy->registry, now) &&
 			     unlisted_db_is_known(g->dropped_at, now);
 	env->listed_at = registry_listed_at(g->proxy->registry);
+	env->is_synchronous = g->sync_replicas > 0;
+	env->replica_is_away =
+		replica_loss_may_hide(&g->replica_loss, g->sync_replicas);
 	for (i = 0; i < DB_GROUP_MEMBERS_MAX; i++) {
 		const struct db_member *d = &g->db[i];
 
--- a/src/proxy/proxy_internal.h
+++ b/src/proxy/proxy_internal.h
@@ -14,6 +14,7 @@
 #include "decide/late_queue.h"
 #include "decide/load_balance.h"
 #include "decide/rate_limit.h"
+#include "decide/replica_loss.h"
 #include "decide/session_commits.h"
 #include "decide/evacuation.h"
 #include "decide/failover_fsm.h"
@@ -171,6 +172,8 @@
 	/* connections that one database accepts, from all VMs */
 	uint32_t max_connections;
 	uint64_t cold_milli_per_s; /* see catalog.h */
+	/* replicas that receive a commit before it is acknowledged */
+	uint32_t sync_replicas;
 	struct db_member db[DB_GROUP_MEMBERS_MAX];
 	uint32_t primary; /* index into db, or DB_NONE */
 	/* when the primary was proved to be the only one; its log positions */
@@ -188,6 +191,8 @@
 	bool promoted_here; /* this VM promoted the primary of this term */
 	struct failover_fsm succession;
 	struct failover_held held; /* a failover that does not begin */
+	struct replica_loss replica_loss;
+	usec_t loss_probed_at; /* time of the last requests for its end */
 	/* when a database was last dropped that other VMs may still use */
 	usec_t dropped_at;
 	/* when this VM last requested to mark its claim as promoting */
@@ -668,6 +673,16 @@
 /* failover_held.c */
 void failover_note_hold(struct db_group *g, const struct failover_fsm_env *env);
 
+/* failover_replicas.c */
+void failover_replica_left(const struct db_member *d);
+void failover_replica_joined(const struct db_member *d);
+void failover_replica_promoted(const struct db_member *d, uint64_t term);
+void failover_replica_reported(const struct db_member *d,
+			       const struct db_status_report *report,
+			       usec_t requested_at);
+void failover_replicas_tick(struct db_group *g,
+			    const struct failover_fsm_env *env);
+
 /* failover.c */
 void failover_init(struct db_group *g);
 void failover_tick(struct db_group *g, usec_t now);
--- a/tests/sessions/control.cc
+++ b/tests/sessions/control.cc
@@ -16,6 +16,8 @@
 // "peak_ID" again, the most statements that a database got in one second.
 // "foreign" writes an entry of another writer: its kind, its name and spec as
 // they stand in the text of a list, or a spec nested n times.
+// "sync" configures syncReplicas n; "lapse" removes or restores the entry of a
+// database that goes on.
 // "add_service" adds the service "of"; "lead" lets the route "of" lead to
 // "service".
 // "homes" binds the route or team "of" to "region", or to none. The reply
@@ -49,6 +51,9 @@
 	} else if (what == "rate") {
 		rate = (uint32_t)n;
 		write_config();
+	} else if (what == "sync") {
+		sync_replicas = n;
+		write_config();
 	} else if (what == "cold_per_s") {
 		cold_per_s = (uint32_t)n;
 		write_config();
@@ -125,6 +130,9 @@
 		db->close_all();
 	} else if (what == "mute_open") {
 		db->mute = true;
+	} else if (what == "lapse") {
+		db->lapsed = n != 0;
+		register_db(db);
 	} else if (what == "reset") {
 		db->close_all();
 	} else if (what == "unreachable") {
@@ -236,6 +244,7 @@
 	add("evacuation_calls", n_evacuation_calls);
 	for (const auto *db : databases) {
 		add(("arrived_" + db->id).c_str(), db->n_arrived);
+		add(("running_" + db->id).c_str(), db->running);
 		add(("peak_" + db->id).c_str(), db->peak_per_s);
 		add(("idle_ms_" + db->id).c_str(),
 		    (uint64_t)(now_ms() - db->arrived_at));
--- a/tests/sessions/database.cc
+++ b/tests/sessions/database.cc
@@ -328,6 +328,7 @@
 	}
 	if (!c->writes.empty() && platform->newest_primary(service) != this)
 		platform->old_commits++;
+	const bool writes = !c->writes.empty();
 	for (auto &w : c->writes) {
 		w.at = { term, log.size() + 1 };
 		log.push_back(w);
@@ -337,6 +338,10 @@
 	if (primary)
 		applied = log.size();
 	platform->replicate(this);
+	if (writes && !platform->is_replicated(this)) {
+		drop(c);
+		return;
+	}
 	complete(c, name, "");
 }
 
--- a/tests/sessions/fake_platform.cc
+++ b/tests/sessions/fake_platform.cc
@@ -106,7 +106,7 @@
 	}
 	waiting_databases.erase(db->id);
 	auto &o = kinds["servers"];
-	if (!db->running) {
+	if (!db->running || db->lapsed) {
 		if (o.erase(db->id))
 			notify_watches("servers", db->id);
 		return;
@@ -176,11 +176,12 @@
 	}
 	std::string list_of_services;
 	for (const auto &s : services)
-		list_of_services += (list_of_services.empty() ? "" : ",") +
-				    ("{\"name\":\"" + s +
-				     "\",\"maxConns\":40,\"syncReplicas\":0,"
-				     "\"coldPerS\":" +
-				     std::to_string(cold_per_s) + "}");
+		list_of_services +=
+			(list_of_services.empty() ? "" : ",") +
+			("{\"name\":\"" + s +
+			 "\",\"maxConns\":40,\"syncReplicas\":" +
+			 std::to_string(sync_replicas) +
+			 ",\"coldPerS\":" + std::to_string(cold_per_s) + "}");
 	config_spec = "{\"version\":" + std::to_string(config_version++) +
 		      ",\"routes\":[" + routes + "],\"services\":[" +
 		      list_of_services +
@@ -268,6 +269,16 @@
 	}
 }
 
+bool FakePlatform::is_replicated(const Database *from) const
+{
+	int received = 0;
+	for (const auto *to : databases)
+		received += to != from && to->service == from->service &&
+			    to->running && to->term == from->term &&
+			    to->log.size() == from->log.size();
+	return received >= sync_replicas;
+}
+
 std::string FakePlatform::object(const std::string &name, const Object &o) const
 {
 	return "{\"meta\":{\"name\":\"" + name +
--- a/tests/sessions/fake_platform.h
+++ b/tests/sessions/fake_platform.h
@@ -90,7 +90,8 @@
 	int64_t cold_until = 0; // its entry says that it is cold until then
 	int refuse_busy = 0;	// number of statements to refuse as BUSY
 	size_t max_connections = 40;
-	bool mute = false; // takes requests and answers none of them
+	bool mute = false;   // takes requests and answers none of them
+	bool lapsed = false; // has no entry, as if the store heard nothing
 	// Does not hear of promotions or of the other databases, nor they of
 	// it; VMs reach it.
 	bool unreachable = false;
@@ -149,6 +150,9 @@
 	uint64_t old_commits = 0;
 
 	void replicate(Database *from);
+	// True if a commit may be acknowledged: enough replicas have received
+	// the primary's log.
+	bool is_replicated(const Database *from) const;
 	void run_after(int ms, std::function<void()> fn);
 	// A steady clock, in milliseconds.
 	static int64_t now_ms();
@@ -301,6 +305,7 @@
 	std::set<std::string> keys = { "key-1", "key-2" };
 	uint32_t rate = 1000;
 	uint32_t cold_per_s = 0;
+	int sync_replicas = 0;
 	// The service of a route that leads elsewhere than to the main one.
 	std::map<std::string, std::string> leads;
 	// Regions in which a route, or the team "team", may run; as JSON.
