Share the set-up of the failover and session tests

Change: tests/decide/failover_policy.h and start_session_vms() in lib.sh.

The product is unchanged.

--- a/tests/decide/failover_evacuation_test.cc
+++ b/tests/decide/failover_evacuation_test.cc
@@ -1,27 +1,12 @@
 #include <gtest/gtest.h>
 #include <string>
 
-extern "C" {
-#include "decide/failover_fsm.h"
-}
+#include "failover_policy.h"
 
 // Hand-over of a primary whose failure domain is evacuated.
 
 namespace
 {
-constexpr usec_t kMs = USEC_PER_MSEC;
-constexpr struct failover_fsm_policy kPolicy = {
-	.guard = 600 * kMs,
-	.margin = 100 * kMs,
-	.stagger = 250 * kMs,
-	.phase_max = 2500 * kMs,
-	.attempt_max = 3000 * kMs,
-	.retry_interval = 60 * kMs,
-	.back_off = 700 * kMs,
-	.turn = 3000 * kMs,
-	.catch_up_max = 400 * kMs,
-	.ask_interval = 200 * kMs,
-};
 constexpr uint32_t kBoth = 1U << 1 | 1U << 2;
 
 // One VM's view of three databases, each in a domain of its own; database 0 is
--- a/tests/decide/failover_fsm_test.cc
+++ b/tests/decide/failover_fsm_test.cc
@@ -1,26 +1,10 @@
 #include <gtest/gtest.h>
 #include <string>
 
-extern "C" {
-#include "decide/failover_fsm.h"
-}
+#include "failover_policy.h"
 
 namespace
 {
-constexpr usec_t kMs = USEC_PER_MSEC;
-constexpr struct failover_fsm_policy kPolicy = {
-	.guard = 600 * kMs,
-	.margin = 100 * kMs,
-	.stagger = 250 * kMs,
-	.phase_max = 2500 * kMs,
-	.attempt_max = 3000 * kMs,
-	.retry_interval = 60 * kMs,
-	.back_off = 700 * kMs,
-	.turn = 3000 * kMs,
-	.catch_up_max = 400 * kMs,
-	.ask_interval = 200 * kMs,
-};
-
 // One VM's view of a group of three whose primary is database 0 in term 4.
 class Group
 {
--- a/tests/decide/failover_sync_test.cc
+++ b/tests/decide/failover_sync_test.cc
@@ -1,29 +1,13 @@
 #include <gtest/gtest.h>
 #include <string>
 
-extern "C" {
-#include "decide/failover_fsm.h"
-}
+#include "failover_policy.h"
 
 // Failovers of a service that acknowledges a commit once one replica has
 // received it.
 
 namespace
 {
-constexpr usec_t kMs = USEC_PER_MSEC;
-constexpr struct failover_fsm_policy kPolicy = {
-	.guard = 600 * kMs,
-	.margin = 100 * kMs,
-	.stagger = 250 * kMs,
-	.phase_max = 2500 * kMs,
-	.attempt_max = 3000 * kMs,
-	.retry_interval = 60 * kMs,
-	.back_off = 700 * kMs,
-	.turn = 3000 * kMs,
-	.catch_up_max = 400 * kMs,
-	.ask_interval = 200 * kMs,
-};
-
 // What a VM knows of a database that could take over.
 struct Replica {
 	uint64_t position; // of its log, in term 4
--- a/tests/process/lib.sh
+++ b/tests/process/lib.sh
@@ -198,6 +198,18 @@
 	SECOND=$(echo "$READY" | cut -d' ' -f3)
 }
 
+# start_session_vms: starts three VMs on that platform; sets AT to the addresses for
+# callers
+start_session_vms() {
+	AT=
+	for n in 1 2 3; do
+		vm_settings "s$n" "$n" "$PLATFORM" 1500
+		start "s$n" "$G" serve -f "$T/s$n.json" || exit 1
+		ok "VM $n gets ready" eventually 100 vm_ready "s$n"
+		AT="$AT $(vm_address "s$n" callers)"
+	done
+}
+
 # checks_of PREFIX COMMAND...: runs a script that prints a line "ok NAME" or
 # "not ok NAME" for each check, and counts these checks
 checks_of() {
--- a/tests/process/route_returns.sh
+++ b/tests/process/route_returns.sh
@@ -8,13 +8,7 @@
 
 topology_begin
 start_sessions_platform platform
-at=
-for n in 1 2 3; do
-	vm_settings "s$n" "$n" "$PLATFORM" 1500
-	start "s$n" "$G" serve -f "$T/s$n.json" || exit 1
-	ok "VM $n gets ready" eventually 100 vm_ready "s$n"
-	at="$at $(vm_address "s$n" callers)"
-done
+start_session_vms
 # shellcheck disable=SC2086
-checks_of "" perl tests/process/route_returns.pl "$PLATFORM" $at
+checks_of "" perl tests/process/route_returns.pl "$PLATFORM" $AT
 finish
