review: tell the stand-in's callers of the store apart

Cause: scripts need to know which VM a call to the store comes from. Each VM now has a port of the store of its own.

--- a/review/stand-in-3/world.pl
+++ b/review/stand-in-3/world.pl
@@ -15,10 +15,13 @@
 our $PROMOTE_MS = 300;	   # from the answer to a promotion until it takes effect
 our $OLD_LEADS_MS = 1000;  # an old primary that reaches the new one goes on so long
 our $QUEUE_MAX = 40;	   # statements that wait for a slot of a database
+# Called with what arrives, if the script sets them; a call to the store that it
+# answers with true is dropped.
+our ($on_statement, $on_call);
 our (%dbs, @db_order, @vms, %kinds, @watches, @promotions, @commits);
 our $revision = 1;
 our $leader;		   # id of the database that leads the newest term
-our ($store_port, $record, $tmp);
+our ($record, $tmp);
 my (%readers, %writers, @timers, $running);
 my $start_at = Time::HiRes::time();
 
@@ -172,8 +175,10 @@
 	@watches = grep { !$_->{done} && !$_->{c}{closed} } @left;
 }
 
-sub store_start {
-	$store_port = listen_on(sub { conn_new($_[0], \&http_data) });
+# Each VM has a port of the store of its own, so that calls tell who sent them.
+sub store_listen {
+	my ($vm) = @_;
+	return listen_on(sub { conn_new($_[0], \&http_data)->{vm} = $vm });
 }
 
 sub http_data {
@@ -193,6 +198,7 @@
 
 sub http_request {
 	my ($c, $method, $target, $head, $body) = @_;
+	return if $on_call && $on_call->($c->{vm}, $method, $target);
 	my ($path, $query) = split /\?/, $target, 2;
 	my %q = map { /^([^=]*)=(.*)$/ ? ($1 => $2) : () } split /&/, $query // "";
 	if ($path eq "/promote") { promote($c, $head, $body); return }
@@ -421,6 +427,7 @@
 sub db_statement {
 	my ($c, $id, $text, $after) = @_;
 	my $db = $c->{db};
+	$on_statement->($c, $id, $text, $after) if $on_statement;
 	my ($verb, $rest) = split / /, $text, 2;
 	$rest //= "";
 	my $mac = $id eq "-" ? "-" : "mac.$db->{id}.$id";
@@ -491,7 +498,7 @@
 	my ($db, $id, $writes) = @_;
 	my $n = 0;
 	for my $w (@$writes) {
-		push @{$db->{log}}, { term => $db->{term}, item => $w->{item}, data => $w->{data}, id => $w->{id} };
+		push @{$db->{log}}, { term => $db->{term}, item => $w->{item}, data => $w->{data}, id => $w->{id}, commit => $id };
 		$n = @{$db->{log}};
 	}
 	$db->{applied} = @{$db->{log}};
@@ -549,6 +556,7 @@
 
 sub vm_settings {
 	my ($vm) = @_;
+	my $store_port = $vm->{store_port} //= store_listen($vm);
 	open(my $f, ">", "$tmp/$vm->{name}.json") or die "$tmp: $!";
 	print $f "{ \"form\": \"sessions\", \"vm\": \"$vm->{name}\", \"domain\": \"$vm->{zone}\", \"region\": \"r\",
   \"caller_listen\": \"127.0.0.1:0\", \"ready_listen\": \"127.0.0.1:0\", \"peer_listen\": \"127.0.0.1:0\",
@@ -668,7 +676,6 @@
 	mkdir $tmp or die "$tmp: $!";
 	$SIG{TERM} = $SIG{INT} = sub { finish(2) };
 	if (!-x "target/gypsumcleat") { note("target/gypsumcleat is not built"); finish(2) }
-	store_start();
 }
 
 # Ends all processes that were started, by their ids.
